--- /dev/null
+++ b/cmd/coltsfootcleat/main.go
@@ -0,0 +1,17 @@
+// Command coltsfootcleat is the one binary of the system.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,35 @@
+// Package deps pins the libraries of packages that are being written side by
+// side. It goes away once they import them themselves.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cenkalti/backoff/v5"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/frankban/quicktest"
+	_ "github.com/gin-gonic/gin"
+	_ "github.com/go-playground/validator/v10"
+	_ "github.com/google/subcommands"
+	_ "github.com/google/uuid"
+	_ "github.com/hashicorp/golang-lru/v2"
+	_ "github.com/olekukonko/tablewriter"
+	_ "github.com/pelletier/go-toml/v2"
+	_ "github.com/pelletier/go-toml/v2/unstable"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/sashabaranov/go-openai"
+	_ "github.com/schollz/progressbar/v3"
+	_ "github.com/sirupsen/logrus"
+	_ "github.com/sony/gobreaker/v2"
+	_ "github.com/sourcegraph/jsonrpc2"
+	_ "github.com/tmaxmax/go-sse"
+	_ "go.opentelemetry.io/otel/exporters/prometheus"
+	_ "go.opentelemetry.io/otel/sdk/metric"
+	_ "go.uber.org/fx"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "pgregory.net/rapid"
+)
