Thin once: at-most-once calls over a row of the table

Need: refill orders and reservations may run at most once whatever retries and lost answers do, and a caller told not_run must be able to rely on it.

Weighed: a second row for the outcome (two writes that can disagree) and a lease for the sender (a paused holder would still send). Ruled out for one row whose dispatched record names the only attempt that may ever send.

--- /dev/null
+++ b/once/record.go
@@ -0,0 +1,76 @@
+package once
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/url"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// rowPrefix starts the key of every row of this package.
+const rowPrefix = "once/"
+
+// Key names a call that may not be repeated.
+type Key struct {
+	Customer string
+	Service  string
+	// Key is the caller's idempotency key.
+	Key string
+}
+
+// row returns the table key. Parts are escaped, so that no customer can
+// write a key that falls into another's rows.
+func (k Key) row() string {
+	return rowPrefix + url.PathEscape(k.Customer) + "/" + url.PathEscape(k.Service) + "/" + url.PathEscape(k.Key)
+}
+
+// state is the state of a record.
+type state string
+
+const (
+	// stateDispatched: the attempt may have been sent, or may still be.
+	stateDispatched state = "dispatched"
+	// stateRan: the call took effect.
+	stateRan state = "ran"
+	// stateUnknown: the attempt was sent and its effect can't be known.
+	stateUnknown state = "unknown"
+	// stateNotRun: the attempt was not run and never will be.
+	stateNotRun state = "not_run"
+)
+
+// record is the value of a row.
+type record struct {
+	State       state  `json:"state"`
+	Attempt     string `json:"attempt"`
+	Owner       string `json:"owner"`
+	Incarnation string `json:"incarnation"`
+	// Body is the hex hash of the call's body.
+	Body string `json:"body"`
+	// Reply is set in stateRan, unless it was lost or too large to keep.
+	Reply *endpoint.Reply `json:"reply,omitempty"`
+	// Code and Message describe the failure of an attempt.
+	Code    verdict.Code `json:"code,omitempty"`
+	Message string       `json:"message,omitempty"`
+}
+
+func (r *record) encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	return value, nil
+}
+
+func decode(row platform.Row) (*record, error) {
+	var r record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return nil, fmt.Errorf("decode row %q: %w", row.Key, err)
+	}
+	return &r, nil
+}
+
+func bodyHash(sum [32]byte) string { return hex.EncodeToString(sum[:]) }
