--- /dev/null
+++ b/once/fault_test.go
@@ -0,0 +1,317 @@
+package once
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// outcome is what a caller saw: "reply" or the verdict of its error.
+func seen(err error) string {
+	if err == nil {
+		return "reply"
+	}
+	return verdict.Of(err).String()
+}
+
+// TestEntryStopsAtEachStep stops the first entry at a step. A second entry,
+// to which the first seems dead, retries; then the first wakes, or does not.
+func TestEntryStopsAtEachStep(t *testing.T) {
+	const short, long = time.Second, time.Hour
+	cases := []struct {
+		name  string
+		at    step
+		pause time.Duration // 0 kills
+		// retry is seen at the second entry while the first is stopped.
+		retry string
+		// woken is seen by the first caller after the pause.
+		woken string
+		// last is seen by a third request after all that.
+		last       string
+		executions int
+	}{
+		{"killed before insert", beforeInsert, 0, "reply", "", "reply", 1},
+		{"killed after insert", afterInsert, 0, "may_have_run", "", "may_have_run", 0},
+		{"killed before send", beforeSend, 0, "may_have_run", "", "may_have_run", 0},
+		{"killed after send", afterSend, 0, "may_have_run", "", "may_have_run", 1},
+		{"killed before outcome", beforeOutcome, 0, "may_have_run", "", "may_have_run", 1},
+		{"killed after outcome", afterOutcome, 0, "reply", "", "reply", 1},
+		{"paused before insert", beforeInsert, short, "reply", "reply", "reply", 1},
+		{"paused after insert", afterInsert, short, "may_have_run", "reply", "reply", 1},
+		{"paused before send", beforeSend, short, "may_have_run", "reply", "reply", 1},
+		{"paused after send", afterSend, short, "may_have_run", "reply", "reply", 1},
+		{"paused before outcome", beforeOutcome, short, "may_have_run", "reply", "reply", 1},
+		{"paused after outcome", afterOutcome, short, "reply", "reply", "reply", 1},
+		{"paused long before insert", beforeInsert, long, "reply", "reply", "reply", 1},
+		{"paused long after insert", afterInsert, long, "may_have_run", "not_run", "reply", 1},
+		{"paused long before send", beforeSend, long, "may_have_run", "reply", "reply", 1},
+		{"paused long after send", afterSend, long, "may_have_run", "reply", "reply", 1},
+		{"paused long before outcome", beforeOutcome, long, "may_have_run", "reply", "reply", 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				table := standin.NewTable(1)
+				svc := newFakeService()
+				first := newProcess(table, tc.at)
+				stopped := false
+				alive := func(string, string) bool { return !stopped }
+				one := New(first, Options{EntryID: "e1"})
+				two := New(table, Options{EntryID: "e2", Alive: alive})
+				defer two.Close()
+
+				result := make(chan string, 1)
+				go func() {
+					_, err := one.Do(t.Context(), testKey, testBody, first.sender(svc.send))
+					result <- seen(err)
+				}()
+				<-first.stopped
+				stopped = true
+				_, err := two.Do(t.Context(), testKey, testBody, svc.send)
+				c.Assert(seen(err), qt.Equals, tc.retry)
+				c.Assert(svc.count() <= 1, qt.IsTrue)
+
+				if tc.pause > 0 {
+					time.Sleep(tc.pause)
+					stopped = false
+					first.wake()
+					c.Assert(<-result, qt.Equals, tc.woken)
+				} else {
+					first.kill()
+					<-result
+				}
+				one.Close()
+				_, err = two.Do(t.Context(), testKey, testBody, svc.send)
+				c.Assert(seen(err), qt.Equals, tc.last)
+				c.Assert(svc.count(), qt.Equals, tc.executions)
+			})
+		})
+	}
+}
+
+// TestServiceFaults lets the service fail around its execution.
+func TestServiceFaults(t *testing.T) {
+	lost := verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "connection reset")
+	refused := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connection refused")
+	late := verdict.New(verdict.Ran, verdict.CodeInternal, "reply was garbled")
+	cases := []struct {
+		name       string
+		run        bool
+		err        error
+		lookup     bool
+		first      string
+		retry      string
+		executions int
+	}{
+		{"answer lost", true, lost, false, "may_have_run", "may_have_run", 1},
+		{"answer lost, can be asked", true, lost, true, "may_have_run", "reply", 1},
+		{"died before, unclear", false, lost, false, "may_have_run", "may_have_run", 0},
+		{"died before, unclear, says no", false, lost, true, "may_have_run", "may_have_run", 0},
+		{"died before the first byte", false, refused, false, "not_run", "reply", 1},
+		{"ran, reply unusable", true, late, false, "ran", "ran", 1},
+		{"error without verdict", true, context.DeadlineExceeded, false, "may_have_run", "may_have_run", 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				table := standin.NewTable(1)
+				svc := newFakeService()
+				opt := Options{EntryID: "e1"}
+				if tc.lookup {
+					opt.Lookup = func(context.Context, Key) (endpoint.Reply, bool, error) {
+						return endpoint.Reply{Status: 201}, svc.count() > 0, nil
+					}
+				}
+				store := New(table, opt)
+				defer store.Close()
+				_, err := store.Do(t.Context(), testKey, testBody, func(_ context.Context, attempt string) (endpoint.Reply, error) {
+					if tc.run {
+						svc.execute(attempt)
+					}
+					return endpoint.Reply{}, tc.err
+				})
+				c.Assert(seen(err), qt.Equals, tc.first)
+				_, err = store.Do(t.Context(), testKey, testBody, svc.send)
+				c.Assert(seen(err), qt.Equals, tc.retry)
+				c.Assert(svc.count(), qt.Equals, tc.executions)
+			})
+		})
+	}
+}
+
+// TestTableGoesDown takes the table away between insert and outcome.
+func TestTableGoesDown(t *testing.T) {
+	refused := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connection refused")
+	cases := []struct {
+		name  string
+		err   error
+		first string
+		retry string
+	}{
+		{"after a run", nil, "reply", "reply"},
+		// not_run can't be recorded yet, so that it is not said yet.
+		{"after a refusal", refused, "may_have_run", "reply"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				table := standin.NewTable(1)
+				svc := newFakeService()
+				store := New(table, Options{EntryID: "e1"})
+				defer store.Close()
+				_, err := store.Do(t.Context(), testKey, testBody, func(_ context.Context, attempt string) (endpoint.Reply, error) {
+					table.SetFaults(standin.TableFaults{Outage: true})
+					if tc.err != nil {
+						return endpoint.Reply{}, tc.err
+					}
+					return svc.execute(attempt), nil
+				})
+				c.Assert(seen(err), qt.Equals, tc.first)
+				_, err = store.Do(t.Context(), testKey, testBody, svc.send)
+				c.Assert(seen(err), qt.Equals, "not_run")
+
+				time.Sleep(time.Minute)
+				table.SetFaults(standin.TableFaults{})
+				time.Sleep(10 * time.Second)
+				_, err = store.Do(t.Context(), testKey, testBody, svc.send)
+				c.Assert(seen(err), qt.Equals, tc.retry)
+				c.Assert(svc.count(), qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// TestSameKeyAtTwoEntriesAtOnce lets both wait for the one execution.
+func TestSameKeyAtTwoEntriesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		table.SetFaults(standin.TableFaults{Latency: 3 * time.Millisecond})
+		svc := newFakeService()
+		slow := func(_ context.Context, attempt string) (endpoint.Reply, error) {
+			time.Sleep(2 * time.Second)
+			return svc.execute(attempt), nil
+		}
+		replies := make(chan endpoint.Reply, 8)
+		for _, entry := range []string{"e1", "e2"} {
+			store := New(table, Options{EntryID: entry})
+			defer store.Close()
+			for range cap(replies) / 2 {
+				go func() {
+					reply, err := store.Do(t.Context(), testKey, testBody, slow)
+					c.Check(err, qt.IsNil)
+					replies <- reply
+				}()
+			}
+		}
+		want := <-replies
+		for range cap(replies) - 1 {
+			c.Assert(<-replies, qt.DeepEquals, want)
+		}
+		c.Assert(svc.count(), qt.Equals, 1)
+	})
+}
+
+// TestWaitEndsWithItsContext bounds the wait for another entry's outcome.
+func TestWaitEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		svc := newFakeService()
+		one := New(table, Options{EntryID: "e1"})
+		two := New(table, Options{EntryID: "e2"})
+		defer one.Close()
+		defer two.Close()
+		go func() {
+			_, err := one.Do(t.Context(), testKey, testBody, func(_ context.Context, attempt string) (endpoint.Reply, error) {
+				time.Sleep(20 * time.Second)
+				return svc.execute(attempt), nil
+			})
+			c.Check(err, qt.IsNil)
+		}()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := two.Do(ctx, testKey, testBody, svc.send)
+		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeInProgress)
+		c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun)
+	})
+}
+
+// TestCallerGoneInMidSend records the outcome all the same.
+func TestCallerGoneInMidSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		svc := newFakeService()
+		store := New(table, Options{EntryID: "e1"})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := store.Do(ctx, testKey, testBody, func(ctx context.Context, attempt string) (endpoint.Reply, error) {
+			if !sleep(ctx, 5*time.Second) {
+				return endpoint.Reply{}, ctx.Err()
+			}
+			return svc.execute(attempt), nil
+		})
+		c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun)
+		store.Close()
+
+		other := New(table, Options{EntryID: "e2"})
+		defer other.Close()
+		_, err = other.Do(t.Context(), testKey, testBody, svc.send)
+		c.Assert(err, qt.IsNil)
+		c.Assert(svc.count(), qt.Equals, 1)
+	})
+}
+
+// TestRetryRacesWithTheBackgroundWriter retries at once at another entry
+// while not_run is still being written over an unconfirmed claim.
+func TestRetryRacesWithTheBackgroundWriter(t *testing.T) {
+	for _, late := range []time.Duration{0, time.Millisecond, 15 * time.Millisecond, 25 * time.Millisecond, time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				table := standin.NewTable(1)
+				defer table.Close()
+				svc := newFakeService()
+				one := New(table, Options{EntryID: "e1"})
+				two := New(table, Options{EntryID: "e2"})
+				defer one.Close()
+				defer two.Close()
+				table.SetFaults(standin.TableFaults{LoseRequest: 1, Late: late})
+				_, err := one.Do(t.Context(), testKey, testBody, svc.send)
+				c.Assert(seen(err), qt.Equals, "not_run")
+				table.SetFaults(standin.TableFaults{})
+				_, err = two.Do(t.Context(), testKey, testBody, svc.send)
+				c.Assert(err, qt.IsNil)
+				c.Assert(svc.count(), qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// TestLargeReplyIsNotKept answers the first caller whole and later ones ran.
+func TestLargeReplyIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := New(standin.NewTable(1), Options{MaxReplyBytes: 4})
+		defer store.Close()
+		svc := newFakeService()
+		reply, err := store.Do(t.Context(), testKey, testBody, svc.send)
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(reply.Body) > 4, qt.IsTrue)
+		_, err = store.Do(t.Context(), testKey, testBody, svc.send)
+		c.Assert(seen(err), qt.Equals, "ran")
+		c.Assert(svc.count(), qt.Equals, 1)
+	})
+}
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -79,7 +79,13 @@
 	})
 }
 
-func TestInsertFaults(t *testing.T) {
+// TestInsertFaults lets the first claim of a key fail.
+func TestInsertFaults(t *testing.T) { testClaimFaults(t, false) }
+
+// TestReplaceFaults lets the claim fail that replaces a not_run row.
+func TestReplaceFaults(t *testing.T) { testClaimFaults(t, true) }
+
+func testClaimFaults(t *testing.T, replace bool) {
 	cases := []struct {
 		name    string
 		faults  standin.TableFaults
@@ -101,6 +107,13 @@
 				defer table.Close()
 				defer store.Close()
 
+				if replace {
+					refused := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connection refused")
+					_, err := store.Do(t.Context(), testKey, testBody, func(context.Context, string) (endpoint.Reply, error) {
+						return endpoint.Reply{}, refused
+					})
+					c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+				}
 				table.SetFaults(tc.faults)
 				_, err := store.Do(t.Context(), testKey, testBody, svc.send)
 				if tc.wantRun {
