Add leases with fencing numbers

Weighed: storing expiry times in the row, which compares clocks of hosts, was ruled out. Deleting the row on release was ruled out: fencing numbers would start again. A renewal whose answer is lost is read back, but only the row's version is taken from it; which of the holder's own writes it shows is not known, so time goes on counting from the last confirmed one.

Change: package lease (Run, Held, MayOrder, Fence, Release), and standin.Gate, a table client that can be paused and killed, shared by the tests of once and lease. elapsed.Since takes the larger of monotonic and wall clock, as the monotonic clock stands still while a machine is suspended.

--- a/once/dispatch.go
+++ b/once/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/elapsed"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -41,7 +42,7 @@
 	if err := ctx.Err(); err != nil {
 		return s.refused("caller gone before the call was sent: %w", err)
 	}
-	if age := elapsed(a.began); age > s.opt.SendWindow {
+	if age := elapsed.Since(a.began); age > s.opt.SendWindow {
 		return s.refused("attempt is %v old, too old to be sent", age)
 	}
 	return nil
@@ -113,11 +114,3 @@
 	r.Reply = &reply
 	return r
 }
-
-// elapsed is the time since t on this host's monotonic or wall clock,
-// whichever says more: the monotonic clock stands still while a machine is
-// suspended.
-func elapsed(t time.Time) time.Duration {
-	now := time.Now()
-	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
-}
--- a/once/fault_test.go
+++ b/once/fault_test.go
@@ -82,10 +82,10 @@
 				if tc.pause > 0 {
 					time.Sleep(tc.pause)
 					stopped = false
-					first.wake()
+					first.Wake()
 					c.Assert(<-result, qt.Equals, tc.woken)
 				} else {
-					first.kill()
+					first.Kill()
 					<-result
 				}
 				one.Close()
--- a/once/process_test.go
+++ b/once/process_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
 // step is a point of an attempt at which a process can stop.
@@ -22,84 +22,37 @@
 	afterOutcome
 )
 
-// process is one entry's way to the outside. All I/O of a stopped process
-// stands still, which is all that others can see of a pause or a death.
+// process is one entry's way to the outside, which stops at a step of its
+// first attempt.
 type process struct {
-	platform.Table
+	*standin.Gate
+	table platform.Table
 
 	mu      sync.Mutex
 	stopAt  step
 	commits int
-	gate    chan struct{} // non-nil while stopped
-	stopped chan struct{} // closed at the first stop
-	dead    bool
+	stopped chan struct{} // closed at the step
 }
 
 func newProcess(table platform.Table, stopAt step) *process {
-	return &process{Table: table, stopAt: stopAt, stopped: make(chan struct{})}
-}
-
-func died() error {
-	return verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "process died")
+	return &process{
+		Gate:    standin.NewGate(table),
+		table:   table,
+		stopAt:  stopAt,
+		stopped: make(chan struct{}),
+	}
 }
 
-// pass waits while the process is stopped, and fails once it is dead.
-func (p *process) pass(at step) error {
+// reach stops the process if this is its step, and passes the gate.
+func (p *process) reach(at step) error {
 	p.mu.Lock()
 	if p.stopAt == at && at != never {
 		p.stopAt = never
-		p.gate = make(chan struct{})
+		p.Pause()
 		close(p.stopped)
 	}
-	gate := p.gate
-	p.mu.Unlock()
-	if gate != nil {
-		<-gate
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.dead {
-		return died()
-	}
-	return nil
-}
-
-// stop pauses the process at whatever it does next.
-func (p *process) stop() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.gate == nil {
-		p.gate = make(chan struct{})
-	}
-}
-
-// wake lets a paused process go on.
-func (p *process) wake() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.gate != nil {
-		close(p.gate)
-		p.gate = nil
-	}
-}
-
-// kill ends a process: nothing it still does has an effect.
-func (p *process) kill() {
-	p.mu.Lock()
-	p.dead = true
 	p.mu.Unlock()
-	p.wake()
-}
-
-func (p *process) Get(ctx context.Context, key string) (platform.Row, bool, error) {
-	if err := p.pass(never); err != nil {
-		return platform.Row{}, false, err
-	}
-	row, ok, err := p.Table.Get(ctx, key)
-	if lost := p.pass(never); lost != nil {
-		return platform.Row{}, false, lost
-	}
-	return row, ok, err
+	return p.Pass()
 }
 
 func (p *process) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
@@ -113,12 +66,12 @@
 		before, after = beforeOutcome, afterOutcome
 	}
 	p.mu.Unlock()
-	if err := p.pass(before); err != nil {
+	if err := p.reach(before); err != nil {
 		return 0, err
 	}
-	version, err := p.Table.Commit(ctx, writes...)
-	if lost := p.pass(after); lost != nil {
-		return 0, lost
+	version, err := p.table.Commit(ctx, writes...)
+	if killed := p.reach(after); killed != nil {
+		return 0, killed
 	}
 	return version, err
 }
@@ -126,12 +79,12 @@
 // sender wraps a send with the process's steps.
 func (p *process) sender(send SendFunc) SendFunc {
 	return func(ctx context.Context, attempt string) (endpoint.Reply, error) {
-		if err := p.pass(beforeSend); err != nil {
+		if err := p.reach(beforeSend); err != nil {
 			return endpoint.Reply{}, err
 		}
 		reply, err := send(ctx, attempt)
-		if lost := p.pass(afterSend); lost != nil {
-			return endpoint.Reply{}, lost
+		if killed := p.reach(afterSend); killed != nil {
+			return endpoint.Reply{}, killed
 		}
 		return reply, err
 	}
--- a/once/world_test.go
+++ b/once/world_test.go
@@ -132,9 +132,9 @@
 	k := Key{Customer: "c", Service: "s", Key: key}
 	reply, err := e.store.Do(ctx, k, sha256.Sum256([]byte(key)), e.proc.sender(w.send(number, key)))
 	r := callRecord{number: number, key: key, reply: string(reply.Body), err: err}
-	if e.proc.isDead() {
+	if e.proc.Dead() {
 		// A dead entry answers nobody.
-		r.err = died()
+		r.err = e.proc.Pass()
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -142,12 +142,6 @@
 	return r
 }
 
-func (p *process) isDead() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dead
-}
-
 // caller makes calls at random entries, and repeats those that failed.
 func (w *world) caller() {
 	for range callsEach {
@@ -214,22 +208,22 @@
 		e.alive = false
 		w.killed = true
 		w.mu.Unlock()
-		e.proc.kill()
+		e.proc.Kill()
 		w.spawn()
 	}
 }
 
 // pause stops an entry for up to 15 s; others may believe it dead.
 func (w *world) pause(e *worldEntry, seemsDead bool) {
-	e.proc.stop()
+	e.proc.Pause()
 	w.setAlive(e, !seemsDead)
 	time.Sleep(time.Duration(w.intn(15000)) * time.Millisecond)
 	w.setAlive(e, true)
-	e.proc.wake()
+	e.proc.Wake()
 }
 
 func (w *world) setAlive(e *worldEntry, alive bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	e.alive = alive && !e.proc.isDead()
+	e.alive = alive && !e.proc.Dead()
 }
