Thin job: durable requests with group-committed records

Weighed: one row per request under its owner's prefix, which would move at each claim and make reading by id a second look-up, against a row by customer and id plus a small row in its owner's list. The second was taken: reading by id is one Get, another customer's id is another key, and an adopter scans only what a dead owner left.

Change: Store with Accept, Bind, Checkpoint, Finish, Get, Check and Claim. All writes of a process share one batcher. Each commit rewrites the process's mark, conditional on the mark's version, so that a lost answer is decided by reading the mark and a delayed commit dies with the next one.

Seen: go test -race ./job passes: life of a request with inline and large texts, 500 accepts at once in at most 3 commits, idempotency keys.

--- /dev/null
+++ b/job/batch.go
@@ -0,0 +1,390 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// op is one atomic change that shares a commit with others.
+type op struct {
+	// rows are the keys it writes. Two ops on one row never share a commit.
+	rows     []string
+	priority platform.Priority
+	// build returns the writes. It is called for each try, in the batcher's
+	// goroutine, and sees the versions that earlier ops left.
+	build func() ([]platform.Write, error)
+	// applied is called in the batcher's goroutine once the op took effect,
+	// late when its caller no longer waits and was told that it may have run.
+	applied func(version uint64, late bool)
+
+	result chan error
+	caller atomic.Int32
+	// settled ops took effect or never will. unsure is set by a try whose
+	// answer was lost. Both belong to the batcher's goroutine.
+	settled, unsure bool
+}
+
+// What the caller of an op does.
+const (
+	callerWaits int32 = iota
+	callerTold
+	callerGone
+)
+
+// try is a commit whose answer was lost. All open tries are conditional on
+// the same version of the mark: at most one takes effect.
+type try struct {
+	batch uint64
+	ops   []*op
+}
+
+// mark is the value of the process's mark row.
+type mark struct {
+	Batch uint64 `json:"batch"`
+}
+
+// batcher commits ops in batches, one commit at a time.
+type batcher struct {
+	table platform.Table
+	opt   Options
+	log   *logrus.Entry
+	row   string
+
+	mu     sync.Mutex
+	queue  []*op
+	closed bool
+	wake   chan struct{}
+
+	// All below is used by the run goroutine alone.
+	known   bool
+	version uint64 // of the mark; valid while known
+	batch   uint64
+	open    []try
+	commits uint64
+}
+
+func newBatcher(table platform.Table, opt Options) *batcher {
+	return &batcher{
+		table: table,
+		opt:   opt,
+		log:   opt.Log,
+		row:   key(markPrefix, opt.Owner, opt.Incarnation),
+		wake:  make(chan struct{}, 1),
+	}
+}
+
+// do queues the op and waits for its result. When ctx ends first the op may
+// still run.
+func (b *batcher) do(ctx context.Context, o *op) error {
+	o.result = make(chan error, 1)
+	if err := b.enqueue(o); err != nil {
+		return err
+	}
+	select {
+	case err := <-o.result:
+		return err
+	case <-ctx.Done():
+		if !o.caller.CompareAndSwap(callerWaits, callerGone) {
+			return <-o.result
+		}
+		return verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "job: write not confirmed: %w", ctx.Err())
+	}
+}
+
+func (b *batcher) enqueue(o *op) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "job: entry is stopping")
+	}
+	if len(b.queue) >= b.opt.MaxQueue {
+		err := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "job: too many writes wait")
+		return err.WithRetryAfter(b.opt.RetryAfter)
+	}
+	b.queue = append(b.queue, o)
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// run commits batches until ctx ends. What is queued then is refused.
+func (b *batcher) run(ctx context.Context) {
+	for b.rest(ctx) {
+		began := time.Now()
+		b.commitAll(ctx, b.take())
+		if !sleep(ctx, b.opt.BatchInterval-time.Since(began)) {
+			break
+		}
+	}
+	b.mu.Lock()
+	b.closed = true
+	queue := b.queue
+	b.queue = nil
+	b.mu.Unlock()
+	for _, o := range queue {
+		o.answer(verdict.New(verdict.NotRun, verdict.CodeUnavailable, "job: entry is stopping"))
+	}
+}
+
+// rest waits for ops, and a moment longer so that more come together. With
+// open tries it goes on after a while to decide them.
+func (b *batcher) rest(ctx context.Context) bool {
+	var decide <-chan time.Time
+	if len(b.open) > 0 {
+		timer := time.NewTimer(b.opt.ResolveInterval)
+		defer timer.Stop()
+		decide = timer.C
+	}
+	select {
+	case <-b.wake:
+		return sleep(ctx, b.opt.Linger)
+	case <-decide:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// take returns the ops of the next batch, in order and with distinct rows.
+func (b *batcher) take() []*op {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var batch, left []*op
+	rows := make(map[string]struct{})
+	for _, o := range b.queue {
+		fits := len(batch) < b.opt.MaxBatch && !touches(rows, o)
+		for _, row := range o.rows {
+			rows[row] = struct{}{}
+		}
+		if fits {
+			batch = append(batch, o)
+		} else {
+			left = append(left, o)
+		}
+	}
+	b.queue = left
+	if len(left) > 0 {
+		select {
+		case b.wake <- struct{}{}:
+		default:
+		}
+	}
+	return batch
+}
+
+func touches(rows map[string]struct{}, o *op) bool {
+	for _, row := range o.rows {
+		if _, ok := rows[row]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// commitAll commits the ops in one commit. An op that conflicts fails alone
+// and the others go again; a commit whose answer is lost goes again until it
+// is decided or ResolveTimeout has passed.
+func (b *batcher) commitAll(ctx context.Context, ops []*op) {
+	ctx = platform.WithPriority(ctx, highest(ops))
+	deadline := time.Now().Add(b.opt.ResolveTimeout)
+	for {
+		if err := b.readMark(ctx); err != nil {
+			b.answerAll(ops, err)
+			return
+		}
+		ops = unsettled(ops)
+		if len(ops) == 0 && len(b.open) == 0 {
+			return
+		}
+		writes, owners := b.build(ops)
+		ops = unsettled(ops)
+		err := b.commit(ctx, ops, writes)
+		if err == nil {
+			return
+		}
+		var conflict *platform.ConflictError
+		if errors.As(err, &conflict) {
+			b.conflicted(conflict, owners, err)
+			continue
+		}
+		if verdict.Of(err) != verdict.NotRun && time.Now().Before(deadline) && sleep(ctx, b.opt.BatchInterval) {
+			continue
+		}
+		b.answerAll(ops, err)
+		return
+	}
+}
+
+// build returns the writes of all ops, the mark first, and the op of each
+// row. Ops that can't be built are answered.
+func (b *batcher) build(ops []*op) ([]platform.Write, map[string]*op) {
+	writes := []platform.Write{{}}
+	owners := make(map[string]*op)
+	for _, o := range ops {
+		built, err := o.build()
+		if err != nil {
+			o.settled = true
+			o.answer(err)
+			continue
+		}
+		writes = append(writes, built...)
+		for _, w := range built {
+			owners[w.Key] = o
+		}
+	}
+	return writes, owners
+}
+
+// commit sends one try. The mark comes first in it, so that a conflict
+// elsewhere proves that the mark had not changed.
+func (b *batcher) commit(ctx context.Context, ops []*op, writes []platform.Write) error {
+	b.batch++
+	value, err := encode(mark{Batch: b.batch})
+	if err != nil {
+		return err
+	}
+	writes[0] = platform.Write{Key: b.row, Value: value, Expect: b.version}
+	ctx, cancel := context.WithTimeout(ctx, b.opt.TableTimeout)
+	defer cancel()
+	b.commits++
+	version, err := b.table.Commit(ctx, writes...)
+	if err == nil {
+		b.version = version
+		b.open = append(b.open, try{batch: b.batch, ops: ops})
+		b.decide(b.batch, version)
+		return nil
+	}
+	if verdict.Of(err) != verdict.NotRun {
+		b.known = false
+		b.open = append(b.open, try{batch: b.batch, ops: ops})
+		for _, o := range ops {
+			o.unsure = true
+		}
+	}
+	return err
+}
+
+// readMark learns the mark's version where it is not known, and whether one
+// of the open tries has taken effect.
+func (b *batcher) readMark(ctx context.Context) error {
+	if b.known {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, b.opt.TableTimeout)
+	defer cancel()
+	row, ok, err := b.table.Get(ctx, b.row)
+	if err != nil {
+		return verdict.Wrap(verdict.NotRun, fmt.Errorf("job: mark not read: %w", err))
+	}
+	before := b.version
+	b.known, b.version = true, row.Version
+	if !ok || row.Version == before {
+		return nil
+	}
+	var m mark
+	if err := decode(row.Value, &m); err != nil {
+		return verdict.Wrap(verdict.NotRun, err)
+	}
+	b.decide(m.Batch, row.Version)
+	return nil
+}
+
+// decide settles all open tries once the mark shows the batch number.
+func (b *batcher) decide(batch, version uint64) {
+	open := b.open
+	b.open = nil
+	for _, t := range open {
+		if t.batch != batch {
+			continue
+		}
+		for _, o := range t.ops {
+			o.settle(version)
+		}
+	}
+}
+
+// conflicted fails the op whose row was changed by another, or forgets the
+// mark where that is what changed.
+func (b *batcher) conflicted(conflict *platform.ConflictError, owners map[string]*op, err error) {
+	if conflict.Key == b.row {
+		b.known = false
+		return
+	}
+	o := owners[conflict.Key]
+	o.settled = true
+	o.answer(err)
+}
+
+// answerAll gives ops the error of the commit, as may-have-run where an
+// earlier try is still open.
+func (b *batcher) answerAll(ops []*op, err error) {
+	for _, o := range ops {
+		if o.unsure {
+			o.answer(verdict.Wrap(verdict.MayHaveRun, err))
+		} else {
+			o.answer(err)
+		}
+	}
+}
+
+func (o *op) settle(version uint64) {
+	if o.settled {
+		return
+	}
+	o.settled = true
+	late := !o.caller.CompareAndSwap(callerWaits, callerTold)
+	o.applied(version, late)
+	if !late {
+		o.result <- nil
+	}
+}
+
+func (o *op) answer(err error) {
+	if o.caller.CompareAndSwap(callerWaits, callerTold) {
+		o.result <- err
+	}
+}
+
+func unsettled(ops []*op) []*op {
+	var left []*op
+	for _, o := range ops {
+		if !o.settled {
+			left = append(left, o)
+		}
+	}
+	return left
+}
+
+func highest(ops []*op) platform.Priority {
+	p := platform.PriorityCheckpoint
+	for _, o := range ops {
+		p = min(p, o.priority)
+	}
+	return p
+}
+
+// sleep waits for d; it returns false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/job/claim.go
@@ -0,0 +1,71 @@
+package job
+
+import (
+	"context"
+
+	"github.com/coltsfootcleat/coltsfootcleat/invariant"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// Claim makes an unfinished request of another process this one's own, with a
+// higher fencing number, if its number still is from. It returns the record
+// with prompt and checkpoint text. Of several claimants one succeeds; the
+// others get verdict.CodeConflict.
+func (s *Store) Claim(ctx context.Context, customer, id string, from uint64) (Record, error) {
+	old, version, err := s.load(ctx, customer, id)
+	if err != nil {
+		return Record{}, err
+	}
+	if old.Fence != from || old.State.Finished() {
+		return Record{}, claimLost(id)
+	}
+	r := old
+	r.Owner, r.OwnerIncarnation = s.opt.Owner, s.opt.Incarnation
+	r.Fence = old.Fence + 1
+	invariant.Check(r.Fence > from, invariant.FenceMonotonic, "request %s claimed with fence %d", id, r.Fence)
+	o := &op{
+		rows:     []string{r.row()},
+		priority: platform.PriorityAccept,
+		build:    func() ([]platform.Write, error) { return claimWrites(&old, &r, version) },
+		applied:  func(version uint64, late bool) { s.own(r, version, late) },
+	}
+	err = s.batch.do(ctx, o)
+	if conflictOn(err, r.row()) {
+		return Record{}, claimLost(id)
+	}
+	if err != nil {
+		return Record{}, err
+	}
+	filled, err := s.fill(ctx, r)
+	if err != nil {
+		// It is this process's own now, but can't be run yet.
+		s.orphan(r)
+	}
+	return filled, err
+}
+
+// fill reads the prompt and the checkpoint's text of an owned record.
+func (s *Store) fill(ctx context.Context, r Record) (Record, error) {
+	if err := s.fetchPrompt(ctx, &r); err != nil {
+		return r, err
+	}
+	return r, s.fetchText(ctx, &r.Checkpoint.Text)
+}
+
+// claimWrites moves the request from one owner's list to another's.
+func claimWrites(old, r *Record, version uint64) ([]platform.Write, error) {
+	value, err := encode(r)
+	if err != nil {
+		return nil, err
+	}
+	return []platform.Write{
+		{Key: r.row(), Value: value, Expect: version},
+		{Key: old.ownRow(), Delete: true, Expect: platform.ExpectAny},
+		{Key: r.ownRow(), Expect: platform.ExpectAny},
+	}, nil
+}
+
+func claimLost(id string) error {
+	return verdict.New(verdict.NotRun, verdict.CodeConflict, "job %s: claimed by another or finished", id)
+}
--- /dev/null
+++ b/job/store.go
@@ -0,0 +1,217 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/invariant"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// Store keeps the durable requests of one entry process. It is safe for
+// concurrent use.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+	opt     Options
+	log     *logrus.Entry
+	batch   *batcher
+
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu sync.Mutex
+	// owned are the unfinished requests of this process by ID.
+	owned map[string]*handle
+	// orphans are requests that became this process's own after their caller
+	// was told that it is not known.
+	orphans []Record
+}
+
+// handle is a request that this process owns.
+type handle struct {
+	mu sync.Mutex
+	// record is as last written, at this version of its row.
+	record  Record
+	version uint64
+}
+
+func (h *handle) get() (Record, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.record, h.version
+}
+
+func (h *handle) set(r Record, version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.record, h.version = r, version
+}
+
+// New returns a Store. Close must be called.
+func New(table platform.Table, objects platform.Objects, options Options) *Store {
+	options = options.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Store{
+		table:   table,
+		objects: objects,
+		opt:     options,
+		log:     options.Log,
+		batch:   newBatcher(table, options),
+		cancel:  cancel,
+		owned:   make(map[string]*handle),
+	}
+	s.running.Go(func() { s.batch.run(ctx) })
+	return s
+}
+
+// Close refuses what is not written yet and ends.
+func (s *Store) Close() {
+	s.cancel()
+	s.running.Wait()
+}
+
+// Accept records the request. It is durable, and this process's own, once
+// Accept has returned without an error. An ID is drawn where r has none.
+//
+// When an earlier request of the customer had the same idempotency key, r
+// becomes that request's record, with Joined set; where its body was another,
+// Accept fails with verdict.CodeKeyReused.
+func (s *Store) Accept(ctx context.Context, r *Record) error {
+	if r.ID == "" {
+		r.ID = s.opt.NewID()
+	}
+	r.Owner, r.OwnerIncarnation = s.opt.Owner, s.opt.Incarnation
+	r.Fence, r.State = 1, StateAccepted
+	accepted := *r
+	prompt, err := s.storePrompt(ctx, accepted)
+	if err != nil {
+		return err
+	}
+	o := &op{
+		rows:     []string{accepted.row()},
+		priority: platform.PriorityAccept,
+		build:    func() ([]platform.Write, error) { return acceptWrites(&accepted, prompt) },
+		applied: func(version uint64, late bool) {
+			s.own(accepted, version, late)
+		},
+	}
+	if r.IdempotencyKey != "" {
+		o.rows = append(o.rows, accepted.keyRow())
+	}
+	err = s.batch.do(ctx, o)
+	if r.IdempotencyKey != "" && conflictOn(err, accepted.keyRow()) {
+		return s.join(ctx, r)
+	}
+	return err
+}
+
+func acceptWrites(r *Record, prompt []byte) ([]platform.Write, error) {
+	value, err := encode(r)
+	if err != nil {
+		return nil, err
+	}
+	writes := []platform.Write{
+		{Key: r.row(), Value: value, Expect: platform.ExpectAbsent},
+		{Key: r.requestRow(), Value: prompt, Expect: platform.ExpectAbsent},
+		{Key: r.ownRow(), Expect: platform.ExpectAbsent},
+	}
+	if r.IdempotencyKey != "" {
+		first := platform.Write{Key: r.keyRow(), Value: []byte(r.ID), Expect: platform.ExpectAbsent}
+		writes = append(writes, first)
+	}
+	return writes, nil
+}
+
+// own makes the request this process's own. A late one has nobody who runs
+// it, and goes to the adopter.
+func (s *Store) own(r Record, version uint64, late bool) {
+	s.mu.Lock()
+	s.owned[r.ID] = &handle{record: r, version: version}
+	s.mu.Unlock()
+	if late {
+		s.orphan(r)
+	}
+}
+
+// orphan hands an owned request to the adopter.
+func (s *Store) orphan(r Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orphans = append(s.orphans, r)
+}
+
+// join replaces r by the request that came first under its key.
+func (s *Store) join(ctx context.Context, r *Record) error {
+	row, ok, err := s.read(ctx, r.keyRow())
+	if err != nil {
+		return err
+	}
+	if !ok {
+		// The first request was swept just now.
+		gone := verdict.New(verdict.NotRun, verdict.CodeConflict, "job: key expired meanwhile")
+		return gone.WithRetryAfter(s.opt.RetryAfter)
+	}
+	first, err := s.Get(ctx, r.Customer, string(row.Value))
+	if err != nil {
+		return err
+	}
+	if first.BodyHash != r.BodyHash {
+		return verdict.New(verdict.NotRun, verdict.CodeKeyReused, "job: key was used with another body")
+	}
+	*r = first
+	r.Joined = true
+	return nil
+}
+
+// Get returns a customer's request, with its answer or checkpoint text. An
+// unknown ID, or another customer's, fails with verdict.CodeNotFound.
+func (s *Store) Get(ctx context.Context, customer, id string) (Record, error) {
+	r, _, err := s.load(ctx, customer, id)
+	if err != nil {
+		return Record{}, err
+	}
+	if err := s.fetchTexts(ctx, &r); err != nil {
+		return Record{}, err
+	}
+	return r, nil
+}
+
+// load reads a request's row and its version.
+func (s *Store) load(ctx context.Context, customer, id string) (Record, uint64, error) {
+	row, ok, err := s.read(ctx, key(jobPrefix, customer, id))
+	if err != nil {
+		return Record{}, 0, err
+	}
+	if !ok {
+		return Record{}, 0, verdict.New(verdict.MayHaveRun, verdict.CodeNotFound, "job: no such request")
+	}
+	var r Record
+	if err := decode(row.Value, &r); err != nil {
+		return Record{}, 0, err
+	}
+	invariant.Check(r.Customer == customer && r.ID == id, invariant.AnswerOwner,
+		"request %s of one customer read as %s of another", r.ID, id)
+	return r, row.Version, nil
+}
+
+func (s *Store) read(ctx context.Context, row string) (platform.Row, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.opt.TableTimeout)
+	defer cancel()
+	got, ok, err := s.table.Get(ctx, row)
+	if err != nil {
+		// A read has no effect, but the request it is about may have run.
+		return platform.Row{}, false, verdict.Wrap(verdict.MayHaveRun, fmt.Errorf("job: read: %w", err))
+	}
+	return got, ok, nil
+}
+
+func conflictOn(err error, row string) bool {
+	var conflict *platform.ConflictError
+	return errors.As(err, &conflict) && conflict.Key == row
+}
--- /dev/null
+++ b/job/store_test.go
@@ -0,0 +1,187 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/invariant"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+func TestMain(m *testing.M) {
+	invariant.SetFatal(true)
+	os.Exit(m.Run())
+}
+
+// memObjects is an object store in memory that can be down.
+type memObjects struct {
+	mu     sync.Mutex
+	bodies map[string][]byte
+	down   bool
+}
+
+func newObjects() *memObjects { return &memObjects{bodies: make(map[string][]byte)} }
+
+func (m *memObjects) enter() error {
+	if m.down {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "objects: service is down")
+	}
+	return nil
+}
+
+func (m *memObjects) Put(_ context.Context, key string, body []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.enter(); err != nil {
+		return err
+	}
+	m.bodies[key] = body
+	return nil
+}
+
+func (m *memObjects) Get(_ context.Context, key string) ([]byte, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.enter(); err != nil {
+		return nil, false, err
+	}
+	body, ok := m.bodies[key]
+	return body, ok, nil
+}
+
+func (m *memObjects) Delete(_ context.Context, key string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.enter(); err != nil {
+		return err
+	}
+	delete(m.bodies, key)
+	return nil
+}
+
+func newStore(table platform.Table, objects platform.Objects, owner string) *Store {
+	return New(table, objects, Options{Owner: owner, Incarnation: "1"})
+}
+
+func request(id string) *Record {
+	return &Record{
+		ID:       id,
+		Customer: "karoo",
+		Kind:     "plan",
+		Model:    "m",
+		Version:  "1",
+		Messages: []endpoint.Message{{Role: "user", Content: "restock plan " + id}},
+	}
+}
+
+func answer(text string) Answer {
+	return Answer{Text: Text{Inline: text}, Tokens: len(text), FinishReason: "stop"}
+}
+
+func TestLifeOfARequest(t *testing.T) {
+	for _, size := range []int{10, 100_000} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx := t.Context()
+				table, objects := standin.NewTable(1), newObjects()
+				one, two := newStore(table, objects, "e1"), newStore(table, objects, "e2")
+				defer one.Close()
+				defer two.Close()
+				text := strings.Repeat("x", size)
+
+				r := request("r1")
+				r.Messages[0].Content = text
+				c.Assert(one.Accept(ctx, r), qt.IsNil)
+				c.Assert(one.Bind(ctx, "r1", "10.0.0.1:80", "s1"), qt.IsNil)
+				c.Assert(one.Checkpoint(ctx, "r1", 5, text), qt.IsNil)
+				c.Assert(one.Checkpoint(ctx, "r1", 9, text+"y"), qt.IsNil)
+
+				claimed, err := two.Claim(ctx, "karoo", "r1", 1)
+				c.Assert(err, qt.IsNil)
+				c.Assert(claimed.Fence, qt.Equals, uint64(2))
+				c.Assert(claimed.StreamID, qt.Equals, "s1")
+				c.Assert(claimed.Messages, qt.DeepEquals, r.Messages)
+				c.Assert(claimed.Checkpoint.Tokens, qt.Equals, 9)
+				c.Assert(claimed.Checkpoint.Text.Inline, qt.Equals, text+"y")
+
+				err = one.Finish(ctx, "r1", answer("stale"), verdict.Ran)
+				c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeFenced)
+				c.Assert(two.Finish(ctx, "r1", answer(text+"z"), verdict.Ran), qt.IsNil)
+
+				got, err := one.Get(ctx, "karoo", "r1")
+				c.Assert(err, qt.IsNil)
+				c.Assert(got.State, qt.Equals, StateDone)
+				c.Assert(got.Answer.Text.Inline, qt.Equals, text+"z")
+				_, err = one.Get(ctx, "other", "r1")
+				c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeNotFound)
+				rows, err := table.Scan(ctx, ownPrefix)
+				c.Assert(err, qt.IsNil)
+				c.Assert(rows, qt.HasLen, 0)
+			})
+		})
+	}
+}
+
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		table.SetFaults(standin.TableFaults{Latency: 5 * time.Millisecond})
+		s := newStore(table, newObjects(), "e1")
+		defer s.Close()
+		const requests = 500
+		var all sync.WaitGroup
+		for i := range requests {
+			all.Go(func() { c.Check(s.Accept(t.Context(), request(fmt.Sprint(i))), qt.IsNil) })
+		}
+		all.Wait()
+		c.Assert(table.Counts().Writes <= 1+requests/defaultMaxBatch+1, qt.IsTrue)
+	})
+}
+
+func TestIdempotencyKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table, objects := standin.NewTable(1), newObjects()
+		one, two := newStore(table, objects, "e1"), newStore(table, objects, "e2")
+		defer one.Close()
+		defer two.Close()
+		keyed := func(customer, id, hash string) *Record {
+			r := request(id)
+			r.Customer, r.IdempotencyKey, r.BodyHash = customer, "k", hash
+			return r
+		}
+		// Two at one entry at once share a batch; a third comes elsewhere.
+		var all sync.WaitGroup
+		same := []*Record{keyed("karoo", "r1", "h"), keyed("karoo", "r2", "h"), keyed("karoo", "r3", "h")}
+		for _, r := range same[:2] {
+			all.Go(func() { c.Check(one.Accept(t.Context(), r), qt.IsNil) })
+		}
+		all.Wait()
+		c.Assert(two.Accept(t.Context(), same[2]), qt.IsNil)
+		c.Assert(same[0].ID, qt.Equals, same[1].ID)
+		c.Assert(same[0].ID, qt.Equals, same[2].ID)
+		c.Assert(same[0].Joined != same[1].Joined, qt.IsTrue)
+		c.Assert(same[2].Joined, qt.IsTrue)
+
+		err := two.Accept(t.Context(), keyed("karoo", "r4", "other"))
+		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeKeyReused)
+		c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+
+		other := keyed("rival", "r5", "h")
+		c.Assert(two.Accept(t.Context(), other), qt.IsNil)
+		c.Assert(other.ID, qt.Equals, "r5")
+	})
+}
--- /dev/null
+++ b/job/update.go
@@ -0,0 +1,173 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// Bind records the engine's stream that answers the request, so that an
+// adopter can attach to it.
+func (s *Store) Bind(ctx context.Context, id, endpointAddr, streamID string) error {
+	return s.update(ctx, id, platform.PriorityAccept, func(r *Record) {
+		r.State = StateRunning
+		r.EndpointAddr, r.StreamID = endpointAddr, streamID
+	})
+}
+
+// Checkpoint records the answer so far. An older one than recorded is
+// skipped.
+func (s *Store) Checkpoint(ctx context.Context, id string, tokens int, text string) error {
+	h, err := s.handle(id)
+	if err != nil {
+		return err
+	}
+	r, _ := h.get()
+	if tokens <= r.Checkpoint.Tokens {
+		return nil
+	}
+	stored, err := s.storeText(ctx, objectName(&r, fmt.Sprintf("%d-%d", r.Fence, tokens)), text)
+	if err != nil {
+		return err
+	}
+	err = s.update(ctx, id, platform.PriorityCheckpoint, func(r *Record) {
+		if tokens > r.Checkpoint.Tokens {
+			r.Checkpoint = Checkpoint{Tokens: tokens, Text: stored}
+		}
+	})
+	if err == nil {
+		s.discard(ctx, r.Checkpoint.Text)
+	}
+	return err
+}
+
+// Finish records the end of the request: a whole answer, or a failure when
+// the answer has a code. answer.Text.Inline holds the whole text.
+func (s *Store) Finish(ctx context.Context, id string, answer Answer, v verdict.Verdict) error {
+	h, err := s.handle(id)
+	if err != nil {
+		return err
+	}
+	r, _ := h.get()
+	answer.Text, err = s.storeText(ctx, objectName(&r, fmt.Sprintf("%d-answer", r.Fence)), answer.Text.Inline)
+	if err != nil {
+		return err
+	}
+	answer.Verdict = v.String()
+	err = s.update(ctx, id, platform.PriorityAccept, func(r *Record) {
+		r.State = StateDone
+		if answer.Code != "" {
+			r.State = StateFailed
+		}
+		r.Answer = &answer
+		r.Checkpoint.Text = Text{}
+	})
+	if err == nil {
+		s.discard(ctx, r.Checkpoint.Text)
+	}
+	return err
+}
+
+// Check fails with verdict.CodeFenced when the request is no longer this
+// process's own. A process asks before it starts anything for the request.
+func (s *Store) Check(ctx context.Context, id string) error {
+	h, err := s.handle(id)
+	if err != nil {
+		return err
+	}
+	r, _ := h.get()
+	now, _, err := s.load(ctx, r.Customer, id)
+	if err != nil {
+		return err
+	}
+	if now.Fence != r.Fence || now.Owner != r.Owner || now.OwnerIncarnation != r.OwnerIncarnation {
+		s.disown(id)
+		return fenced(id)
+	}
+	return nil
+}
+
+// update changes an owned request's row, on the version last written.
+func (s *Store) update(ctx context.Context, id string, p platform.Priority, change func(*Record)) error {
+	h, err := s.handle(id)
+	if err != nil {
+		return err
+	}
+	first, _ := h.get()
+	var next Record
+	o := &op{
+		rows:     []string{first.row()},
+		priority: p,
+		build: func() ([]platform.Write, error) {
+			r, version := h.get()
+			if r.State.Finished() {
+				return nil, verdict.New(verdict.Ran, verdict.CodeConflict, "job: request is finished")
+			}
+			change(&r)
+			next = r
+			return updateWrites(&r, version)
+		},
+		applied: func(version uint64, _ bool) {
+			h.set(next, version)
+			if next.State.Finished() {
+				s.disown(id)
+			}
+		},
+	}
+	err = s.batch.do(ctx, o)
+	if conflictOn(err, first.row()) {
+		s.disown(id)
+		return fenced(id)
+	}
+	return err
+}
+
+// updateWrites writes the row, and takes a finished request off its owner's
+// list.
+func updateWrites(r *Record, version uint64) ([]platform.Write, error) {
+	value, err := encode(r)
+	if err != nil {
+		return nil, err
+	}
+	writes := []platform.Write{{Key: r.row(), Value: value, Expect: version}}
+	if r.State.Finished() {
+		writes = append(writes, platform.Write{Key: r.ownRow(), Delete: true, Expect: platform.ExpectAny})
+	}
+	return writes, nil
+}
+
+// discard deletes a text that no row names any more. What is left behind goes
+// with the sweep.
+func (s *Store) discard(ctx context.Context, t Text) {
+	if t.Object == "" {
+		return
+	}
+	if err := s.objects.Delete(ctx, t.Object); err != nil {
+		s.log.WithError(err).Debug("job: old text not deleted.")
+	}
+}
+
+func (s *Store) handle(id string) (*handle, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.owned[id]
+	if !ok {
+		return nil, fenced(id)
+	}
+	return h, nil
+}
+
+func (s *Store) disown(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.owned, id)
+}
+
+var errFenced = errors.New("request is not this process's own")
+
+func fenced(id string) error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeFenced, "job %s: %w", id, errFenced)
+}
