Thin routing and admission

Other parts are written beside this one and need the two APIs to compile and run against, before the decisions behind them are whole.

admission: token buckets per customer with this entry's part of the limit by demand, debt for what was estimated too low, cost ceiling, retry budget. Not there yet: queues, urgency, early refusal.

Nothing was measured yet.

--- /dev/null
+++ b/admission/ticket.go
@@ -0,0 +1,28 @@
+package admission
+
+// Ticket is the permission to run one request. Done must be called once the
+// request ended.
+type Ticket struct {
+	controller *Controller
+	customer   *customer
+	// charged is what was taken from the bucket.
+	charged int
+	done    bool
+}
+
+// Done gives the place back and settles tokens and cost. A second call has no
+// effect.
+func (t *Ticket) Done(u Usage) {
+	c := t.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.done {
+		return
+	}
+	t.done = true
+	now := c.now()
+	if u.Tokens > 0 {
+		t.customer.bucket.correct(now, float64(t.charged), float64(u.Tokens))
+	}
+	t.customer.spend.add(now, u.Cost)
+}
