--- /dev/null
+++ b/internal/tomlfile/validate.go
@@ -0,0 +1,117 @@
+package tomlfile
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// emptyHash is the SHA-256 of the empty string: a key nobody must have.
+const emptyHash = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+var validate = newValidator()
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+		return name
+	})
+	own := map[string]validator.Func{
+		"name":     func(fl validator.FieldLevel) bool { return namePattern.MatchString(fl.Field().String()) },
+		"key_hash": func(fl validator.FieldLevel) bool { return isKeyHash(fl.Field().String()) },
+		"ip_port":  func(fl validator.FieldLevel) bool { return isIPPort(fl.Field().String()) },
+		"finite":   func(fl validator.FieldLevel) bool { return isFinite(fl.Field().Float()) },
+	}
+	for tag, f := range own {
+		if err := v.RegisterValidation(tag, f); err != nil {
+			panic(err)
+		}
+	}
+	return v
+}
+
+func isKeyHash(s string) bool { return hashPattern.MatchString(s) && s != emptyHash }
+
+func isIPPort(s string) bool {
+	addr, err := netip.ParseAddrPort(s)
+	return err == nil && addr.Port() > 0
+}
+
+func isFinite(f float64) bool { return !math.IsInf(f, 0) && !math.IsNaN(f) }
+
+// Problem is a broken rule of a decoded value.
+type Problem struct {
+	Key, Text string
+}
+
+// Validate checks the "validate" tags of a struct. Besides the validator's own
+// rules there are "name", "key_hash" (SHA-256 in lower-case hex), "ip_port"
+// and "finite".
+func Validate(value any) []Problem {
+	err := validate.Struct(value)
+	var broken validator.ValidationErrors
+	if !errors.As(err, &broken) {
+		return nil
+	}
+	problems := make([]Problem, len(broken))
+	for i, e := range broken {
+		_, key, _ := strings.Cut(e.Namespace(), ".")
+		problems[i] = Problem{Key: key, Text: explain(e)}
+	}
+	return problems
+}
+
+func explain(e validator.FieldError) string {
+	switch e.Tag() {
+	case "required":
+		return "is missing"
+	case "name":
+		return "must be 1 to 64 letters, digits, dots, dashes or underscores"
+	case "key_hash":
+		return "must be the SHA-256 of a key as 64 lower-case hex digits"
+	case "ip_port":
+		return fmt.Sprintf("must be ip:port, not %q", e.Value())
+	case "finite":
+		return "must be a finite number"
+	case "min":
+		return "must have at least " + e.Param() + " element"
+	case "gt":
+		return "must be more than " + e.Param()
+	case "gte":
+		return "must be at least " + e.Param()
+	case "lte":
+		return "must be at most " + e.Param()
+	case "gtefield":
+		return "must be at least " + snake(e.Param())
+	case "oneof":
+		return "must be one of: " + strings.ReplaceAll(e.Param(), " ", ", ")
+	default:
+		return "breaks the rule " + e.Tag()
+	}
+}
+
+func snake(name string) string {
+	var b strings.Builder
+	for i, r := range name {
+		if r >= 'A' && r <= 'Z' {
+			if i > 0 {
+				b.WriteByte('_')
+			}
+			r += 'a' - 'A'
+		}
+		b.WriteRune(r)
+	}
+	return b.String()
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,48 +8,48 @@
 // Entry holds the settings of one entry host.
 type Entry struct {
 	// ID names the entry; it must be unique in the deployment.
-	ID            string `toml:"id" validate:"required"`
-	Deployment    string `toml:"deployment" validate:"required"`
-	FailureDomain string `toml:"failure_domain" validate:"required"`
+	ID            string `toml:"id" validate:"required,name"`
+	Deployment    string `toml:"deployment" validate:"required,name"`
+	FailureDomain string `toml:"failure_domain" validate:"required,name"`
 	Region        string `toml:"region"`
 	Listen        Listen `toml:"listen"`
 	// Platform is the base URL "http://ip:port" of the platform's services.
 	Platform Platform `toml:"platform"`
-	// OperatorKeySHA256 is the hex SHA-256 of the operators' key.
-	OperatorKeySHA256 string `toml:"operator_key_sha256" validate:"required,len=64,hexadecimal"`
+	// OperatorKeySHA256 is the SHA-256 of the operators' key in lower-case hex.
+	OperatorKeySHA256 string `toml:"operator_key_sha256" validate:"required,key_hash"`
 	Log               Log    `toml:"log"`
 	Limits            Limits `toml:"limits"`
 }
 
 // Listen holds the "ip:port" of each listener.
 type Listen struct {
-	Caller   string `toml:"caller" validate:"required,hostname_port"`
-	Operator string `toml:"operator" validate:"required,hostname_port"`
-	Peer     string `toml:"peer" validate:"required,hostname_port"`
+	Caller   string `toml:"caller" validate:"required,ip_port"`
+	Operator string `toml:"operator" validate:"required,ip_port"`
+	Peer     string `toml:"peer" validate:"required,ip_port"`
 }
 
 // Platform locates the platform's services.
 type Platform struct {
-	URL     string            `toml:"url" validate:"required,url"`
-	Timeout template.Duration `toml:"timeout"`
+	URL     string            `toml:"url" validate:"required"`
+	Timeout template.Duration `toml:"timeout" validate:"gt=0"`
 	// WritesPerSecond is this entry's part of the table's write budget.
-	WritesPerSecond float64 `toml:"writes_per_second" validate:"gte=0"`
+	WritesPerSecond float64 `toml:"writes_per_second" validate:"gt=0,finite"`
 }
 
 // Log sets up logging.
 type Log struct {
 	// Level is "debug", "info", "warning" or "error".
-	Level string `toml:"level" validate:"omitempty,oneof=debug info warning error"`
+	Level string `toml:"level" validate:"oneof=debug info warning error"`
 	// Format is "text" or "json".
-	Format string `toml:"format" validate:"omitempty,oneof=text json"`
+	Format string `toml:"format" validate:"oneof=text json"`
 }
 
 // Limits bound what one entry holds.
 type Limits struct {
 	// BodyBytes bounds a request body.
-	BodyBytes int64 `toml:"body_bytes" validate:"gte=0"`
+	BodyBytes int64 `toml:"body_bytes" validate:"gt=0"`
 	// BodyTimeout bounds the time to read a request body.
-	BodyTimeout template.Duration `toml:"body_timeout"`
+	BodyTimeout template.Duration `toml:"body_timeout" validate:"gt=0"`
 	// BufferedTokens bounds what is held for a slow reader.
-	BufferedTokens int `toml:"buffered_tokens" validate:"gte=0"`
+	BufferedTokens int `toml:"buffered_tokens" validate:"gt=0"`
 }
--- /dev/null
+++ b/template/index.go
@@ -0,0 +1,73 @@
+package template
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Index is one version of a template with tables for the look-ups of a
+// request. It is immutable: a request that holds one can't see a later version.
+type Index struct {
+	Template  *Template
+	kinds     map[string]Kind
+	customers map[string]Customer
+	byKey     map[string]string
+	services  map[string]Service
+}
+
+// NewIndex returns the Index of t, which must not be changed afterwards.
+func NewIndex(t *Template) *Index {
+	x := &Index{
+		Template:  t,
+		kinds:     make(map[string]Kind, len(t.Kinds)),
+		customers: make(map[string]Customer, len(t.Customers)),
+		byKey:     make(map[string]string, len(t.Customers)),
+		services:  make(map[string]Service, len(t.Services)),
+	}
+	for _, k := range t.Kinds {
+		x.kinds[k.Name] = k
+	}
+	for _, c := range t.Customers {
+		x.customers[c.Name] = c
+		x.byKey[c.KeySHA256] = c.Name
+	}
+	for _, s := range t.Services {
+		x.services[s.Name] = s
+	}
+	return x
+}
+
+// Kind returns the kind by name.
+func (x *Index) Kind(name string) (Kind, bool) {
+	k, ok := x.kinds[name]
+	return k, ok
+}
+
+// Customer returns the customer by name.
+func (x *Index) Customer(name string) (Customer, bool) {
+	c, ok := x.customers[name]
+	return c, ok
+}
+
+// CustomerByKey returns the customer by the SHA-256 of its key in lower-case
+// hex.
+func (x *Index) CustomerByKey(hash string) (Customer, bool) {
+	name, ok := x.byKey[hash]
+	if !ok {
+		return Customer{}, false
+	}
+	return x.Customer(name)
+}
+
+// Service returns the plain service by name.
+func (x *Index) Service(name string) (Service, bool) {
+	s, ok := x.services[name]
+	return s, ok
+}
+
+func discard() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
--- a/template/schema.go
+++ b/template/schema.go
@@ -60,27 +60,27 @@
 // published.
 type Template struct {
 	// Name is the deployment's name.
-	Name string `toml:"name" json:"name" validate:"required"`
+	Name string `toml:"name" json:"name" validate:"required,name"`
 	// Version is set by the store; it is 0 in a file.
 	Version   uint64     `toml:"-" json:"version"`
 	Weights   Weights    `toml:"weights" json:"weights"`
-	Models    []Model    `toml:"models" json:"models" validate:"required,dive"`
+	Models    []Model    `toml:"models" json:"models" validate:"required,min=1,dive"`
 	Services  []Service  `toml:"services" json:"services" validate:"dive"`
-	Kinds     []Kind     `toml:"kinds" json:"kinds" validate:"required,dive"`
-	Customers []Customer `toml:"customers" json:"customers" validate:"required,dive"`
+	Kinds     []Kind     `toml:"kinds" json:"kinds" validate:"required,min=1,dive"`
+	Customers []Customer `toml:"customers" json:"customers" validate:"required,min=1,dive"`
 }
 
 // Weights say what the deployment minimises.
 type Weights struct {
 	// Cost weighs money, Recomputed weighs tokens computed again.
-	Cost       float64 `toml:"cost" json:"cost" validate:"gte=0"`
-	Recomputed float64 `toml:"recomputed" json:"recomputed" validate:"gte=0"`
+	Cost       float64 `toml:"cost" json:"cost" validate:"gte=0,finite"`
+	Recomputed float64 `toml:"recomputed" json:"recomputed" validate:"gte=0,finite"`
 }
 
 // Model is a model that the deployment serves.
 type Model struct {
-	Name    string `toml:"name" json:"name" validate:"required"`
-	Version string `toml:"version" json:"version" validate:"required"`
+	Name    string `toml:"name" json:"name" validate:"required,name"`
+	Version string `toml:"version" json:"version" validate:"required,name"`
 	// MinReplicas and MaxReplicas bound placement.
 	MinReplicas int `toml:"min_replicas" json:"min_replicas" validate:"gte=0"`
 	MaxReplicas int `toml:"max_replicas" json:"max_replicas" validate:"gtefield=MinReplicas"`
@@ -88,7 +88,7 @@
 
 // Service is a plain service that the deployment routes to.
 type Service struct {
-	Name   string  `toml:"name" json:"name" validate:"required"`
+	Name   string  `toml:"name" json:"name" validate:"required,name"`
 	Routes []Route `toml:"routes" json:"routes" validate:"dive"`
 }
 
@@ -105,7 +105,7 @@
 
 // Kind is a kind of request.
 type Kind struct {
-	Name    string  `toml:"name" json:"name" validate:"required"`
+	Name    string  `toml:"name" json:"name" validate:"required,name"`
 	Urgency Urgency `toml:"urgency" json:"urgency" validate:"oneof=urgent normal patient"`
 	// Deadline bounds the time to the first token, or to a service's reply.
 	Deadline Duration `toml:"deadline" json:"deadline" validate:"gt=0"`
@@ -121,17 +121,17 @@
 
 // Customer holds the parameters of one customer.
 type Customer struct {
-	Name string `toml:"name" json:"name" validate:"required"`
-	// KeySHA256 is the hex SHA-256 of the customer's API key.
-	KeySHA256 string `toml:"key_sha256" json:"key_sha256" validate:"required,len=64,hexadecimal"`
+	Name string `toml:"name" json:"name" validate:"required,name"`
+	// KeySHA256 is the SHA-256 of the customer's API key in lower-case hex.
+	KeySHA256 string `toml:"key_sha256" json:"key_sha256" validate:"required,key_hash"`
 	// Share is the customer's weight in fair queueing.
-	Share float64 `toml:"share" json:"share" validate:"gt=0"`
+	Share float64 `toml:"share" json:"share" validate:"gt=0,finite"`
 	// TokensPerSecond and BurstTokens limit prompt plus answer tokens over
 	// all entries.
-	TokensPerSecond float64 `toml:"tokens_per_second" json:"tokens_per_second" validate:"gt=0"`
-	BurstTokens     float64 `toml:"burst_tokens" json:"burst_tokens" validate:"gt=0"`
+	TokensPerSecond float64 `toml:"tokens_per_second" json:"tokens_per_second" validate:"gt=0,finite"`
+	BurstTokens     float64 `toml:"burst_tokens" json:"burst_tokens" validate:"gt=0,finite"`
 	// CostPerHour is the customer's cost ceiling.
-	CostPerHour float64 `toml:"cost_per_hour" json:"cost_per_hour" validate:"gte=0"`
+	CostPerHour float64 `toml:"cost_per_hour" json:"cost_per_hour" validate:"gte=0,finite"`
 	// Kinds are the kinds the customer may use; empty means all.
 	Kinds []string `toml:"kinds" json:"kinds"`
 	// ModelVersions overrides the version of a model by its name.
