Thin stand-ins and REST adapters for platform and endpoints

Need: the other parts need a platform and endpoints to run against, in memory and over HTTP, before theirs can be tried.

Change: platform/standin has all five services and a handler, platform/rest its client. endpoint/standin has an engine (continuous batching, prefix cache, KV export and import, orders) and a service that counts executions, endpoint/rest their client. internal/sendonce sends a request once and tells whether a byte of it was written: net/http replays requests with an Idempotency-Key, and those whose reused connection died, unless the body is present and can't be rewound.

Weighed: httptrace.WroteHeaders as the mark of a sent request; it comes after the write, so a write that failed half way would count as not run. The connection's first Write is the mark instead, and a request that is given up seals its connection so that a late write can't follow.

Trial: with the one-use body taken out, all four cases of TestOnceNeverReplaysOnADyingReusedConnection and the one of TestOnceDoesNotDialAgainWhenNothingWasWritten fail.

go test ./internal/... ./endpoint/... ./platform/...: ok.

--- /dev/null
+++ b/endpoint/rest/client.go
@@ -0,0 +1,104 @@
+// Package rest is the client of model engines and plain services that speak
+// HTTP and JSON.
+package rest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/httpjson"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/sendonce"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// answerLimit bounds an answer's body, in bytes.
+const answerLimit = 64 << 20
+
+// Client reaches engines and services. It is safe for concurrent use.
+type Client struct {
+	transport *sendonce.Transport
+}
+
+// NewClient returns a client that opens its connections with dial; nil dials
+// over TCP.
+func NewClient(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
+	return &Client{transport: sendonce.New(dial)}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.Close() }
+
+// Engine implements endpoint.Client.
+func (c *Client) Engine(addr string) endpoint.Engine {
+	return &engine{client: c, base: "http://" + addr}
+}
+
+// Service implements endpoint.Client.
+func (c *Client) Service(addr string) endpoint.Service {
+	return &service{client: c, base: "http://" + addr}
+}
+
+// do sends a request once. A failure has verdict.NotRun when no byte was
+// written, else verdict.MayHaveRun. An answer that is no success becomes the
+// error it carries.
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	resp, written, err := c.transport.Once(req)
+	if err != nil {
+		return nil, unreachable(written, req, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return nil, httpjson.ReadError(resp)
+	}
+	return resp, nil
+}
+
+// call sends a request once and decodes its answer. A nil value sends no
+// body.
+func (c *Client) call(ctx context.Context, method, url string, value, answer any) error {
+	body, err := marshal(value)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s %s: %w", method, url, err)
+	}
+	resp, err := c.do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	if err != nil {
+		return unreachable(true, req, err)
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "%s %s: %w", method, req.URL.Path, err)
+	}
+	return nil
+}
+
+func marshal(value any) (io.Reader, error) {
+	if value == nil {
+		return http.NoBody, nil
+	}
+	data, err := json.Marshal(value)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalid, "body: %w", err)
+	}
+	return bytes.NewReader(data), nil
+}
+
+func unreachable(written bool, req *http.Request, err error) error {
+	v := verdict.NotRun
+	if written {
+		v = verdict.MayHaveRun
+	}
+	return verdict.New(v, verdict.CodeUnavailable, "%s %s: %w", req.Method, req.URL.Path, err)
+}
--- /dev/null
+++ b/endpoint/rest/stream.go
@@ -0,0 +1,127 @@
+package rest
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint/protocol"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// lineBytes bounds one line of a stream.
+const lineBytes = 1 << 20
+
+var (
+	dataField = []byte("data:")
+	doneData  = []byte(protocol.Done)
+	errNoEnd  = errors.New("stream ended without an end mark")
+)
+
+// stream reads server-sent events. It is used by one goroutine.
+type stream struct {
+	id     string
+	body   io.ReadCloser
+	cancel context.CancelFunc
+	lines  *bufio.Scanner
+	ended  bool
+	err    error
+	// watched is the context whose end breaks the stream; unwatch ends that.
+	watched context.Context
+	unwatch func() bool
+}
+
+func newStream(resp *http.Response, cancel context.CancelFunc) *stream {
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 4<<10), lineBytes)
+	return &stream{id: resp.Header.Get(protocol.HeaderStream), body: resp.Body, cancel: cancel, lines: lines}
+}
+
+// ID implements endpoint.Stream.
+func (s *stream) ID() string { return s.id }
+
+// Next implements endpoint.Stream. A context that ends breaks the stream off;
+// Attach goes on with it.
+func (s *stream) Next(ctx context.Context) (endpoint.Frame, error) {
+	if s.err != nil {
+		return endpoint.Frame{}, s.err
+	}
+	if s.ended {
+		return endpoint.Frame{}, io.EOF
+	}
+	s.watch(ctx)
+	f, err := s.read()
+	if err != nil {
+		if cause := ctx.Err(); cause != nil {
+			err = verdict.New(verdict.MayHaveRun, verdict.CodeCancelled, "stream: %w", cause)
+		}
+		s.err = err
+		return endpoint.Frame{}, err
+	}
+	s.ended = f.End
+	return f, nil
+}
+
+// watch lets the end of ctx break the stream off. A caller hands in the same
+// context for each frame, as a rule.
+func (s *stream) watch(ctx context.Context) {
+	if ctx == s.watched {
+		return
+	}
+	if s.unwatch != nil {
+		s.unwatch()
+	}
+	s.watched = ctx
+	s.unwatch = context.AfterFunc(ctx, s.cancel)
+}
+
+func (s *stream) read() (endpoint.Frame, error) {
+	for s.lines.Scan() {
+		data, ok := bytes.CutPrefix(s.lines.Bytes(), dataField)
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, doneData) {
+			return endpoint.Frame{}, broken(errNoEnd)
+		}
+		return decode(data)
+	}
+	if err := s.lines.Err(); err != nil {
+		return endpoint.Frame{}, broken(err)
+	}
+	return endpoint.Frame{}, broken(errNoEnd)
+}
+
+func decode(data []byte) (endpoint.Frame, error) {
+	var c protocol.Chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return endpoint.Frame{}, broken(err)
+	}
+	if c.Error != nil {
+		return endpoint.Frame{}, c.Error.Decode()
+	}
+	f, ok := protocol.FrameOf(&c)
+	if !ok {
+		return endpoint.Frame{}, broken(errors.New("chunk carries no frame"))
+	}
+	return f, nil
+}
+
+func broken(err error) error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream: %w", err)
+}
+
+// Close implements endpoint.Stream.
+func (s *stream) Close() error {
+	if s.unwatch != nil {
+		s.unwatch()
+	}
+	s.cancel()
+	return s.body.Close()
+}
--- /dev/null
+++ b/endpoint/standin/answer.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// DefaultMaxTokens limits answers whose request sets no limit.
+const DefaultMaxTokens = 256
+
+// wordSpace is the number of different words; each has up to five letters.
+const wordSpace = 36 * 36 * 36 * 36 * 36
+
+// Answer returns the first tokens words of the answer to a prompt, as
+// prefix.Text gives it. Every engine gives the same one.
+func Answer(model, version, prompt string, tokens int) string {
+	return newScript(model, version, prompt).text(0, tokens)
+}
+
+// AnswerTokens returns the length of the whole answer to a prompt: at least
+// half of maxTokens and at most maxTokens.
+func AnswerTokens(prompt string, maxTokens int) int {
+	if maxTokens <= 0 {
+		maxTokens = DefaultMaxTokens
+	}
+	half := maxTokens / 2
+	return max(1, half+int(xxhash.Sum64String(prompt)%uint64(maxTokens-half+1)))
+}
+
+// script gives each word of one answer.
+type script struct{ seed uint64 }
+
+func newScript(model, version, prompt string) script {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(model + "\x00" + version + "\x00")
+	_, _ = d.WriteString(prompt)
+	return script{seed: d.Sum64()}
+}
+
+// text returns the words from one offset up to another; every word but the
+// answer's first is led by a space.
+func (s script) text(from, to int) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(strconv.FormatUint(mix(s.seed+uint64(i))%wordSpace, 36))
+	}
+	return b.String()
+}
+
+// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/endpoint/standin/cache.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+)
+
+// eventsPerAnswer bounds the events of one answer.
+const eventsPerAnswer = 4096
+
+// prefixCache holds the hashes of cached blocks, least recently used first to
+// go, and a ring of events. The engine's lock guards it.
+type prefixCache struct {
+	blocks *simplelru.LRU[uint64, struct{}]
+	ring   []timedEvent
+	// first is the number of the ring's oldest event.
+	first uint64
+	limit int
+	// lose says whether an event is lost; nil loses none.
+	lose func() bool
+}
+
+type timedEvent struct {
+	endpoint.CacheEvent
+	at   time.Time
+	lost bool
+}
+
+func newPrefixCache(blocks, ring int) *prefixCache {
+	c := &prefixCache{limit: ring}
+	evicted := func(hash uint64, _ struct{}) { c.record(endpoint.CacheEvent{Hash: hash, Evicted: true}) }
+	lru, err := simplelru.NewLRU[uint64, struct{}](blocks, evicted)
+	if err != nil {
+		panic(err) // blocks is never below 1
+	}
+	c.blocks = lru
+	return c
+}
+
+// match returns how many leading blocks are cached.
+func (c *prefixCache) match(hashes []uint64) int {
+	for i, h := range hashes {
+		if !c.blocks.Contains(h) {
+			return i
+		}
+	}
+	return len(hashes)
+}
+
+// use marks the leading cached blocks as used now.
+func (c *prefixCache) use(hashes []uint64) {
+	// Backwards, so that a chain's last block is evicted before its first.
+	for i := c.match(hashes) - 1; i >= 0; i-- {
+		c.blocks.Get(hashes[i])
+	}
+}
+
+// add caches blocks.
+func (c *prefixCache) add(hashes []uint64) {
+	for i := len(hashes) - 1; i >= 0; i-- {
+		if _, held := c.blocks.Get(hashes[i]); held {
+			continue
+		}
+		c.blocks.Add(hashes[i], struct{}{})
+		c.record(endpoint.CacheEvent{Hash: hashes[i]})
+	}
+}
+
+func (c *prefixCache) record(e endpoint.CacheEvent) {
+	lost := c.lose != nil && c.lose()
+	c.ring = append(c.ring, timedEvent{CacheEvent: e, at: time.Now(), lost: lost})
+	if len(c.ring) >= 2*c.limit {
+		drop := len(c.ring) - c.limit
+		c.ring = append(c.ring[:0], c.ring[drop:]...)
+		c.first += uint64(drop)
+	}
+}
+
+// events returns the events from a number on that are older than lag. A lost
+// event ends the answer, so that the reader sees the gap in the next one.
+func (c *prefixCache) events(from uint64, lag time.Duration) endpoint.CacheEvents {
+	oldest := c.first + uint64(max(0, len(c.ring)-c.limit))
+	from = max(from, oldest)
+	latest := time.Now().Add(-lag)
+	i := min(int(from-c.first), len(c.ring))
+	for i < len(c.ring) && c.ring[i].lost && !c.ring[i].at.After(latest) {
+		i++
+	}
+	out := endpoint.CacheEvents{First: c.first + uint64(i)}
+	for i < len(c.ring) && len(out.Events) < eventsPerAnswer && !c.ring[i].lost && !c.ring[i].at.After(latest) {
+		out.Events = append(out.Events, c.ring[i].CacheEvent)
+		i++
+	}
+	out.Next = c.first + uint64(i)
+	return out
+}
+
+// CacheEvents implements endpoint.Engine.
+func (e *Engine) CacheEvents(_ context.Context, from uint64) (endpoint.CacheEvents, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return endpoint.CacheEvents{}, errDead()
+	}
+	return e.cache.events(from, e.cfg.EventLag+e.faults.EventLag), nil
+}
--- /dev/null
+++ b/endpoint/standin/engine.go
@@ -0,0 +1,280 @@
+// Package standin holds small in-memory stand-ins for model engines and plain
+// services, with faults that can be switched on while they run.
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/sendonce"
+	"github.com/coltsfootcleat/coltsfootcleat/prefix"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// EngineConfig sets up an Engine. Rates are in tokens per second.
+type EngineConfig struct {
+	Model   string
+	Version string
+	// PrefillRate is that of the whole engine, DecodeRate that of one stream.
+	PrefillRate float64
+	DecodeRate  float64
+	// MaxRunning is the batch size.
+	MaxRunning int
+	// CacheBlocks is the capacity of the prefix cache, in blocks of
+	// prefix.BlockTokens.
+	CacheBlocks int
+	// KVBytesPerToken and KVBandwidth (bytes per second) give the time that
+	// an export takes.
+	KVBytesPerToken int64
+	KVBandwidth     float64
+	// LoadTime is how long an order to load a model version takes.
+	LoadTime time.Duration
+	// Retention is how long a finished stream can be attached to.
+	Retention time.Duration
+	// LoadLag and EventLag are how far reports are behind.
+	LoadLag  time.Duration
+	EventLag time.Duration
+	// EventRing is the number of cache events that are kept.
+	EventRing int
+	// ChecksFence refuses orders with an old fencing number.
+	ChecksFence bool
+	// Addr is the engine's "ip:port", named in exports.
+	Addr string
+	// Dial reaches other engines for imports; nil dials over TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Seed is that of the random faults.
+	Seed uint64
+}
+
+// withDefaults fills in what is not set.
+func (c EngineConfig) withDefaults() EngineConfig {
+	setDefault(&c.PrefillRate, 8000)
+	setDefault(&c.DecodeRate, 50)
+	setDefault(&c.MaxRunning, 32)
+	setDefault(&c.CacheBlocks, 4096)
+	setDefault(&c.KVBytesPerToken, 128<<10)
+	setDefault(&c.KVBandwidth, 1<<30)
+	setDefault(&c.LoadTime, 10*time.Second)
+	setDefault(&c.Retention, 5*time.Minute)
+	setDefault(&c.EventRing, 8192)
+	return c
+}
+
+func setDefault[T comparable](value *T, def T) {
+	var zero T
+	if *value == zero {
+		*value = def
+	}
+}
+
+// Engine is a model engine in memory. It batches continuously, runs one
+// prefill at a time, and decodes each running stream at a fixed rate. It has
+// no goroutine of its own: a stream's tokens follow from the time at which
+// its decoding began. It is safe for concurrent use and works under
+// testing/synctest.
+type Engine struct {
+	cfg         EngineConfig
+	incarnation string
+	transport   *sendonce.Transport
+
+	mu      sync.Mutex
+	faults  EngineFaults
+	rng     *rand.Rand
+	dead    bool
+	leaving bool
+	role    string
+	fence   uint64
+	loaded  []endpoint.LoadedModel
+	loading []endpoint.LoadedModel
+	timers  map[*time.Timer]struct{}
+
+	streams    map[string]*stream
+	lastStream int
+	waiting    queue
+	prefills   queue
+	prefilling *stream
+	running    int
+	cache      *prefixCache
+	loads      loadHistory
+
+	kv       kvStore
+	attempts []*Attempt
+	totals   Totals
+}
+
+// NewEngine returns an engine that serves its model at once.
+func NewEngine(cfg EngineConfig) *Engine {
+	cfg = cfg.withDefaults()
+	e := &Engine{
+		cfg:         cfg,
+		incarnation: uuid.NewString(),
+		transport:   sendonce.New(cfg.Dial),
+		rng:         rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		timers:      make(map[*time.Timer]struct{}),
+		streams:     make(map[string]*stream),
+		kv:          newKVStore(),
+	}
+	e.cache = newPrefixCache(cfg.CacheBlocks, cfg.EventRing)
+	if cfg.Model != "" {
+		e.loaded = []endpoint.LoadedModel{{Model: cfg.Model, Version: cfg.Version}}
+	}
+	return e
+}
+
+// Close ends all streams and timers.
+func (e *Engine) Close() {
+	e.Kill()
+	e.transport.Close()
+}
+
+// Kill breaks all streams off and refuses everything from now on.
+func (e *Engine) Kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead = true
+	for timer := range e.timers {
+		timer.Stop()
+	}
+	clear(e.timers)
+	for _, s := range e.streams {
+		e.stopLocked(s, errDied)
+	}
+}
+
+// reviveLocked starts over with an empty cache and no streams, as a process
+// that was started again.
+func (e *Engine) reviveLocked() {
+	e.dead = false
+	e.incarnation = uuid.NewString()
+	e.streams = make(map[string]*stream)
+	e.kv = newKVStore()
+	e.cache = newPrefixCache(e.cfg.CacheBlocks, e.cfg.EventRing)
+	e.loading = nil
+	e.loads = loadHistory{}
+}
+
+// SetLeaving says whether the engine knows that its host will be reclaimed.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+	e.recordLoadLocked()
+}
+
+// Generate implements endpoint.Engine.
+func (e *Engine) Generate(ctx context.Context, r endpoint.GenerateRequest) (endpoint.Stream, error) {
+	prompt := prefix.Text(r.Messages)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return nil, errDead()
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "engine: %w", err)
+	}
+	if !slices.Contains(e.loaded, endpoint.LoadedModel{Model: r.Model, Version: r.Version}) {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "engine: model %q version %q is not loaded", r.Model, r.Version)
+	}
+	s := &stream{
+		request: r,
+		script:  newScript(r.Model, r.Version, prompt),
+		total:   AnswerTokens(prompt, r.MaxTokens),
+		changed: make(chan struct{}),
+	}
+	if err := s.checkResume(); err != nil {
+		return nil, err
+	}
+	if err := e.kv.claim(s); err != nil {
+		return nil, err
+	}
+	e.acceptLocked(s, prompt)
+	return &reader{engine: e, stream: s, next: r.ResumeTokens, first: true}, nil
+}
+
+// Attach implements endpoint.Engine.
+func (e *Engine) Attach(ctx context.Context, streamID string, from int) (endpoint.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return nil, errDead()
+	}
+	s, ok := e.streams[streamID]
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "engine: no stream %q", streamID)
+	}
+	if from < s.request.ResumeTokens || from > s.total {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalid, "engine: stream %q has no offset %d", streamID, from)
+	}
+	return &reader{engine: e, stream: s, next: from}, nil
+}
+
+// Cancel implements endpoint.Engine.
+func (e *Engine) Cancel(_ context.Context, streamID string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return errDead()
+	}
+	if s, ok := e.streams[streamID]; ok {
+		e.stopLocked(s, errCancelled)
+	}
+	return nil
+}
+
+func (e *Engine) acceptLocked(s *stream, prompt string) {
+	e.lastStream++
+	s.id = fmt.Sprintf("%s-%d", e.incarnation, e.lastStream)
+	s.arrival = e.lastStream
+	s.hashes, s.contextTokens = prefix.Hashes(s.request.Customer, prompt+s.request.Resume)
+	s.uncached = s.contextTokens - e.cachedLocked(s)
+	s.attempt = &Attempt{
+		RequestID: s.request.RequestID, AttemptID: s.request.AttemptID, Customer: s.request.Customer,
+		Model: s.request.Model, Version: s.request.Version, StreamID: s.id,
+		PromptTokens: s.contextTokens - s.request.ResumeTokens, ResumeTokens: s.request.ResumeTokens,
+	}
+	e.attempts = append(e.attempts, s.attempt)
+	e.streams[s.id] = s
+	e.waiting.push(s)
+	e.pumpLocked()
+}
+
+// after runs f with the lock held, unless the engine dies before.
+func (e *Engine) afterLocked(d time.Duration, f func()) *time.Timer {
+	var timer *time.Timer
+	timer = time.AfterFunc(d, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if _, live := e.timers[timer]; !live {
+			return
+		}
+		delete(e.timers, timer)
+		f()
+	})
+	e.timers[timer] = struct{}{}
+	return timer
+}
+
+// dropLocked stops a timer; nil is no timer.
+func (e *Engine) dropLocked(timer *time.Timer) {
+	if timer == nil {
+		return
+	}
+	timer.Stop()
+	delete(e.timers, timer)
+}
+
+func errReset() error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream: %w", errCut)
+}
+
+func errDead() error {
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine: %w", errDied)
+}
--- /dev/null
+++ b/endpoint/standin/kv.go
@@ -0,0 +1,155 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint/protocol"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/httpjson"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// kvStore holds exported and imported KV caches. The engine's lock guards it.
+type kvStore struct {
+	exported map[string]protocol.KVContent
+	imported map[string]protocol.KVContent
+	last     int
+	// freeAt is when the link is free for the next transfer.
+	freeAt time.Time
+}
+
+func newKVStore() kvStore {
+	return kvStore{
+		exported: make(map[string]protocol.KVContent),
+		imported: make(map[string]protocol.KVContent),
+	}
+}
+
+// claim hands an imported KV cache to the stream that names it. It is used
+// up by that stream.
+func (k *kvStore) claim(s *stream) error {
+	r := s.request
+	if r.KV == "" {
+		return nil
+	}
+	content, ok := k.imported[r.KV]
+	if !ok {
+		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "engine: no KV cache %q", r.KV)
+	}
+	fits := content.Customer == r.Customer && content.Model == r.Model && content.Version == r.Version && content.Seed == s.script.seed
+	if !fits {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "engine: KV cache %q is of another prompt", r.KV)
+	}
+	delete(k.imported, r.KV)
+	s.kvTokens = content.PromptTokens + min(content.Tokens, r.ResumeTokens)
+	return nil
+}
+
+// Export implements endpoint.Engine. The transfer's time is taken by the
+// import.
+func (e *Engine) Export(_ context.Context, streamID string) (endpoint.KV, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return endpoint.KV{}, errDead()
+	}
+	s, ok := e.streams[streamID]
+	if !ok {
+		return endpoint.KV{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "engine: no stream %q", streamID)
+	}
+	if s.state != stateDecode {
+		return endpoint.KV{}, verdict.New(verdict.NotRun, verdict.CodeConflict, "engine: stream %q is not decoding", streamID)
+	}
+	e.stopLocked(s, errExported)
+	e.kv.last++
+	handle := fmt.Sprintf("%s-kv-%d", e.incarnation, e.kv.last)
+	content := protocol.KVContent{
+		Customer: s.request.Customer, Model: s.request.Model, Version: s.request.Version,
+		Seed: s.script.seed, PromptTokens: s.attempt.PromptTokens, Tokens: s.stopped,
+	}
+	e.kv.exported[handle] = content
+	e.afterLocked(e.cfg.Retention, func() { delete(e.kv.exported, handle) })
+	return endpoint.KV{Source: e.cfg.Addr, Handle: handle, Bytes: e.bytes(content), Tokens: s.stopped}, nil
+}
+
+func (e *Engine) bytes(c protocol.KVContent) int64 {
+	return int64(c.PromptTokens+c.Tokens) * e.cfg.KVBytesPerToken
+}
+
+// Import implements endpoint.Engine.
+func (e *Engine) Import(ctx context.Context, kv endpoint.KV) (string, error) {
+	content, err := e.fetch(ctx, kv)
+	if err != nil {
+		return "", err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return "", errDead()
+	}
+	e.kv.last++
+	name := fmt.Sprintf("%s-import-%d", e.incarnation, e.kv.last)
+	e.kv.imported[name] = content
+	e.afterLocked(e.cfg.Retention, func() { delete(e.kv.imported, name) })
+	return name, nil
+}
+
+// fetch reads an exported KV cache from the engine that has it.
+func (e *Engine) fetch(ctx context.Context, kv endpoint.KV) (protocol.KVContent, error) {
+	var content protocol.KVContent
+	address := "http://" + kv.Source + protocol.PathKV + "?" + url.Values{"handle": {kv.Handle}}.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return content, verdict.New(verdict.NotRun, verdict.CodeInvalid, "import: %w", err)
+	}
+	resp, _, err := e.transport.Repeatable(req)
+	if err != nil {
+		return content, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "import: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return content, httpjson.ReadError(resp)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&content); err != nil {
+		return content, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "import: %w", err)
+	}
+	return content, nil
+}
+
+// send waits as long as the transfer of an exported KV cache takes on the
+// engine's one link, then returns it.
+func (e *Engine) send(ctx context.Context, handle string) (protocol.KVContent, error) {
+	content, wait, err := e.reserveTransfer(handle)
+	if err != nil {
+		return content, err
+	}
+	if err := pause(ctx, wait, nil); err != nil {
+		return content, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return content, errDead()
+	}
+	return content, nil
+}
+
+func (e *Engine) reserveTransfer(handle string) (protocol.KVContent, time.Duration, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	content, ok := e.kv.exported[handle]
+	if !ok {
+		return content, 0, verdict.New(verdict.NotRun, verdict.CodeNotFound, "engine: no KV cache %q", handle)
+	}
+	now := time.Now()
+	if e.kv.freeAt.Before(now) {
+		e.kv.freeAt = now
+	}
+	e.kv.freeAt = e.kv.freeAt.Add(seconds(float64(e.bytes(content)) / e.cfg.KVBandwidth))
+	return content, e.kv.freeAt.Sub(now), nil
+}
--- /dev/null
+++ b/endpoint/standin/load.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+)
+
+// loadHistory holds the loads of the recent past, oldest first.
+type loadHistory struct{ entries []timedLoad }
+
+type timedLoad struct {
+	at   time.Time
+	load endpoint.Load
+}
+
+// record appends a load and forgets those that no report needs any more.
+func (h *loadHistory) record(now time.Time, l endpoint.Load, lag time.Duration) {
+	h.entries = append(h.entries, timedLoad{at: now, load: l})
+	keep := h.index(now.Add(-lag))
+	if keep > len(h.entries)/2 {
+		h.entries = slices.Delete(h.entries, 0, keep)
+	}
+}
+
+// index returns the last entry that is not after a time, or 0.
+func (h *loadHistory) index(at time.Time) int {
+	i, _ := slices.BinarySearchFunc(h.entries, at, func(e timedLoad, at time.Time) int {
+		if e.at.After(at) {
+			return 1
+		}
+		return -1
+	})
+	return max(0, i-1)
+}
+
+func (e *Engine) recordLoadLocked() {
+	e.loads.record(time.Now(), e.currentLoadLocked(), e.lagLocked())
+}
+
+func (e *Engine) lagLocked() time.Duration { return e.cfg.LoadLag + e.faults.LoadLag }
+
+// loadLocked returns the load as it was reported last.
+func (e *Engine) loadLocked(now time.Time) endpoint.Load {
+	if e.lagLocked() <= 0 || len(e.loads.entries) == 0 {
+		return e.currentLoadLocked()
+	}
+	return e.loads.entries[e.loads.index(now.Add(-e.lagLocked()))].load
+}
+
+func (e *Engine) currentLoadLocked() endpoint.Load {
+	l := endpoint.Load{
+		Running:     e.running,
+		Waiting:     e.waiting.Len(),
+		PrefillRate: e.cfg.PrefillRate,
+		DecodeRate:  e.cfg.DecodeRate,
+		MaxRunning:  e.cfg.MaxRunning,
+		Leaving:     e.leaving,
+	}
+	for _, s := range e.waiting.streams {
+		l.QueuedPromptTokens += s.uncached
+	}
+	for _, s := range e.prefills.streams {
+		l.QueuedPromptTokens += s.uncached
+	}
+	if s := e.prefilling; s != nil {
+		left := max(0, s.left-time.Since(s.started))
+		l.QueuedPromptTokens += int(left.Seconds() * e.cfg.PrefillRate)
+	}
+	return l
+}
+
+// Load implements endpoint.Engine.
+func (e *Engine) Load(context.Context) (endpoint.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return endpoint.Load{}, errDead()
+	}
+	return e.loadLocked(time.Now()), nil
+}
--- /dev/null
+++ b/endpoint/standin/records.go
@@ -0,0 +1,63 @@
+package standin
+
+// Attempt records one attempt that an engine accepted, for checkers.
+type Attempt struct {
+	RequestID string `json:"request_id"`
+	AttemptID string `json:"attempt_id"`
+	Customer  string `json:"customer"`
+	Model     string `json:"model"`
+	Version   string `json:"version"`
+	StreamID  string `json:"stream_id"`
+	// PromptTokens and ResumeTokens are the lengths of what was sent.
+	PromptTokens int `json:"prompt_tokens"`
+	ResumeTokens int `json:"resume_tokens"`
+	// CachedTokens needed no prefill, KVTokens of them at most by an import.
+	CachedTokens int `json:"cached_tokens"`
+	KVTokens     int `json:"kv_tokens"`
+	// PrefilledTokens were computed, RecomputedTokens of them belong to the
+	// resumed part of the answer.
+	PrefilledTokens  int  `json:"prefilled_tokens"`
+	RecomputedTokens int  `json:"recomputed_tokens"`
+	GeneratedTokens  int  `json:"generated_tokens"`
+	Ended            bool `json:"ended"`
+}
+
+// Totals are sums over all attempts of an engine.
+type Totals struct {
+	Attempts         int64 `json:"attempts"`
+	PromptTokens     int64 `json:"prompt_tokens"`
+	ResumeTokens     int64 `json:"resume_tokens"`
+	CachedTokens     int64 `json:"cached_tokens"`
+	PrefilledTokens  int64 `json:"prefilled_tokens"`
+	RecomputedTokens int64 `json:"recomputed_tokens"`
+	GeneratedTokens  int64 `json:"generated_tokens"`
+}
+
+// add counts an attempt whose prefill begins.
+func (t *Totals) add(a *Attempt) {
+	t.Attempts++
+	t.PromptTokens += int64(a.PromptTokens)
+	t.ResumeTokens += int64(a.ResumeTokens)
+	t.CachedTokens += int64(a.CachedTokens)
+	t.PrefilledTokens += int64(a.PrefilledTokens)
+	t.RecomputedTokens += int64(a.RecomputedTokens)
+}
+
+// Totals returns the sums so far. Tokens generated count once their stream
+// has ended.
+func (e *Engine) Totals() Totals {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.totals
+}
+
+// Attempts returns a record of each attempt, in order of arrival.
+func (e *Engine) Attempts() []Attempt {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]Attempt, len(e.attempts))
+	for i, a := range e.attempts {
+		out[i] = *a
+	}
+	return out
+}
--- /dev/null
+++ b/endpoint/standin/schedule.go
@@ -0,0 +1,196 @@
+package standin
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/prefix"
+)
+
+// queue orders streams by priority, then by arrival.
+type queue struct{ streams []*stream }
+
+func (q *queue) push(s *stream) { heap.Push(q, s) }
+
+func (q *queue) pop() *stream { return heap.Pop(q).(*stream) }
+
+func (q *queue) peek() *stream {
+	if len(q.streams) == 0 {
+		return nil
+	}
+	return q.streams[0]
+}
+
+func (q *queue) remove(s *stream) {
+	for i, other := range q.streams {
+		if other == s {
+			heap.Remove(q, i)
+			return
+		}
+	}
+}
+
+// Len implements heap.Interface.
+func (q *queue) Len() int { return len(q.streams) }
+
+// Less implements heap.Interface.
+func (q *queue) Less(i, j int) bool {
+	a, b := q.streams[i], q.streams[j]
+	if a.request.Priority != b.request.Priority {
+		return a.request.Priority > b.request.Priority
+	}
+	return a.arrival < b.arrival
+}
+
+// Swap implements heap.Interface.
+func (q *queue) Swap(i, j int) { q.streams[i], q.streams[j] = q.streams[j], q.streams[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { q.streams = append(q.streams, x.(*stream)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	last := q.streams[len(q.streams)-1]
+	q.streams = q.streams[:len(q.streams)-1]
+	return last
+}
+
+// pumpLocked fills the batch from the waiting streams and gives the prefill
+// to the most urgent of the batch.
+func (e *Engine) pumpLocked() {
+	for e.running < e.cfg.MaxRunning && e.waiting.Len() > 0 {
+		s := e.waiting.pop()
+		s.state = statePrefill
+		s.left = -1
+		e.running++
+		e.prefills.push(s)
+	}
+	next, current := e.prefills.peek(), e.prefilling
+	if next == nil {
+		e.recordLoadLocked()
+		return
+	}
+	if current != nil {
+		if next.request.Priority <= current.request.Priority {
+			e.recordLoadLocked()
+			return
+		}
+		e.pausePrefillLocked(current)
+	}
+	e.startPrefillLocked(e.prefills.pop())
+	e.recordLoadLocked()
+}
+
+// pausePrefillLocked puts a prefill back; what it has done stays done.
+func (e *Engine) pausePrefillLocked(s *stream) {
+	e.dropLocked(s.timer)
+	s.left = max(0, s.left-time.Since(s.started))
+	e.prefilling = nil
+	e.prefills.push(s)
+}
+
+func (e *Engine) startPrefillLocked(s *stream) {
+	if s.left < 0 {
+		e.beginLocked(s)
+	}
+	e.prefilling = s
+	s.started = time.Now()
+	s.timer = e.afterLocked(s.left, func() { e.prefilledLocked(s) })
+}
+
+// beginLocked looks the prompt up in the cache and sets the prefill's length.
+func (e *Engine) beginLocked(s *stream) {
+	cached := e.cachedLocked(s)
+	s.uncached = s.contextTokens - cached
+	s.left = seconds(float64(s.uncached) / e.cfg.PrefillRate)
+	a := s.attempt
+	a.KVTokens = s.kvTokens
+	a.CachedTokens = cached
+	a.PrefilledTokens = s.uncached
+	a.RecomputedTokens = min(s.uncached, s.request.ResumeTokens)
+	e.totals.add(a)
+	e.cache.use(s.hashes)
+}
+
+// cachedLocked returns how many tokens of a stream's context need no prefill.
+func (e *Engine) cachedLocked(s *stream) int {
+	cached := e.cache.match(s.hashes) * prefix.BlockTokens
+	return min(s.contextTokens, max(cached, s.kvTokens))
+}
+
+func (e *Engine) prefilledLocked(s *stream) {
+	e.prefilling = nil
+	e.cache.add(s.hashes)
+	s.uncached = 0
+	s.state = stateDecode
+	s.decodeFrom = time.Now()
+	s.interval = seconds(1 / e.cfg.DecodeRate)
+	rest := max(0, s.total-s.request.ResumeTokens-1)
+	s.timer = e.afterLocked(time.Duration(rest)*s.interval, func() { e.finishLocked(s) })
+	s.notify()
+	e.pumpLocked()
+}
+
+func (e *Engine) finishLocked(s *stream) {
+	e.endLocked(s, s.total, nil)
+	e.running--
+	e.pumpLocked()
+}
+
+// stopLocked ends a stream early, for a cause. A stream that has ended stays
+// as it is.
+func (e *Engine) stopLocked(s *stream, cause error) {
+	if s.state == stateDone {
+		return
+	}
+	have := s.generated(time.Now())
+	e.dropLocked(s.timer)
+	switch s.state {
+	case stateWaiting:
+		e.waiting.remove(s)
+	default:
+		e.prefills.remove(s)
+		if e.prefilling == s {
+			e.prefilling = nil
+		}
+		e.running--
+	}
+	e.endLocked(s, have, cause)
+	if !e.dead {
+		e.pumpLocked()
+	}
+}
+
+// endLocked keeps the stream for a while, so that it can be attached to.
+func (e *Engine) endLocked(s *stream, have int, cause error) {
+	if s.state == stateDecode {
+		e.cache.add(s.contextHashes(have))
+	}
+	s.state = stateDone
+	s.stopped = have
+	s.cause = cause
+	s.attempt.GeneratedTokens = have - s.request.ResumeTokens
+	s.attempt.Ended = true
+	e.totals.GeneratedTokens += int64(s.attempt.GeneratedTokens)
+	s.notify()
+	if !e.dead {
+		e.afterLocked(e.cfg.Retention, func() { delete(e.streams, s.id) })
+	}
+}
+
+// contextHashes returns the block hashes of the prompt and the first have
+// tokens of the answer.
+func (s *stream) contextHashes(have int) []uint64 {
+	text := prefix.Text(s.request.Messages) + s.script.text(0, have)
+	hashes, _ := prefix.Hashes(s.request.Customer, text)
+	return hashes
+}
+
+func (s *stream) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/httpjson/httpjson.go
@@ -0,0 +1,128 @@
+// Package httpjson is the JSON form of values and errors between the system
+// and its platform and endpoints.
+package httpjson
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// errorLimit bounds an error's body, in bytes.
+const errorLimit = 64 << 10
+
+// Failure is the JSON form of an error.
+type Failure struct {
+	Error Detail `json:"error"`
+}
+
+// Detail says what failed and whether the request may have run.
+type Detail struct {
+	Message      string    `json:"message"`
+	Code         string    `json:"code"`
+	Verdict      string    `json:"verdict"`
+	RetryAfterMS int64     `json:"retry_after_ms,omitempty"`
+	Conflict     *Conflict `json:"conflict,omitempty"`
+}
+
+// Conflict is the JSON form of a platform.ConflictError.
+type Conflict struct {
+	Key      string `json:"key"`
+	Expected uint64 `json:"expected"`
+	Actual   uint64 `json:"actual"`
+}
+
+// Write answers with a value.
+func Write(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// WriteError answers with an error, its verdict and its code.
+func WriteError(w http.ResponseWriter, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Verdict", verdict.Of(err).String())
+	w.WriteHeader(status(verdict.CodeOf(err)))
+	_ = json.NewEncoder(w).Encode(Failure{Error: *DetailOf(err)})
+}
+
+// Read decodes the JSON body of a request into value.
+func Read(r *http.Request, value any) error {
+	if err := json.NewDecoder(r.Body).Decode(value); err != nil {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "body: %w", err)
+	}
+	return nil
+}
+
+// ReadError turns an answer that is no success into the error it carries.
+func ReadError(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, errorLimit))
+	if err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "status %d: %w", resp.StatusCode, err)
+	}
+	var f Failure
+	if err := json.Unmarshal(body, &f); err != nil || f.Error.Code == "" {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "status %d", resp.StatusCode)
+	}
+	return f.Error.Decode()
+}
+
+// DetailOf returns the JSON form of an error.
+func DetailOf(err error) *Detail {
+	d := &Detail{
+		Message:      err.Error(),
+		Code:         string(verdict.CodeOf(err)),
+		Verdict:      verdict.Of(err).String(),
+		RetryAfterMS: verdict.RetryAfterOf(err).Milliseconds(),
+	}
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		d.Message = e.Err.Error()
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		d.Conflict = &Conflict{Key: conflict.Key, Expected: conflict.Expected, Actual: conflict.Actual}
+	}
+	return d
+}
+
+// Decode returns the error.
+func (d *Detail) Decode() error {
+	if d.Conflict != nil {
+		return platform.Conflict(d.Conflict.Key, d.Conflict.Expected, d.Conflict.Actual)
+	}
+	return &verdict.Error{
+		Verdict:    verdict.Parse(d.Verdict),
+		Code:       verdict.Code(d.Code),
+		RetryAfter: time.Duration(d.RetryAfterMS) * time.Millisecond,
+		Err:        errors.New(d.Message),
+	}
+}
+
+func status(code verdict.Code) int {
+	switch code {
+	case verdict.CodeInvalid:
+		return http.StatusBadRequest
+	case verdict.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case verdict.CodeNotFound:
+		return http.StatusNotFound
+	case verdict.CodeConflict, verdict.CodeInProgress, verdict.CodeFenced:
+		return http.StatusConflict
+	case verdict.CodeKeyReused:
+		return http.StatusUnprocessableEntity
+	case verdict.CodeLimited:
+		return http.StatusTooManyRequests
+	case verdict.CodeOverloaded, verdict.CodeUnavailable, verdict.CodeCancelled:
+		return http.StatusServiceUnavailable
+	case verdict.CodeDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusInternalServerError
+	}
+}
--- /dev/null
+++ b/internal/sendonce/sendonce_test.go
@@ -0,0 +1,187 @@
+package sendonce_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/sendonce"
+)
+
+const address = "10.0.0.1:80"
+
+// dyingServer answers the first request of each connection, then drops the
+// connection under the second one.
+type dyingServer struct {
+	// readSecond lets the server read the second request before it drops the
+	// connection; else it drops it as soon as the first was answered.
+	readSecond bool
+	requests   atomic.Int64
+	dials      atomic.Int64
+}
+
+func (s *dyingServer) serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.dials.Add(1)
+		go s.handle(conn)
+	}
+}
+
+func (s *dyingServer) handle(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	if !s.read(r) {
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	if s.readSecond {
+		s.read(r)
+	}
+}
+
+func (s *dyingServer) read(r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	s.requests.Add(1)
+	_, _ = io.Copy(io.Discard, req.Body)
+	return true
+}
+
+func request(c *qt.C, method, body string) *http.Request {
+	req, err := http.NewRequest(method, "http://"+address+"/orders", strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("Idempotency-Key", "key-1")
+	return req
+}
+
+func TestOnceNeverReplaysOnADyingReusedConnection(t *testing.T) {
+	for _, test := range []struct {
+		name, method, body string
+	}{
+		{"POST with a body", http.MethodPost, "order"},
+		{"POST without a body", http.MethodPost, ""},
+		{"GET without a body", http.MethodGet, ""},
+		{"DELETE without a body", http.MethodDelete, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				network := memnet.New()
+				l, err := network.Listen(address)
+				c.Assert(err, qt.IsNil)
+				defer l.Close()
+				server := &dyingServer{readSecond: true}
+				go server.serve(l)
+				transport := sendonce.New(network.Dialer("10.0.0.2"))
+				defer transport.Close()
+
+				resp, _, err := transport.Once(request(c, test.method, test.body))
+				c.Assert(err, qt.IsNil)
+				_, _ = io.Copy(io.Discard, resp.Body)
+				c.Assert(resp.Body.Close(), qt.IsNil)
+				synctest.Wait()
+
+				_, written, err := transport.Once(request(c, test.method, test.body))
+				c.Assert(err, qt.IsNotNil)
+				c.Assert(written, qt.IsTrue)
+				time.Sleep(time.Minute)
+				c.Assert(server.requests.Load(), qt.Equals, int64(2))
+				c.Assert(server.dials.Load(), qt.Equals, int64(1))
+			})
+		})
+	}
+}
+
+// brokenConn refuses all writes after the first request.
+type brokenConn struct {
+	net.Conn
+	broken *atomic.Bool
+}
+
+func (b brokenConn) Write(p []byte) (int, error) {
+	if b.broken.Load() {
+		return 0, errors.New("broken")
+	}
+	return b.Conn.Write(p)
+}
+
+func TestOnceDoesNotDialAgainWhenNothingWasWritten(t *testing.T) {
+	for _, body := range []string{"", "order"} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			network := memnet.New()
+			l, err := network.Listen(address)
+			c.Assert(err, qt.IsNil)
+			defer l.Close()
+			server := &dyingServer{readSecond: true}
+			go server.serve(l)
+			var broken atomic.Bool
+			dial := network.Dialer("10.0.0.2")
+			transport := sendonce.New(func(ctx context.Context, n, a string) (net.Conn, error) {
+				conn, err := dial(ctx, n, a)
+				return brokenConn{Conn: conn, broken: &broken}, err
+			})
+			defer transport.Close()
+			resp, _, err := transport.Once(request(c, http.MethodPost, body))
+			c.Assert(err, qt.IsNil)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			c.Assert(resp.Body.Close(), qt.IsNil)
+			synctest.Wait()
+
+			broken.Store(true)
+			_, _, err = transport.Once(request(c, http.MethodPost, body))
+			c.Assert(err, qt.IsNotNil)
+			time.Sleep(time.Minute)
+			c.Assert(server.requests.Load(), qt.Equals, int64(1))
+			c.Assert(server.dials.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+func TestOnceKnowsWhatWasWritten(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		prepare func(n *memnet.Network, cancel context.CancelFunc)
+		written bool
+	}{
+		{"dial refused", func(n *memnet.Network, _ context.CancelFunc) { n.Kill("10.0.0.1") }, false},
+		{"cancelled before the dial", func(_ *memnet.Network, cancel context.CancelFunc) { cancel() }, false},
+		{"dial hangs", func(n *memnet.Network, _ context.CancelFunc) { n.Cut("10.0.0.1", "10.0.0.2", true) }, false},
+		{"no answer", func(*memnet.Network, context.CancelFunc) {}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				network := memnet.New()
+				l, err := network.Listen(address)
+				c.Assert(err, qt.IsNil)
+				defer l.Close()
+				transport := sendonce.New(network.Dialer("10.0.0.2"))
+				defer transport.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				test.prepare(network, cancel)
+				_, written, err := transport.Once(request(c, http.MethodPost, "order").WithContext(ctx))
+				c.Assert(err, qt.IsNotNil)
+				c.Assert(written, qt.Equals, test.written)
+			})
+		})
+	}
+}
