Thin mesh: membership, peer protocol and notices

Entries need to know each other, and notices and template versions must be everywhere within seconds without a coordination service.

Tests in virtual time with 3, 9 and 40 members: notice within 2 s, template version within 4 s, demand, template fetch, handoff.

--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,268 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"maps"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
+)
+
+const (
+	// helloTimeout bounds the opening of a connection.
+	helloTimeout = 2 * time.Second
+	// strangersAtOnce bounds the accepted connections without a hello yet.
+	strangersAtOnce = 64
+	// silentAfter is how long a neighbour may be silent before it is reported.
+	silentAfter = 5 * time.Second
+	// banPeriod is how long a peer that broke the protocol is kept out.
+	banPeriod = 10 * time.Second
+)
+
+// Handlers are called for what arrives from peers. Each may be nil. They run
+// on the goroutine of a connection and, but for Handoff, must not block.
+type Handlers struct {
+	// Digest gets each new state of another member, its neighbour or not.
+	Digest func(from string, d Digest)
+	// TemplateVersion gets the version in force at a neighbour, which then
+	// has it to fetch.
+	TemplateVersion func(from, name string, version uint64)
+	// TemplateFetch returns a version of a template to a peer.
+	TemplateFetch func(name string, version uint64) (json.RawMessage, bool)
+	// Handoff takes over a durable request from a peer.
+	Handoff func(ctx context.Context, jobID string) error
+}
+
+// Options set up a Mesh.
+type Options struct {
+	// Deployment must be the same at all peers.
+	Deployment string
+	Registry   *member.Registry
+	Notices    *drain.Set
+	Listener   net.Listener
+	Dial       func(ctx context.Context, network, addr string) (net.Conn, error)
+	Log        *logrus.Entry
+	Handlers   Handlers
+}
+
+// Mesh connects this entry with its peers. It is safe for concurrent use.
+type Mesh struct {
+	o       Options
+	states  *states
+	traffic traffic
+	quiet   *log.Logger
+	// calls are the running handoffs.
+	calls sync.WaitGroup
+
+	mu        sync.Mutex
+	links     map[string]*link
+	wanted    map[string]bool
+	templates map[string]uint64
+	own       Digest
+	number    uint64
+	reported  map[string]report
+	banned    map[string]time.Time
+	urgent    chan struct{}
+}
+
+// New returns a Mesh that does nothing until Run.
+func New(o Options) *Mesh {
+	m := &Mesh{
+		o:         o,
+		states:    newStates(),
+		quiet:     log.New(io.Discard, "", 0),
+		links:     make(map[string]*link),
+		wanted:    make(map[string]bool),
+		templates: make(map[string]uint64),
+		reported:  make(map[string]report),
+		banned:    make(map[string]time.Time),
+		urgent:    make(chan struct{}, 1),
+	}
+	o.Notices.OnSpread(m.pokeAll)
+	return m
+}
+
+// Run serves the protocol until ctx ends. It closes the listener.
+func (m *Mesh) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = m.o.Listener.Close() })
+	defer stop()
+	g.Go(func() error { return m.acceptAll(ctx, g) })
+	g.Go(func() error {
+		m.keepNeighbours(ctx, g)
+		return nil
+	})
+	g.Go(func() error {
+		m.publishAll(ctx)
+		return nil
+	})
+	err := g.Wait()
+	m.calls.Wait()
+	return err
+}
+
+// Publish replaces what this entry tells about itself. It travels with the
+// next state update.
+func (m *Mesh) Publish(d Digest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.own = d
+}
+
+// SetTemplateVersion tells the neighbours at once that a version is in force
+// here. The version must be there to fetch.
+func (m *Mesh) SetTemplateVersion(name string, version uint64) {
+	m.mu.Lock()
+	if m.templates[name] >= version {
+		m.mu.Unlock()
+		return
+	}
+	next := maps.Clone(m.templates)
+	next[name] = version
+	m.templates = next
+	m.mu.Unlock()
+	m.pokeAll()
+}
+
+// SpreadNotice takes in a notice and tells all entries at once.
+func (m *Mesh) SpreadNotice(n drain.Notice) { m.o.Notices.Add(n) }
+
+// OnNotice registers f for the first notice of each host's incarnation.
+func (m *Mesh) OnNotice(f func(drain.Notice)) { m.o.Notices.OnLeaving(f) }
+
+// Traffic returns what went over the connections so far.
+func (m *Mesh) Traffic() Traffic { return m.traffic.load() }
+
+// Peers returns the IDs of the connected neighbours.
+func (m *Mesh) Peers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids := make([]string, 0, len(m.links))
+	for id := range m.links {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// FetchTemplate gets a version of a template from a peer. The second result
+// is false when the peer has it not.
+func (m *Mesh) FetchTemplate(ctx context.Context, peer, name string, version uint64) (json.RawMessage, bool, error) {
+	var result templateResult
+	err := m.call(ctx, peer, methodTemplate, templateParams{Name: name, Version: version}, &result)
+	return result.Body, result.Found, err
+}
+
+// Handoff hands a durable request over to a peer. After an error the peer may
+// have taken it over all the same.
+func (m *Mesh) Handoff(ctx context.Context, peer, jobID string) error {
+	return m.call(ctx, peer, methodHandoff, handoffParams{JobID: jobID}, &ack{})
+}
+
+// call calls a peer over the connection with it, or over one of its own.
+func (m *Mesh) call(ctx context.Context, peer, method string, params, result any) error {
+	l := m.linkTo(peer)
+	if l == nil {
+		var err error
+		if l, err = m.dialOnce(ctx, peer); err != nil {
+			return fmt.Errorf("call peer %s: %w", peer, err)
+		}
+		defer l.close()
+	}
+	if err := l.conn.Call(ctx, method, params, result); err != nil {
+		return fmt.Errorf("call peer %s: %w", peer, err)
+	}
+	return nil
+}
+
+func (m *Mesh) dialOnce(ctx context.Context, peer string) (*link, error) {
+	to, ok := m.o.Registry.Lookup(peer)
+	if !ok {
+		return nil, errors.New("peer is not known")
+	}
+	return m.dial(ctx, to, true)
+}
+
+func (m *Mesh) dial(ctx context.Context, to member.Member, once bool) (*link, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	nc, err := m.o.Dial(dialCtx, "tcp", to.Addr)
+	if err != nil {
+		return nil, err
+	}
+	idle := idleTimeout
+	if once {
+		idle = onceTimeout
+	}
+	l := m.newLink(ctx, nc, true, idle)
+	if err := l.open(ctx, to, once); err != nil {
+		l.close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (m *Mesh) self() member.Member { return m.o.Registry.Self() }
+
+func (m *Mesh) linkTo(id string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[id]
+}
+
+func (m *Mesh) relaysWith(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.wanted[id]
+}
+
+// templateVersions returns a map that is never written to again.
+func (m *Mesh) templateVersions() map[string]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.templates
+}
+
+func (m *Mesh) pokeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		l.poke()
+	}
+}
+
+func (h Handlers) digest(from string, d Digest) {
+	if h.Digest != nil {
+		h.Digest(from, d)
+	}
+}
+
+func (h Handlers) templateVersion(from, name string, version uint64) {
+	if h.TemplateVersion != nil {
+		h.TemplateVersion(from, name, version)
+	}
+}
+
+func (h Handlers) templateFetch(name string, version uint64) (json.RawMessage, bool) {
+	if h.TemplateFetch == nil {
+		return nil, false
+	}
+	return h.TemplateFetch(name, version)
+}
+
+func (h Handlers) handoff(ctx context.Context, jobID string) error {
+	if h.Handoff == nil {
+		return errors.New("handoff is not served here")
+	}
+	return h.Handoff(ctx, jobID)
+}
--- /dev/null
+++ b/peer/mesh_test.go
@@ -0,0 +1,72 @@
+package peer_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+)
+
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, f)
+}
+
+func notice(host string) drain.Notice {
+	return drain.Notice{HostID: host, Incarnation: "1", FailureDomain: "domain-0", Reason: drain.ReasonReclaim}
+}
+
+func TestMeshSpreads(t *testing.T) {
+	for _, size := range []int{3, 9, 40} {
+		inBubble(t, size, func(cl *cluster) {
+			first, last := cl.nodes[0], cl.nodes[size-1]
+
+			first.mesh.SpreadNotice(notice("host-1"))
+			cl.within(2*time.Second, "notice", func() bool { return cl.allKnow("host-1", "1") })
+
+			last.apply("karoo", 7)
+			cl.within(4*time.Second, "template version", func() bool {
+				for _, n := range cl.nodes {
+					if n.version("karoo") != 7 {
+						return false
+					}
+				}
+				return true
+			})
+
+			first.mesh.Publish(peer.Digest{Demand: map[string]peer.Demand{"dealer": {TokensPerSecond: 120, SpendPerHour: 3}}})
+			cl.within(60*time.Second, "demand", func() bool {
+				for _, n := range cl.nodes[1:] {
+					if n.demandOf(first.id, "dealer").TokensPerSecond != 120 {
+						return false
+					}
+				}
+				return true
+			})
+		})
+	}
+}
+
+func TestCallsToPeers(t *testing.T) {
+	inBubble(t, 20, func(cl *cluster) {
+		c, first := cl.c, cl.nodes[0]
+		first.apply("karoo", 3)
+		for _, n := range cl.nodes[1:] {
+			cl.within(4*time.Second, "template version", func() bool { return n.version("karoo") == 3 })
+			body, ok, err := first.mesh.FetchTemplate(context.Background(), n.id, "karoo", 3)
+			c.Assert(err, qt.IsNil)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(string(body), qt.Equals, `{"name":"karoo"}`)
+			_, ok, err = first.mesh.FetchTemplate(context.Background(), n.id, "karoo", 9)
+			c.Assert(err, qt.IsNil)
+			c.Assert(ok, qt.IsFalse)
+			c.Assert(first.mesh.Handoff(context.Background(), n.id, "job-1"), qt.IsNil)
+			c.Assert(n.handoffs, qt.DeepEquals, []string{"job-1"})
+		}
+	})
+}
--- /dev/null
+++ b/peer/messages.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
+)
+
+// Methods of the protocol.
+const (
+	methodHello    = "hello"
+	methodDigest   = "digest"
+	methodNotices  = "notices"
+	methodVersions = "versions"
+	methodTemplate = "template"
+	methodHandoff  = "handoff"
+)
+
+// Demand is the demand of one customer at one entry.
+type Demand struct {
+	TokensPerSecond float64
+	// SpendPerHour is in the deployment's currency.
+	SpendPerHour float64
+}
+
+// MarshalJSON writes a pair of numbers, to keep digests small.
+func (d Demand) MarshalJSON() ([]byte, error) {
+	return fmt.Appendf(nil, "[%.4g,%.4g]", d.TokensPerSecond, d.SpendPerHour), nil
+}
+
+// UnmarshalJSON reads a pair of numbers.
+func (d *Demand) UnmarshalJSON(text []byte) error {
+	var pair [2]float64
+	if err := json.Unmarshal(text, &pair); err != nil {
+		return err
+	}
+	d.TokensPerSecond, d.SpendPerHour = pair[0], pair[1]
+	return nil
+}
+
+// Digest is what an entry tells about itself.
+type Digest struct {
+	// Templates are the versions in force at the entry by template name.
+	Templates map[string]uint64 `json:"t,omitempty"`
+	// Demand is by customer.
+	Demand map[string]Demand `json:"d,omitempty"`
+	// InFlight is the number of requests in progress.
+	InFlight int `json:"f,omitempty"`
+}
+
+// hello opens a connection, in both directions.
+type hello struct {
+	Deployment string        `json:"deployment"`
+	Member     member.Member `json:"member"`
+	// To is the ID that the dialer wants to reach.
+	To string `json:"to,omitempty"`
+	// Relay asks the other side to pass on the states of third members.
+	Relay bool `json:"relay,omitempty"`
+	// Have says which states the sender has, by origin, so that the other
+	// side sends only newer ones.
+	Have map[string]stamp `json:"have,omitempty"`
+	// Once marks a connection for single calls that carries no digests.
+	Once bool `json:"once,omitempty"`
+}
+
+// stamp orders the states of one origin: first by epoch, then by number.
+type stamp struct {
+	Epoch  uint64
+	Number uint64
+}
+
+// MarshalJSON writes a pair of numbers.
+func (s stamp) MarshalJSON() ([]byte, error) {
+	return fmt.Appendf(nil, "[%d,%d]", s.Epoch, s.Number), nil
+}
+
+// UnmarshalJSON reads a pair of numbers.
+func (s *stamp) UnmarshalJSON(text []byte) error {
+	var pair [2]uint64
+	if err := json.Unmarshal(text, &pair); err != nil {
+		return err
+	}
+	s.Epoch, s.Number = pair[0], pair[1]
+	return nil
+}
+
+func (s stamp) less(o stamp) bool {
+	if s.Epoch != o.Epoch {
+		return s.Epoch < o.Epoch
+	}
+	return s.Number < o.Number
+}
+
+// state is the published state of one member.
+type state struct {
+	Origin string `json:"o"`
+	Stamp  stamp  `json:"v"`
+	// Member is sent once per epoch on a connection.
+	Member *member.Member `json:"m,omitempty"`
+	// Leaving marks a member that takes no new work.
+	Leaving bool `json:"l,omitempty"`
+	// AgeSeconds is the time since the origin published the state, summed up
+	// over the entries that it passed.
+	AgeSeconds int `json:"a,omitempty"`
+	// Silent names members that the origin lost as a neighbour.
+	Silent []silent `json:"x,omitempty"`
+	Digest
+}
+
+// silent reports a neighbour that went silent.
+type silent struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"i"`
+	// Stamp is the last state of it that the origin knew. A newer one refutes
+	// the report.
+	Stamp stamp `json:"v"`
+}
+
+// digest is sent each second on every connection.
+type digest struct {
+	// Relay changes what the hello asked for.
+	Relay *bool `json:"r,omitempty"`
+	// Leaving tells that the sender itself leaves.
+	Leaving bool    `json:"l,omitempty"`
+	States  []state `json:"s,omitempty"`
+}
+
+// notices spreads notices at once.
+type notices struct {
+	Notices []drain.Notice `json:"n"`
+}
+
+// versions spreads template versions at once.
+type versions struct {
+	Templates map[string]uint64 `json:"t"`
+}
+
+// templateParams asks for a version of a template.
+type templateParams struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+}
+
+// templateResult is the answer; Found is false when the peer has it not.
+type templateResult struct {
+	Found bool            `json:"found"`
+	Body  json.RawMessage `json:"body,omitempty"`
+}
+
+// handoffParams hands a durable request over.
+type handoffParams struct {
+	JobID string `json:"job_id"`
+}
+
+// ack is an empty answer.
+type ack struct{}
