--- a/template/claims.go
+++ b/template/claims.go
@@ -4,18 +4,25 @@
 	"cmp"
 	"context"
 	"maps"
+	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
-// claim notes the version that a peer shows; it returns true where that is a
+// tableClaim stands for the table among the peers that show a version.
+const tableClaim = ""
+
+// claim notes the version that a peer or the table shows; it returns true where that is a
 // higher one than was known.
 func (w *Watcher) claim(version uint64, from string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if version <= w.Version() {
+	if version <= w.known() {
 		delete(w.claims, from)
 		w.caughtUpLocked()
 		return false
@@ -33,19 +40,23 @@
 	return true
 }
 
-// drop forgets what a peer showed, where that is still version.
+// drop forgets what a peer showed, where that is still version above the
+// highest one held.
 func (w *Watcher) drop(from string, version uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.claims[from] == version {
+	if w.claims[from] == version && version > w.known() {
+		w.log.WithFields(logrus.Fields{"version": version, "peer": from}).Warn("template: version shown by a peer not found.")
 		delete(w.claims, from)
 	}
 	w.caughtUpLocked()
 }
 
-// forgetLocked forgets the claims that the current version fulfils.
-func (w *Watcher) forgetLocked() {
-	maps.DeleteFunc(w.claims, func(_ string, version uint64) bool { return version <= w.Version() })
+// forgetClaims forgets the claims that the highest version held fulfils.
+func (w *Watcher) forgetClaims() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	maps.DeleteFunc(w.claims, func(_ string, version uint64) bool { return version <= w.known() })
 	w.caughtUpLocked()
 }
 
@@ -61,7 +72,7 @@
 	peer    string
 }
 
-// open returns the claims above the current version, highest first.
+// open returns the claims, highest first.
 func (w *Watcher) open() []claimed {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -75,7 +86,7 @@
 	return list
 }
 
-// follow fetches the versions that peers show, until ctx ends.
+// follow fetches the versions that are shown, until ctx ends.
 func (w *Watcher) follow(ctx context.Context) error {
 	for {
 		select {
@@ -90,33 +101,52 @@
 				return ctx.Err()
 			}
 		}
+		w.updateReady()
 	}
 }
 
-// catchUp asks for each version shown, the highest first. The table goes first
-// unless it is known to be down; the peer that showed the version goes second.
-// What neither has is not believed any longer.
+// catchUp asks the table for the highest version shown, unless it is known to
+// be down, and then the peers.
 func (w *Watcher) catchUp(ctx context.Context) {
-	for _, c := range w.open() {
-		if c.version <= w.Version() {
-			continue
-		}
-		absent := false
-		if !w.isTableDown() {
-			absent = w.fetchTable(ctx, c.version)
-		}
-		if c.version <= w.Version() || w.fetchPeer(ctx, c) {
+	claims := w.open()
+	absent := uint64(math.MaxUint64)
+	if len(claims) > 0 && !w.isTableDown() && w.fetchTable(ctx, claims[0].version) {
+		absent = claims[0].version
+	}
+	w.askPeers(ctx, claims, absent)
+}
+
+// askPeers asks each peer for the version it showed, one after the other but
+// without waiting long for any, until the highest version is held. A version
+// that its own peer does not have, or that the table lacks (those from absent
+// on) and the peer does not give, is not believed any longer.
+func (w *Watcher) askPeers(ctx context.Context, claims []claimed, absent uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var asked sync.WaitGroup
+	for i, c := range claims {
+		if c.peer == tableClaim {
 			continue
 		}
-		if absent {
-			w.log.WithFields(logrus.Fields{"version": c.version, "peer": c.peer}).
-				Warn("version shown by a peer does not exist.")
-			w.drop(c.peer, c.version)
-		}
+		asked.Go(func() {
+			if !pause(ctx, time.Duration(i)*hedgePause) || c.version <= w.known() {
+				return
+			}
+			refuted := w.fetchPeer(ctx, c)
+			switch {
+			case claims[0].version <= w.known():
+				cancel()
+			case refuted || c.version >= absent:
+				w.drop(c.peer, c.version)
+			}
+		})
 	}
+	asked.Wait()
 }
 
-func (w *Watcher) fetchPeer(ctx context.Context, c claimed) bool {
+// fetchPeer applies a version from the peer that showed it. It returns true
+// when the peer answered that it has none, or with something else.
+func (w *Watcher) fetchPeer(ctx context.Context, c claimed) (refuted bool) {
 	if w.opts.Fetch == nil {
 		return false
 	}
@@ -125,10 +155,10 @@
 	t, err := w.opts.Fetch(ctx, c.peer, w.name, c.version)
 	if err != nil {
 		w.log.WithError(err).WithFields(logrus.Fields{"version": c.version, "peer": c.peer}).
-			Warn("version not fetched from peer.")
-		return false
+			Warn("template: version not fetched from peer.")
+		return verdict.CodeOf(err) == verdict.CodeNotFound
 	}
-	return w.apply(t, c.version, c.peer)
+	return !w.apply(t, c.version, c.peer)
 }
 
 func (w *Watcher) isTableDown() bool {
--- a/template/index.go
+++ b/template/index.go
@@ -38,6 +38,22 @@
 	return x
 }
 
+// template returns the template; nil for a nil Index.
+func (x *Index) template() *Template {
+	if x == nil {
+		return nil
+	}
+	return x.Template
+}
+
+// version returns the template's version; 0 for a nil Index.
+func (x *Index) version() uint64 {
+	if x == nil {
+		return 0
+	}
+	return x.Template.Version
+}
+
 // Kind returns the kind by name.
 func (x *Index) Kind(name string) (Kind, bool) {
 	k, ok := x.kinds[name]
--- a/template/schema.go
+++ b/template/schema.go
@@ -84,12 +84,18 @@
 	// MinReplicas and MaxReplicas bound placement.
 	MinReplicas int `toml:"min_replicas" json:"min_replicas" validate:"gte=0"`
 	MaxReplicas int `toml:"max_replicas" json:"max_replicas" validate:"gtefield=MinReplicas"`
+	// ChecksFence says that the model's engines refuse an order with a fencing
+	// number lower than one they have seen.
+	ChecksFence bool `toml:"checks_fence" json:"checks_fence"`
 }
 
 // Service is a plain service that the deployment routes to.
 type Service struct {
 	Name   string  `toml:"name" json:"name" validate:"required,name"`
 	Routes []Route `toml:"routes" json:"routes" validate:"dive"`
+	// ChecksFence says that the service refuses a call with a fencing number
+	// lower than one it has seen.
+	ChecksFence bool `toml:"checks_fence" json:"checks_fence"`
 }
 
 // Route is a method and path of a plain service. What no route names may not
--- a/template/watcher.go
+++ b/template/watcher.go
@@ -9,9 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
-
-	"github.com/coltsfootcleat/coltsfootcleat/invariant"
-	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // Defaults of WatcherOptions.
@@ -23,7 +20,9 @@
 	defaultPoll   = time.Second
 	defaultSettle = 2 * time.Second
 	fetchTimeout  = time.Second
-	retryPause    = 250 * time.Millisecond
+	retryPause    = 500 * time.Millisecond
+	// hedgePause is how long one peer is waited for before the next is asked.
+	hedgePause = 100 * time.Millisecond
 	// maxClaims bounds the peers whose versions are remembered.
 	maxClaims = 64
 )
@@ -58,24 +57,31 @@
 	opts  WatcherOptions
 	log   *logrus.Entry
 
+	// current is what requests see. highest runs ahead of it until the entry
+	// is ready, so that no request sees a version that a peer has left behind.
 	current atomic.Pointer[Index]
+	highest atomic.Pointer[Index]
 	ready   atomic.Bool
 	wake    chan struct{}
 
-	mu       sync.Mutex
+	// applying makes a change of highest and current one step, and keeps
+	// callbacks in order.
+	applying sync.Mutex
 	onChange []func(*Template)
+
+	mu sync.Mutex
 	// heard is when the table or a peer was last reached; before the first
 	// time it is zero.
 	heard time.Time
 	// firstPeer is when the first peer was heard.
 	firstPeer time.Time
-	// claims holds the version that each peer shows, where it is above the
-	// current one; behind is since when there has been one.
+	// claims holds the version that each peer, or the table, shows where it is
+	// above the highest one held; behind is since when there has been one.
 	claims map[string]uint64
 	behind time.Time
 	// tableDown is set while the last reading of the table has failed.
 	tableDown bool
-	// tableSeen is set once the head was read from the table.
+	// tableSeen is set once the head was read.
 	tableSeen bool
 }
 
@@ -105,25 +111,17 @@
 	}
 }
 
-// Current returns the version in force, or nil before there is one. A request
-// calls it once and keeps the result to its end.
-func (w *Watcher) Current() *Template {
-	if x := w.current.Load(); x != nil {
-		return x.Template
-	}
-	return nil
-}
+// Current returns the version in force, or nil before the entry is ready. A
+// request calls it once and keeps the result to its end.
+func (w *Watcher) Current() *Template { return w.current.Load().template() }
 
-// Index returns the version in force with its lookup tables, or nil.
+// Index returns the version in force with its look-up tables, or nil before
+// the entry is ready.
 func (w *Watcher) Index() *Index { return w.current.Load() }
 
-// Version returns the number of the version in force, or 0.
-func (w *Watcher) Version() uint64 {
-	if x := w.current.Load(); x != nil {
-		return x.Template.Version
-	}
-	return 0
-}
+// Version returns the number of the version in force, or 0 before the entry is
+// ready. It is what the entry shows its peers.
+func (w *Watcher) Version() uint64 { return w.current.Load().version() }
 
 // Ready says that the highest version of the table and the peers is in force.
 // Once true it stays so.
@@ -146,10 +144,10 @@
 }
 
 // OnChange registers f to be called with each version that comes into force,
-// in order. f must not block. With a version in force f is called at once.
+// in order, and at once where one is. f must not block or call OnChange.
 func (w *Watcher) OnChange(f func(*Template)) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.applying.Lock()
+	defer w.applying.Unlock()
 	w.onChange = append(w.onChange, f)
 	if t := w.Current(); t != nil {
 		f(t)
@@ -187,113 +185,6 @@
 	return err
 }
 
-// poll reads the head once a period.
-func (w *Watcher) poll(ctx context.Context) error {
-	ticker := time.NewTicker(w.opts.Poll)
-	defer ticker.Stop()
-	for {
-		w.readTable(ctx)
-		w.updateReady()
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// readTable reads the head, and the version it names where that is higher. The
-// entry counts as having reached the table when it sent the request: a process
-// that was paused since then knows nothing newer.
-func (w *Watcher) readTable(ctx context.Context) {
-	sent := time.Now()
-	head, err := w.store.Head(ctx, w.name)
-	w.noteTable(sent, err)
-	if err != nil || head.Version == 0 {
-		return
-	}
-	if head.Version < w.Version() {
-		w.log.WithFields(logrus.Fields{"version": w.Version(), "head": head.Version}).
-			Warn("table shows an older version, kept.")
-	}
-	if head.Version > w.Version() {
-		w.fetchTable(ctx, head.Version)
-	}
-	if head.Version <= w.Version() {
-		w.mu.Lock()
-		w.tableSeen = true
-		w.mu.Unlock()
-	}
-}
-
-func (w *Watcher) noteTable(sent time.Time, err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if err != nil && !w.tableDown {
-		w.log.WithError(err).Warn("table not reached.")
-	}
-	w.tableDown = err != nil
-	if err == nil {
-		w.touchLocked(sent)
-	}
-}
-
-// fetchTable applies a version from the table. It returns true when the table
-// answered that there is none.
-func (w *Watcher) fetchTable(ctx context.Context, version uint64) (absent bool) {
-	sent := time.Now()
-	t, err := w.store.Get(ctx, w.name, version)
-	if verdict.CodeOf(err) == verdict.CodeNotFound {
-		return true
-	}
-	if err != nil {
-		w.log.WithError(err).WithField("version", version).Warn("version not read.")
-		return false
-	}
-	w.noteTable(sent, nil)
-	w.apply(t, version, "table")
-	return false
-}
-
-// updateReady makes the entry ready once it has the highest version it can
-// learn of: the table's, or without the table the peers' after they had time
-// to be heard.
-func (w *Watcher) updateReady() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.ready.Load() || w.current.Load() == nil || len(w.claims) > 0 {
-		return
-	}
-	settled := !w.firstPeer.IsZero() && time.Since(w.firstPeer) >= w.opts.Settle
-	if w.tableSeen || settled {
-		w.ready.Store(true)
-		w.log.WithField("version", w.Version()).Info("ready.")
-	}
-}
-
-// apply puts t in force unless an equal or higher version is. The lock makes
-// the comparison and the change one step, and keeps callbacks in order.
-func (w *Watcher) apply(t *Template, version uint64, from string) bool {
-	if t == nil || t.Name != w.name || t.Version != version || Validate(t) != nil {
-		w.log.WithFields(logrus.Fields{"version": version, "from": from}).Warn("template refused.")
-		return false
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	before := w.Version()
-	if version <= before {
-		return true
-	}
-	w.current.Store(NewIndex(t))
-	invariant.Check(w.Version() > before, invariant.TemplateMonotonic, "version %d after %d", w.Version(), before)
-	w.forgetLocked()
-	w.log.WithFields(logrus.Fields{"version": version, "before": before, "from": from}).Info("version in force.")
-	for _, f := range w.onChange {
-		f(t)
-	}
-	return true
-}
-
 func (w *Watcher) touchLocked(at time.Time) {
 	if at.After(w.heard) {
 		w.heard = at
