--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,163 @@
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/coltsfootcleat/coltsfootcleat/invariant"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+const scope = "github.com/coltsfootcleat/coltsfootcleat"
+
+// Bounds of the histograms, in seconds.
+var (
+	firstTokenBounds = []float64{0.05, 0.1, 0.2, 0.3, 0.46, 0.7, 1, 2, 5, 10, 30, 60}
+	tableBounds      = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 5}
+)
+
+// Metrics holds the instruments of one process. All methods are safe for
+// concurrent use.
+type Metrics struct {
+	provider *sdk.MeterProvider
+	registry *prometheus.Registry
+	meter    metric.Meter
+
+	requests   metric.Int64Counter
+	retries    metric.Int64Counter
+	resumed    metric.Int64Counter
+	recomputed metric.Int64Counter
+	firstToken metric.Float64Histogram
+	tableCalls metric.Int64Counter
+	tableTime  metric.Float64Histogram
+}
+
+// NewMetrics returns the instruments, with a registry of their own.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, fmt.Errorf("telemetry: exporter: %w", err)
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	m := &Metrics{provider: provider, registry: registry, meter: provider.Meter(scope)}
+	if err := errors.Join(m.newInstruments(), m.observeInvariants()); err != nil {
+		return nil, fmt.Errorf("telemetry: instruments: %w", err)
+	}
+	return m, nil
+}
+
+func (m *Metrics) newInstruments() error {
+	var errs [7]error
+	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
+		metric.WithDescription("Requests that ended, by kind and outcome."))
+	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
+		metric.WithDescription("Attempts after the first, by reason."))
+	m.resumed, errs[2] = m.meter.Int64Counter("coltsfootcleat.resumed",
+		metric.WithDescription("Streams that went on elsewhere, by how."))
+	m.recomputed, errs[3] = m.meter.Int64Counter("coltsfootcleat.recomputed", metric.WithUnit("{token}"),
+		metric.WithDescription("Tokens computed again because earlier work was lost or not reused."))
+	m.firstToken, errs[4] = m.meter.Float64Histogram("coltsfootcleat.first_token", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(firstTokenBounds...),
+		metric.WithDescription("Time from acceptance to the first token, by kind."))
+	m.tableCalls, errs[5] = m.meter.Int64Counter("coltsfootcleat.table_calls",
+		metric.WithDescription("Calls of the table service, by operation and outcome."))
+	m.tableTime, errs[6] = m.meter.Float64Histogram("coltsfootcleat.table_time", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(tableBounds...),
+		metric.WithDescription("Time of calls of the table service, by operation."))
+	return errors.Join(errs[:]...)
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Close stops the meter. Instruments may still be used, without effect.
+func (m *Metrics) Close(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+// Answered counts a request that was answered whole.
+func (m *Metrics) Answered(kind string) { m.request(kind, "answered") }
+
+// Failed counts a request that failed, by its verdict.
+func (m *Metrics) Failed(kind string, v verdict.Verdict) { m.request(kind, v.String()) }
+
+func (m *Metrics) request(kind, outcome string) {
+	m.requests.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("kind", kind), attribute.String("outcome", outcome)))
+}
+
+// Retried counts an attempt after the first.
+func (m *Metrics) Retried(reason string) {
+	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// Resumed counts a stream that went on elsewhere; how is for example "kv" or
+// "prompt".
+func (m *Metrics) Resumed(how string) {
+	m.resumed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("how", how)))
+}
+
+// Recomputed counts tokens that were computed again.
+func (m *Metrics) Recomputed(tokens int) { m.recomputed.Add(context.Background(), int64(tokens)) }
+
+// FirstToken records the time from acceptance to the first token.
+func (m *Metrics) FirstToken(kind string, d time.Duration) {
+	m.firstToken.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+}
+
+// Gauges read the state that the metrics show. A nil function is left out.
+type Gauges struct {
+	// TemplateVersion is the version in force on this entry.
+	TemplateVersion func() uint64
+	// Leases is the number of leases held, Draining that of hosts draining.
+	Leases   func() int
+	Draining func() int
+}
+
+// Observe has the gauges read at each collection.
+func (m *Metrics) Observe(g Gauges) error {
+	read := map[string]func() int64{}
+	if g.TemplateVersion != nil {
+		read["coltsfootcleat.template_version"] = func() int64 { return int64(g.TemplateVersion()) }
+	}
+	if g.Leases != nil {
+		read["coltsfootcleat.leases_held"] = func() int64 { return int64(g.Leases()) }
+	}
+	if g.Draining != nil {
+		read["coltsfootcleat.draining"] = func() int64 { return int64(g.Draining()) }
+	}
+	for name, f := range read {
+		observe := func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(f())
+			return nil
+		}
+		if _, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe)); err != nil {
+			return fmt.Errorf("telemetry: gauge: %w", err)
+		}
+	}
+	return nil
+}
+
+// observeInvariants shows how often each invariant was broken.
+func (m *Metrics) observeInvariants() error {
+	observe := func(_ context.Context, o metric.Int64Observer) error {
+		for name, n := range invariant.Counts() {
+			o.Observe(int64(n), metric.WithAttributes(attribute.String("name", string(name))))
+		}
+		return nil
+	}
+	_, err := m.meter.Int64ObservableCounter("coltsfootcleat.invariants_broken",
+		metric.WithDescription("Broken invariants, by name."), metric.WithInt64Callback(observe))
+	return err
+}
