--- /dev/null
+++ b/app/entry.go
@@ -0,0 +1,82 @@
+// Package app wires one entry host from its parts.
+package app
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootcleat/coltsfootcleat/settings"
+)
+
+// startTimeout bounds the start of an entry.
+const startTimeout = 30 * time.Second
+
+// Incarnation names one run of an entry; a restart has another.
+type Incarnation string
+
+// Entry is one entry host. Start and Stop are called once each.
+type Entry struct {
+	app  *fx.App
+	gate *Gate
+	log  *logrus.Logger
+}
+
+// Config is what an entry is built from.
+type Config struct {
+	Settings settings.Entry
+	Network  Network
+	Log      *logrus.Logger
+	// Options adds to or replaces parts, for tests and experiments.
+	Options []fx.Option
+}
+
+// New builds an entry. Nothing runs before Start.
+func New(c Config) (*Entry, error) {
+	e := &Entry{gate: NewGate(), log: c.Log}
+	options := []fx.Option{
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.Supply(c.Settings, c.Network, c.Log, e.gate, Incarnation(uuid.NewString())),
+		platformModule,
+		decisionModule,
+		requestModule,
+		meshModule,
+		serverModule,
+		loopModule,
+	}
+	e.app = fx.New(append(options, c.Options...)...)
+	if err := e.app.Err(); err != nil {
+		return nil, fmt.Errorf("build entry: %w", err)
+	}
+	return e, nil
+}
+
+// Start starts the entry's listeners and loops.
+func (e *Entry) Start(ctx context.Context) error {
+	if err := e.app.Start(ctx); err != nil {
+		return fmt.Errorf("start entry: %w", err)
+	}
+	return nil
+}
+
+// Drain takes no new work from now on and waits until all requests in
+// progress have ended.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.gate.Close()
+	e.log.WithField("inside", e.gate.Inside()).Info("app: entry drains.")
+	return e.gate.Wait(ctx)
+}
+
+// Stop ends listeners and loops. Requests still in progress are cut; call
+// Drain first for a planned stop.
+func (e *Entry) Stop(ctx context.Context) error {
+	if err := e.app.Stop(ctx); err != nil {
+		return fmt.Errorf("stop entry: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/app/loops.go
@@ -0,0 +1,128 @@
+package app
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/routing"
+	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+// Periods of the loops.
+const (
+	hostListPeriod = time.Second
+	noticePeriod   = 500 * time.Millisecond
+	probePeriod    = 50 * time.Millisecond
+	probeTimeout   = time.Second
+)
+
+// loopModule runs the background loops.
+var loopModule = fx.Module("loops",
+	fx.Provide(newLoops),
+	fx.Invoke(watchTemplates, watchHosts, watchNotices, probeEndpoints),
+)
+
+// Loops are the background goroutines of an entry. All end when it stops.
+type Loops struct {
+	ctx  context.Context
+	work sync.WaitGroup
+}
+
+func newLoops(lc fx.Lifecycle) *Loops {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Loops{ctx: ctx}
+	lc.Append(fx.StopHook(func() {
+		cancel()
+		l.work.Wait()
+	}))
+	return l
+}
+
+// Go runs f once the entry starts. f ends with its context.
+func (l *Loops) Go(lc fx.Lifecycle, f func(ctx context.Context)) {
+	lc.Append(fx.StartHook(func() {
+		l.work.Go(func() { f(l.ctx) })
+	}))
+}
+
+// Every runs f at once and then in each period.
+func (l *Loops) Every(lc fx.Lifecycle, period time.Duration, f func(ctx context.Context)) {
+	l.Go(lc, func(ctx context.Context) {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for ctx.Err() == nil {
+			f(ctx)
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+			}
+		}
+	})
+}
+
+func watchTemplates(lc fx.Lifecycle, l *Loops, w *template.Watcher) {
+	l.Go(lc, func(ctx context.Context) { _ = w.Run(ctx) })
+}
+
+// watchHosts keeps the fleet in step with the host list. Notices in it are
+// taken in first, so that a leaving host never looks new.
+func watchHosts(lc fx.Lifecycle, l *Loops, list platform.HostList, f *routing.Fleet, notices *drain.Set, s settings.Entry, log *logrus.Logger) {
+	notices.OnLeaving(func(n drain.Notice) { f.MarkLeaving(n.HostID, n.Incarnation, string(n.Reason)) })
+
+	l.Every(lc, hostListPeriod, func(ctx context.Context) {
+		hosts, err := list.Hosts(ctx)
+		if err != nil {
+			entryLog(log, s).WithError(err).Warn("app: host list can't be read.")
+			return
+		}
+		notices.Hosts(hosts)
+		f.SetHosts(hosts)
+	})
+}
+
+// watchNotices reads the cloud API's notices.
+func watchNotices(lc fx.Lifecycle, l *Loops, cloud platform.Cloud, notices *drain.Set, s settings.Entry, log *logrus.Logger) {
+	var after uint64
+	l.Every(lc, noticePeriod, func(ctx context.Context) {
+		list, err := cloud.Notices(ctx, after)
+		if err != nil {
+			entryLog(log, s).WithError(err).Warn("app: notices can't be read.")
+			return
+		}
+		for _, n := range list {
+			after = max(after, n.Seq)
+			notices.Add(drain.Notice{
+				HostID:      n.HostID,
+				Incarnation: n.Incarnation,
+				Reason:      drain.ReasonReclaim,
+				Remaining:   n.Remaining,
+			})
+		}
+	})
+}
+
+// probeEndpoints asks for the load of the endpoint that the fleet knows least
+// about.
+func probeEndpoints(lc fx.Lifecycle, l *Loops, f *routing.Fleet, client endpoint.Client) {
+	l.Every(lc, probePeriod, func(ctx context.Context) {
+		e, ok := f.NextProbe()
+		if !ok || e.Kind != platform.KindEngine {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		load, err := client.Engine(e.Addr).Load(ctx)
+		if err != nil {
+			return
+		}
+		f.ReportLoad(e.ID, load)
+	})
+}
--- /dev/null
+++ b/app/mesh.go
@@ -0,0 +1,192 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootcleat/coltsfootcleat/admission"
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+// digestPeriod is how often an entry tells its peers about itself.
+const digestPeriod = time.Second
+
+// meshModule provides what entries know of each other.
+var meshModule = fx.Module("mesh",
+	fx.Provide(newRegistry, newNotices, newPeerTemplates, newPeerDemand, newMesh),
+	fx.Invoke(runMesh),
+)
+
+func newRegistry(table platform.Table, s settings.Entry, i Incarnation, log *logrus.Logger) *member.Registry {
+	return member.New(table, member.Options{
+		ID:            s.ID,
+		Incarnation:   string(i),
+		Addr:          s.Listen.Peer,
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+		Log:           entryLog(log, s),
+	})
+}
+
+func newNotices(s settings.Entry, log *logrus.Logger) *drain.Set {
+	return drain.NewSet(entryLog(log, s))
+}
+
+// peerTemplates lets the watcher fetch templates from peers. The mesh, which
+// needs the watcher itself, is filled in once it exists.
+type peerTemplates struct {
+	mesh *peer.Mesh
+}
+
+func newPeerTemplates() *peerTemplates { return &peerTemplates{} }
+
+func (p *peerTemplates) fetch(ctx context.Context, from, name string, version uint64) (*template.Template, error) {
+	body, found, err := p.mesh.FetchTemplate(ctx, from, name, version)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, fmt.Errorf("peer %s has no version %d of template %s", from, version, name)
+	}
+	t := &template.Template{}
+	if err := json.Unmarshal(body, t); err != nil {
+		return nil, fmt.Errorf("template from peer %s: %w", from, err)
+	}
+	return t, nil
+}
+
+// peerDemand keeps the demand that the other entries' digests show.
+type peerDemand struct {
+	admission *admission.Controller
+	registry  *member.Registry
+
+	mu     sync.Mutex
+	demand map[string]map[string]float64
+}
+
+func newPeerDemand(a *admission.Controller, r *member.Registry) *peerDemand {
+	return &peerDemand{admission: a, registry: r, demand: make(map[string]map[string]float64)}
+}
+
+func (p *peerDemand) heard(from string, d peer.Digest) {
+	demand := make(map[string]float64, len(d.Demand))
+	for customer, v := range d.Demand {
+		demand[customer] = v.TokensPerSecond
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand[from] = demand
+}
+
+// share hands the demand of the live entries to admission.
+func (p *peerDemand) share() {
+	live := make(map[string]bool)
+	for _, id := range p.registry.Live() {
+		live[id] = true
+	}
+	p.mu.Lock()
+	current := make(map[string]map[string]float64, len(p.demand))
+	for id, demand := range p.demand {
+		if !live[id] {
+			delete(p.demand, id)
+			continue
+		}
+		current[id] = demand
+	}
+	p.mu.Unlock()
+	p.admission.SetMembers(max(1, len(live)))
+	p.admission.SetPeers(current)
+}
+
+type meshDeps struct {
+	fx.In
+
+	Settings  settings.Entry
+	Network   Network
+	Registry  *member.Registry
+	Notices   *drain.Set
+	Watcher   *template.Watcher
+	Templates *peerTemplates
+	Demand    *peerDemand
+	Log       *logrus.Logger
+}
+
+func newMesh(lc fx.Lifecycle, d meshDeps) (*peer.Mesh, error) {
+	l, err := d.Network.Listen(d.Settings.Listen.Peer)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", d.Settings.Listen.Peer, err)
+	}
+	lc.Append(fx.StopHook(func() { closeQuietly(l) }))
+	m := peer.New(peer.Options{
+		Deployment: d.Settings.Deployment,
+		Registry:   d.Registry,
+		Notices:    d.Notices,
+		Listener:   l,
+		Dial:       d.Network.Dial,
+		Log:        entryLog(d.Log, d.Settings),
+		Handlers: peer.Handlers{
+			Digest: func(from string, digest peer.Digest) {
+				d.Watcher.Touch()
+				d.Demand.heard(from, digest)
+			},
+			TemplateVersion: func(from, name string, version uint64) {
+				if name == d.Settings.Deployment {
+					d.Watcher.Observe(version, from)
+				}
+			},
+			TemplateFetch: func(name string, version uint64) (json.RawMessage, bool) {
+				return currentTemplate(d.Watcher, name, version)
+			},
+		},
+	})
+	d.Templates.mesh = m
+	d.Watcher.OnChange(func(t *template.Template) { m.SetTemplateVersion(t.Name, t.Version) })
+	return m, nil
+}
+
+// currentTemplate returns the template in force if it is the one asked for.
+func currentTemplate(w *template.Watcher, name string, version uint64) (json.RawMessage, bool) {
+	t := w.Current()
+	if t == nil || t.Name != name || t.Version != version {
+		return nil, false
+	}
+	body, err := json.Marshal(t)
+	return body, err == nil
+}
+
+// closeQuietly closes a listener that its user may have closed already.
+func closeQuietly(l net.Listener) { _ = l.Close() }
+
+func runMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, a *admission.Controller, demand *peerDemand, gate *Gate) {
+	l.Go(lc, func(ctx context.Context) { _ = r.Run(ctx) })
+	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
+	l.Every(lc, digestPeriod, func(context.Context) {
+		m.Publish(ownDigest(a, gate))
+		demand.share()
+	})
+}
+
+func ownDigest(a *admission.Controller, gate *Gate) peer.Digest {
+	demand := make(map[string]peer.Demand)
+	for customer, rate := range a.Demand() {
+		demand[customer] = peer.Demand{TokensPerSecond: rate}
+	}
+	for customer, spend := range a.Spend() {
+		d := demand[customer]
+		d.SpendPerHour = spend
+		demand[customer] = d
+	}
+	return peer.Digest{Demand: demand, InFlight: gate.Inside()}
+}
--- /dev/null
+++ b/app/modules.go
@@ -0,0 +1,137 @@
+package app
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootcleat/coltsfootcleat/admission"
+	"github.com/coltsfootcleat/coltsfootcleat/callerapi"
+	"github.com/coltsfootcleat/coltsfootcleat/delivery"
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	endpointrest "github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/once"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	platformrest "github.com/coltsfootcleat/coltsfootcleat/platform/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/relay"
+	"github.com/coltsfootcleat/coltsfootcleat/routing"
+	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+// platformModule provides the clients of the platform and the endpoints.
+var platformModule = fx.Module("platform", fx.Provide(
+	newPlatformClient,
+	func(c *platformrest.Client) platform.Table { return c.Table() },
+	func(c *platformrest.Client) platform.Objects { return c.Objects() },
+	func(c *platformrest.Client) platform.HostList { return c.HostList() },
+	func(c *platformrest.Client) platform.Cloud { return c.Cloud() },
+	func(c *platformrest.Client) platform.WeightStore { return c.WeightStore() },
+	newEndpointClient,
+))
+
+// decisionModule provides what decides: templates, routing and admission.
+var decisionModule = fx.Module("decisions", fx.Provide(
+	newTemplateStore,
+	newWatcher,
+	newFleet,
+	newAdmission,
+))
+
+// requestModule provides what carries requests.
+var requestModule = fx.Module("requests", fx.Provide(
+	newRelay,
+	newOnce,
+	newDelivery,
+	newServices,
+	newCallerAPI,
+))
+
+func entryLog(log *logrus.Logger, s settings.Entry) *logrus.Entry {
+	return log.WithField("entry", s.ID)
+}
+
+func newPlatformClient(lc fx.Lifecycle, s settings.Entry, n Network) *platformrest.Client {
+	c := platformrest.New(s.Platform.URL, n.Dial, s.Platform.Timeout.Std())
+	lc.Append(fx.StopHook(c.Close))
+	return c
+}
+
+func newEndpointClient(lc fx.Lifecycle, n Network) endpoint.Client {
+	c := endpointrest.NewClient(n.Dial)
+	lc.Append(fx.StopHook(c.Close))
+	return c
+}
+
+func newTemplateStore(table platform.Table) *template.Store {
+	return template.NewStore(table, template.StoreOptions{})
+}
+
+func newWatcher(store *template.Store, peers *peerTemplates, s settings.Entry, log *logrus.Logger) *template.Watcher {
+	return template.NewWatcher(store, s.Deployment, template.WatcherOptions{
+		Fetch: peers.fetch,
+		Log:   entryLog(log, s),
+	})
+}
+
+func newFleet(s settings.Entry, log *logrus.Logger, w *template.Watcher) *routing.Fleet {
+	f := routing.NewFleet(routing.Options{
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+		Log:           entryLog(log, s),
+		Seed:          rand.Uint64(),
+	})
+	w.OnChange(f.SetTemplate)
+	return f
+}
+
+func newAdmission(s settings.Entry, log *logrus.Logger, w *template.Watcher) *admission.Controller {
+	c := admission.New(admission.Options{Entry: s.ID, Log: entryLog(log, s)})
+	w.OnChange(c.SetTemplate)
+	return c
+}
+
+func newRelay(f *routing.Fleet, client endpoint.Client, a *admission.Controller, s settings.Entry, log *logrus.Logger) *relay.Relay {
+	return relay.New(relay.Options{Fleet: f, Client: client, Retries: a, Log: entryLog(log, s)})
+}
+
+func newOnce(lc fx.Lifecycle, table platform.Table, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
+	store := once.New(table, once.Options{
+		EntryID:     s.ID,
+		Incarnation: string(i),
+		Log:         entryLog(log, s),
+	})
+	lc.Append(fx.StopHook(func(context.Context) { store.Close() }))
+	return store
+}
+
+func newDelivery(s settings.Entry, i Incarnation, r *relay.Relay, client endpoint.Client, f *routing.Fleet, log *logrus.Logger) *delivery.Service {
+	return delivery.New(delivery.Options{
+		EntryID:     s.ID,
+		Incarnation: string(i),
+		Relay:       r,
+		Client:      client,
+		Predictor:   f,
+		Log:         entryLog(log, s),
+	})
+}
+
+func newServices(f *routing.Fleet, client endpoint.Client, store *once.Store, a *admission.Controller, s settings.Entry, log *logrus.Logger) *delivery.Services {
+	return delivery.NewServices(f, client, store, a, entryLog(log, s))
+}
+
+func newCallerAPI(w *template.Watcher, a *admission.Controller, d *delivery.Service, services *delivery.Services, gate *Gate, s settings.Entry, log *logrus.Logger) *callerapi.Server {
+	return callerapi.New(callerapi.Deps{
+		Templates: w,
+		Admission: a,
+		Answers:   d,
+		Services:  services,
+		Gate:      gate,
+		Limits:    s.Limits,
+		Log:       entryLog(log, s),
+		NewID:     uuid.NewString,
+	})
+}
--- /dev/null
+++ b/callerapi/chat.go
@@ -0,0 +1,173 @@
+package callerapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/coltsfootcleat/coltsfootcleat/admission"
+	"github.com/coltsfootcleat/coltsfootcleat/delivery"
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/prefix"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// chatRequest is the part of an OpenAI chat completion request that is used.
+type chatRequest struct {
+	Model               string             `json:"model"`
+	Messages            []endpoint.Message `json:"messages"`
+	Stream              bool               `json:"stream"`
+	MaxTokens           int                `json:"max_tokens"`
+	MaxCompletionTokens int                `json:"max_completion_tokens"`
+}
+
+func (s *Server) chat(c *gin.Context) {
+	request, stream, err := s.parseChat(c)
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	c.Header(HeaderRequestID, request.ID)
+	c.Header(HeaderTemplateVersion, fmt.Sprint(request.TemplateVersion))
+	ticket, err := s.admit(c, request)
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	request.Ticket = ticket
+	if request.Kind.Delivery == template.DeliveryDurable {
+		s.durable(c, request, stream)
+		return
+	}
+	s.attached(c, request, stream)
+}
+
+// admit asks for room. The ticket is given back when the answer ends.
+func (s *Server) admit(c *gin.Context, r *delivery.Request) (*admission.Ticket, error) {
+	return s.deps.Admission.Admit(c.Request.Context(), admission.Request{
+		RequestID:     r.ID,
+		Customer:      r.Customer.Name,
+		Kind:          r.Kind.Name,
+		Urgency:       r.Kind.Urgency,
+		Tokens:        r.PromptTokens + r.MaxTokens,
+		Deadline:      r.Kind.Deadline.Std(),
+		PredictedWait: func() time.Duration { return s.deps.Answers.PredictedWait(r) },
+	})
+}
+
+func (s *Server) attached(c *gin.Context, r *delivery.Request, stream bool) {
+	out := s.newOutput(c, r.ID, r.Model, stream)
+	c.Header(HeaderDurability, string(template.DeliveryAttached))
+	s.finish(c, out, s.deps.Answers.Attached(c.Request.Context(), r, out))
+}
+
+func (s *Server) durable(c *gin.Context, r *delivery.Request, stream bool) {
+	id, err := s.deps.Answers.Durable(c.Request.Context(), r)
+	if err != nil {
+		if s.mayFallBack(r, err) {
+			s.attached(c, r, stream)
+			return
+		}
+		s.fail(c, err)
+		return
+	}
+	c.Header(HeaderRequestID, id)
+	c.Header(HeaderDurability, string(template.DeliveryDurable))
+	if strings.Contains(c.GetHeader(HeaderPrefer), "respond-async") {
+		c.Header("Location", "/v1/requests/"+id)
+		c.JSON(http.StatusAccepted, gin.H{"id": id, "status": "accepted"})
+		return
+	}
+	out := s.newOutput(c, id, r.Model, stream)
+	if stream {
+		// Accepted means recorded: the caller learns the ID before the first
+		// token, so that it can come back at any entry.
+		out.begin()
+	}
+	s.finish(c, out, s.deps.Answers.Follow(c.Request.Context(), r.Customer.Name, id, 0, out))
+}
+
+// mayFallBack says whether a durable request that could not be recorded may
+// be answered while its caller stays connected.
+func (s *Server) mayFallBack(r *delivery.Request, err error) bool {
+	return r.Kind.Outage == template.OutageAttached &&
+		verdict.Of(err) == verdict.NotRun &&
+		verdict.CodeOf(err) == verdict.CodeUnavailable
+}
+
+func (s *Server) parseChat(c *gin.Context) (*delivery.Request, bool, error) {
+	body, err := s.readBody(c)
+	if err != nil {
+		return nil, false, err
+	}
+	var in chatRequest
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := decoder.Decode(&in); err != nil {
+		return nil, false, invalid("body is no chat request: %v", err)
+	}
+	if len(in.Messages) == 0 {
+		return nil, false, invalid("messages is empty")
+	}
+	t, customer := templateIn(c), customerIn(c)
+	kind, err := kindOf(t.Template, customer, c.GetHeader(HeaderRequestKind), in.Model)
+	if err != nil {
+		return nil, false, err
+	}
+	version, ok := t.Template.ModelVersion(customer, kind.Model)
+	if !ok {
+		return nil, false, invalid("unknown model %q", kind.Model)
+	}
+	hashes, tokens := prefix.Hashes(customer.Name, prefix.Text(in.Messages))
+	return &delivery.Request{
+		ID:              s.deps.NewID(),
+		Customer:        customer,
+		Kind:            kind,
+		TemplateVersion: t.Template.Version,
+		Model:           kind.Model,
+		Version:         version,
+		Messages:        in.Messages,
+		Hashes:          hashes,
+		PromptTokens:    tokens,
+		MaxTokens:       limitTokens(in, kind),
+		IdempotencyKey:  c.GetHeader(HeaderIdempotencyKey),
+	}, in.Stream, nil
+}
+
+func limitTokens(in chatRequest, kind template.Kind) int {
+	asked := max(in.MaxTokens, in.MaxCompletionTokens)
+	if asked <= 0 || asked > kind.MaxTokens {
+		return kind.MaxTokens
+	}
+	return asked
+}
+
+// kindOf returns the kind that a request names, or the first attached kind of
+// its model where it names none.
+func kindOf(t *template.Template, customer template.Customer, name, model string) (template.Kind, error) {
+	if model == "" {
+		return template.Kind{}, invalid("model is missing")
+	}
+	if !slices.ContainsFunc(t.Models, func(m template.Model) bool { return m.Name == model }) {
+		return template.Kind{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "unknown model %q", model)
+	}
+	for _, kind := range t.Kinds {
+		if !mayUse(customer, kind) || kind.Model != model {
+			continue
+		}
+		if kind.Name == name || (name == "" && kind.Delivery == template.DeliveryAttached) {
+			return kind, nil
+		}
+	}
+	return template.Kind{}, invalid("model %q has no request kind %q for this customer", model, name)
+}
+
+func mayUse(customer template.Customer, kind template.Kind) bool {
+	return len(customer.Kinds) == 0 || slices.Contains(customer.Kinds, kind.Name)
+}
--- /dev/null
+++ b/callerapi/errors.go
@@ -0,0 +1,88 @@
+package callerapi
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// retrySoon is the Retry-After of refusals that another entry may not have.
+const retrySoon = time.Second
+
+var (
+	errDraining = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this entry is stopping").WithRetryAfter(retrySoon)
+	errNotReady = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this entry has no current template").WithRetryAfter(retrySoon)
+	errPanicked = verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "internal error")
+	errNoAuth   = verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "missing or unknown API key")
+)
+
+// errorBody is the OpenAI-style error with a verdict.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Verdict string `json:"verdict"`
+}
+
+// statuses maps codes to HTTP statuses. A code that is missing is a 500.
+var statuses = map[verdict.Code]int{
+	verdict.CodeInvalid:      http.StatusBadRequest,
+	verdict.CodeUnauthorized: http.StatusUnauthorized,
+	verdict.CodeNotFound:     http.StatusNotFound,
+	verdict.CodeInProgress:   http.StatusConflict,
+	verdict.CodeConflict:     http.StatusConflict,
+	verdict.CodeKeyReused:    http.StatusUnprocessableEntity,
+	verdict.CodeLimited:      http.StatusTooManyRequests,
+	verdict.CodeOverloaded:   http.StatusServiceUnavailable,
+	verdict.CodeUnavailable:  http.StatusServiceUnavailable,
+	verdict.CodeDeadline:     http.StatusGatewayTimeout,
+}
+
+// statusOf returns the HTTP status for err.
+func statusOf(err error) int {
+	if status, ok := statuses[verdict.CodeOf(err)]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+func bodyOf(err error) errorBody {
+	kind := "server_error"
+	if statusOf(err) < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return errorBody{Error: errorDetail{
+		Message: err.Error(),
+		Type:    kind,
+		Code:    string(verdict.CodeOf(err)),
+		Verdict: verdict.Of(err).String(),
+	}}
+}
+
+// fail answers with err. Nothing of the answer may have been written.
+func (s *Server) fail(c *gin.Context, err error) {
+	c.Header(HeaderVerdict, verdict.Of(err).String())
+	if after := verdict.RetryAfterOf(err); after > 0 {
+		seconds := int64((after + time.Second - 1) / time.Second)
+		c.Header("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	c.AbortWithStatusJSON(statusOf(err), bodyOf(err))
+}
+
+func (s *Server) noRoute(c *gin.Context) {
+	s.fail(c, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no such path"))
+}
+
+// invalid returns an error for bad input, which never runs anything.
+func invalid(format string, args ...any) error {
+	return verdict.New(verdict.NotRun, verdict.CodeInvalid, "%w", fmt.Errorf(format, args...))
+}
--- /dev/null
+++ b/callerapi/output.go
@@ -0,0 +1,214 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/coltsfootcleat/coltsfootcleat/delivery"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// chunk is one event of a streamed answer.
+type chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []chunkChoice `json:"choices"`
+}
+
+type chunkChoice struct {
+	Index        int     `json:"index"`
+	Delta        delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// completion is a whole answer.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   usage              `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int             `json:"index"`
+	Message      completionReply `json:"message"`
+	FinishReason string          `json:"finish_reason"`
+}
+
+type completionReply struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// output writes one answer to a caller, streamed or whole. It implements
+// delivery.Output.
+type output struct {
+	c       *gin.Context
+	control *http.ResponseController
+	id      string
+	model   string
+	stream  bool
+	created int64
+	begun   bool
+	text    strings.Builder
+	summary delivery.Summary
+}
+
+func (s *Server) newOutput(c *gin.Context, id, model string, stream bool) *output {
+	return &output{
+		c:       c,
+		control: http.NewResponseController(c.Writer),
+		id:      id,
+		model:   model,
+		stream:  stream,
+		created: time.Now().Unix(),
+	}
+}
+
+// Bound implements delivery.Output: the engine took the request, so that the
+// headers can go out.
+func (o *output) Bound(endpointID string) error {
+	if o.begun {
+		return nil
+	}
+	o.c.Header(HeaderEndpoint, endpointID)
+	if o.stream {
+		o.begin()
+	}
+	return nil
+}
+
+// begin sends the headers and the first event of a stream.
+func (o *output) begin() {
+	if o.begun {
+		return
+	}
+	o.begun = true
+	o.c.Header("Content-Type", "text/event-stream")
+	o.c.Header("Cache-Control", "no-cache")
+	o.c.Status(http.StatusOK)
+	o.c.Writer.WriteHeaderNow()
+	_ = o.control.Flush()
+}
+
+// Write implements delivery.Output.
+func (o *output) Write(p delivery.Piece) error {
+	if !o.stream {
+		o.text.WriteString(p.Text)
+		return nil
+	}
+	o.begin()
+	id := strconv.Itoa(p.Offset + p.Tokens)
+	return o.event(id, o.chunk(delta{Role: "assistant", Content: p.Text}, nil))
+}
+
+// End implements delivery.Output.
+func (o *output) End(s delivery.Summary) error {
+	o.summary = s
+	if !o.stream {
+		return nil
+	}
+	o.begin()
+	if err := o.event("", o.chunk(delta{}, &s.FinishReason)); err != nil {
+		return err
+	}
+	return o.send("", "[DONE]")
+}
+
+func (o *output) chunk(d delta, finish *string) chunk {
+	return chunk{
+		ID:      o.id,
+		Object:  "chat.completion.chunk",
+		Created: o.created,
+		Model:   o.model,
+		Choices: []chunkChoice{{Delta: d, FinishReason: finish}},
+	}
+}
+
+func (o *output) event(id string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return o.send(id, string(data))
+}
+
+func (o *output) send(id, data string) error {
+	m := sse.Message{}
+	m.AppendData(data)
+	if id != "" {
+		m.ID = sse.ID(id)
+	}
+	_ = o.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := m.WriteTo(o.c.Writer); err != nil {
+		return err
+	}
+	return o.control.Flush()
+}
+
+func (o *output) whole() completion {
+	s := o.summary
+	return completion{
+		ID:      o.id,
+		Object:  "chat.completion",
+		Created: o.created,
+		Model:   o.model,
+		Choices: []completionChoice{{
+			Message:      completionReply{Role: "assistant", Content: o.text.String()},
+			FinishReason: s.FinishReason,
+		}},
+		Usage: usage{
+			PromptTokens:     s.PromptTokens,
+			CompletionTokens: s.Tokens,
+			TotalTokens:      s.PromptTokens + s.Tokens,
+		},
+	}
+}
+
+// finish ends the response: a whole answer, or the error in the form that is
+// still possible.
+func (s *Server) finish(c *gin.Context, o *output, err error) {
+	switch {
+	case err == nil && !o.stream:
+		c.JSON(http.StatusOK, o.whole())
+	case err == nil:
+	case o.begun:
+		s.failStream(o, err)
+	default:
+		s.fail(c, err)
+	}
+}
+
+// failStream reports an error inside a stream that has begun. There is no end
+// mark, so that no client takes the text for a whole answer.
+func (s *Server) failStream(o *output, err error) {
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		err = verdict.Wrap(verdict.MayHaveRun, err)
+	}
+	if sendErr := o.event("", bodyOf(err)); sendErr != nil {
+		s.deps.Log.WithField("request", o.id).WithError(err).Info("callerapi: caller went away.")
+	}
+}
--- /dev/null
+++ b/callerapi/requests.go
@@ -0,0 +1,69 @@
+package callerapi
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/gin-gonic/gin"
+)
+
+// requestStatus answers with the state of a durable request, and the whole
+// answer once there is one.
+func (s *Server) requestStatus(c *gin.Context) {
+	status, err := s.deps.Answers.Status(c.Request.Context(), customerIn(c).Name, c.Param("id"))
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	c.Header(HeaderRequestID, c.Param("id"))
+	c.JSON(http.StatusOK, status)
+}
+
+// requestStream streams a durable request's answer from a token offset.
+func (s *Server) requestStream(c *gin.Context) {
+	from, err := offsetOf(c)
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	id, customer := c.Param("id"), customerIn(c).Name
+	status, err := s.deps.Answers.Status(c.Request.Context(), customer, id)
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	c.Header(HeaderRequestID, id)
+	out := s.newOutput(c, id, status.Model, true)
+	s.finish(c, out, s.deps.Answers.Follow(c.Request.Context(), customer, id, from, out))
+}
+
+func offsetOf(c *gin.Context) (int, error) {
+	text := c.Query("from")
+	if text == "" {
+		text = c.GetHeader(HeaderLastEventID)
+	}
+	if text == "" {
+		return 0, nil
+	}
+	from, err := strconv.Atoi(text)
+	if err != nil || from < 0 {
+		return 0, invalid("offset %q is no whole number of tokens", text)
+	}
+	return from, nil
+}
+
+// model is one row of the model list.
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(c *gin.Context) {
+	t := templateIn(c).Template
+	list := make([]model, 0, len(t.Models))
+	for _, m := range t.Models {
+		list = append(list, model{ID: m.Name, Object: "model", OwnedBy: t.Name})
+	}
+	c.JSON(http.StatusOK, gin.H{"object": "list", "data": list})
+}
--- /dev/null
+++ b/callerapi/server.go
@@ -0,0 +1,126 @@
+package callerapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/admission"
+	"github.com/coltsfootcleat/coltsfootcleat/delivery"
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+// Header names of the interface.
+const (
+	HeaderRequestID       = "X-Request-Id"
+	HeaderRequestKind     = "X-Request-Kind"
+	HeaderEndpoint        = "X-Endpoint"
+	HeaderTemplateVersion = "X-Template-Version"
+	HeaderDurability      = "X-Durability"
+	HeaderVerdict         = "X-Verdict"
+	HeaderIdempotencyKey  = "Idempotency-Key"
+	HeaderLastEventID     = "Last-Event-ID"
+	HeaderPrefer          = "Prefer"
+)
+
+// writeTimeout bounds one write to a caller that reads slowly.
+const writeTimeout = 30 * time.Second
+
+// Templates gives the template in force.
+type Templates interface {
+	// Index returns nil before the first template was read.
+	Index() *template.Index
+	// Fresh is false when the entry may have missed a newer version.
+	Fresh() bool
+}
+
+// Admission admits requests. *admission.Controller implements it.
+type Admission interface {
+	Admit(ctx context.Context, r admission.Request) (*admission.Ticket, error)
+}
+
+// Answers runs and follows chat requests. *delivery.Service implements it.
+type Answers interface {
+	Attached(ctx context.Context, r *delivery.Request, out delivery.Output) error
+	Durable(ctx context.Context, r *delivery.Request) (string, error)
+	Follow(ctx context.Context, customer, id string, from int, out delivery.Output) error
+	Status(ctx context.Context, customer, id string) (delivery.Status, error)
+	PredictedWait(r *delivery.Request) time.Duration
+}
+
+// Services calls plain services. *delivery.Services implements it.
+type Services interface {
+	Call(ctx context.Context, c delivery.ServiceCall) (endpoint.Reply, string, error)
+}
+
+// Gate counts requests in progress and closes when the entry drains.
+type Gate interface {
+	// Enter returns false once the entry takes no new work.
+	Enter() bool
+	Leave()
+}
+
+// Deps are what the interface is built from.
+type Deps struct {
+	Templates Templates
+	Admission Admission
+	Answers   Answers
+	Services  Services
+	Gate      Gate
+	Limits    settings.Limits
+	Log       *logrus.Entry
+	// NewID returns a unique request ID.
+	NewID func() string
+}
+
+// Server is the interface's handler.
+type Server struct {
+	deps   Deps
+	engine *gin.Engine
+}
+
+// New returns a Server.
+func New(deps Deps) *Server {
+	gin.SetMode(gin.ReleaseMode)
+	s := &Server{deps: deps, engine: gin.New()}
+	s.engine.Use(gin.CustomRecovery(s.recovered))
+	work := s.engine.Group("/", s.admitWork, s.authenticate)
+	work.POST("/v1/chat/completions", s.chat)
+	work.Any("/services/:service/*path", s.service)
+	read := s.engine.Group("/", s.authenticate)
+	read.GET("/v1/models", s.models)
+	read.GET("/v1/requests/:id", s.requestStatus)
+	read.GET("/v1/requests/:id/stream", s.requestStream)
+	s.engine.NoRoute(s.noRoute)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.engine.ServeHTTP(w, r)
+}
+
+func (s *Server) recovered(c *gin.Context, cause any) {
+	s.deps.Log.WithField("cause", cause).Error("callerapi: handler panicked.")
+	s.fail(c, errPanicked)
+}
+
+// admitWork refuses new work while the entry drains or may have missed a
+// newer template, and keeps the entry alive for the request's time.
+func (s *Server) admitWork(c *gin.Context) {
+	if !s.deps.Gate.Enter() {
+		s.fail(c, errDraining)
+		return
+	}
+	defer s.deps.Gate.Leave()
+	if s.deps.Templates.Index() == nil || !s.deps.Templates.Fresh() {
+		s.fail(c, errNotReady)
+		return
+	}
+	c.Next()
+}
--- a/cmd/coltsfootcleat/main.go
+++ b/cmd/coltsfootcleat/main.go
@@ -12,6 +12,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&serveCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/cmd/coltsfootcleat/serve.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/coltsfootcleat/coltsfootcleat/app"
+	"github.com/coltsfootcleat/coltsfootcleat/settings"
+)
+
+// serveCommand runs one entry host.
+type serveCommand struct {
+	settings string
+}
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run one entry host" }
+
+func (*serveCommand) Usage() string {
+	return `serve -settings FILE:
+  Runs one entry host until SIGTERM or SIGINT. The first signal drains it: it
+  takes no new requests and ends once those in progress have ended. A second
+  signal stops it at once.
+
+  Example: coltsfootcleat serve -settings deployments/karoo-wick/entry-midrand.toml
+
+`
+}
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings `file` (TOML)")
+}
+
+func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	if err := serve(ctx, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func serve(ctx context.Context, s settings.Entry) error {
+	log, err := newLogger(s.Log)
+	if err != nil {
+		return err
+	}
+	entry, err := app.New(app.Config{Settings: s, Network: app.TCP(), Log: log})
+	if err != nil {
+		return err
+	}
+	// Signals are caught before the start, so that none is lost in it.
+	first, stopFirst := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stopFirst()
+	if err := entry.Start(ctx); err != nil {
+		return err
+	}
+	<-first.Done()
+	second, stopSecond := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stopSecond()
+	if err := entry.Drain(second); err != nil {
+		log.WithError(err).Warn("app: drain was cut short.")
+	}
+	return entry.Stop(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/delivery/attached.go
@@ -0,0 +1,71 @@
+package delivery
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/admission"
+	"github.com/coltsfootcleat/coltsfootcleat/relay"
+)
+
+// Attached answers a request while its caller stays connected. When ctx ends
+// the engine's stream is cancelled.
+func (s *Service) Attached(ctx context.Context, r *Request, out Output) error {
+	sink := &attachedSink{out: out}
+	result, err := s.options.Relay.Run(ctx, relayRequest(r), sink)
+	r.Ticket.Done(admission.Usage{Tokens: r.PromptTokens + result.Tokens, Cost: s.cost(r.PromptTokens, result)})
+	s.logEnd(r, result, err)
+	if err != nil {
+		return err
+	}
+	return out.End(summary(r.PromptTokens, result))
+}
+
+func relayRequest(r *Request) *relay.Request {
+	return &relay.Request{
+		ID:           r.ID,
+		Customer:     r.Customer.Name,
+		Model:        r.Model,
+		Version:      r.Version,
+		Messages:     r.Messages,
+		Hashes:       r.Hashes,
+		PromptTokens: r.PromptTokens,
+		MaxTokens:    r.MaxTokens,
+		Urgency:      r.Kind.Urgency,
+		Deadline:     r.Kind.Deadline.Std(),
+	}
+}
+
+func summary(promptTokens int, result relay.Result) Summary {
+	return Summary{PromptTokens: promptTokens, Tokens: result.Tokens, FinishReason: result.FinishReason}
+}
+
+// attachedSink passes an answer straight to its caller.
+type attachedSink struct{ out Output }
+
+func (a *attachedSink) Bound(_ context.Context, b relay.Binding) error {
+	return a.out.Bound(b.EndpointID)
+}
+
+func (a *attachedSink) Write(_ context.Context, p relay.Piece) error {
+	return a.out.Write(p)
+}
+
+func (s *Service) logEnd(r *Request, result relay.Result, err error) {
+	entry := s.options.Log.WithFields(logrus.Fields{
+		"request":    r.ID,
+		"customer":   r.Customer.Name,
+		"kind":       r.Kind.Name,
+		"endpoint":   result.EndpointID,
+		"tokens":     result.Tokens,
+		"attempts":   result.Attempts,
+		"recomputed": result.Recomputed,
+		"ttft":       result.FirstToken,
+	})
+	if err != nil {
+		entry.WithError(err).Warn("delivery: request failed.")
+		return
+	}
+	entry.Info("delivery: request answered.")
+}
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,299 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/routing"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// errBroken says that a stream can't be read on; the answer is resumed.
+var errBroken = errors.New("stream broke")
+
+// errStalled says that an engine did not answer in time.
+var errStalled = errors.New("engine stalled")
+
+// attempt runs one engine stream. It returns true once the answer is whole.
+func (c *carrier) attempt(ctx context.Context) (bool, error) {
+	choice, err := c.choose()
+	if err != nil {
+		return false, verdict.Wrap(verdict.Of(err), fmt.Errorf("choose endpoint: %w", err))
+	}
+	before := c.answer.tokens
+	done, err := c.generate(ctx, choice)
+	c.relay.options.Fleet.Done(choice, routing.Outcome{Err: outcome(err), GeneratedTokens: c.answer.tokens - before})
+	return done, err
+}
+
+// outcome hides from the fleet what was not the endpoint's fault.
+func outcome(err error) error {
+	var m *Move
+	var s *errSink
+	if errors.As(err, &m) || errors.As(err, &s) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (c *carrier) generate(ctx context.Context, choice routing.Choice) (bool, error) {
+	engine := c.relay.options.Client.Engine(choice.Endpoint.Addr)
+	attempt := c.relay.options.NewID()
+	r := &running{choice: choice, engine: engine, answer: c.answer, tokens: c.answer.tokens}
+	streamCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	r.cancel = cancel
+	// The stream is registered before it starts, so that a notice for its
+	// host can't fall between the choice and the start.
+	c.relay.streams.add(r)
+	defer c.relay.streams.remove(r)
+
+	stream, err := c.open(cancel, func() (endpoint.Stream, error) {
+		return c.start(streamCtx, engine, choice, attempt)
+	})
+	if err != nil {
+		c.exclude = append(c.exclude, choice.Endpoint.ID)
+		c.mayHaveRun = c.mayHaveRun || verdict.Of(err) != verdict.NotRun
+		return false, c.causeOf(streamCtx, err)
+	}
+	c.accepted = true
+	c.result.Attempts++
+	c.result.EndpointID = choice.Endpoint.ID
+	b := Binding{
+		HostID:     choice.HostID,
+		EndpointID: choice.Endpoint.ID,
+		Addr:       choice.Endpoint.Addr,
+		StreamID:   stream.ID(),
+		AttemptID:  attempt,
+	}
+	if err := c.sink.Bound(ctx, b); err != nil {
+		_ = stream.Close()
+		c.cancelStream(engine, b.StreamID)
+		return false, &errSink{err}
+	}
+	return c.read(ctx, streamCtx, r, stream, b)
+}
+
+// open opens a stream and cancels it when that takes longer than the stall
+// time. The stream itself lives on under the context that cancel belongs to.
+func (c *carrier) open(cancel context.CancelCauseFunc, f func() (endpoint.Stream, error)) (endpoint.Stream, error) {
+	timer := time.AfterFunc(c.relay.options.Stall, func() { cancel(errStalled) })
+	stream, err := f()
+	if !timer.Stop() && err == nil {
+		_ = stream.Close()
+		return nil, errStalled
+	}
+	return stream, err
+}
+
+// start sends the attempt to the engine.
+func (c *carrier) start(ctx context.Context, engine endpoint.Engine, choice routing.Choice, attempt string) (endpoint.Stream, error) {
+	kv := c.kv
+	c.kv = ""
+	stream, err := engine.Generate(ctx, endpoint.GenerateRequest{
+		RequestID:    c.request.ID,
+		AttemptID:    attempt,
+		Customer:     c.request.Customer,
+		Model:        c.request.Model,
+		Version:      c.request.Version,
+		Messages:     c.request.Messages,
+		MaxTokens:    c.request.MaxTokens,
+		Priority:     c.priority(),
+		Resume:       c.answer.text.String(),
+		ResumeTokens: c.answer.tokens,
+		KV:           kv,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("start on %s: %w", choice.Endpoint.ID, err)
+	}
+	if c.answer.tokens > 0 {
+		c.relay.counts.resumed.Add(1)
+		c.log.WithField("endpoint", choice.Endpoint.ID).
+			WithField("offset", c.answer.tokens).
+			WithField("kv", kv != "").
+			Info("relay: answer resumed.")
+	}
+	return stream, nil
+}
+
+func (c *carrier) priority() endpoint.Priority {
+	p := endpoint.PriorityNormal
+	switch c.request.Urgency {
+	case template.UrgencyUrgent:
+		p = endpoint.PriorityUrgent
+	case template.UrgencyPatient:
+		p = endpoint.PriorityPatient
+	}
+	if c.answer.tokens > 0 {
+		p += endpoint.PriorityResumeBoost
+	}
+	return p
+}
+
+// read passes a stream's frames on until the answer is whole, or the stream
+// breaks or has to move.
+func (c *carrier) read(ctx, streamCtx context.Context, r *running, stream endpoint.Stream, b Binding) (bool, error) {
+	for rereads := 0; ; {
+		next, err := c.readOnce(ctx, streamCtx, r, stream, b.AttemptID)
+		_ = stream.Close()
+		if next == stepEnd {
+			return true, nil
+		}
+		var broken *errSink
+		if errors.As(err, &broken) {
+			c.cancelStream(r.engine, b.StreamID)
+			return false, err
+		}
+		if m := moveOf(streamCtx); m != nil {
+			c.leave(ctx, r, b, m)
+			return false, m
+		}
+		if ctx.Err() != nil {
+			c.cancelStream(r.engine, b.StreamID)
+			return false, context.Cause(ctx)
+		}
+		// A stream that still waits in its engine's queue may be silent for
+		// long: as long as the engine lets it be read again, it is alive.
+		if r.started || !errors.Is(err, errStalled) {
+			rereads++
+		}
+		if next == stepAbandon || rereads > rereadsPerStream {
+			return false, c.abandon(r, b, err)
+		}
+		// The engine keeps the stream: reading it again from the answer's
+		// offset computes nothing twice.
+		c.relay.counts.reread.Add(1)
+		stream, err = c.open(r.cancel, func() (endpoint.Stream, error) {
+			return r.engine.Attach(streamCtx, b.StreamID, c.answer.tokens)
+		})
+		if err != nil {
+			return false, c.abandon(r, b, err)
+		}
+	}
+}
+
+// abandon leaves a stream and excludes its endpoint from the next choice.
+func (c *carrier) abandon(r *running, b Binding, err error) error {
+	c.exclude = append(c.exclude, b.EndpointID)
+	c.cancelStream(r.engine, b.StreamID)
+	c.relay.counts.broken.Add(1)
+	c.log.WithField("endpoint", b.EndpointID).WithField("offset", c.answer.tokens).
+		WithError(err).Warn("relay: stream abandoned.")
+	if err == nil {
+		return errBroken
+	}
+	return fmt.Errorf("%w: %w", errBroken, err)
+}
+
+// readOnce reads one connection to a stream until it ends in any way.
+func (c *carrier) readOnce(ctx, streamCtx context.Context, r *running, stream endpoint.Stream, attempt string) (step, error) {
+	readCtx, cancel := context.WithCancelCause(streamCtx)
+	defer cancel(nil)
+	stall := time.AfterFunc(c.relay.options.Stall, func() { cancel(errStalled) })
+	defer stall.Stop()
+	for {
+		f, err := stream.Next(readCtx)
+		if err != nil {
+			return stepReread, c.readError(readCtx, err)
+		}
+		stall.Reset(c.relay.options.Stall)
+		switch next := c.answer.judge(attempt, f); next {
+		case stepDrop:
+			c.relay.counts.dropped.Add(1)
+		case stepDeliver, stepEnd:
+			if err := c.deliver(ctx, r, f); err != nil {
+				return stepAbandon, &errSink{err}
+			}
+			if next == stepEnd {
+				c.result.Tokens = c.answer.tokens
+				c.result.FinishReason = f.FinishReason
+				return stepEnd, nil
+			}
+		default:
+			return next, nil
+		}
+	}
+}
+
+// readError names the reason why a stream could not be read on.
+func (c *carrier) readError(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(err, io.EOF):
+		return fmt.Errorf("%w before its end mark", errBroken)
+	case errors.Is(context.Cause(ctx), errStalled):
+		return errStalled
+	default:
+		return c.causeOf(ctx, err)
+	}
+}
+
+func (c *carrier) deliver(ctx context.Context, r *running, f endpoint.Frame) error {
+	first := c.progressed(r, f)
+	p := c.answer.take(f)
+	r.setTokens(c.answer.tokens)
+	if first && c.result.FirstToken == 0 {
+		c.result.FirstToken = time.Since(c.started)
+	}
+	if p.Tokens == 0 && p.Text == "" {
+		return nil
+	}
+	return c.sink.Write(ctx, p)
+}
+
+// progressed tells the fleet about the frame and returns whether it is the
+// first of its attempt.
+func (c *carrier) progressed(r *running, f endpoint.Frame) bool {
+	c.progress = time.Now()
+	first := !r.started
+	if first {
+		r.started = true
+		c.account(f)
+		c.relay.options.Fleet.Started(r.choice, f)
+		return true
+	}
+	if f.Load != nil {
+		c.relay.options.Fleet.Progress(r.choice, *f.Load)
+	}
+	return false
+}
+
+// account counts the prompt tokens an attempt computed; those of any attempt
+// after the first had been computed before.
+func (c *carrier) account(f endpoint.Frame) {
+	if c.result.Attempts <= 1 {
+		c.result.CachedTokens = f.CachedTokens
+		return
+	}
+	again := c.request.PromptTokens + c.answer.tokens - f.CachedTokens
+	c.result.Recomputed += max(0, again)
+}
+
+// causeOf prefers the reason for a cancellation over the error it led to.
+func (c *carrier) causeOf(ctx context.Context, err error) error {
+	if m := moveOf(ctx); m != nil {
+		return m
+	}
+	return err
+}
+
+func moveOf(ctx context.Context) *Move {
+	var m *Move
+	if errors.As(context.Cause(ctx), &m) {
+		return m
+	}
+	return nil
+}
+
+// cancelStream stops a stream on its engine, in the time of an order.
+func (c *carrier) cancelStream(engine endpoint.Engine, streamID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.relay.options.OrderTimeout)
+	defer cancel()
+	if err := engine.Cancel(ctx, streamID); err != nil {
+		c.log.WithError(err).Debug("relay: cancel failed.")
+	}
+}
