Add the operators' interface and commands

Need: operators list, show, edit, diff and approve templates, see status and drain hosts, over a listener and key of their own.

Weighed: commands that write the table themselves; then every operator's machine would need the platform's credentials, so they talk to any entry.

--- /dev/null
+++ b/cmd/coltsfootcleat/check.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/coltsfootcleat/coltsfootcleat/internal/tomlfile"
+	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+// Kinds of file that check knows.
+const (
+	kindAuto     = "auto"
+	kindSettings = "settings"
+	kindTemplate = "template"
+)
+
+// checkCommand validates files.
+type checkCommand struct {
+	console
+	kind string
+}
+
+// Name implements subcommands.Command.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*checkCommand) Synopsis() string { return "validate settings and template files" }
+
+// Usage implements subcommands.Command.
+func (*checkCommand) Usage() string {
+	return `check [-kind settings|template] FILE...
+  Says every fault of each file with its line and key. Exits 1 if there is one.
+
+  Example:
+    coltsfootcleat check deployments/karoo-wick/*.toml
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.kind, "kind", kindAuto, "`kind` of the files: settings, template, or auto to tell by their content")
+}
+
+// Execute implements subcommands.Command.
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		return c.exit(usageError{"check: name at least one file"})
+	}
+	if c.kind != kindAuto && c.kind != kindSettings && c.kind != kindTemplate {
+		return c.exit(usageError{fmt.Sprintf("check: unknown kind %q", c.kind)})
+	}
+	failed := 0
+	for _, file := range f.Args() {
+		if err := c.check(file); err != nil {
+			fmt.Fprintln(c.err, err)
+			failed++
+		}
+	}
+	if failed > 0 {
+		return c.exit(fmt.Errorf("check: %d of %d files have faults", failed, f.NArg()))
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *checkCommand) check(file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("check: %w", err)
+	}
+	kind := c.kind
+	if kind == kindAuto {
+		kind = kindOf(data)
+	}
+	switch kind {
+	case kindSettings:
+		_, err = settings.Parse(file, data)
+	case kindTemplate:
+		_, err = template.Parse(file, data)
+	default:
+		err = errors.New(file + ": neither settings nor a template by its content, name the -kind")
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "%s: %s ok\n", file, kind)
+	return nil
+}
+
+// kindOf tells settings from a template by the names of their keys; it returns
+// "" where both fit as well.
+func kindOf(data []byte) string {
+	asSettings := tomlfile.Fit(data, settings.Entry{})
+	asTemplate := tomlfile.Fit(data, template.Template{})
+	switch {
+	case asSettings > asTemplate:
+		return kindSettings
+	case asTemplate > asSettings:
+		return kindTemplate
+	default:
+		return ""
+	}
+}
--- a/internal/tomlfile/lines.go
+++ b/internal/tomlfile/lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -157,3 +158,18 @@
 	}
 	return key[:i]
 }
+
+// Fit returns how many top-level keys of a document are fields of a struct, so
+// that the kind of a file can be told by its content.
+func Fit(data []byte, value any) int {
+	index := newLineIndex(data)
+	t := reflect.TypeOf(value)
+	n := 0
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("toml"), ",")
+		if _, ok := index.keys[name]; ok {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/operatorapi/client.go
@@ -0,0 +1,163 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// Client talks to the operators' interface of one entry host. Errors carry the
+// server's verdict. It is safe for concurrent use.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// NewClient returns a Client of the server at base ("http://ip:port"). A nil
+// client means http.DefaultClient.
+func NewClient(base, key string, client *http.Client) *Client {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return &Client{base: strings.TrimRight(base, "/"), key: key, http: client}
+}
+
+// List returns the heads of all templates.
+func (c *Client) List(ctx context.Context) ([]template.Head, error) {
+	return get[[]template.Head](ctx, c, "/templates", nil)
+}
+
+// Show returns a version of a template; 0 is the one in force.
+func (c *Client) Show(ctx context.Context, name string, version uint64) (TemplateBody, error) {
+	return get[TemplateBody](ctx, c, templatePath(name, ""), versions("version", version))
+}
+
+// History returns where each version came from.
+func (c *Client) History(ctx context.Context, name string) ([]template.HistoryEntry, error) {
+	return get[[]template.HistoryEntry](ctx, c, templatePath(name, "/history"), nil)
+}
+
+// Diff compares two versions; 0 is the one in force.
+func (c *Client) Diff(ctx context.Context, name string, from, to uint64) (string, error) {
+	query := versions("from", from)
+	if to > 0 {
+		query.Set("to", strconv.FormatUint(to, 10))
+	}
+	reply, err := get[DiffReply](ctx, c, templatePath(name, "/diff"), query)
+	return reply.Diff, err
+}
+
+// DiffDraft returns what a draft changes of its base.
+func (c *Client) DiffDraft(ctx context.Context, name, draft string) (string, error) {
+	reply, err := get[DiffReply](ctx, c, templatePath(name, "/diff"), url.Values{"draft": {draft}})
+	return reply.Diff, err
+}
+
+// Edit records a draft.
+func (c *Client) Edit(ctx context.Context, name string, r EditRequest) (EditReply, error) {
+	return post[EditReply](ctx, c, templatePath(name, "/edit"), r)
+}
+
+// Approve puts a draft in force.
+func (c *Client) Approve(ctx context.Context, name string, r ApproveRequest) (ApproveReply, error) {
+	return post[ApproveReply](ctx, c, templatePath(name, "/approve"), r)
+}
+
+// TemplateStatus says which entries run which version.
+func (c *Client) TemplateStatus(ctx context.Context, name string) (TemplateStatus, error) {
+	return get[TemplateStatus](ctx, c, templatePath(name, "/status"), nil)
+}
+
+// Status returns the state of the deployment.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return get[Status](ctx, c, "/status", nil)
+}
+
+// Drain begins a graceful stop and returns all stops.
+func (c *Client) Drain(ctx context.Context, target DrainTarget) ([]DrainStatus, error) {
+	return post[[]DrainStatus](ctx, c, "/drain", target)
+}
+
+// Drains returns the stops that were begun.
+func (c *Client) Drains(ctx context.Context) ([]DrainStatus, error) {
+	return get[[]DrainStatus](ctx, c, "/drain", nil)
+}
+
+func templatePath(name, rest string) string {
+	return "/templates/" + url.PathEscape(name) + rest
+}
+
+func versions(key string, version uint64) url.Values {
+	query := url.Values{}
+	if version > 0 {
+		query.Set(key, strconv.FormatUint(version, 10))
+	}
+	return query
+}
+
+func get[T any](ctx context.Context, c *Client, path string, query url.Values) (T, error) {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	out, err := do[T](ctx, c, http.MethodGet, path, nil)
+	if err != nil && verdict.Of(err) == verdict.MayHaveRun {
+		// A read changes nothing, whatever became of it.
+		err = verdict.Wrap(verdict.NotRun, err)
+	}
+	return out, err
+}
+
+func post[T any](ctx context.Context, c *Client, path string, body any) (T, error) {
+	var out T
+	data, err := json.Marshal(body)
+	if err != nil {
+		return out, verdict.New(verdict.NotRun, verdict.CodeInvalid, "encode: %w", err)
+	}
+	return do[T](ctx, c, http.MethodPost, path, data)
+}
+
+func do[T any](ctx context.Context, c *Client, method, path string, body []byte) (T, error) {
+	var out T
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return out, verdict.New(verdict.NotRun, verdict.CodeInvalid, "request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return out, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "%w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return out, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer: %w", err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return out, refusal(resp.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, &out); err != nil {
+		return out, fmt.Errorf("answer: %w", err)
+	}
+	return out, nil
+}
+
+// refusal returns the error of a refusal. An answer that is not the server's
+// own says nothing about what has run.
+func refusal(status int, data []byte) error {
+	var body ErrorBody
+	if err := json.Unmarshal(data, &body); err != nil || body.Error.Code == "" {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "status %d", status)
+	}
+	return body.Error.asError()
+}
--- /dev/null
+++ b/operatorapi/errors.go
@@ -0,0 +1,69 @@
+package operatorapi
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// statusOf returns the HTTP status of a code.
+func statusOf(code verdict.Code) int {
+	switch code {
+	case verdict.CodeInvalid:
+		return http.StatusBadRequest
+	case verdict.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case verdict.CodeNotFound:
+		return http.StatusNotFound
+	case verdict.CodeConflict:
+		return http.StatusConflict
+	case verdict.CodeUnavailable, verdict.CodeOverloaded:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+// fail answers with an error, its verdict and what helps to mend it.
+func (s *Server) fail(c *gin.Context, err error) {
+	detail := ErrorDetail{
+		Message: err.Error(),
+		Code:    verdict.CodeOf(err),
+		Verdict: verdict.Of(err).String(),
+	}
+	errors.As(err, &detail.Faults)
+	errors.As(err, &detail.Conflict)
+	if wait := verdict.RetryAfterOf(err); wait > 0 {
+		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	c.Header("X-Verdict", detail.Verdict)
+	c.JSON(statusOf(detail.Code), ErrorBody{Error: detail})
+}
+
+// asError turns the body of a refusal back into an error that carries the same
+// verdict, faults and conflict.
+func (d ErrorDetail) asError() error {
+	cause := errors.New(d.Message)
+	switch {
+	case len(d.Faults) > 0:
+		cause = d.Faults
+	case d.Conflict != nil:
+		cause = d.Conflict
+	}
+	return &verdict.Error{Verdict: verdict.Parse(d.Verdict), Code: d.Code, Err: cause}
+}
+
+// faults wraps the faults of a file: nothing was run.
+func faults(err error) error {
+	var found template.Faults
+	if errors.As(err, &found) {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "%w", found)
+	}
+	return verdict.Wrap(verdict.NotRun, err)
+}
