Wire the mesh and the operators' interface into an entry

Need: entries that know each other, spread template versions and notices, and can be looked at and drained. Digests carry demand, spend and requests in progress. Weighed: a provider for the whole peer state against one for demand only; the status page needs versions and counts as well, so one keeps the whole digest.

--- a/app/entry.go
+++ b/app/entry.go
@@ -46,6 +46,7 @@
 		decisionModule,
 		requestModule,
 		meshModule,
+		operatorModule,
 		serverModule,
 		loopModule,
 	}
--- a/app/mesh.go
+++ b/app/mesh.go
@@ -25,7 +25,7 @@
 
 // meshModule provides what entries know of each other.
 var meshModule = fx.Module("mesh",
-	fx.Provide(newRegistry, newNotices, newPeerTemplates, newPeerDemand, newMesh),
+	fx.Provide(newRegistry, newNotices, newPeerTemplates, newPeerDigests, newMesh),
 	fx.Invoke(runMesh),
 )
 
@@ -67,47 +67,57 @@
 	return t, nil
 }
 
-// peerDemand keeps the demand that the other entries' digests show.
-type peerDemand struct {
+// peerDigests keeps the last digest of each other entry.
+type peerDigests struct {
 	admission *admission.Controller
 	registry  *member.Registry
 
-	mu     sync.Mutex
-	demand map[string]map[string]float64
+	mu      sync.Mutex
+	digests map[string]peer.Digest
 }
 
-func newPeerDemand(a *admission.Controller, r *member.Registry) *peerDemand {
-	return &peerDemand{admission: a, registry: r, demand: make(map[string]map[string]float64)}
+func newPeerDigests(a *admission.Controller, r *member.Registry) *peerDigests {
+	return &peerDigests{admission: a, registry: r, digests: make(map[string]peer.Digest)}
 }
 
-func (p *peerDemand) heard(from string, d peer.Digest) {
-	demand := make(map[string]float64, len(d.Demand))
-	for customer, v := range d.Demand {
-		demand[customer] = v.TokensPerSecond
-	}
+func (p *peerDigests) heard(from string, d peer.Digest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.digests[from] = d
+}
+
+func (p *peerDigests) of(id string) peer.Digest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.demand[from] = demand
+	return p.digests[id]
 }
 
 // share hands the demand of the live entries to admission.
-func (p *peerDemand) share() {
+func (p *peerDigests) share() {
 	live := make(map[string]bool)
 	for _, id := range p.registry.Live() {
 		live[id] = true
 	}
 	p.mu.Lock()
-	current := make(map[string]map[string]float64, len(p.demand))
-	for id, demand := range p.demand {
+	demand := make(map[string]map[string]float64, len(p.digests))
+	for id, d := range p.digests {
 		if !live[id] {
-			delete(p.demand, id)
+			delete(p.digests, id)
 			continue
 		}
-		current[id] = demand
+		demand[id] = demandOf(d)
 	}
 	p.mu.Unlock()
 	p.admission.SetMembers(max(1, len(live)))
-	p.admission.SetPeers(current)
+	p.admission.SetPeers(demand)
+}
+
+func demandOf(d peer.Digest) map[string]float64 {
+	out := make(map[string]float64, len(d.Demand))
+	for customer, v := range d.Demand {
+		out[customer] = v.TokensPerSecond
+	}
+	return out
 }
 
 type meshDeps struct {
@@ -119,7 +129,7 @@
 	Notices   *drain.Set
 	Watcher   *template.Watcher
 	Templates *peerTemplates
-	Demand    *peerDemand
+	Digests   *peerDigests
 	Log       *logrus.Logger
 }
 
@@ -139,7 +149,7 @@
 		Handlers: peer.Handlers{
 			Digest: func(from string, digest peer.Digest) {
 				d.Watcher.Touch()
-				d.Demand.heard(from, digest)
+				d.Digests.heard(from, digest)
 			},
 			TemplateVersion: func(from, name string, version uint64) {
 				if name == d.Settings.Deployment {
@@ -169,12 +179,12 @@
 // closeQuietly closes a listener that its user may have closed already.
 func closeQuietly(l net.Listener) { _ = l.Close() }
 
-func runMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, a *admission.Controller, demand *peerDemand, gate *Gate) {
+func runMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, a *admission.Controller, digests *peerDigests, gate *Gate) {
 	l.Go(lc, func(ctx context.Context) { _ = r.Run(ctx) })
 	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
 	l.Every(lc, digestPeriod, func(context.Context) {
 		m.Publish(ownDigest(a, gate))
-		demand.share()
+		digests.share()
 	})
 }
 
--- a/app/modules.go
+++ b/app/modules.go
@@ -19,13 +19,15 @@
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/telemetry"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
 // platformModule provides the clients of the platform and the endpoints.
 var platformModule = fx.Module("platform", fx.Provide(
+	newMetrics,
 	newPlatformClient,
-	func(c *platformrest.Client) platform.Table { return c.Table() },
+	func(c *platformrest.Client, m *telemetry.Metrics) platform.Table { return m.Table(c.Table()) },
 	func(c *platformrest.Client) platform.Objects { return c.Objects() },
 	func(c *platformrest.Client) platform.HostList { return c.HostList() },
 	func(c *platformrest.Client) platform.Cloud { return c.Cloud() },
@@ -54,6 +56,15 @@
 	return log.WithField("entry", s.ID)
 }
 
+func newMetrics(lc fx.Lifecycle) (*telemetry.Metrics, error) {
+	m, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.StopHook(m.Close))
+	return m, nil
+}
+
 func newPlatformClient(lc fx.Lifecycle, s settings.Entry, n Network) *platformrest.Client {
 	c := platformrest.New(s.Platform.URL, n.Dial, s.Platform.Timeout.Std())
 	lc.Append(fx.StopHook(c.Close))
--- a/cmd/coltsfootcleat/main.go
+++ b/cmd/coltsfootcleat/main.go
@@ -13,6 +13,9 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
+	for _, c := range operatorCommands() {
+		subcommands.Register(c, "operators")
+	}
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/cmd/coltsfootcleat/serve.go
+++ b/cmd/coltsfootcleat/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/app"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/telemetry"
 )
 
 // serveCommand runs one entry host.
@@ -47,15 +48,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
-	if err := serve(ctx, s); err != nil {
+	if err := runEntry(ctx, s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
-func serve(ctx context.Context, s settings.Entry) error {
-	log, err := newLogger(s.Log)
+func runEntry(ctx context.Context, s settings.Entry) error {
+	log, err := telemetry.NewLogger(s.Log.Level, s.Log.Format, os.Stderr)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,185 @@
+package e2e
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// readyTimeout bounds the wait for a process to serve; it is no bound on
+	// what is tested.
+	readyTimeout = 30 * time.Second
+	pollPeriod   = 20 * time.Millisecond
+	exitTimeout  = 60 * time.Second
+)
+
+var binary struct {
+	once sync.Once
+	path string
+	err  error
+}
+
+// buildBinary builds the binary once for all tests.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary.once.Do(func() {
+		dir, err := os.MkdirTemp("", "coltsfootcleat-e2e-")
+		if err != nil {
+			binary.err = err
+			return
+		}
+		binary.path = filepath.Join(dir, "coltsfootcleat")
+		out, err := exec.Command("go", "build", "-o", binary.path, "../cmd/coltsfootcleat").CombinedOutput()
+		if err != nil {
+			binary.err = fmt.Errorf("build: %w\n%s", err, out)
+		}
+	})
+	if binary.err != nil {
+		t.Fatal(binary.err)
+	}
+	return binary.path
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if binary.path != "" {
+		_ = os.RemoveAll(filepath.Dir(binary.path))
+	}
+	os.Exit(code)
+}
+
+// process is a running subcommand of the binary.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	done chan error
+	log  *safeBuffer
+}
+
+// safeBuffer collects output from the process's goroutine.
+type safeBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// start runs the binary. The process is killed at the end of the test.
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, done: make(chan error, 1), log: &safeBuffer{}}
+	p.cmd = exec.Command(buildBinary(t), args...)
+	p.cmd.Stdout = p.log
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.done <- p.cmd.Wait() }()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("output of %s:\n%s", name, p.log.String())
+		}
+	})
+	return p
+}
+
+// kill ends the process at once. It may have ended already.
+func (p *process) kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	<-p.done
+	p.done <- nil
+}
+
+// terminate asks the process to stop, without waiting.
+func (p *process) terminate() {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		p.t.Fatalf("terminate %s: %v", p.name, err)
+	}
+}
+
+// pause freezes the process, resume lets it go on.
+func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
+func (p *process) resume() { p.signal(syscall.SIGCONT) }
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatalf("signal %v to %s: %v", s, p.name, err)
+	}
+}
+
+// wait waits for the process to end by itself with exit code 0.
+func (p *process) wait() {
+	p.t.Helper()
+	select {
+	case err := <-p.done:
+		p.done <- err
+		if err != nil {
+			p.t.Fatalf("%s ended: %v", p.name, err)
+		}
+	case <-time.After(exitTimeout):
+		p.t.Fatalf("%s did not end", p.name)
+	}
+}
+
+// eventually waits until f returns nil.
+func eventually(t *testing.T, what string, f func() error) {
+	t.Helper()
+	var err error
+	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(pollPeriod) {
+		if err = f(); err == nil {
+			return
+		}
+	}
+	t.Fatalf("%s: %v", what, err)
+}
+
+// ready waits until a URL answers 200.
+func ready(t *testing.T, url string) {
+	t.Helper()
+	eventually(t, "wait for "+url, func() error {
+		resp, err := http.Get(url)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return errors.New(resp.Status)
+		}
+		return nil
+	})
+}
+
+// freeAddr returns an unused "ip:port" of a loopback address.
+func freeAddr(t *testing.T, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/routing/predict.go
+++ b/routing/predict.go
@@ -114,6 +114,7 @@
 	s := EndpointStatus{
 		Endpoint:      r.endpoint,
 		HostID:        r.host.ID,
+		Incarnation:   r.host.Incarnation,
 		FailureDomain: r.host.FailureDomain,
 		Class:         r.host.Class,
 		Reclaimable:   r.host.Reclaimable,
--- a/routing/types.go
+++ b/routing/types.go
@@ -99,6 +99,7 @@
 type EndpointStatus struct {
 	Endpoint      platform.Endpoint `json:"endpoint"`
 	HostID        string            `json:"host_id"`
+	Incarnation   string            `json:"incarnation"`
 	FailureDomain string            `json:"failure_domain"`
 	Class         string            `json:"class"`
 	Reclaimable   bool              `json:"reclaimable"`
