--- a/endpoint/standin/cache.go
+++ b/endpoint/standin/cache.go
@@ -100,11 +100,11 @@
 }
 
 // CacheEvents implements endpoint.Engine.
-func (e *Engine) CacheEvents(_ context.Context, from uint64) (endpoint.CacheEvents, error) {
+func (e *Engine) CacheEvents(ctx context.Context, from uint64) (endpoint.CacheEvents, error) {
+	if err := e.enter(ctx); err != nil {
+		return endpoint.CacheEvents{}, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.dead {
-		return endpoint.CacheEvents{}, errDead()
-	}
 	return e.cache.events(from, e.cfg.EventLag+e.faults.EventLag), nil
 }
--- a/endpoint/standin/engine.go
+++ b/endpoint/standin/engine.go
@@ -15,7 +15,6 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/sendonce"
-	"github.com/coltsfootcleat/coltsfootcleat/prefix"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -28,6 +27,8 @@
 	DecodeRate  float64
 	// MaxRunning is the batch size.
 	MaxRunning int
+	// MaxWaiting bounds the streams that wait for a place in the batch.
+	MaxWaiting int
 	// CacheBlocks is the capacity of the prefix cache, in blocks of
 	// prefix.BlockTokens.
 	CacheBlocks int
@@ -46,6 +47,8 @@
 	EventRing int
 	// ChecksFence refuses orders with an old fencing number.
 	ChecksFence bool
+	// Cold starts the engine without its model and loads it first.
+	Cold bool
 	// Addr is the engine's "ip:port", named in exports.
 	Addr string
 	// Dial reaches other engines for imports; nil dials over TCP.
@@ -59,6 +62,7 @@
 	setDefault(&c.PrefillRate, 8000)
 	setDefault(&c.DecodeRate, 50)
 	setDefault(&c.MaxRunning, 32)
+	setDefault(&c.MaxWaiting, 1024)
 	setDefault(&c.CacheBlocks, 4096)
 	setDefault(&c.KVBytesPerToken, 128<<10)
 	setDefault(&c.KVBandwidth, 1<<30)
@@ -85,16 +89,18 @@
 	incarnation string
 	transport   *sendonce.Transport
 
-	mu      sync.Mutex
-	faults  EngineFaults
-	rng     *rand.Rand
-	dead    bool
-	leaving bool
-	role    string
-	fence   uint64
-	loaded  []endpoint.LoadedModel
-	loading []endpoint.LoadedModel
-	timers  map[*time.Timer]struct{}
+	mu     sync.Mutex
+	faults EngineFaults
+	// switched is closed and replaced when the faults change.
+	switched chan struct{}
+	rng      *rand.Rand
+	dead     bool
+	leaving  bool
+	role     string
+	fence    uint64
+	loaded   []endpoint.LoadedModel
+	loading  []endpoint.LoadedModel
+	timers   map[*time.Timer]struct{}
 
 	streams    map[string]*stream
 	lastStream int
@@ -110,7 +116,7 @@
 	totals   Totals
 }
 
-// NewEngine returns an engine that serves its model at once.
+// NewEngine returns a running engine.
 func NewEngine(cfg EngineConfig) *Engine {
 	cfg = cfg.withDefaults()
 	e := &Engine{
@@ -120,15 +126,28 @@
 		rng:         rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		timers:      make(map[*time.Timer]struct{}),
 		streams:     make(map[string]*stream),
+		switched:    make(chan struct{}),
 		kv:          newKVStore(),
 	}
 	e.cache = newPrefixCache(cfg.CacheBlocks, cfg.EventRing)
-	if cfg.Model != "" {
-		e.loaded = []endpoint.LoadedModel{{Model: cfg.Model, Version: cfg.Version}}
-	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.startLocked(cfg.Cold)
 	return e
 }
 
+// startLocked loads the engine's model, which takes time on a cold start.
+func (e *Engine) startLocked(cold bool) {
+	model := endpoint.LoadedModel{Model: e.cfg.Model, Version: e.cfg.Version}
+	switch {
+	case model.Model == "":
+	case cold:
+		e.loadModelLocked(model)
+	default:
+		e.loaded = []endpoint.LoadedModel{model}
+	}
+}
+
 // Close ends all streams and timers.
 func (e *Engine) Close() {
 	e.Kill()
@@ -157,8 +176,10 @@
 	e.streams = make(map[string]*stream)
 	e.kv = newKVStore()
 	e.cache = newPrefixCache(e.cfg.CacheBlocks, e.cfg.EventRing)
-	e.loading = nil
+	e.loaded, e.loading = nil, nil
 	e.loads = loadHistory{}
+	e.fence = 0
+	e.startLocked(true)
 }
 
 // SetLeaving says whether the engine knows that its host will be reclaimed.
@@ -171,41 +192,44 @@
 
 // Generate implements endpoint.Engine.
 func (e *Engine) Generate(ctx context.Context, r endpoint.GenerateRequest) (endpoint.Stream, error) {
-	prompt := prefix.Text(r.Messages)
+	if err := e.enter(ctx); err != nil {
+		return nil, err
+	}
+	s := newStream(r)
+	if err := s.checkResume(); err != nil {
+		return nil, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.dead {
 		return nil, errDead()
 	}
-	if err := ctx.Err(); err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "engine: %w", err)
+	if err := e.admitLocked(s); err != nil {
+		return nil, err
 	}
+	e.acceptLocked(s)
+	return &reader{engine: e, stream: s, next: r.ResumeTokens, first: true}, nil
+}
+
+// admitLocked refuses what the engine can't serve.
+func (e *Engine) admitLocked(s *stream) error {
+	r := s.request
 	if !slices.Contains(e.loaded, endpoint.LoadedModel{Model: r.Model, Version: r.Version}) {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "engine: model %q version %q is not loaded", r.Model, r.Version)
+		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "engine: model %q version %q is not loaded", r.Model, r.Version)
 	}
-	s := &stream{
-		request: r,
-		script:  newScript(r.Model, r.Version, prompt),
-		total:   AnswerTokens(prompt, r.MaxTokens),
-		changed: make(chan struct{}),
+	if e.waiting.Len() >= e.cfg.MaxWaiting {
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "engine: %d streams are waiting", e.waiting.Len())
 	}
-	if err := s.checkResume(); err != nil {
-		return nil, err
-	}
-	if err := e.kv.claim(s); err != nil {
-		return nil, err
-	}
-	e.acceptLocked(s, prompt)
-	return &reader{engine: e, stream: s, next: r.ResumeTokens, first: true}, nil
+	return e.kv.claim(s)
 }
 
 // Attach implements endpoint.Engine.
 func (e *Engine) Attach(ctx context.Context, streamID string, from int) (endpoint.Stream, error) {
+	if err := e.enter(ctx); err != nil {
+		return nil, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.dead {
-		return nil, errDead()
-	}
 	s, ok := e.streams[streamID]
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "engine: no stream %q", streamID)
@@ -217,23 +241,22 @@
 }
 
 // Cancel implements endpoint.Engine.
-func (e *Engine) Cancel(_ context.Context, streamID string) error {
+func (e *Engine) Cancel(ctx context.Context, streamID string) error {
+	if err := e.enter(ctx); err != nil {
+		return err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.dead {
-		return errDead()
-	}
 	if s, ok := e.streams[streamID]; ok {
 		e.stopLocked(s, errCancelled)
 	}
 	return nil
 }
 
-func (e *Engine) acceptLocked(s *stream, prompt string) {
+func (e *Engine) acceptLocked(s *stream) {
 	e.lastStream++
 	s.id = fmt.Sprintf("%s-%d", e.incarnation, e.lastStream)
 	s.arrival = e.lastStream
-	s.hashes, s.contextTokens = prefix.Hashes(s.request.Customer, prompt+s.request.Resume)
 	s.uncached = s.contextTokens - e.cachedLocked(s)
 	s.attempt = &Attempt{
 		RequestID: s.request.RequestID, AttemptID: s.request.AttemptID, Customer: s.request.Customer,
@@ -246,7 +269,7 @@
 	e.pumpLocked()
 }
 
-// after runs f with the lock held, unless the engine dies before.
+// afterLocked runs f with the lock held, unless the engine dies before.
 func (e *Engine) afterLocked(d time.Duration, f func()) *time.Timer {
 	var timer *time.Timer
 	timer = time.AfterFunc(d, func() {
--- a/endpoint/standin/faults.go
+++ b/endpoint/standin/faults.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"context"
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // EngineFaults are the faults of an Engine. Probabilities are in [0, 1]. The
@@ -12,6 +14,12 @@
 	// Dead breaks all streams off and refuses everything, as a process that
 	// died. Its streams are gone when it is cleared.
 	Dead bool `json:"dead"`
+	// Hang lets every call wait until its context ends, and holds all frames
+	// back. Generation goes on.
+	Hang bool `json:"hang"`
+	// HideLeaving keeps the engine from reporting that its host will be
+	// reclaimed.
+	HideLeaving bool `json:"hide_leaving"`
 	// CutStream is the probability, per frame, that the reader's connection
 	// is reset. The stream goes on.
 	CutStream float64 `json:"cut_stream"`
@@ -52,9 +60,32 @@
 		e.reviveLocked()
 	}
 	e.faults = f
+	close(e.switched)
+	e.switched = make(chan struct{})
 	e.cache.lose = func() bool { return e.rng.Float64() < e.faults.LoseEvent }
 }
 
+// enter refuses a call to a dead engine and lets one to a hung engine wait.
+func (e *Engine) enter(ctx context.Context) error {
+	for {
+		e.mu.Lock()
+		dead, hung, switched := e.dead, e.faults.Hang, e.switched
+		e.mu.Unlock()
+		if dead {
+			return errDead()
+		}
+		if err := ctx.Err(); err != nil {
+			return verdict.New(verdict.NotRun, verdict.CodeCancelled, "engine: %w", err)
+		}
+		if !hung {
+			return nil
+		}
+		if err := pause(ctx, 0, switched); err != nil {
+			return err
+		}
+	}
+}
+
 // deliverLocked queues a frame for a reader, as the faults have it.
 func (e *Engine) deliverLocked(r *reader, f endpoint.Frame) error {
 	faults := &e.faults
--- a/endpoint/standin/handler.go
+++ b/endpoint/standin/handler.go
@@ -21,9 +21,11 @@
 	mux.HandleFunc("POST "+protocol.PathGenerate, e.serveGenerate)
 	mux.HandleFunc("POST "+protocol.PathAttach, e.serveAttach)
 	mux.HandleFunc("POST "+protocol.PathCancel, handle(func(r *http.Request) (any, error) {
+		httpjson.Drain(r)
 		return struct{}{}, e.Cancel(r.Context(), r.URL.Query().Get("stream"))
 	}))
 	mux.HandleFunc("POST "+protocol.PathExport, handle(func(r *http.Request) (any, error) {
+		httpjson.Drain(r)
 		return e.Export(r.Context(), r.URL.Query().Get("stream"))
 	}))
 	mux.HandleFunc("POST "+protocol.PathImport, handle(e.serveImport))
@@ -99,6 +101,7 @@
 }
 
 func (e *Engine) serveAttach(w http.ResponseWriter, r *http.Request) {
+	httpjson.Drain(r)
 	q := r.URL.Query()
 	from, err := strconv.Atoi(q.Get("from"))
 	if err != nil {
--- a/endpoint/standin/kv.go
+++ b/endpoint/standin/kv.go
@@ -52,12 +52,12 @@
 
 // Export implements endpoint.Engine. The transfer's time is taken by the
 // import.
-func (e *Engine) Export(_ context.Context, streamID string) (endpoint.KV, error) {
+func (e *Engine) Export(ctx context.Context, streamID string) (endpoint.KV, error) {
+	if err := e.enter(ctx); err != nil {
+		return endpoint.KV{}, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.dead {
-		return endpoint.KV{}, errDead()
-	}
 	s, ok := e.streams[streamID]
 	if !ok {
 		return endpoint.KV{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "engine: no stream %q", streamID)
@@ -83,6 +83,9 @@
 
 // Import implements endpoint.Engine.
 func (e *Engine) Import(ctx context.Context, kv endpoint.KV) (string, error) {
+	if err := e.enter(ctx); err != nil {
+		return "", err
+	}
 	content, err := e.fetch(ctx, kv)
 	if err != nil {
 		return "", err
@@ -124,19 +127,17 @@
 // send waits as long as the transfer of an exported KV cache takes on the
 // engine's one link, then returns it.
 func (e *Engine) send(ctx context.Context, handle string) (protocol.KVContent, error) {
+	if err := e.enter(ctx); err != nil {
+		return protocol.KVContent{}, err
+	}
 	content, wait, err := e.reserveTransfer(handle)
 	if err != nil {
 		return content, err
 	}
-	if err := pause(ctx, wait, nil); err != nil {
+	if err := sleep(ctx, wait); err != nil {
 		return content, err
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.dead {
-		return content, errDead()
-	}
-	return content, nil
+	return content, e.enter(ctx)
 }
 
 func (e *Engine) reserveTransfer(handle string) (protocol.KVContent, time.Duration, error) {
--- /dev/null
+++ b/endpoint/standin/ledger.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"maps"
+	"sync"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+)
+
+// ServiceCounts are what a service executed, for checkers.
+type ServiceCounts struct {
+	// Executions counts by idempotency key, Attempts by attempt id.
+	Executions map[string]int `json:"executions"`
+	Attempts   map[string]int `json:"attempts"`
+	// Calls counts all executed calls.
+	Calls int `json:"calls"`
+}
+
+// Ledger is what the replicas of one service share: what they executed, and
+// the highest fencing number seen. It is safe for concurrent use.
+type Ledger struct {
+	mu      sync.Mutex
+	fence   uint64
+	counts  ServiceCounts
+	replies map[string]endpoint.Reply
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		counts:  ServiceCounts{Executions: make(map[string]int), Attempts: make(map[string]int)},
+		replies: make(map[string]endpoint.Reply),
+	}
+}
+
+// Executions returns how often a key was executed.
+func (l *Ledger) Executions(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts.Executions[key]
+}
+
+// Counts returns a copy of all counts.
+func (l *Ledger) Counts() ServiceCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.counts
+	c.Executions = maps.Clone(c.Executions)
+	c.Attempts = maps.Clone(c.Attempts)
+	return c
+}
+
+// pass notes a fencing number, and returns false and the highest one seen
+// when that is higher.
+func (l *Ledger) pass(fence uint64) (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if fence < l.fence {
+		return l.fence, false
+	}
+	l.fence = fence
+	return fence, true
+}
+
+func (l *Ledger) record(c endpoint.Call, reply endpoint.Reply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Calls++
+	if c.AttemptID != "" {
+		l.counts.Attempts[c.AttemptID]++
+	}
+	if c.Key != "" {
+		l.counts.Executions[c.Key]++
+		l.replies[c.Key] = reply
+	}
+}
+
+func (l *Ledger) reply(key string) (endpoint.Reply, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply, ok := l.replies[key]
+	return reply, ok
+}
--- a/endpoint/standin/load.go
+++ b/endpoint/standin/load.go
@@ -37,6 +37,9 @@
 }
 
 func (e *Engine) recordLoadLocked() {
+	if e.lagLocked() <= 0 {
+		return
+	}
 	e.loads.record(time.Now(), e.currentLoadLocked(), e.lagLocked())
 }
 
@@ -57,7 +60,7 @@
 		PrefillRate: e.cfg.PrefillRate,
 		DecodeRate:  e.cfg.DecodeRate,
 		MaxRunning:  e.cfg.MaxRunning,
-		Leaving:     e.leaving,
+		Leaving:     e.leaving && !e.faults.HideLeaving,
 	}
 	for _, s := range e.waiting.streams {
 		l.QueuedPromptTokens += s.uncached
@@ -73,11 +76,11 @@
 }
 
 // Load implements endpoint.Engine.
-func (e *Engine) Load(context.Context) (endpoint.Load, error) {
+func (e *Engine) Load(ctx context.Context) (endpoint.Load, error) {
+	if err := e.enter(ctx); err != nil {
+		return endpoint.Load{}, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.dead {
-		return endpoint.Load{}, errDead()
-	}
 	return e.loadLocked(time.Now()), nil
 }
--- a/endpoint/standin/orders.go
+++ b/endpoint/standin/orders.go
@@ -9,12 +9,12 @@
 )
 
 // Order implements endpoint.Engine.
-func (e *Engine) Order(_ context.Context, o endpoint.Order) error {
+func (e *Engine) Order(ctx context.Context, o endpoint.Order) error {
+	if err := e.enter(ctx); err != nil {
+		return err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.dead {
-		return errDead()
-	}
 	if e.faults.RefuseOrders {
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine: orders are refused")
 	}
@@ -55,17 +55,17 @@
 }
 
 // State implements endpoint.Engine.
-func (e *Engine) State(context.Context) (endpoint.State, error) {
+func (e *Engine) State(ctx context.Context) (endpoint.State, error) {
+	if err := e.enter(ctx); err != nil {
+		return endpoint.State{}, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.dead {
-		return endpoint.State{}, errDead()
-	}
 	return endpoint.State{
 		Models:  slices.Clone(e.loaded),
 		Role:    e.role,
 		Loading: len(e.loading) > 0,
-		Leaving: e.leaving,
+		Leaving: e.leaving && !e.faults.HideLeaving,
 		Fence:   e.fence,
 	}, nil
 }
--- a/endpoint/standin/records.go
+++ b/endpoint/standin/records.go
@@ -43,6 +43,18 @@
 	t.RecomputedTokens += int64(a.RecomputedTokens)
 }
 
+// Plus returns the sum of two totals.
+func (t Totals) Plus(o Totals) Totals {
+	t.Attempts += o.Attempts
+	t.PromptTokens += o.PromptTokens
+	t.ResumeTokens += o.ResumeTokens
+	t.CachedTokens += o.CachedTokens
+	t.PrefilledTokens += o.PrefilledTokens
+	t.RecomputedTokens += o.RecomputedTokens
+	t.GeneratedTokens += o.GeneratedTokens
+	return t
+}
+
 // Totals returns the sums so far. Tokens generated count once their stream
 // has ended.
 func (e *Engine) Totals() Totals {
--- a/endpoint/standin/schedule.go
+++ b/endpoint/standin/schedule.go
@@ -163,7 +163,7 @@
 
 // endLocked keeps the stream for a while, so that it can be attached to.
 func (e *Engine) endLocked(s *stream, have int, cause error) {
-	if s.state == stateDecode {
+	if s.state == stateDecode && !e.dead {
 		e.cache.add(s.contextHashes(have))
 	}
 	s.state = stateDone
--- a/endpoint/standin/stream.go
+++ b/endpoint/standin/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/prefix"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -67,6 +68,18 @@
 	changed chan struct{}
 }
 
+func newStream(r endpoint.GenerateRequest) *stream {
+	prompt := prefix.Text(r.Messages)
+	s := &stream{
+		request: r,
+		script:  newScript(r.Model, r.Version, prompt),
+		total:   AnswerTokens(prompt, r.MaxTokens),
+		changed: make(chan struct{}),
+	}
+	s.hashes, s.contextTokens = prefix.Hashes(r.Customer, prompt+r.Resume)
+	return s
+}
+
 // checkResume refuses a resumed text that is not the answer's beginning.
 func (s *stream) checkResume() error {
 	r := s.request
@@ -178,6 +191,9 @@
 	e, s := r.engine, r.stream
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.faults.Hang {
+		return 0, e.switched, nil
+	}
 	now := time.Now()
 	have := s.generated(now)
 	complete := have == s.total && (s.state == stateDecode || s.state == stateDone) && s.cause == nil
@@ -229,6 +245,14 @@
 	}
 }
 
+// sleep waits for a time or the context's end.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	return pause(ctx, d, nil)
+}
+
 func codeOf(cause error) verdict.Code {
 	if errors.Is(cause, errDied) {
 		return verdict.CodeUnavailable
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -51,14 +51,22 @@
 	_ = json.NewEncoder(w).Encode(Failure{Error: *DetailOf(err)})
 }
 
-// Read decodes the JSON body of a request into value.
+// Read decodes the JSON body of a request into value. It reads the body to
+// its end: net/http notices a client that goes away only from then on.
 func Read(r *http.Request, value any) error {
-	if err := json.NewDecoder(r.Body).Decode(value); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(body, value)
+	}
+	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "body: %w", err)
 	}
 	return nil
 }
 
+// Drain reads the rest of a request's body, for the same reason as Read.
+func Drain(r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
+
 // ReadError turns an answer that is no success into the error it carries.
 func ReadError(resp *http.Response) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, errorLimit))
--- /dev/null
+++ b/standin/deployment.go
@@ -0,0 +1,262 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	platformstandin "github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+)
+
+// readHeaderTimeout bounds the time to read a request's headers.
+const readHeaderTimeout = 10 * time.Second
+
+// Listen opens a listener on "ip:port".
+type Listen func(addr string) (net.Listener, error)
+
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Deployment is a platform and hosts with endpoints. It is safe for
+// concurrent use.
+type Deployment struct {
+	Platform *platformstandin.Platform
+
+	settings Settings
+	dial     Dial
+	log      *logrus.Entry
+	server   *http.Server
+
+	mu       sync.Mutex
+	listen   Listen
+	closed   bool
+	machines map[string]*machine
+	// gone are the machines that ended, for records and cost.
+	gone    []*machine
+	ledgers map[string]*enginestandin.Ledger
+	used    map[netip.Addr]bool
+	created int
+}
+
+// New returns a deployment that does not run yet. Its engines reach each
+// other with dial; nil dials over TCP.
+func New(s Settings, dial Dial, log *logrus.Entry) (*Deployment, error) {
+	if err := s.Validate(); err != nil {
+		return nil, fmt.Errorf("stand-in settings: %w", err)
+	}
+	d := &Deployment{
+		Platform: platformstandin.NewPlatform(s.Seed),
+		settings: s,
+		dial:     dial,
+		log:      log,
+		machines: make(map[string]*machine),
+		ledgers:  make(map[string]*enginestandin.Ledger),
+		used:     make(map[netip.Addr]bool),
+	}
+	d.setUpPlatform()
+	return d, nil
+}
+
+func (d *Deployment) setUpPlatform() {
+	p := d.settings.Platform
+	d.Platform.Table.SetFaults(platformstandin.TableFaults{Latency: p.TableLatency.Std()})
+	d.Platform.HostList.SetFaults(platformstandin.HostListFaults{Lag: p.HostListLag.Std()})
+	d.Platform.WeightStore = platformstandin.NewWeightStore(p.WeightLoadsPerMinute, p.WeightBurst)
+	for _, w := range p.Weights {
+		for _, version := range w.Versions {
+			d.Platform.WeightStore.Publish(w.Model, version)
+		}
+	}
+	var offers []platform.Offer
+	for _, domain := range d.settings.FailureDomains {
+		for _, o := range domain.Offers {
+			offers = append(offers, platform.Offer{
+				FailureDomain: domain.Name, Region: domain.Region, Class: o.Class,
+				Reclaimable: o.Reclaimable, PricePerHour: o.PricePerHour, LossPerHour: o.LossPerHour,
+			})
+		}
+	}
+	d.Platform.Cloud.SetOffers(offers)
+	d.Platform.Cloud.SetProvisioner(provisioner{d})
+}
+
+// Start serves the platform and starts the hosts. When it fails, what was
+// started is stopped again.
+func (d *Deployment) Start(listen Listen) error {
+	l, err := listen(d.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	d.mu.Lock()
+	d.listen = listen
+	d.server = &http.Server{Handler: d.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	go func(s *http.Server) { _ = s.Serve(l) }(d.server)
+	d.mu.Unlock()
+	if err := d.startHosts(); err != nil {
+		d.Close()
+		return err
+	}
+	d.log.WithField("addr", d.settings.Listen).Info("standin: started.")
+	return nil
+}
+
+func (d *Deployment) startHosts() error {
+	var hosts []platform.Host
+	for _, domain := range d.settings.FailureDomains {
+		for _, g := range domain.Hosts {
+			for range g.Count {
+				h, err := d.startHost(domain, g, false)
+				if err != nil {
+					return err
+				}
+				hosts = append(hosts, h)
+			}
+		}
+	}
+	d.Platform.HostList.Put(hosts...)
+	return nil
+}
+
+// Close stops all hosts and the platform.
+func (d *Deployment) Close() {
+	d.mu.Lock()
+	d.closed = true
+	for _, m := range d.machines {
+		m.stop()
+	}
+	server := d.server
+	d.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+	d.Platform.Close()
+}
+
+var errClosed = errors.New("deployment is closed")
+
+// startHost starts a host of a group on the next free address.
+func (d *Deployment) startHost(domain FailureDomain, g Group, cold bool) (platform.Host, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || d.listen == nil {
+		return platform.Host{}, errClosed
+	}
+	ip, err := d.addressLocked(domain)
+	if err != nil {
+		return platform.Host{}, err
+	}
+	d.created++
+	id := fmt.Sprintf("%s-%d", domain.Name, d.created)
+	m := &machine{
+		since:   time.Now(),
+		service: make(map[string]*enginestandin.Service),
+		host: platform.Host{
+			ID: id, Incarnation: id + "-" + ip.String(), FailureDomain: domain.Name, Region: domain.Region,
+			Class: g.Class, Reclaimable: g.Reclaimable, State: platform.HostLive, PricePerHour: g.PricePerHour,
+		},
+	}
+	if err := d.startEndpointsLocked(m, ip, g, cold); err != nil {
+		m.stop()
+		return platform.Host{}, fmt.Errorf("host %s: %w", id, err)
+	}
+	d.machines[id] = m
+	d.used[ip] = true
+	d.log.WithFields(logrus.Fields{"host": id, "ip": ip, "class": g.Class}).Info("standin: host started.")
+	return m.host, nil
+}
+
+func (d *Deployment) startEndpointsLocked(m *machine, ip netip.Addr, g Group, cold bool) error {
+	if g.Model != "" {
+		if err := d.startEngineLocked(m, ip, g, cold); err != nil {
+			return err
+		}
+	}
+	for i, name := range g.Services {
+		if err := d.startServiceLocked(m, ip, d.settings.Service.Port+i, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startEngineLocked(m *machine, ip netip.Addr, g Group, cold bool) error {
+	addr := netip.AddrPortFrom(ip, uint16(d.settings.Engine.Port)).String()
+	l, err := d.listen(addr)
+	if err != nil {
+		return err
+	}
+	cfg := d.settings.Engine.engineConfig()
+	cfg.Model, cfg.Version, cfg.Cold = g.Model, g.Version, cold
+	cfg.Addr, cfg.Dial = addr, d.dial
+	cfg.Seed = d.settings.Seed + uint64(d.created)
+	m.engine = enginestandin.NewEngine(cfg)
+	m.serve(l, m.engine.Handler())
+	m.host.Endpoints = append(m.host.Endpoints, platform.Endpoint{
+		ID: m.host.ID + "/engine", Kind: platform.KindEngine, Addr: addr,
+		Name: g.Model, Version: g.Version, ChecksFence: cfg.ChecksFence,
+	})
+	d.Platform.WeightStore.Publish(g.Model, g.Version)
+	return nil
+}
+
+func (d *Deployment) startServiceLocked(m *machine, ip netip.Addr, port int, name string) error {
+	addr := netip.AddrPortFrom(ip, uint16(port)).String()
+	l, err := d.listen(addr)
+	if err != nil {
+		return err
+	}
+	ledger := d.ledgers[name]
+	if ledger == nil {
+		ledger = enginestandin.NewLedger()
+		d.ledgers[name] = ledger
+	}
+	s := d.settings.Service
+	service := enginestandin.NewService(enginestandin.ServiceConfig{
+		Name: name, Latency: s.Latency.Std(), Lookup: s.Lookup, ChecksFence: s.ChecksFence,
+		Ledger: ledger, Seed: d.settings.Seed + uint64(d.created),
+	})
+	m.service[name] = service
+	m.serve(l, service.Handler())
+	m.host.Endpoints = append(m.host.Endpoints, platform.Endpoint{
+		ID: m.host.ID + "/" + name, Kind: platform.KindService, Addr: addr, Name: name, ChecksFence: s.ChecksFence,
+	})
+	return nil
+}
+
+// addressLocked returns an address of a failure domain that no host has had.
+func (d *Deployment) addressLocked(domain FailureDomain) (netip.Addr, error) {
+	network := netip.MustParsePrefix(domain.Network).Masked()
+	for ip := network.Addr().Next(); network.Contains(ip.Next()); ip = ip.Next() {
+		if !d.used[ip] {
+			return ip, nil
+		}
+	}
+	return netip.Addr{}, fmt.Errorf("failure domain %q has no free address", domain.Name)
+}
+
+// provisioner starts and stops hosts for the cloud API.
+type provisioner struct{ *Deployment }
+
+// Provision implements platform/standin.Provisioner. A new host loads its
+// model first.
+func (p provisioner) Provision(r platform.HostRequest, o platform.Offer) (platform.Host, error) {
+	i := slices.IndexFunc(p.settings.FailureDomains, func(d FailureDomain) bool { return d.Name == r.FailureDomain })
+	if i < 0 {
+		return platform.Host{}, fmt.Errorf("no failure domain %q", r.FailureDomain)
+	}
+	g := Group{Class: o.Class, Reclaimable: o.Reclaimable, PricePerHour: o.PricePerHour, Model: r.Model, Version: r.Version}
+	return p.startHost(p.settings.FailureDomains[i], g, true)
+}
+
+// Release implements platform/standin.Provisioner.
+func (p provisioner) Release(hostID string) { p.Kill(hostID) }
--- /dev/null
+++ b/standin/reclaim.go
@@ -0,0 +1,72 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+)
+
+// Reclaim announces that a host will be taken after notice, and takes it
+// then. It returns false for an unknown host.
+func (d *Deployment) Reclaim(hostID string, notice time.Duration) bool {
+	taken := max(0, notice+d.Platform.Cloud.Faults().TakenLater)
+	d.mu.Lock()
+	m, ok := d.machines[hostID]
+	if !ok || d.closed {
+		d.mu.Unlock()
+		return false
+	}
+	if m.taken == nil {
+		m.taken = time.AfterFunc(taken, func() { d.Kill(hostID) })
+	}
+	if m.engine != nil {
+		m.engine.SetLeaving(true)
+	}
+	d.mu.Unlock()
+	// The cloud asks this deployment for hosts under its own lock.
+	d.Platform.Cloud.Announce(hostID, notice)
+	d.log.WithFields(logrus.Fields{"host": hostID, "notice": notice}).Info("standin: host is reclaimed.")
+	return true
+}
+
+// ReclaimDomain reclaims all hosts of a failure domain and returns how many.
+func (d *Deployment) ReclaimDomain(failureDomain string, notice time.Duration) int {
+	n := 0
+	for _, h := range d.Hosts() {
+		if h.FailureDomain == failureDomain && d.Reclaim(h.ID, notice) {
+			n++
+		}
+	}
+	return n
+}
+
+// Kill takes a host at once: its connections are reset and its addresses are
+// free. It returns false for an unknown host.
+func (d *Deployment) Kill(hostID string) bool {
+	d.mu.Lock()
+	m, ok := d.machines[hostID]
+	if !ok || d.closed {
+		d.mu.Unlock()
+		return false
+	}
+	delete(d.machines, hostID)
+	d.gone = append(d.gone, m)
+	m.stop()
+	d.mu.Unlock()
+	d.Platform.HostList.Remove(hostID)
+	d.log.WithField("host", hostID).Info("standin: host is gone.")
+	return true
+}
+
+// Hosts returns the running hosts, without lag and in no order.
+func (d *Deployment) Hosts() []platform.Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	hosts := make([]platform.Host, 0, len(d.machines))
+	for _, m := range d.machines {
+		hosts = append(hosts, m.host)
+	}
+	return hosts
+}
--- /dev/null
+++ b/standin/records.go
@@ -0,0 +1,49 @@
+package standin
+
+import (
+	"time"
+
+	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+)
+
+// Records are what all endpoints did since the start, those of hosts that are
+// gone included.
+type Records struct {
+	Totals enginestandin.Totals `json:"totals"`
+	// Attempts are by the host's ID.
+	Attempts map[string][]enginestandin.Attempt `json:"attempts"`
+	// Services are by name, over all replicas.
+	Services map[string]enginestandin.ServiceCounts `json:"services"`
+	// Cost is the price of all hosts' time.
+	Cost float64 `json:"cost"`
+}
+
+// Records returns a snapshot for checkers.
+func (d *Deployment) Records() Records {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := Records{
+		Attempts: make(map[string][]enginestandin.Attempt),
+		Services: make(map[string]enginestandin.ServiceCounts),
+	}
+	now := time.Now()
+	for _, m := range d.machines {
+		r.add(m, now)
+	}
+	for _, m := range d.gone {
+		r.add(m, now)
+	}
+	for name, ledger := range d.ledgers {
+		r.Services[name] = ledger.Counts()
+	}
+	return r
+}
+
+func (r *Records) add(m *machine, now time.Time) {
+	r.Cost += m.cost(now)
+	if m.engine == nil {
+		return
+	}
+	r.Totals = r.Totals.Plus(m.engine.Totals())
+	r.Attempts[m.host.ID] = m.engine.Attempts()
+}
--- /dev/null
+++ b/standin/settings.go
@@ -0,0 +1,215 @@
+// Package standin builds a whole deployment of stand-ins from settings: the
+// platform's services and hosts with model engines and plain services, each
+// at an address of its own.
+package standin
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+
+	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+// Settings describe a deployment of stand-ins.
+type Settings struct {
+	// Seed is that of all random faults.
+	Seed uint64 `toml:"seed"`
+	// Listen is the "ip:port" of the platform and of the admin interface.
+	Listen         string          `toml:"listen" validate:"required,hostname_port"`
+	Platform       Platform        `toml:"platform"`
+	Engine         Engine          `toml:"engine"`
+	Service        Service         `toml:"service"`
+	FailureDomains []FailureDomain `toml:"failure_domains" validate:"required,unique=Name,dive"`
+}
+
+// Platform sets up the platform's services.
+type Platform struct {
+	TableLatency template.Duration `toml:"table_latency" validate:"gte=0"`
+	HostListLag  template.Duration `toml:"host_list_lag" validate:"gte=0"`
+	// WeightLoadsPerMinute limits the weight store; 0 sets no limit.
+	WeightLoadsPerMinute float64 `toml:"weight_loads_per_minute" validate:"gte=0"`
+	WeightBurst          int     `toml:"weight_burst" validate:"gte=0"`
+	// Weights are the model versions that the weight store has besides those
+	// that the hosts start with.
+	Weights []Weights `toml:"weights" validate:"dive"`
+}
+
+// Weights are versions of a model.
+type Weights struct {
+	Model    string   `toml:"model" validate:"required"`
+	Versions []string `toml:"versions" validate:"required,dive,required"`
+}
+
+// Engine sets up all engines; what is left out has the defaults of
+// endpoint/standin. Rates are in tokens per second, bandwidth in bytes per
+// second.
+type Engine struct {
+	Port            int               `toml:"port" validate:"gte=1,lte=65535"`
+	PrefillRate     float64           `toml:"prefill_rate" validate:"gte=0"`
+	DecodeRate      float64           `toml:"decode_rate" validate:"gte=0"`
+	MaxRunning      int               `toml:"max_running" validate:"gte=0"`
+	MaxWaiting      int               `toml:"max_waiting" validate:"gte=0"`
+	CacheBlocks     int               `toml:"cache_blocks" validate:"gte=0"`
+	KVBytesPerToken int64             `toml:"kv_bytes_per_token" validate:"gte=0"`
+	KVBandwidth     float64           `toml:"kv_bandwidth" validate:"gte=0"`
+	LoadTime        template.Duration `toml:"load_time" validate:"gte=0"`
+	Retention       template.Duration `toml:"retention" validate:"gte=0"`
+	LoadLag         template.Duration `toml:"load_lag" validate:"gte=0"`
+	EventLag        template.Duration `toml:"event_lag" validate:"gte=0"`
+	EventRing       int               `toml:"event_ring" validate:"gte=0"`
+	ChecksFence     bool              `toml:"checks_fence"`
+}
+
+// Service sets up all plain services.
+type Service struct {
+	// Port is that of a host's first service; further ones follow.
+	Port        int               `toml:"port" validate:"gte=1,lte=65535"`
+	Latency     template.Duration `toml:"latency" validate:"gte=0"`
+	Lookup      bool              `toml:"lookup"`
+	ChecksFence bool              `toml:"checks_fence"`
+}
+
+// FailureDomain holds the hosts of one failure domain and what the cloud
+// sells there.
+type FailureDomain struct {
+	Name   string `toml:"name" validate:"required"`
+	Region string `toml:"region"`
+	// Network holds the addresses of the hosts, one for each.
+	Network string  `toml:"network" validate:"required,cidrv4"`
+	Hosts   []Group `toml:"hosts" validate:"dive"`
+	Offers  []Offer `toml:"offers" validate:"dive"`
+}
+
+// Group is a number of equal hosts that run from the start.
+type Group struct {
+	Count        int     `toml:"count" validate:"gte=1,lte=4096"`
+	Class        string  `toml:"class" validate:"required"`
+	Reclaimable  bool    `toml:"reclaimable"`
+	PricePerHour float64 `toml:"price_per_hour" validate:"gte=0"`
+	// Model and Version are those of the host's engine; an empty model is a
+	// host without an engine.
+	Model   string `toml:"model" validate:"required_without=Services"`
+	Version string `toml:"version" validate:"required_with=Model"`
+	// Services are the plain services on the host.
+	Services []string `toml:"services" validate:"dive,required"`
+}
+
+// Offer is a class of host that the cloud sells.
+type Offer struct {
+	Class        string  `toml:"class" validate:"required"`
+	Reclaimable  bool    `toml:"reclaimable"`
+	PricePerHour float64 `toml:"price_per_hour" validate:"gte=0"`
+	LossPerHour  float64 `toml:"loss_per_hour" validate:"gte=0"`
+}
+
+// DefaultSettings returns what holds where a file says nothing.
+func DefaultSettings() Settings {
+	return Settings{
+		Listen: "127.0.0.1:7000",
+		Engine: Engine{Port: 8000},
+		Service: Service{
+			Port:    8100,
+			Latency: template.Duration(5 * time.Millisecond),
+		},
+	}
+}
+
+// LoadSettings reads and validates a file.
+func LoadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("stand-in settings: %w", err)
+	}
+	s, err := ParseSettings(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// ParseSettings reads and validates TOML. Unknown keys are faults.
+func ParseSettings(data []byte) (Settings, error) {
+	s := DefaultSettings()
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, describe(err)
+	}
+	if err := s.Validate(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// describe adds line and key to a fault of the file.
+func describe(err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		return fmt.Errorf("unknown keys:\n%s", unknown.String())
+	}
+	var fault *toml.DecodeError
+	if errors.As(err, &fault) {
+		line, column := fault.Position()
+		return fmt.Errorf("line %d, column %d: %w", line, column, err)
+	}
+	return err
+}
+
+// Validate reports all faults of the settings.
+func (s Settings) Validate() error {
+	faults := []error{validator.New(validator.WithRequiredStructEnabled()).Struct(s)}
+	for _, d := range s.FailureDomains {
+		faults = append(faults, d.validateNetwork())
+	}
+	faults = append(faults, s.validateDisjoint())
+	return errors.Join(faults...)
+}
+
+// validateNetwork checks that each host finds an address.
+func (d FailureDomain) validateNetwork() error {
+	network, err := netip.ParsePrefix(d.Network)
+	if err != nil {
+		return nil // the validator reports it
+	}
+	hosts := 0
+	for _, g := range d.Hosts {
+		hosts += g.Count
+	}
+	room := 1<<(32-network.Bits()) - 2
+	if hosts > room {
+		return fmt.Errorf("failure domain %q: %d hosts in a network of %d addresses", d.Name, hosts, room)
+	}
+	return nil
+}
+
+// validateDisjoint checks that no two failure domains share addresses.
+func (s Settings) validateDisjoint() error {
+	var faults []error
+	for i, a := range s.FailureDomains {
+		for _, b := range s.FailureDomains[i+1:] {
+			pa, errA := netip.ParsePrefix(a.Network)
+			pb, errB := netip.ParsePrefix(b.Network)
+			if errA == nil && errB == nil && pa.Overlaps(pb) {
+				faults = append(faults, fmt.Errorf("failure domains %q and %q share addresses", a.Name, b.Name))
+			}
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// engineConfig returns the configuration of one engine, without its model.
+func (e Engine) engineConfig() enginestandin.EngineConfig {
+	return enginestandin.EngineConfig{
+		PrefillRate: e.PrefillRate, DecodeRate: e.DecodeRate, MaxRunning: e.MaxRunning, MaxWaiting: e.MaxWaiting,
+		CacheBlocks: e.CacheBlocks, KVBytesPerToken: e.KVBytesPerToken, KVBandwidth: e.KVBandwidth,
+		LoadTime: e.LoadTime.Std(), Retention: e.Retention.Std(), LoadLag: e.LoadLag.Std(),
+		EventLag: e.EventLag.Std(), EventRing: e.EventRing, ChecksFence: e.ChecksFence,
+	}
+}
