Run the whole path as separate processes

Need: one stand-in process and three entry hosts on loopback addresses, driven end to end. The standin command runs the shipped deployment's stand-ins and puts a template in force; check knows stand-in settings as a third kind, so the count of shipped files in its test goes from 8 to 10. Commit had a red test in package app (a provider that embedded fx.In); it is mended.

--- a/app/status.go
+++ b/app/status.go
@@ -15,7 +15,7 @@
 )
 
 // statusSource tells the state of the deployment as this entry sees it.
-type statusSource struct{ statusDeps }
+type statusSource struct{ deps statusDeps }
 
 type statusDeps struct {
 	fx.In
@@ -30,17 +30,17 @@
 	Drainer   *drainer
 }
 
-func newStatusSource(d statusDeps) *statusSource { return &statusSource{d} }
+func newStatusSource(d statusDeps) *statusSource { return &statusSource{deps: d} }
 
 // Status implements operatorapi.StatusSource.
 func (s *statusSource) Status(ctx context.Context) (operatorapi.Status, error) {
-	drains, err := s.Drainer.Drains(ctx)
+	drains, err := s.deps.Drainer.Drains(ctx)
 	if err != nil {
 		return operatorapi.Status{}, err
 	}
 	return operatorapi.Status{
-		Entry:      s.Settings.ID,
-		Deployment: s.Settings.Deployment,
+		Entry:      s.deps.Settings.ID,
+		Deployment: s.deps.Settings.Deployment,
 		Entries:    s.entries(),
 		Endpoints:  s.endpoints(),
 		Customers:  s.customers(),
@@ -51,8 +51,8 @@
 
 func (s *statusSource) entries() []operatorapi.EntryStatus {
 	var out []operatorapi.EntryStatus
-	for _, m := range s.Registry.Members() {
-		if m.ID == s.Settings.ID {
+	for _, m := range s.deps.Registry.Members() {
+		if m.ID == s.deps.Settings.ID {
 			out = append(out, s.self())
 			continue
 		}
@@ -63,21 +63,21 @@
 
 func (s *statusSource) self() operatorapi.EntryStatus {
 	return operatorapi.EntryStatus{
-		ID:              s.Settings.ID,
-		FailureDomain:   s.Settings.FailureDomain,
-		TemplateVersion: s.Watcher.Version(),
-		Ready:           !s.Gate.Closed() && s.Watcher.Ready() && s.Watcher.Fresh(),
-		Draining:        s.Gate.Closed(),
-		InFlight:        s.Gate.Inside(),
+		ID:              s.deps.Settings.ID,
+		FailureDomain:   s.deps.Settings.FailureDomain,
+		TemplateVersion: s.deps.Watcher.Version(),
+		Ready:           !s.deps.Gate.Closed() && s.deps.Watcher.Ready() && s.deps.Watcher.Fresh(),
+		Draining:        s.deps.Gate.Closed(),
+		InFlight:        s.deps.Gate.Inside(),
 	}
 }
 
 func (s *statusSource) other(m member.Member) operatorapi.EntryStatus {
-	d := s.Digests.of(m.ID)
+	d := s.deps.Digests.of(m.ID)
 	return operatorapi.EntryStatus{
 		ID:              m.ID,
 		FailureDomain:   m.FailureDomain,
-		TemplateVersion: d.Templates[s.Settings.Deployment],
+		TemplateVersion: d.Templates[s.deps.Settings.Deployment],
 		Ready:           m.State == member.Live,
 		Draining:        m.State == member.Leaving,
 		InFlight:        d.InFlight,
@@ -86,7 +86,7 @@
 
 func (s *statusSource) endpoints() []operatorapi.EndpointStatus {
 	var out []operatorapi.EndpointStatus
-	for _, e := range s.Fleet.Endpoints() {
+	for _, e := range s.deps.Fleet.Endpoints() {
 		state := "live"
 		switch {
 		case e.Leaving:
@@ -111,14 +111,14 @@
 
 // customers sums up the demand of all entries.
 func (s *statusSource) customers() []operatorapi.CustomerStatus {
-	t := s.Watcher.Current()
+	t := s.deps.Watcher.Current()
 	if t == nil {
 		return nil
 	}
-	digests := []peer.Digest{ownDigest(s.Admission, s.Gate)}
-	for _, m := range s.Registry.Members() {
-		if m.ID != s.Settings.ID {
-			digests = append(digests, s.Digests.of(m.ID))
+	digests := []peer.Digest{ownDigest(s.deps.Admission, s.deps.Gate)}
+	for _, m := range s.deps.Registry.Members() {
+		if m.ID != s.deps.Settings.ID {
+			digests = append(digests, s.deps.Digests.of(m.ID))
 		}
 	}
 	var out []operatorapi.CustomerStatus
--- a/cmd/coltsfootcleat/check.go
+++ b/cmd/coltsfootcleat/check.go
@@ -6,11 +6,13 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/google/subcommands"
 
 	"github.com/coltsfootcleat/coltsfootcleat/internal/tomlfile"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -19,8 +21,12 @@
 	kindAuto     = "auto"
 	kindSettings = "settings"
 	kindTemplate = "template"
+	kindStandin  = "standin"
 )
 
+// kinds are the kinds that can be named, in the order of the usage text.
+var kinds = []string{kindSettings, kindTemplate, kindStandin}
+
 // checkCommand validates files.
 type checkCommand struct {
 	console
@@ -35,7 +41,7 @@
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
-	return `check [-kind settings|template] FILE...
+	return `check [-kind settings|template|standin] FILE...
   Says every fault of each file with its line and key. Exits 1 if there is one.
 
   Example:
@@ -46,7 +52,7 @@
 
 // SetFlags implements subcommands.Command.
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.kind, "kind", kindAuto, "`kind` of the files: settings, template, or auto to tell by their content")
+	f.StringVar(&c.kind, "kind", kindAuto, "`kind` of the files: settings, template, standin, or auto to tell by their content")
 }
 
 // Execute implements subcommands.Command.
@@ -54,7 +60,7 @@
 	if f.NArg() == 0 {
 		return c.exit(usageError{"check: name at least one file"})
 	}
-	if c.kind != kindAuto && c.kind != kindSettings && c.kind != kindTemplate {
+	if c.kind != kindAuto && !slices.Contains(kinds, c.kind) {
 		return c.exit(usageError{fmt.Sprintf("check: unknown kind %q", c.kind)})
 	}
 	failed := 0
@@ -84,8 +90,10 @@
 		_, err = settings.Parse(file, data)
 	case kindTemplate:
 		_, err = template.Parse(file, data)
+	case kindStandin:
+		_, err = standin.LoadSettings(file)
 	default:
-		err = errors.New(file + ": neither settings nor a template by its content, name the -kind")
+		err = errors.New(file + ": of no known kind by its content, name the -kind")
 	}
 	if err != nil {
 		return err
@@ -94,17 +102,25 @@
 	return nil
 }
 
-// kindOf tells settings from a template by the names of their keys; it returns
-// "" where both fit as well.
+// kindOf tells the kind of a file by the names of its keys; it returns "" where
+// two kinds fit as well.
 func kindOf(data []byte) string {
-	asSettings := tomlfile.Fit(data, settings.Entry{})
-	asTemplate := tomlfile.Fit(data, template.Template{})
-	switch {
-	case asSettings > asTemplate:
-		return kindSettings
-	case asTemplate > asSettings:
-		return kindTemplate
-	default:
+	fits := map[string]int{
+		kindSettings: tomlfile.Fit(data, settings.Entry{}),
+		kindTemplate: tomlfile.Fit(data, template.Template{}),
+		kindStandin:  tomlfile.Fit(data, standin.Settings{}),
+	}
+	best, tied := "", false
+	for _, kind := range kinds {
+		switch {
+		case best == "" || fits[kind] > fits[best]:
+			best, tied = kind, false
+		case fits[kind] == fits[best]:
+			tied = true
+		}
+	}
+	if tied {
 		return ""
 	}
+	return best
 }
--- a/cmd/coltsfootcleat/main.go
+++ b/cmd/coltsfootcleat/main.go
@@ -13,6 +13,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&standinCommand{console: console{out: os.Stdout, err: os.Stderr}}, "")
 	for _, c := range operatorCommands() {
 		subcommands.Register(c, "operators")
 	}
--- a/cmd/coltsfootcleat/operator_test.go
+++ b/cmd/coltsfootcleat/operator_test.go
@@ -106,7 +106,7 @@
 	c := qt.New(t)
 	files, err := filepath.Glob("../../deployments/*/*.toml")
 	c.Assert(err, qt.IsNil)
-	c.Assert(files, qt.HasLen, 8)
+	c.Assert(files, qt.HasLen, 10)
 	r := execute(append([]string{"check"}, files...)...)
 	c.Assert(r.code, qt.Equals, subcommands.ExitSuccess, qt.Commentf("%s", r.err))
 	c.Assert(strings.Count(r.out, ": settings ok\n"), qt.Equals, 6)
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -120,17 +119,6 @@
 	}
 }
 
-// pause freezes the process, resume lets it go on.
-func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
-func (p *process) resume() { p.signal(syscall.SIGCONT) }
-
-func (p *process) signal(s syscall.Signal) {
-	p.t.Helper()
-	if err := p.cmd.Process.Signal(s); err != nil {
-		p.t.Fatalf("signal %v to %s: %v", s, p.name, err)
-	}
-}
-
 // wait waits for the process to end by itself with exit code 0.
 func (p *process) wait() {
 	p.t.Helper()
@@ -172,14 +160,3 @@
 		return nil
 	})
 }
-
-// freeAddr returns an unused "ip:port" of a loopback address.
-func freeAddr(t *testing.T, ip string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
