Add the endpoints' contract tests

Need: the REST client and the in-memory engine and service must keep the same promises, also under each fault, and so must a later adapter.

Change: endpoint/contract has the tests; they run here in memory and over HTTP. Engines can hang, and hide that they are leaving.

Found by them and mended: a frame that a fault held back or dropped let its reader wait for ever; a held frame came behind the end mark, where nothing reads; a generation whose context had already ended could still go out, for context.AfterFunc runs later.

--- /dev/null
+++ b/endpoint/contract/contract.go
@@ -0,0 +1,199 @@
+// Package contract holds the tests that every implementation of the
+// interfaces of package endpoint must pass, fault cases included. They run in
+// virtual time (testing/synctest).
+package contract
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// What a fixture's engines serve.
+const (
+	Model   = "model"
+	Version = "v1"
+)
+
+// MaxRunning is the batch size of a fixture's engines.
+const MaxRunning = 2
+
+// Fault is a failure that a fixture can switch on.
+type Fault string
+
+// Faults of engines.
+const (
+	FaultNone Fault = "none"
+	// FaultDeath breaks all streams off and refuses all calls.
+	FaultDeath Fault = "death"
+	// FaultHang holds all calls and frames back.
+	FaultHang Fault = "hang"
+	// FaultCut resets the connection of each reader; streams go on.
+	FaultCut Fault = "cut"
+	// FaultLate, FaultRepeat and FaultDrop let a part of the frames come out
+	// of order, twice, or never. End marks come once.
+	FaultLate   Fault = "late frames"
+	FaultRepeat Fault = "repeated frames"
+	FaultDrop   Fault = "missing frames"
+	// FaultCross puts frames of other streams into each stream.
+	FaultCross Fault = "crossed frames"
+	// FaultWrongTotal falsifies the count of each end mark.
+	FaultWrongTotal Fault = "wrong total"
+	// FaultLostEvents loses a part of the cache events.
+	FaultLostEvents Fault = "lost cache events"
+	// FaultRefusedOrders refuses all orders.
+	FaultRefusedOrders Fault = "refused orders"
+)
+
+// Faults of services, besides FaultDeath.
+const (
+	// FaultDieBefore and FaultDieAfter reset the connection before, or after,
+	// the call was executed.
+	FaultDieBefore Fault = "death before the call"
+	FaultDieAfter  Fault = "death after the call"
+	// FaultSlow takes longer than callTimeout.
+	FaultSlow Fault = "slow"
+)
+
+// callTimeout bounds the calls of the fault cases.
+const callTimeout = 2 * time.Second
+
+// customer is that of the tests' requests.
+const customer = "customer"
+
+// EngineFixture is two engines under test.
+type EngineFixture struct {
+	Engine endpoint.Engine
+	// Other can import what Engine exports.
+	Other endpoint.Engine
+	// Answer returns the first tokens of the answer that the engines give, and
+	// Tokens the length of the whole one.
+	Answer func(messages []endpoint.Message, tokens int) string
+	Tokens func(messages []endpoint.Message, maxTokens int) int
+	// SetFault puts one fault in force on Engine.
+	SetFault func(Fault)
+}
+
+// EngineOptions choose among kinds of engine.
+type EngineOptions struct {
+	// ChecksFence says whether the engines check fencing numbers.
+	ChecksFence bool
+}
+
+// NewEngine returns a fixture. It is called inside the test's bubble and
+// cleans up after itself. The engines serve Model in Version with a batch of
+// MaxRunning and keep finished streams for a minute.
+type NewEngine func(t *testing.T, o EngineOptions) EngineFixture
+
+// bubble runs one test in virtual time.
+func bubble(t *testing.T, name string, newEngine NewEngine, test func(c *qt.C, f EngineFixture)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			test(qt.New(t), newEngine(t, EngineOptions{}))
+		})
+	})
+}
+
+// prompt returns a prompt of some length.
+func prompt(topic string, words int) []endpoint.Message {
+	text := topic
+	for i := range words {
+		text += fmt.Sprintf(" w%d", i)
+	}
+	return []endpoint.Message{{Role: "system", Content: "answer briefly"}, {Role: "user", Content: text}}
+}
+
+// request returns a request for an answer of up to forty tokens.
+func request(attempt string, messages []endpoint.Message) endpoint.GenerateRequest {
+	return endpoint.GenerateRequest{
+		RequestID: "request-" + attempt, AttemptID: attempt, Customer: customer,
+		Model: Model, Version: Version, Messages: messages, MaxTokens: 40,
+	}
+}
+
+// generate starts a stream and closes it with the test.
+func generate(c *qt.C, e endpoint.Engine, r endpoint.GenerateRequest) endpoint.Stream {
+	c.Helper()
+	s, err := e.Generate(c.TB.Context(), r)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// readAll reads a stream to its end or its failure.
+func readAll(ctx context.Context, s endpoint.Stream) ([]endpoint.Frame, error) {
+	var frames []endpoint.Frame
+	for {
+		f, err := s.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return frames, nil
+		}
+		if err != nil {
+			return frames, err
+		}
+		frames = append(frames, f)
+	}
+}
+
+// read reads frames until it has a number of tokens.
+func read(c *qt.C, s endpoint.Stream, tokens int) (string, int) {
+	c.Helper()
+	text, n := "", 0
+	for n < tokens {
+		f, err := s.Next(c.TB.Context())
+		c.Assert(err, qt.IsNil)
+		text += f.Text
+		n += f.Tokens
+	}
+	return text, n
+}
+
+// checkWhole asserts that frames are the gapless rest of an attempt's answer
+// from a token on, with an end mark that counts the whole answer.
+func checkWhole(c *qt.C, f EngineFixture, r endpoint.GenerateRequest, from int, frames []endpoint.Frame) {
+	c.Helper()
+	text, next := f.Answer(r.Messages, from), from
+	for i, frame := range frames {
+		c.Assert(frame.RequestID, qt.Equals, r.RequestID)
+		c.Assert(frame.AttemptID, qt.Equals, r.AttemptID)
+		c.Assert(frame.Model, qt.Equals, r.Model)
+		c.Assert(frame.Version, qt.Equals, r.Version)
+		c.Assert(frame.Offset, qt.Equals, next)
+		c.Assert(frame.End, qt.Equals, i == len(frames)-1)
+		text += frame.Text
+		next += frame.Tokens
+	}
+	total := f.Tokens(r.Messages, r.MaxTokens)
+	c.Assert(next, qt.Equals, total)
+	c.Assert(text, qt.Equals, f.Answer(r.Messages, total))
+	last := frames[len(frames)-1]
+	c.Assert(last.Total, qt.Equals, total)
+	reason := "stop"
+	if total == r.MaxTokens {
+		reason = "length"
+	}
+	c.Assert(last.FinishReason, qt.Equals, reason)
+}
+
+// checkVerdict asserts that an error is there and has the verdict and code.
+func checkVerdict(c *qt.C, err error, v verdict.Verdict, code verdict.Code) {
+	c.Helper()
+	c.Assert(err, qt.IsNotNil)
+	var carried *verdict.Error
+	c.Assert(errors.As(err, &carried), qt.IsTrue, qt.Commentf("%v carries no verdict", err))
+	c.Assert(verdict.Of(err), qt.Equals, v, qt.Commentf("%v", err))
+	c.Assert(verdict.CodeOf(err), qt.Equals, code, qt.Commentf("%v", err))
+}
+
+func timeout(c *qt.C) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.TB.Context(), callTimeout)
+}
--- a/endpoint/rest/engine.go
+++ b/endpoint/rest/engine.go
@@ -39,6 +39,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ctx.Err(); err != nil {
+		// AfterFunc below would end the request only a little later.
+		return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, "%s: %w", path, err)
+	}
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	req, err := http.NewRequestWithContext(streamCtx, http.MethodPost, e.base+path, body)
--- a/endpoint/standin/faults.go
+++ b/endpoint/standin/faults.go
@@ -102,8 +102,9 @@
 	}
 	switch {
 	case f.End:
-		r.queued = append(r.queued, f)
+		// Nothing is read behind the end mark.
 		r.releaseHeld()
+		r.queued = append(r.queued, f)
 		return nil
 	case e.rng.Float64() < faults.DropFrame:
 		return nil
--- a/endpoint/standin/ledger.go
+++ b/endpoint/standin/ledger.go
@@ -23,6 +23,7 @@
 	fence   uint64
 	counts  ServiceCounts
 	replies map[string]endpoint.Reply
+	last    endpoint.Call
 }
 
 // NewLedger returns an empty ledger.
@@ -50,6 +51,13 @@
 	return c
 }
 
+// Last returns the call that was executed last.
+func (l *Ledger) Last() endpoint.Call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last
+}
+
 // pass notes a fencing number, and returns false and the highest one seen
 // when that is higher.
 func (l *Ledger) pass(fence uint64) (uint64, bool) {
@@ -66,6 +74,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts.Calls++
+	l.last = c
 	if c.AttemptID != "" {
 		l.counts.Attempts[c.AttemptID]++
 	}
--- a/endpoint/standin/service.go
+++ b/endpoint/standin/service.go
@@ -95,6 +95,9 @@
 // Counts returns what all replicas executed.
 func (s *Service) Counts() ServiceCounts { return s.ledger.Counts() }
 
+// Last returns the call that any replica executed last.
+func (s *Service) Last() endpoint.Call { return s.ledger.Last() }
+
 // Call implements endpoint.Service.
 func (s *Service) Call(ctx context.Context, c endpoint.Call) (endpoint.Reply, error) {
 	if c.Timeout > 0 {
@@ -102,6 +105,9 @@
 		ctx, cancel = context.WithTimeout(ctx, c.Timeout)
 		defer cancel()
 	}
+	if err := ctx.Err(); err != nil {
+		return endpoint.Reply{}, verdict.New(verdict.NotRun, verdict.CodeCancelled, "service: %w", err)
+	}
 	faults := s.Faults()
 	if faults.Dead || s.hits(faults.DieBefore) {
 		return endpoint.Reply{}, errReset()
--- a/endpoint/standin/stream.go
+++ b/endpoint/standin/stream.go
@@ -176,7 +176,7 @@
 		if err != nil {
 			return endpoint.Frame{}, err
 		}
-		if len(r.queued) > 0 {
+		if changed == nil {
 			continue
 		}
 		if err := pause(ctx, wait, changed); err != nil {
@@ -185,8 +185,8 @@
 	}
 }
 
-// advance queues the next frames, or returns what to wait for: a time, if it
-// is known, or a change of the stream's state.
+// advance goes on by some frames, or returns what to wait for: a change of
+// the stream's state and, if it is known, a time.
 func (r *reader) advance() (time.Duration, <-chan struct{}, error) {
 	e, s := r.engine, r.stream
 	e.mu.Lock()
