--- a/internal/tomlfile/fault.go
+++ b/internal/tomlfile/fault.go
@@ -11,7 +11,8 @@
 // Fault is one fault of a file.
 type Fault struct {
 	File string `json:"file"`
-	// Line counts from 1; 0 means the file as a whole.
+	// Line counts from 1. What is missing has the line of the table it is
+	// missing from.
 	Line int `json:"line"`
 	// Key is the dotted key, for example "customers[0].share"; it is empty
 	// where the text is not TOML.
--- a/internal/tomlfile/lines.go
+++ b/internal/tomlfile/lines.go
@@ -12,6 +12,8 @@
 type span struct {
 	line       int
 	start, end int
+	// value is the kind of the value of a key/value pair.
+	value unstable.Kind
 }
 
 // lineIndex finds where keys stand in a document.
@@ -68,6 +70,7 @@
 
 func (x *lineIndex) pair(prefix string, n *unstable.Node) {
 	at := x.spanOf(n.Raw)
+	at.value = n.Value().Kind
 	path := prefix
 	keys := n.Key()
 	for keys.Next() {
@@ -118,8 +121,8 @@
 	return span{line: line, start: int(r.Offset), end: int(r.Offset + r.Length)}
 }
 
-// line returns the line of a key, or that of the closest table around it; 0
-// when there is none.
+// line returns the line of a key, or that of the closest table around it; the
+// first line when there is none.
 func (x *lineIndex) line(key string) int {
 	for key != "" {
 		if at, ok := x.keys[key]; ok {
@@ -127,7 +130,7 @@
 		}
 		key = parent(key)
 	}
-	return 0
+	return 1
 }
 
 // pairAt returns the key/value pair that covers a line.
@@ -159,6 +162,12 @@
 	return key[:i]
 }
 
+// isText says whether the value of a key is text, as far as is known.
+func (x *lineIndex) isText(key string) bool {
+	at, ok := x.keys[key]
+	return !ok || at.value == unstable.String || at.value == unstable.Invalid
+}
+
 // Fit returns how many top-level keys of a document are fields of a struct, so
 // that the kind of a file can be told by its content.
 func Fit(data []byte, value any) int {
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding"
 	"errors"
+	"reflect"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -11,6 +13,8 @@
 // maxFaults bounds the faults reported for values of a wrong type.
 const maxFaults = 100
 
+var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+
 // Document is a decoded file that knows the line of each key.
 type Document struct {
 	file   string
@@ -35,9 +39,32 @@
 		}
 		rest = next
 	}
+	d.checkText("", reflect.ValueOf(into).Elem())
 	return d
 }
 
+// checkText reports numbers where a type reads its value from text. The decoder
+// takes the number as it is, and a duration would lose its unit.
+func (d *Document) checkText(key string, v reflect.Value) {
+	if v.CanAddr() && v.Addr().Type().Implements(textType) {
+		if !d.index.isText(key) && !d.faulty(key) {
+			d.Report(key, "must be text in quotes")
+		}
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("toml"), ",")
+			d.checkText(join(key, name), v.Field(i))
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			d.checkText(element(key, i), v.Index(i))
+		}
+	}
+}
+
 // decoded keeps the faults of one decoding. The decoder stops at the first
 // value it can't take: that pair is blanked, and the rest decoded once more.
 func (d *Document) decoded(err error, data []byte) (rest []byte, again bool) {
@@ -64,7 +91,7 @@
 		}
 		return blank(data, pair), true
 	default:
-		d.add(0, "", err.Error())
+		d.add(1, "", err.Error())
 		d.broken = true
 		return nil, false
 	}
--- a/template/watcher.go
+++ b/template/watcher.go
@@ -17,6 +17,11 @@
 	// force on every entry that takes new work.
 	ConvergenceBound = 4 * time.Second
 
+	// catchUpBound is how long an entry that knows of a higher version may go
+	// on with the one it has. What is left of ConvergenceBound is for learning
+	// of it: one poll, and one call that timed out.
+	catchUpBound = 2 * time.Second
+
 	defaultPoll   = time.Second
 	defaultSettle = 2 * time.Second
 	fetchTimeout  = time.Second
@@ -41,8 +46,6 @@
 	// its peers before it takes the highest version among them; 2 s by
 	// default, twice the period of digests.
 	Settle time.Duration
-	// Bound is ConvergenceBound unless set.
-	Bound time.Duration
 	// Log gets a line for each change; nil for none.
 	Log *logrus.Entry
 }
@@ -94,9 +97,6 @@
 	if opts.Settle <= 0 {
 		opts.Settle = defaultSettle
 	}
-	if opts.Bound <= 0 {
-		opts.Bound = ConvergenceBound
-	}
 	log := opts.Log
 	if log == nil {
 		log = discard()
@@ -128,8 +128,8 @@
 func (w *Watcher) Ready() bool { return w.ready.Load() }
 
 // Fresh says that new work may be taken: the entry is ready, has reached the
-// table or a peer within the bound, and has not known of a higher version for
-// longer than the bound without having it.
+// table or a peer within ConvergenceBound, and has not known of a higher
+// version for long without having it.
 func (w *Watcher) Fresh() bool {
 	if !w.ready.Load() {
 		return false
@@ -137,10 +137,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	if w.heard.IsZero() || now.Sub(w.heard) > w.opts.Bound {
+	if w.heard.IsZero() || now.Sub(w.heard) > ConvergenceBound {
 		return false
 	}
-	return w.behind.IsZero() || now.Sub(w.behind) <= w.opts.Bound
+	return w.behind.IsZero() || now.Sub(w.behind) <= catchUpBound
 }
 
 // OnChange registers f to be called with each version that comes into force,
