Choose endpoints by expected cost within the deadline

Need: the thin routing took the fastest of all endpoints. The users weigh cost and recomputed tokens, and a choice must stay cheap at 2,900 replicas.

Weighed: a full scan per choice (grows with the fleet) against candidates from the prefix index, the rendezvous order and a few random samples; the latter is used above 16 endpoints, below that all are candidates. A hash ring with virtual nodes was ruled out: one multiply per endpoint is cheap and needs no tuning. Scores were first in money for both weights; then a lost token weighs so little that the weight for recomputed tokens had no effect, so both are now multiples of the request's own cost and tokens.

Change: candidates, scores, bounded load, reserve for urgent kinds, prefix index with late and gappy events, prices and losses, ejection, probes by own request rate, baselines, headroom and prediction for admission.

Soft is the default and cites its source; hard stays as an option for experiments.

--- a/routing/feedback.go
+++ b/routing/feedback.go
@@ -1,20 +1,30 @@
 package routing
 
 import (
+	"time"
+
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
-// Started reports the first frame of a choice: its prefill is over.
+// Started reports the first frame of a choice: its prefill is over, and the
+// prompt's blocks are in the endpoint's cache.
 func (f *Fleet) Started(c Choice, first endpoint.Frame) {
-	if c.replica == nil {
+	r := c.replica
+	if r == nil {
 		return
 	}
-	c.replica.mu.Lock()
-	c.replica.start(c.reservation)
-	c.replica.mu.Unlock()
+	now := f.now()
+	r.mu.Lock()
+	if r.start(c.reservation) {
+		r.learnLate(c.PredictedTTFT, now.Sub(c.reservation.at), now)
+		for _, hash := range c.reservation.hashes {
+			f.remember(r, hash)
+		}
+	}
+	r.health.ok()
+	r.mu.Unlock()
 	if first.Load != nil {
-		f.Progress(c, *first.Load)
+		f.reportLoad(r, *first.Load)
 	}
 }
 
@@ -27,17 +37,37 @@
 
 // Done releases a choice. A second call has no effect.
 func (f *Fleet) Done(c Choice, o Outcome) {
-	if c.replica == nil {
+	r := c.replica
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	released := r.release(c.reservation)
+	if released && o.Err == nil {
+		r.health.ok()
+	}
+	r.mu.Unlock()
+	if !released {
 		return
 	}
-	c.replica.release(c.reservation)
+	if o.Err == nil && o.GeneratedTokens > 0 {
+		r.stats.answerTokens.observe(float64(o.GeneratedTokens))
+	}
+	if blames(o.Err) {
+		f.failed(r, o.Err)
+	}
 }
 
 // ReportLoad takes over a load report, such as the answer to a probe.
 func (f *Fleet) ReportLoad(endpointID string, l endpoint.Load) {
-	if r := f.view.Load().byID[endpointID]; r != nil {
-		f.reportLoad(r, l)
+	r := f.view.Load().byID[endpointID]
+	if r == nil {
+		return
 	}
+	r.mu.Lock()
+	r.health.ok()
+	r.mu.Unlock()
+	f.reportLoad(r, l)
 }
 
 func (f *Fleet) reportLoad(r *replica, l endpoint.Load) {
@@ -56,17 +86,31 @@
 	}
 }
 
-// ApplyCacheEvents takes over the answer to a request for cache events from
-// sequence number asked on.
-func (f *Fleet) ApplyCacheEvents(endpointID string, asked uint64, e endpoint.CacheEvents) {
-}
-
-// NextProbe returns the endpoint to probe now, or false when none is due.
-// The caller asks it for its load and its cache events.
-func (f *Fleet) NextProbe() (platform.Endpoint, bool) {
-	v := f.view.Load()
-	if len(v.all) == 0 {
-		return platform.Endpoint{}, false
+func (r *replica) status(now time.Time) EndpointStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	econ := r.host.econ.Load()
+	s := EndpointStatus{
+		Endpoint:      r.endpoint,
+		HostID:        r.host.ID,
+		FailureDomain: r.host.FailureDomain,
+		Class:         r.host.Class,
+		Reclaimable:   r.host.Reclaimable,
+		Leaving:       r.host.leaving(),
+		Ejected:       r.health.ejected(now),
+		InFlight:      r.own.inFlight,
+		Running:       r.load.Running,
+		Waiting:       r.load.Waiting,
+		ReportAge:     -1,
+		PredictedTTFT: r.predict(demand{before: 1}, now).ttft,
+		PricePerHour:  econ.pricePerSecond * time.Hour.Seconds(),
+		LossPerHour:   econ.lossPerSecond * time.Hour.Seconds(),
+	}
+	if s.Leaving {
+		s.LeavingReason = r.host.reason
+	}
+	if r.reported {
+		s.ReportAge = now.Sub(r.loadAt)
 	}
-	return v.all[f.sampler.below(len(v.all))].endpoint, true
+	return s
 }
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -22,13 +22,25 @@
 	// leaveSeq numbers MarkLeaving calls.
 	leaveSeq atomic.Uint64
 	sampler  sampler
+	index    *prefixIndex
+	mix      urgencyMix
+	// requests counts choices.
+	requests atomic.Uint64
+
+	// probeMu guards prober and ejected.
+	probeMu sync.Mutex
+	prober  prober
+	ejected []*replica
 
 	// mu guards what builds the view.
 	mu       sync.Mutex
 	listed   []platform.Host
 	hosts    map[hostKey]*hostState
-	replicas map[string]*replica
+	replicas map[replicaKey]*replica
 	left     map[hostKey]leavingMark
+	stats    map[groupKey]*groupStats
+	market   market
+	numbers  numbering
 }
 
 // hostKey names one incarnation of a host.
@@ -37,6 +49,12 @@
 	incarnation string
 }
 
+// replicaKey names an endpoint on one incarnation of a host.
+type replicaKey struct {
+	host     hostKey
+	endpoint platform.Endpoint
+}
+
 // NewFleet returns a Fleet without hosts.
 func NewFleet(opts Options) *Fleet {
 	if opts.Policy == "" {
@@ -56,12 +74,15 @@
 		log:      opts.Log,
 		now:      opts.Now,
 		hosts:    make(map[hostKey]*hostState),
-		replicas: make(map[string]*replica),
+		replicas: make(map[replicaKey]*replica),
 		left:     make(map[hostKey]leavingMark),
+		stats:    make(map[groupKey]*groupStats),
+		market:   newMarket(),
+		index:    newPrefixIndex(opts.IndexEntries),
 	}
 	f.weights.Store(&opts.Weights)
 	f.sampler.seed(opts.Seed)
-	f.view.Store(newView())
+	f.view.Store(newView(0))
 	return f
 }
 
@@ -75,7 +96,7 @@
 func (f *Fleet) Endpoints() []EndpointStatus {
 	now := f.now()
 	v := f.view.Load()
-	out := make([]EndpointStatus, 0, len(v.byID))
+	out := make([]EndpointStatus, 0, len(v.all))
 	for _, r := range v.all {
 		out = append(out, r.status(now))
 	}
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -109,5 +109,16 @@
 	f.Done(choice, Outcome{})
 	f.Done(choice, Outcome{})
 	c.Assert(f.Endpoints()[0].InFlight, qt.Equals, 0)
-	c.Assert(choice.replica.unstarted, qt.Equals, 0)
+	c.Assert(choice.replica.own.unstarted, qt.Equals, 0)
+	c.Assert(choice.replica.own.unseen(), qt.Equals, work{})
+}
+
+// serviceHosts returns hosts with one endpoint of the service "market" each.
+func serviceHosts(n int) []platform.Host {
+	hosts := testHosts(n)
+	for i := range hosts {
+		hosts[i].Endpoints[0].Kind = platform.KindService
+		hosts[i].Endpoints[0].Name = "market"
+	}
+	return hosts
 }
--- a/routing/hosts.go
+++ b/routing/hosts.go
@@ -44,6 +44,7 @@
 			delete(f.left, key)
 		}
 	}
+	f.market.expose(now, f.hosts)
 	f.rebuild()
 	f.mu.Unlock()
 	f.tellLeaving(found)
@@ -115,47 +116,88 @@
 	seq := f.leaveSeq.Load() + 1
 	h.leavingSeq.Store(seq)
 	f.leaveSeq.Store(seq)
+	if reason != ReasonOperator {
+		f.market.lose(&h.Host)
+	}
 }
 
 // rebuild publishes a new view of the listed hosts. f.mu is held.
 func (f *Fleet) rebuild() {
 	hosts := make(map[hostKey]*hostState, len(f.listed))
-	replicas := make(map[string]*replica, len(f.replicas))
-	v := newView()
-	for _, listed := range f.listed {
-		key := hostKey{listed.ID, listed.Incarnation}
-		h := f.hosts[key]
-		if h == nil || !sameHost(&h.Host, &listed) {
-			h = &hostState{Host: listed}
-		}
+	replicas := make(map[replicaKey]*replica, len(f.replicas))
+	var order []*replica
+	for i := range f.listed {
+		h := f.hostOf(&f.listed[i])
+		key := hostKey{h.ID, h.Incarnation}
 		hosts[key] = h
-		f.hosts[key] = h
-		if mark, ok := f.left[key]; ok {
-			f.markHost(key, mark.reason)
-		}
-		for _, e := range listed.Endpoints {
-			r := f.replicaOf(e, h)
-			replicas[e.ID] = r
-			v.add(r)
+		for _, e := range f.listed[i].Endpoints {
+			r := f.replicaOf(replicaKey{key, e}, h)
+			replicas[replicaKey{key, e}] = r
+			order = append(order, r)
 		}
 	}
-	f.hosts = hosts
-	f.replicas = replicas
+	f.retire(hosts, replicas)
+	v := newView(f.numbers.count())
+	for _, r := range order {
+		v.add(r)
+	}
 	f.view.Store(v)
 }
 
-// replicaOf returns the state of an endpoint, kept while its host and its
-// listed properties stay the same. f.mu is held.
-func (f *Fleet) replicaOf(e platform.Endpoint, h *hostState) *replica {
-	r := f.replicas[e.ID]
-	if r != nil && r.host == h && r.endpoint == e {
+// hostOf returns the state of a listed host, with its leaving mark, price and
+// loss rate. f.mu is held.
+func (f *Fleet) hostOf(listed *platform.Host) *hostState {
+	key := hostKey{listed.ID, listed.Incarnation}
+	h := f.hosts[key]
+	if h == nil {
+		h = &hostState{Host: *listed}
+		f.hosts[key] = h
+	}
+	h.econ.Store(f.market.of(listed))
+	if mark, ok := f.left[key]; ok {
+		f.markHost(key, mark.reason)
+	}
+	return h
+}
+
+// replicaOf returns the state of an endpoint, kept while it is listed
+// unchanged on the same incarnation of its host. f.mu is held.
+func (f *Fleet) replicaOf(key replicaKey, h *hostState) *replica {
+	if r := f.replicas[key]; r != nil {
 		return r
 	}
-	return &replica{endpoint: e, host: h, seed: xxhash.Sum64String(e.ID)}
+	group := keyOf(key.endpoint)
+	stats := f.stats[group]
+	if stats == nil {
+		stats = &groupStats{}
+		f.stats[group] = stats
+	}
+	r := &replica{
+		endpoint: key.endpoint,
+		host:     h,
+		stats:    stats,
+		seed:     xxhash.Sum64String(key.endpoint.ID),
+	}
+	var age uint32
+	r.number, age = f.numbers.take()
+	r.age.value.Store(age)
+	f.replicas[key] = r
+	return r
 }
 
-// sameHost compares what the choice depends on, but for the endpoints.
-func sameHost(a, b *platform.Host) bool {
-	return a.FailureDomain == b.FailureDomain && a.Region == b.Region && a.Class == b.Class &&
-		a.Reclaimable == b.Reclaimable && a.PricePerHour == b.PricePerHour
+// retire drops what is listed no longer. A host that vanished without a mark
+// counts as lost. f.mu is held.
+func (f *Fleet) retire(hosts map[hostKey]*hostState, replicas map[replicaKey]*replica) {
+	for key, h := range f.hosts {
+		if hosts[key] == nil && !h.leaving() {
+			f.market.lose(&h.Host)
+		}
+	}
+	for key, r := range f.replicas {
+		if replicas[key] == nil {
+			f.numbers.give(r.number, r.age.value.Load())
+		}
+	}
+	f.hosts = hosts
+	f.replicas = replicas
 }
--- /dev/null
+++ b/routing/index_test.go
@@ -0,0 +1,149 @@
+package routing
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/prefix"
+)
+
+func TestIndexIsCapped(t *testing.T) {
+	c := qt.New(t)
+	x := newPrefixIndex(indexShards * 4)
+	for i := range uint64(10000) {
+		x.add(mix(i), holder{number: uint32(i)})
+	}
+	c.Assert(x.len() <= indexShards*4, qt.IsTrue)
+}
+
+func TestIndexKeepsWhatIsUsed(t *testing.T) {
+	c := qt.New(t)
+	x := newPrefixIndex(indexShards * 8)
+	var out [maxHolders]holder
+	x.add(1, holder{number: 7})
+	for i := range uint64(5000) {
+		x.add(mix(i+10), holder{})
+		x.find(1, &out)
+	}
+	c.Assert(x.find(1, &out), qt.Equals, 1)
+	c.Assert(out[0].number, qt.Equals, uint32(7))
+}
+
+func TestIndexHolders(t *testing.T) {
+	c := qt.New(t)
+	x := newPrefixIndex(1000)
+	var out [maxHolders]holder
+	for n := range uint32(maxHolders + 2) {
+		c.Assert(x.add(5, holder{number: n}), qt.IsTrue)
+	}
+	c.Assert(x.add(5, holder{number: 3, stamp: 9}), qt.IsFalse)
+	c.Assert(x.find(5, &out), qt.Equals, maxHolders)
+	c.Assert(x.remove(5, 0), qt.IsFalse)
+	for n := uint32(2); n < maxHolders+2; n++ {
+		c.Assert(x.remove(5, n), qt.IsTrue)
+	}
+	c.Assert(x.find(5, &out), qt.Equals, 0)
+}
+
+// expectCached returns the cached tokens that a choice expects on the only
+// endpoint.
+func expectCached(c *qt.C, f *Fleet, hashes []uint64) int {
+	req := testRequest()
+	req.Hashes = hashes
+	req.PromptTokens = len(hashes) * prefix.BlockTokens
+	choice, err := f.Choose(req)
+	c.Assert(err, qt.IsNil)
+	f.Done(choice, Outcome{})
+	return choice.CachedTokens
+}
+
+func TestCacheEvents(t *testing.T) {
+	prompt := promptHashes(1, 10)
+	all := 10 * prefix.BlockTokens
+	other := make([]endpoint.CacheEvent, 10)
+	for i := range other {
+		other[i] = endpoint.CacheEvent{Hash: uint64(i) + 1, Evicted: true}
+	}
+	evict := endpoint.CacheEvents{First: 10, Next: 11, Events: []endpoint.CacheEvent{{Hash: prompt[9], Evicted: true}}}
+	tests := []struct {
+		name string
+		hard bool
+		// asked and answer are applied after ten blocks were reported.
+		asked    uint64
+		answer   endpoint.CacheEvents
+		min, max int
+	}{
+		{"nothing", false, 10, endpoint.CacheEvents{First: 10, Next: 10}, all, all},
+		{"eviction", false, 10, evict, 9 * prefix.BlockTokens, 9 * prefix.BlockTokens},
+		{"repeated answer", false, 0, cached(prompt[:3]), all, all},
+		{"old eviction repeated", false, 0, endpoint.CacheEvents{First: 0, Next: 10, Events: other}, all, all},
+		{"gap discounts", false, 10, endpoint.CacheEvents{First: 14, Next: 14}, 1, all - 1},
+		{"gap drops", true, 10, endpoint.CacheEvents{First: 14, Next: 14}, 0, 0},
+		{"long gap drops", false, 10, endpoint.CacheEvents{First: 500, Next: 500}, 0, 0},
+		{"engine counts anew", false, 10, endpoint.CacheEvents{First: 0, Next: 2}, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := NewFleet(Options{HardInvalidation: test.hard})
+			f.SetHosts(testHosts(1))
+			f.ApplyCacheEvents("e0", 0, cached(prompt))
+			f.view.Load().byID["e0"].events.evictions = 0.5
+			f.ApplyCacheEvents("e0", test.asked, test.answer)
+			got := expectCached(c, f, prompt)
+			c.Assert(got >= test.min && got <= test.max, qt.IsTrue, qt.Commentf("%d tokens", got))
+			if test.asked == 10 {
+				c.Assert(f.EventsFrom("e0"), qt.Equals, test.answer.Next)
+			}
+		})
+	}
+}
+
+func TestCustomersShareNoPrefix(t *testing.T) {
+	c := qt.New(t)
+	f := NewFleet(Options{})
+	f.SetHosts(testHosts(1))
+	text := ""
+	for range 5 * prefix.BlockTokens {
+		text += "word "
+	}
+	mine, _ := prefix.Hashes("a", text)
+	others, _ := prefix.Hashes("b", text)
+	f.ApplyCacheEvents("e0", 0, cached(mine))
+	c.Assert(expectCached(c, f, mine) > 0, qt.IsTrue)
+	c.Assert(expectCached(c, f, others), qt.Equals, 0)
+}
+
+// TestNumberIsReusedWithoutBelief replaces an endpoint: its successor gets the
+// number, not the cache.
+func TestNumberIsReusedWithoutBelief(t *testing.T) {
+	c := qt.New(t)
+	f := NewFleet(Options{})
+	f.SetHosts(testHosts(1))
+	prompt := promptHashes(1, 10)
+	f.ApplyCacheEvents("e0", 0, cached(prompt))
+	replaced := testHosts(1)
+	replaced[0].Incarnation = "2"
+	f.SetHosts(replaced)
+	c.Assert(expectCached(c, f, prompt), qt.Equals, 0)
+	f.SetHosts(nil)
+	f.SetHosts(testHosts(1))
+	c.Assert(f.numbers.count() <= 2, qt.IsTrue)
+	c.Assert(expectCached(c, f, prompt), qt.Equals, 0)
+}
+
+// TestStartedFillsIndex expects a prompt in the cache once its prefill is
+// over, before any event tells it.
+func TestStartedFillsIndex(t *testing.T) {
+	c := qt.New(t)
+	f := NewFleet(Options{})
+	f.SetHosts(testHosts(1))
+	req := testRequest()
+	req.Hashes = promptHashes(1, 4)
+	choice, err := f.Choose(req)
+	c.Assert(err, qt.IsNil)
+	f.Started(choice, endpoint.Frame{})
+	c.Assert(expectCached(c, f, req.Hashes), qt.Equals, 4*prefix.BlockTokens)
+}
--- a/routing/view.go
+++ b/routing/view.go
@@ -7,57 +7,83 @@
 type view struct {
 	byID map[string]*replica
 	all  []*replica
-	// engines and services hold the endpoints that may get new work.
-	engines  map[modelKey]*group
-	services map[string]*group
+	// byNumber finds the holders in the prefix index.
+	byNumber []*replica
+	// probed are the engines that may get new work.
+	probed []*replica
+	// groups hold the endpoints that may get new work.
+	groups map[groupKey]*group
 }
 
-// modelKey names one version of a model.
-type modelKey struct {
-	model   string
+// groupKey names what a group of endpoints serves: a version of a model, or a
+// plain service.
+type groupKey struct {
+	kind    platform.EndpointKind
+	name    string
 	version string
 }
 
+func engineKey(model, version string) groupKey {
+	return groupKey{platform.KindEngine, model, version}
+}
+
+func serviceKey(name string) groupKey {
+	return groupKey{platform.KindService, name, ""}
+}
+
+func keyOf(e platform.Endpoint) groupKey {
+	if e.Kind == platform.KindService {
+		return serviceKey(e.Name)
+	}
+	return engineKey(e.Name, e.Version)
+}
+
 // group is the endpoints that can serve the same work.
 type group struct {
 	replicas []*replica
 	// seeds are those of replicas, close together for the rendezvous hash.
 	seeds []uint64
+	stats *groupStats
+	// meanPrice is the mean price of an endpoint's host in money per second.
+	meanPrice float64
 }
 
-func newView() *view {
+func newView(numbers int) *view {
 	return &view{
 		byID:     make(map[string]*replica),
-		engines:  make(map[modelKey]*group),
-		services: make(map[string]*group),
+		byNumber: make([]*replica, numbers),
+		groups:   make(map[groupKey]*group),
 	}
 }
 
+func (v *view) numbered(n uint32) *replica {
+	if int(n) >= len(v.byNumber) {
+		return nil
+	}
+	return v.byNumber[n]
+}
+
 // add puts an endpoint in. Those of leaving hosts join no group.
 func (v *view) add(r *replica) {
-	v.byID[r.endpoint.ID] = r
+	known := v.byID[r.endpoint.ID]
+	if known == nil || known.host.leaving() {
+		v.byID[r.endpoint.ID] = r
+	}
 	v.all = append(v.all, r)
+	v.byNumber[r.number] = r
 	if r.host.leaving() {
 		return
 	}
-	var g *group
-	if r.endpoint.Kind == platform.KindService {
-		g = v.services[r.endpoint.Name]
-	} else {
-		g = v.engines[modelKey{r.endpoint.Name, r.endpoint.Version}]
-	}
+	key := keyOf(r.endpoint)
+	g := v.groups[key]
 	if g == nil {
-		g = &group{}
-		v.put(r.endpoint, g)
+		g = &group{stats: r.stats}
+		v.groups[key] = g
 	}
 	g.replicas = append(g.replicas, r)
 	g.seeds = append(g.seeds, r.seed)
-}
-
-func (v *view) put(e platform.Endpoint, g *group) {
-	if e.Kind == platform.KindService {
-		v.services[e.Name] = g
-		return
+	g.meanPrice += (r.host.econ.Load().pricePerSecond - g.meanPrice) / float64(len(g.replicas))
+	if r.endpoint.Kind == platform.KindEngine {
+		v.probed = append(v.probed, r)
 	}
-	v.engines[modelKey{e.Name, e.Version}] = g
 }
