Prove notices and membership under faults in virtual time

Need: every entry knows a notice within 2 s and nobody is taken for dead, or brought back from the dead, because a peer, a link or the table fails.

Found by these tests and mended: the state of a dead member that was still on its way counted as a sign of life once its record had been pruned; states are now kept as tombstones for twice the time after which a member is gone, and carry their age.

--- a/drain/set.go
+++ b/drain/set.go
@@ -234,6 +234,13 @@
 	s.spread = kept
 }
 
+// domainOf returns the failure domain of a listed host, or "".
+func (s *Set) domainOf(hostID string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts[hostID].FailureDomain
+}
+
 func (s *Set) presentLocked(key Key, domains map[string]bool) bool {
 	if key.HostID == "" {
 		return domains[key.FailureDomain]
--- /dev/null
+++ b/drain/set_test.go
@@ -0,0 +1,198 @@
+package drain_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+)
+
+func quietLog() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
+
+func host(id, incarnation, domain string, state platform.HostState) platform.Host {
+	return platform.Host{ID: id, Incarnation: incarnation, FailureDomain: domain, State: state}
+}
+
+// marked collects what a Set reports as leaving.
+type marked struct {
+	mu    sync.Mutex
+	hosts []string
+}
+
+func (m *marked) add(n drain.Notice) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hosts = append(m.hosts, n.HostID+"/"+n.Incarnation)
+}
+
+func TestFirstNoticeWinsAndSticks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		set, told := drain.NewSet(quietLog()), &marked{}
+		set.OnLeaving(told.add)
+		first := drain.Notice{HostID: "a", Incarnation: "1", Reason: drain.ReasonReclaim, Remaining: 30 * time.Second}
+		c.Assert(set.Add(first), qt.IsTrue)
+		time.Sleep(10 * time.Second)
+		second := drain.Notice{HostID: "a", Incarnation: "1", Reason: drain.ReasonEngine, Remaining: time.Hour}
+		c.Assert(set.Add(second), qt.IsFalse)
+		set.Hosts([]platform.Host{host("a", "1", "d", platform.HostLeaving)})
+		n, ok := set.Get("a", "1")
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(n.Reason, qt.Equals, drain.ReasonReclaim)
+		c.Assert(n.Remaining, qt.Equals, 20*time.Second)
+
+		// The host is listed as live again, by lag: the notice stands.
+		set.Hosts([]platform.Host{host("a", "1", "d", platform.HostLive)})
+		c.Assert(set.Leaving("a", "1"), qt.IsTrue)
+		// Its replacement under the same ID takes work.
+		c.Assert(set.Leaving("a", "2"), qt.IsFalse)
+		c.Assert(told.hosts, qt.DeepEquals, []string{"a/1"})
+
+		time.Sleep(time.Hour)
+		n, _ = set.Get("a", "1")
+		c.Assert(n.Remaining > 0, qt.IsTrue, qt.Commentf("an expired notice must not look unlimited"))
+	})
+}
+
+func TestDomainDrainMarksItsHosts(t *testing.T) {
+	c := qt.New(t)
+	set, told := drain.NewSet(quietLog()), &marked{}
+	set.OnLeaving(told.add)
+	set.Hosts([]platform.Host{host("a", "1", "north", platform.HostLive), host("b", "1", "south", platform.HostLive)})
+	c.Assert(set.DrainDomain("drain-1", "north"), qt.IsTrue)
+	c.Assert(set.DrainDomain("drain-1", "north"), qt.IsFalse)
+	c.Assert(told.hosts, qt.DeepEquals, []string{"a/1"})
+	c.Assert(set.Leaving("b", "1"), qt.IsFalse)
+
+	// A host that joins the domain later is marked as well.
+	set.Hosts([]platform.Host{host("a", "1", "north", platform.HostLive), host("c", "1", "north", platform.HostLive)})
+	c.Assert(told.hosts, qt.DeepEquals, []string{"a/1", "c/1"})
+
+	// Peers get the one notice of the domain, not those of its hosts.
+	spread, _ := set.Since(0, 10)
+	c.Assert(spread, qt.HasLen, 1)
+	c.Assert(spread[0].FailureDomain, qt.Equals, "north")
+}
+
+func TestNoticesAgeOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		set := drain.NewSet(quietLog())
+		listed := []platform.Host{host("a", "1", "d", platform.HostLeaving), host("b", "1", "d", platform.HostLive)}
+		set.Hosts(listed)
+		set.Add(drain.Notice{HostID: "gone", Incarnation: "1"})
+		for range 20 {
+			time.Sleep(time.Minute)
+			set.Hosts(listed)
+		}
+		c.Assert(set.Leaving("a", "1"), qt.IsTrue, qt.Commentf("a listed host keeps its notice"))
+		c.Assert(set.Leaving("gone", "1"), qt.IsFalse)
+		spread, _ := set.Since(0, 10)
+		c.Assert(spread, qt.HasLen, 1)
+
+		// A peer that is behind can't bring it back, but can bring one of a
+		// listed host.
+		c.Assert(set.Add(drain.Notice{HostID: "gone", Incarnation: "1", Age: time.Hour}), qt.IsFalse)
+		c.Assert(set.Add(drain.Notice{HostID: "b", Incarnation: "1", Age: time.Hour}), qt.IsTrue)
+	})
+}
+
+func TestSinceGoesInBatches(t *testing.T) {
+	c := qt.New(t)
+	set := drain.NewSet(quietLog())
+	for _, id := range []string{"a", "b", "c"} {
+		set.Add(drain.Notice{HostID: id, Incarnation: "1"})
+	}
+	first, position := set.Since(0, 2)
+	c.Assert(first, qt.HasLen, 2)
+	rest, position := set.Since(position, 2)
+	c.Assert(rest, qt.HasLen, 1)
+	c.Assert(rest[0].HostID, qt.Equals, "c")
+	rest, _ = set.Since(position, 2)
+	c.Assert(rest, qt.HasLen, 0)
+}
+
+// fakeCloud has notices and can fail.
+type fakeCloud struct {
+	platform.Cloud
+	mu      sync.Mutex
+	notices []platform.Notice
+	hosts   []platform.Host
+	down    bool
+	polls   int
+}
+
+func (f *fakeCloud) Notices(_ context.Context, after uint64) ([]platform.Notice, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.polls++
+	if f.down {
+		return nil, errors.New("down")
+	}
+	var out []platform.Notice
+	for _, n := range f.notices {
+		if n.Seq > after {
+			out = append(out, n)
+		}
+	}
+	return out, nil
+}
+
+func (f *fakeCloud) Hosts(context.Context) ([]platform.Host, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errors.New("down")
+	}
+	return f.hosts, nil
+}
+
+func TestWatchFindsNotices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cloud := &fakeCloud{hosts: []platform.Host{host("a", "1", "north", platform.HostLive)}}
+		set, entries := drain.NewSet(quietLog()), 9
+		w := &drain.Watch{Set: set, Cloud: cloud, List: cloud, Entries: func() int { return entries }, Log: quietLog()}
+		ctx, cancel := context.WithCancel(context.Background())
+		var done sync.WaitGroup
+		done.Go(func() { _ = w.Run(ctx) })
+
+		time.Sleep(2 * time.Second)
+		cloud.mu.Lock()
+		cloud.notices = []platform.Notice{{Seq: 4, HostID: "a", Incarnation: "1", Remaining: 25 * time.Second}}
+		cloud.mu.Unlock()
+		time.Sleep(1100 * time.Millisecond)
+		n, ok := set.Get("a", "1")
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(n.FailureDomain, qt.Equals, "north")
+
+		// Down and up again: what came meanwhile is found.
+		cloud.mu.Lock()
+		cloud.down = true
+		cloud.mu.Unlock()
+		time.Sleep(time.Minute)
+		cloud.mu.Lock()
+		cloud.down = false
+		cloud.notices = append(cloud.notices, platform.Notice{Seq: 5, HostID: "b", Incarnation: "1"})
+		cloud.hosts = append(cloud.hosts, host("c", "1", "north", platform.HostLeaving))
+		cloud.mu.Unlock()
+		time.Sleep(1100 * time.Millisecond)
+		c.Assert(set.Leaving("b", "1"), qt.IsTrue)
+		c.Assert(set.Leaving("c", "1"), qt.IsTrue)
+		cancel()
+		done.Wait()
+	})
+}
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -18,6 +18,9 @@
 	// yieldPeriod is how long the member with the higher ID leaves dialling to
 	// the other one.
 	yieldPeriod = time.Second
+	// forgetFactor is how many times GoneAfter the state of a member that is
+	// gone is kept.
+	forgetFactor = 2
 	// Bounds on the wait before a peer is dialled again.
 	minRedial = 200 * time.Millisecond
 	maxRedial = 5 * time.Second
@@ -131,13 +134,15 @@
 	}
 }
 
+func (m *Mesh) isKnown(id string) bool {
+	_, ok := m.o.Registry.Lookup(id)
+	return ok
+}
+
 // tidy forgets members that are gone.
 func (m *Mesh) tidy() {
-	known := func(id string) bool {
-		_, ok := m.o.Registry.Lookup(id)
-		return ok
-	}
-	m.states.prune(known)
+	known := m.isKnown
+	m.states.prune(known, forgetFactor*member.GoneAfter(m.o.Registry.Count()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id := range m.reported {
--- a/peer/send.go
+++ b/peer/send.go
@@ -103,6 +103,9 @@
 		if id == l.peer.ID || (id != self && !relay) {
 			continue
 		}
+		if !l.mesh.isKnown(id) {
+			continue
+		}
 		had, ok := l.has[id]
 		if ok && !had.less(k.state.Stamp) {
 			continue
--- a/peer/states.go
+++ b/peer/states.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -93,12 +94,13 @@
 	return out, s.changes
 }
 
-// prune forgets the states that alive rejects.
-func (s *states) prune(alive func(id string) bool) {
+// prune forgets the states of members that are gone for long. Until then a
+// copy that is still on its way must not look new.
+func (s *states) prune(alive func(id string) bool, keep time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.byID {
-		if !alive(id) {
+	for id, k := range s.byID {
+		if time.Since(k.got) > keep && !alive(id) {
 			delete(s.byID, id)
 		}
 	}
@@ -107,6 +109,6 @@
 // aged returns a copy of the state for sending, with its age as of now.
 func (k *known) aged(now time.Time) state {
 	st := k.state
-	st.AgeSeconds += int(now.Sub(k.got) / time.Second)
+	st.AgeSeconds += int(math.Round(now.Sub(k.got).Seconds()))
 	return st
 }
