Spread periodic table calls over their period

Members that start together would scan and beat together for long: their jitter is a fifth of a period, which at 410 members is minutes. The first wait is now a random part of the period.

Tests for member: bounds of the fleet's rates for 1 to 3,000 members, 60 members on one table, lost and late answers, replacement, stale rows, order of incarnations, suspicion.

--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,220 @@
+package member_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/member"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+)
+
+func newRegistry(table platform.Table, id, incarnation string) *member.Registry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return member.New(table, member.Options{
+		ID:            id,
+		Incarnation:   incarnation,
+		Addr:          "10.0.0.1:7000",
+		FailureDomain: "domain-0",
+		Log:           logrus.NewEntry(logger),
+	})
+}
+
+// run runs a registry until the returned function is called, which returns
+// the error of Run.
+func run(r *member.Registry) func() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	result := make(chan error, 1)
+	go func() { result <- r.Run(ctx) }()
+	return func() error {
+		cancel()
+		return <-result
+	}
+}
+
+func TestFleetRatesStayBounded(t *testing.T) {
+	c := qt.New(t)
+	for members := 1; members <= 3000; members++ {
+		n := float64(members)
+		c.Assert(n/member.HeartbeatPeriod(members).Seconds() <= member.MaxHeartbeatsPerSecond+1e-6, qt.IsTrue)
+		c.Assert(n*n/member.ScanPeriod(members).Seconds() <= member.MaxRowsPerSecond+1e-6, qt.IsTrue)
+		c.Assert(n/member.UpdatePeriod(members).Seconds() <= member.MaxUpdatesPerSecond+1e-6, qt.IsTrue)
+		c.Assert(member.GoneAfter(members) > 3*member.HeartbeatPeriod(members), qt.IsTrue)
+	}
+}
+
+func TestTableLoadOfManyMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		const members, seconds = 60, 120
+		var stops []func() error
+		for i := range members {
+			stops = append(stops, run(newRegistry(table, fmt.Sprintf("entry-%02d", i), "1")))
+		}
+		time.Sleep(30 * time.Second)
+		before := table.Counts()
+		time.Sleep(seconds * time.Second)
+		after := table.Counts()
+		for _, stop := range stops {
+			c.Assert(stop(), qt.IsNil)
+		}
+		writes := float64(after.Writes-before.Writes) / seconds
+		rows := float64(after.Reads-before.Reads) * members / seconds
+		t.Logf("%.1f writes/s, %.1f rows read/s", writes, rows)
+		c.Assert(writes > 0 && writes <= 1.1*member.MaxHeartbeatsPerSecond, qt.IsTrue)
+		c.Assert(rows > 0 && rows <= 1.1*member.MaxRowsPerSecond, qt.IsTrue)
+	})
+}
+
+func TestHeartbeatsSurviveFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults standin.TableFaults
+	}{
+		{"answers lost", standin.TableFaults{LoseAnswer: 0.7}},
+		{"requests lost", standin.TableFaults{LoseRequest: 0.7}},
+		{"requests late", standin.TableFaults{LoseRequest: 0.7, Late: 3 * time.Second}},
+		{"slow", standin.TableFaults{Latency: 900 * time.Millisecond}},
+		{"outage", standin.TableFaults{Outage: true}},
+		{"hang", standin.TableFaults{Hang: true}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				table := standin.NewTable(3)
+				a, b := newRegistry(table, "a", "1"), newRegistry(table, "b", "1")
+				stopA, stopB := run(a), run(b)
+				time.Sleep(10 * time.Second)
+				table.SetFaults(tc.faults)
+				time.Sleep(2 * time.Minute)
+				table.SetFaults(standin.TableFaults{})
+				time.Sleep(15 * time.Second)
+				c.Assert(a.Live(), qt.DeepEquals, []string{"a", "b"})
+				c.Assert(b.Live(), qt.DeepEquals, []string{"a", "b"})
+				c.Assert(stopA(), qt.IsNil)
+				c.Assert(stopB(), qt.IsNil)
+				table.Close()
+			})
+		})
+	}
+}
+
+func TestReplacedMemberStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		old := newRegistry(table, "a", "1")
+		stopOld := run(old)
+		time.Sleep(5 * time.Second)
+		next := newRegistry(table, "a", "2")
+		stopNext := run(next)
+		time.Sleep(10 * time.Second)
+		select {
+		case <-old.Lost():
+		default:
+			c.Fatal("the old incarnation goes on")
+		}
+		c.Assert(errors.Is(stopOld(), member.ErrReplaced), qt.IsTrue)
+		c.Assert(old.Alive("a", "1"), qt.IsFalse)
+		c.Assert(next.Alive("a", "2"), qt.IsTrue)
+		c.Assert(stopNext(), qt.IsNil)
+	})
+}
+
+func TestStaleRowIsGoneAndReaped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		stopDead := run(newRegistry(table, "dead", "1"))
+		time.Sleep(3 * time.Second)
+		c.Assert(stopDead(), qt.IsNil)
+
+		r := newRegistry(table, "a", "1")
+		stop := run(r)
+		time.Sleep(time.Second)
+		c.Assert(r.Alive("dead", "1"), qt.IsTrue, qt.Commentf("a row seen for the first time may be fresh"))
+		time.Sleep(member.GoneAfter(2) + time.Second)
+		c.Assert(r.Alive("dead", "1"), qt.IsFalse)
+		time.Sleep(12 * member.GoneAfter(2))
+		_, ok, err := table.Get(context.Background(), "member/dead")
+		c.Assert(err, qt.IsNil)
+		c.Assert(ok, qt.IsFalse, qt.Commentf("stale row is still there"))
+		c.Assert(stop(), qt.IsNil)
+	})
+}
+
+func TestLearnOrdersIncarnations(t *testing.T) {
+	known := member.Member{ID: "b", Incarnation: "2", Epoch: 20, State: member.Live}
+	cases := []struct {
+		name   string
+		learn  member.Member
+		silent time.Duration
+		want   bool
+	}{
+		{"same incarnation", known, 0, true},
+		{"later incarnation", member.Member{ID: "b", Incarnation: "3", Epoch: 30}, 0, true},
+		{"earlier incarnation", member.Member{ID: "b", Incarnation: "1", Epoch: 10}, 0, false},
+		{"earlier incarnation of one that is gone", member.Member{ID: "b", Incarnation: "1", Epoch: 10}, time.Minute, false},
+		{"without epoch while alive", member.Member{ID: "b", Incarnation: "3"}, 0, false},
+		{"without epoch after it is gone", member.Member{ID: "b", Incarnation: "3"}, time.Minute, true},
+		{"itself", member.Member{ID: "a", Incarnation: "9", Epoch: 99}, 0, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r := newRegistry(standin.NewTable(1), "a", "1")
+				c.Assert(r.Learn(known, 0), qt.IsTrue)
+				time.Sleep(tc.silent)
+				c.Assert(r.Learn(tc.learn, 0), qt.Equals, tc.want)
+				c.Assert(r.Alive("a", "1"), qt.IsTrue)
+			})
+		})
+	}
+}
+
+func TestSuspicionAndRefutation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newRegistry(standin.NewTable(1), "a", "1")
+		b := member.Member{ID: "b", Incarnation: "1", Epoch: 1, State: member.Live}
+		r.Learn(b, 0)
+		r.Suspect("b", "other incarnation")
+		c.Assert(r.Live(), qt.DeepEquals, []string{"a", "b"})
+		r.Suspect("b", "1")
+		c.Assert(r.Live(), qt.DeepEquals, []string{"a"})
+		c.Assert(r.Alive("b", "1"), qt.IsTrue, qt.Commentf("a suspect may still refute"))
+		time.Sleep(time.Second)
+		r.Learn(b, 30*time.Second)
+		c.Assert(r.Live(), qt.DeepEquals, []string{"a"}, qt.Commentf("an old sign refutes nothing"))
+		r.Heard("b", "1")
+		c.Assert(r.Live(), qt.DeepEquals, []string{"a", "b"})
+		r.Suspect("b", "1")
+		time.Sleep(11 * time.Second)
+		c.Assert(r.Alive("b", "1"), qt.IsFalse)
+	})
+}
+
+func TestLeavingSticks(t *testing.T) {
+	c := qt.New(t)
+	r := newRegistry(standin.NewTable(1), "a", "1")
+	b := member.Member{ID: "b", Incarnation: "1", Epoch: 1, State: member.Leaving}
+	r.Learn(b, 0)
+	b.State = member.Live
+	r.Learn(b, 0)
+	m, ok := r.Lookup("b")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(m.State, qt.Equals, member.Leaving)
+	c.Assert(r.Live(), qt.DeepEquals, []string{"a"})
+}
--- a/member/pace.go
+++ b/member/pace.go
@@ -61,6 +61,20 @@
 	return time.Duration(float64(d) * (1 - jitterPart + 2*jitterPart*rand.Float64()))
 }
 
+// Phase returns a function that gives the waits between periodic actions. The
+// first wait is a random part of the period, so that members that start
+// together are spread over it; the following ones have jitter.
+func Phase() func(period time.Duration) time.Duration {
+	first := true
+	return func(period time.Duration) time.Duration {
+		if first {
+			first = false
+			return time.Duration(float64(period) * rand.Float64())
+		}
+		return Jitter(period)
+	}
+}
+
 // perSecond returns the time in which events pass at a rate.
 func perSecond(events, rate float64) time.Duration {
 	return time.Duration(events / rate * float64(time.Second))
--- a/member/table.go
+++ b/member/table.go
@@ -45,6 +45,7 @@
 }
 
 func (r *Registry) heartbeats(ctx context.Context) error {
+	phase := Phase()
 	for {
 		err := r.write(ctx, r.Self())
 		if errors.Is(err, ErrReplaced) {
@@ -54,7 +55,7 @@
 		if err != nil && ctx.Err() == nil {
 			r.log.WithError(err).Warn("member: heartbeat failed.")
 		}
-		if !sleep(ctx, Jitter(HeartbeatPeriod(r.Count()))) {
+		if !sleep(ctx, phase(HeartbeatPeriod(r.Count()))) {
 			return nil
 		}
 	}
@@ -62,18 +63,19 @@
 
 func (r *Registry) scans(ctx context.Context) {
 	scanned := false
+	phase := Phase()
 	for {
 		err := r.scan(ctx)
 		if err != nil && ctx.Err() == nil {
 			r.log.WithError(err).Warn("member: scan failed.")
 		}
 		scanned = scanned || err == nil
-		period := ScanPeriod(r.Count())
-		if !scanned {
-			// Without a first scan the entry knows nobody.
-			period = minScanPeriod
+		wait := Jitter(minScanPeriod)
+		if scanned {
+			wait = phase(ScanPeriod(r.Count()))
 		}
-		if !sleep(ctx, Jitter(period)) {
+		// Without a first scan the entry knows nobody and tries again soon.
+		if !sleep(ctx, wait) {
 			return
 		}
 	}
--- a/peer/publish.go
+++ b/peer/publish.go
@@ -26,10 +26,11 @@
 // publishAll publishes this entry's state with the period of the deployment's
 // size, and at once when something urgent changed.
 func (m *Mesh) publishAll(ctx context.Context) {
+	phase := member.Phase()
 	for {
 		m.publish()
 		period := member.UpdatePeriod(m.o.Registry.Count())
-		timer := time.NewTimer(member.Jitter(period))
+		timer := time.NewTimer(phase(period))
 		select {
 		case <-timer.C:
 		case <-m.urgent:
