Add bench -size plan for the control paths

Need: figures for the planned size from slopes measured on one machine.

bench/plan runs the real membership, peer protocol, notices and template watchers of 25 to 410 entries in one process over TCP on loopback, against a counting table, through a calm period, spreads, the notices and the restart of a failure domain, and a table outage; least squares per figure, JSON.

--- /dev/null
+++ b/bench/plan/entry.go
@@ -0,0 +1,112 @@
+package plan
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+const deployment = "plan"
+
+// entry is the control paths of one entry host.
+type entry struct {
+	id, domain, region string
+
+	registry *member.Registry
+	notices  *drain.Set
+	mesh     *peer.Mesh
+	watcher  *template.Watcher
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+
+	mu      sync.Mutex
+	digests map[string]peer.Digest
+}
+
+func (e *entry) start(ctx context.Context, table platform.Table, log *logrus.Entry) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	e.digests = make(map[string]peer.Digest)
+	e.registry = member.New(table, member.Options{
+		ID:            e.id,
+		Incarnation:   uuid.NewString(),
+		Addr:          listener.Addr().String(),
+		FailureDomain: e.domain,
+		Region:        e.region,
+		Log:           log,
+	})
+	e.notices = drain.NewSet(log)
+	e.watcher = template.NewWatcher(template.NewStore(table, template.StoreOptions{}), deployment,
+		template.WatcherOptions{Fetch: e.fetch, Log: log})
+	e.mesh = peer.New(peer.Options{
+		Deployment: deployment,
+		Registry:   e.registry,
+		Notices:    e.notices,
+		Listener:   listener,
+		Dial:       (&net.Dialer{}).DialContext,
+		Log:        log,
+		Handlers: peer.Handlers{
+			Digest:          e.heard,
+			TemplateVersion: func(from, _ string, version uint64) { e.watcher.Observe(version, from) },
+			TemplateFetch:   e.serve,
+		},
+	})
+	e.watcher.OnChange(func(t *template.Template) { e.mesh.SetTemplateVersion(t.Name, t.Version) })
+	ctx, e.cancel = context.WithCancel(ctx)
+	e.running.Go(func() { _ = e.registry.Run(ctx) })
+	e.running.Go(func() { _ = e.mesh.Run(ctx) })
+	e.running.Go(func() { _ = e.watcher.Run(ctx) })
+	return nil
+}
+
+// stop ends the entry without a planned leave.
+func (e *entry) stop() {
+	e.cancel()
+	e.running.Wait()
+}
+
+func (e *entry) heard(from string, d peer.Digest) {
+	e.watcher.Touch()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.digests[from] = d
+}
+
+// fetch gets a template version from a peer.
+func (e *entry) fetch(ctx context.Context, from, name string, version uint64) (*template.Template, error) {
+	body, found, err := e.mesh.FetchTemplate(ctx, from, name, version)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, fmt.Errorf("peer %s has no version %d", from, version)
+	}
+	t := &template.Template{}
+	if err := json.Unmarshal(body, t); err != nil {
+		return nil, fmt.Errorf("template from peer %s: %w", from, err)
+	}
+	return t, nil
+}
+
+// serve gives the template version in force to a peer.
+func (e *entry) serve(name string, version uint64) (json.RawMessage, bool) {
+	t := e.watcher.Current()
+	if t == nil || t.Name != name || t.Version != version {
+		return nil, false
+	}
+	body, err := json.Marshal(t)
+	return body, err == nil
+}
--- /dev/null
+++ b/bench/plan/run.go
@@ -0,0 +1,252 @@
+package plan
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+)
+
+// Run measures with each number of members and returns the report.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	if len(cfg.Members) == 0 || cfg.Seconds <= 0 {
+		return Report{}, errors.New("plan: members and seconds must be given")
+	}
+	if cfg.Replicas <= 0 {
+		cfg.Replicas = PlannedReplicas
+	}
+	report := Report{Replicas: cfg.Replicas, Seconds: cfg.Seconds, Seed: cfg.Seed}
+	for _, members := range cfg.Members {
+		point, err := measure(ctx, cfg, members)
+		if err != nil {
+			return report, fmt.Errorf("plan with %d members: %w", members, err)
+		}
+		report.Points = append(report.Points, point)
+		if cfg.Log != nil {
+			cfg.Log.WithField("members", members).Info("plan: measured.")
+		}
+	}
+	report.fit()
+	return report, nil
+}
+
+// measure runs all steps with one number of members.
+func measure(ctx context.Context, cfg Config, members int) (Point, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	before := memoryInUse()
+	f := newFleet(ctx, cfg, members)
+	defer f.stop()
+	p := Point{Members: members}
+	steps := []struct {
+		name string
+		run  func(p *Point) error
+	}{
+		{"boot", f.measureBoot},
+		{"calm", func(p *Point) error { return f.measureCalm(p, before) }},
+		{"notices", f.measureNotices},
+		{"template", f.measureTemplate},
+		{"domain notices", f.measureDomainNotices},
+		{"restart", f.measureRestart},
+		{"outage", f.measureOutage},
+	}
+	for _, step := range steps {
+		start := time.Now()
+		if err := step.run(&p); err != nil {
+			return p, fmt.Errorf("%s: %w", step.name, err)
+		}
+		if cfg.Log != nil {
+			cfg.Log.WithFields(logrus.Fields{
+				"members": members,
+				"step":    step.name,
+				"seconds": time.Since(start).Seconds(),
+			}).Info("plan: step done.")
+		}
+	}
+	return p, nil
+}
+
+func (f *fleet) measureBoot(p *Point) error {
+	start := time.Now()
+	if err := f.boot(); err != nil {
+		return err
+	}
+	p.BootSeconds = time.Since(start).Seconds()
+	_, peak := f.metered.since(start)
+	p.BootPeakReads, p.BootPeakWrites, p.BootPeakRows = peak.Reads, peak.Writes, peak.Rows
+	return f.publishFor(settlePeriod)
+}
+
+// publishFor lets the demand move each second for a while.
+func (f *fleet) publishFor(d time.Duration) error {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		f.publish()
+		if err := f.sleep(publishPeriod); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measureCalm measures a period without faults, with template changes at the
+// planned rate.
+func (f *fleet) measureCalm(p *Point, before float64) error {
+	members := float64(len(f.entries))
+	p.MemoryMB = (memoryInUse() - before) / members / 1e6
+	gap := 24 * time.Hour / changesPerDay
+	due := time.Now()
+	start, cpu, sent := time.Now(), processorTime(), f.traffic()
+	for time.Since(start) < time.Duration(f.cfg.Seconds)*time.Second {
+		if !time.Now().Before(due) {
+			due = due.Add(gap)
+			if err := f.change(); err != nil {
+				return err
+			}
+		}
+		if err := f.publishFor(publishPeriod); err != nil {
+			return err
+		}
+	}
+	seconds := time.Since(start).Seconds()
+	now := f.traffic()
+	p.SentBytesPerSecond = float64(now.SentBytes-sent.SentBytes) / members / seconds
+	p.ReceivedBytesPerSecond = float64(now.ReceivedBytes-sent.ReceivedBytes) / members / seconds
+	p.MessagesPerSecond = float64(now.SentMessages-sent.SentMessages) / members / seconds
+	p.CorePercent = 100 * (processorTime() - cpu).Seconds() / members / seconds
+	mean, _ := f.metered.since(start)
+	p.TableReads, p.TableWrites, p.TableRows = mean.Reads, mean.Writes, mean.Rows
+	for _, e := range f.entries {
+		p.MaxNeighbours = max(p.MaxNeighbours, float64(len(e.mesh.Peers())))
+	}
+	return nil
+}
+
+// measureNotices measures how long a notice takes to every entry.
+func (f *fleet) measureNotices(p *Point) error {
+	for i := range spreads {
+		n := drain.Notice{HostID: fmt.Sprint("host-", i), Incarnation: "1", Reason: drain.ReasonReclaim}
+		start := time.Now()
+		f.entries[f.rng.IntN(len(f.entries))].mesh.SpreadNotice(n)
+		err := f.wait("notice", spreadTimeout, func(e *entry) bool { return e.notices.Leaving(n.HostID, "1") })
+		if err != nil {
+			return err
+		}
+		p.NoticeSeconds = max(p.NoticeSeconds, time.Since(start).Seconds())
+	}
+	return nil
+}
+
+// measureTemplate measures how long an approved change takes to every entry.
+func (f *fleet) measureTemplate(p *Point) error {
+	for range spreads {
+		start := time.Now()
+		if err := f.change(); err != nil {
+			return err
+		}
+		err := f.wait("template", spreadTimeout, func(e *entry) bool { return e.watcher.Version() >= f.version })
+		if err != nil {
+			return err
+		}
+		p.TemplateSeconds = max(p.TemplateSeconds, time.Since(start).Seconds())
+	}
+	return nil
+}
+
+// measureDomainNotices measures the notices of all replicas of a failure
+// domain at once.
+func (f *fleet) measureDomainNotices(p *Point) error {
+	hosts := f.cfg.Replicas / plannedDomains
+	before, start := f.traffic(), time.Now()
+	source := f.entries[f.rng.IntN(len(f.entries))]
+	for i := range hosts {
+		source.mesh.SpreadNotice(drain.Notice{
+			HostID:        fmt.Sprint("replica-", i),
+			Incarnation:   "1",
+			FailureDomain: "domain-03",
+			Reason:        drain.ReasonReclaim,
+			Remaining:     30 * time.Second,
+		})
+	}
+	err := f.wait("notices of a failure domain", spreadTimeout, func(e *entry) bool {
+		for i := range hosts {
+			if !e.notices.Leaving(fmt.Sprint("replica-", i), "1") {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	p.DomainNoticesSeconds = time.Since(start).Seconds()
+	if err := f.publishFor(2 * time.Second); err != nil {
+		return err
+	}
+	p.DomainNoticesKB = float64(f.traffic().SentBytes-before.SentBytes) / float64(len(f.entries)) / 1e3
+	return nil
+}
+
+// measureRestart restarts all entries of a failure domain at once.
+func (f *fleet) measureRestart(p *Point) error {
+	var victims []*entry
+	for _, e := range f.entries {
+		if e.domain == f.entries[0].domain {
+			victims = append(victims, e)
+		}
+	}
+	start, before := time.Now(), f.traffic()
+	for _, e := range victims {
+		e.stop()
+		f.retired = addTraffic(f.retired, e.mesh.Traffic())
+	}
+	for _, e := range victims {
+		if err := e.start(f.ctx, f.metered, f.log); err != nil {
+			return err
+		}
+	}
+	err := f.wait("restarted members", restartTimeout, func(e *entry) bool {
+		for _, v := range victims {
+			if !e.registry.Alive(v.id, v.registry.Self().Incarnation) {
+				return false
+			}
+		}
+		return e.watcher.Ready()
+	})
+	if err != nil {
+		return err
+	}
+	p.Restarted = float64(len(victims))
+	p.RestartSeconds = time.Since(start).Seconds()
+	if err := f.publishFor(5 * time.Second); err != nil {
+		return err
+	}
+	_, peak := f.metered.since(start)
+	p.RestartPeakReads, p.RestartPeakWrites, p.RestartPeakRows = peak.Reads, peak.Writes, peak.Rows
+	p.RestartKB = float64(f.traffic().SentBytes-before.SentBytes) / float64(len(f.entries)) / 1e3
+	return nil
+}
+
+// measureOutage takes the table away for a while and measures what it has to
+// bear when it is back.
+func (f *fleet) measureOutage(p *Point) error {
+	f.table.SetFaults(standin.TableFaults{Outage: true})
+	if err := f.publishFor(outagePeriod); err != nil {
+		return err
+	}
+	for _, e := range f.entries {
+		p.OutageLostMembers = max(p.OutageLostMembers, float64(len(f.entries)-len(e.registry.Live())))
+	}
+	start := time.Now()
+	f.table.SetFaults(standin.TableFaults{})
+	if err := f.publishFor(stormPeriod); err != nil {
+		return err
+	}
+	_, peak := f.metered.since(start)
+	p.StormPeakReads, p.StormPeakWrites, p.StormPeakRows = peak.Reads, peak.Writes, peak.Rows
+	return nil
+}
--- a/cmd/coltsfootcleat/main.go
+++ b/cmd/coltsfootcleat/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
 	subcommands.Register(&standinCommand{console: console{out: os.Stdout, err: os.Stderr}}, "")
+	subcommands.Register(planCommand(), "")
 	for _, c := range operatorCommands() {
 		subcommands.Register(c, "operators")
 	}
