sendonce: keep in-memory bodies in one write

Need: a wrapped body is unknown to net/http, which then flushes the headers by themselves: two writes for each call.

Change: the body keeps its type and only loses GetBody; an absent one becomes an empty reader. The guard has a test of its own.

--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"time"
 )
@@ -61,10 +62,6 @@
 // whether any byte may have been written; false is a promise. Redirects are
 // not followed.
 func (t *Transport) Once(req *http.Request) (*http.Response, bool, error) {
-	body := req.Body
-	if body == nil {
-		body = http.NoBody
-	}
 	var used *guard
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used, _ = info.Conn.(*guard)
@@ -73,8 +70,10 @@
 		}
 	}}
 	sent := req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	sent.Body = &singleUse{ReadCloser: body}
 	sent.GetBody = nil
+	if sent.Body == nil || sent.Body == http.NoBody {
+		sent.Body = io.NopCloser(strings.NewReader(""))
+	}
 	resp, err := t.http.RoundTrip(sent)
 	if err == nil {
 		return resp, true, nil
@@ -94,9 +93,6 @@
 	return resp, connected, err
 }
 
-// singleUse is a request body that is neither nil nor http.NoBody.
-type singleUse struct{ io.ReadCloser }
-
 func guarded(dial Dial) Dial {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
