--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -35,9 +34,9 @@
 	settings Settings
 	dial     Dial
 	log      *logrus.Entry
-	server   *http.Server
 
 	mu       sync.Mutex
+	server   *server
 	listen   Listen
 	closed   bool
 	machines map[string]*machine
@@ -99,8 +98,7 @@
 	}
 	d.mu.Lock()
 	d.listen = listen
-	d.server = &http.Server{Handler: d.handler(), ReadHeaderTimeout: readHeaderTimeout}
-	go func(s *http.Server) { _ = s.Serve(l) }(d.server)
+	d.server = serve(l, d.handler())
 	d.mu.Unlock()
 	if err := d.startHosts(); err != nil {
 		d.Close()
@@ -137,7 +135,7 @@
 	server := d.server
 	d.mu.Unlock()
 	if server != nil {
-		_ = server.Close()
+		server.close()
 	}
 	d.Platform.Close()
 }
--- a/standin/host.go
+++ b/standin/host.go
@@ -14,17 +14,35 @@
 	host    platform.Host
 	engine  *enginestandin.Engine
 	service map[string]*enginestandin.Service
-	servers []*http.Server
+	servers []*server
 	since   time.Time
 	until   time.Time
 	taken   *time.Timer
 }
 
+// server is an HTTP server with its listener.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// serve serves a handler until the server is closed.
+func serve(l net.Listener, h http.Handler) *server {
+	s := &server{http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}, listener: l}
+	go func() { _ = s.http.Serve(l) }()
+	return s
+}
+
+// close ends the server and its connections. The listener is closed here as
+// well, for Serve may not have taken it over yet.
+func (s *server) close() {
+	_ = s.http.Close()
+	_ = s.listener.Close()
+}
+
 // serve serves a handler on a listener until the machine stops.
 func (m *machine) serve(l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	m.servers = append(m.servers, server)
-	go func() { _ = server.Serve(l) }()
+	m.servers = append(m.servers, serve(l, h))
 }
 
 // stop resets all connections and ends the machine.
@@ -36,7 +54,7 @@
 		m.engine.Close()
 	}
 	for _, server := range m.servers {
-		_ = server.Close()
+		server.close()
 	}
 	m.until = time.Now()
 }
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	_ "embed"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -110,8 +111,21 @@
 	LossPerHour  float64 `toml:"loss_per_hour" validate:"gte=0"`
 }
 
-// DefaultSettings returns what holds where a file says nothing.
-func DefaultSettings() Settings {
+//go:embed default.toml
+var defaultTOML []byte
+
+// Default returns a deployment of three failure domains with three engines
+// and one plain service each.
+func Default() Settings {
+	s, err := ParseSettings(defaultTOML)
+	if err != nil {
+		panic(err) // the file is part of the package, and tested
+	}
+	return s
+}
+
+// base returns what holds where a file says nothing.
+func base() Settings {
 	return Settings{
 		Listen: "127.0.0.1:7000",
 		Engine: Engine{Port: 8000},
@@ -137,7 +151,7 @@
 
 // ParseSettings reads and validates TOML. Unknown keys are faults.
 func ParseSettings(data []byte) (Settings, error) {
-	s := DefaultSettings()
+	s := base()
 	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := decoder.Decode(&s); err != nil {
 		return Settings{}, describe(err)
