--- a/endpoint/standin/engine.go
+++ b/endpoint/standin/engine.go
@@ -146,6 +146,7 @@
 	default:
 		e.loaded = []endpoint.LoadedModel{model}
 	}
+	e.recordLoadLocked()
 }
 
 // Close ends all streams and timers.
--- a/endpoint/standin/faults.go
+++ b/endpoint/standin/faults.go
@@ -60,6 +60,7 @@
 		e.reviveLocked()
 	}
 	e.faults = f
+	e.recordLoadLocked()
 	close(e.switched)
 	e.switched = make(chan struct{})
 	e.cache.lose = func() bool { return e.rng.Float64() < e.faults.LoseEvent }
--- a/endpoint/standin/load.go
+++ b/endpoint/standin/load.go
@@ -38,6 +38,7 @@
 
 func (e *Engine) recordLoadLocked() {
 	if e.lagLocked() <= 0 {
+		e.loads.entries = nil
 		return
 	}
 	e.loads.record(time.Now(), e.currentLoadLocked(), e.lagLocked())
