--- a/app/entry.go
+++ b/app/entry.go
@@ -10,7 +10,11 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+	"github.com/coltsfootcleat/coltsfootcleat/relay"
+	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
 // startTimeout bounds the start of an entry.
@@ -21,9 +25,12 @@
 
 // Entry is one entry host. Start and Stop are called once each.
 type Entry struct {
-	app  *fx.App
-	gate *Gate
-	log  *logrus.Logger
+	app     *fx.App
+	gate    *Gate
+	log     *logrus.Logger
+	watcher *template.Watcher
+	mesh    *peer.Mesh
+	relay   *relay.Relay
 }
 
 // Config is what an entry is built from.
@@ -31,17 +38,28 @@
 	Settings settings.Entry
 	Network  Network
 	Log      *logrus.Logger
+	// Experiment replaces policies by baselines; the zero value does not.
+	Experiment Experiment
 	// Options adds to or replaces parts, for tests and experiments.
 	Options []fx.Option
 }
 
+// Experiment selects baselines for experiments.
+type Experiment struct {
+	// Policy is the routing policy.
+	Policy routing.Policy
+	// RestartOnReclaim lets streams of a host that is reclaimed break, and
+	// starts their answers again from the beginning.
+	RestartOnReclaim bool
+}
+
 // New builds an entry. Nothing runs before Start.
 func New(c Config) (*Entry, error) {
 	e := &Entry{gate: NewGate(), log: c.Log}
 	options := []fx.Option{
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.Supply(c.Settings, c.Network, c.Log, e.gate, Incarnation(uuid.NewString())),
+		fx.Supply(c.Settings, c.Network, c.Log, c.Experiment, e.gate, Incarnation(uuid.NewString())),
 		platformModule,
 		decisionModule,
 		requestModule,
@@ -49,6 +67,7 @@
 		operatorModule,
 		serverModule,
 		loopModule,
+		fx.Populate(&e.watcher, &e.mesh, &e.relay),
 	}
 	e.app = fx.New(append(options, c.Options...)...)
 	if err := e.app.Err(); err != nil {
@@ -65,6 +84,15 @@
 	return nil
 }
 
+// TemplateVersion returns the version in force, 0 before the first.
+func (e *Entry) TemplateVersion() uint64 { return e.watcher.Version() }
+
+// Traffic returns what went between this entry and its peers.
+func (e *Entry) Traffic() peer.Traffic { return e.mesh.Traffic() }
+
+// RelayCounts returns what happened to the answers that it carried.
+func (e *Entry) RelayCounts() relay.Counts { return e.relay.Counts() }
+
 // Drain takes no new work from now on and waits until all requests in
 // progress have ended.
 func (e *Entry) Drain(ctx context.Context) error {
--- a/app/modules.go
+++ b/app/modules.go
@@ -88,25 +88,39 @@
 	})
 }
 
-func newFleet(s settings.Entry, log *logrus.Logger, w *template.Watcher) *routing.Fleet {
+func newFleet(s settings.Entry, x Experiment, log *logrus.Logger, w *template.Watcher) *routing.Fleet {
 	f := routing.NewFleet(routing.Options{
 		FailureDomain: s.FailureDomain,
 		Region:        s.Region,
 		Log:           entryLog(log, s),
 		Seed:          rand.Uint64(),
+		Policy:        x.Policy,
 	})
 	w.OnChange(f.SetTemplate)
 	return f
 }
 
-func newAdmission(s settings.Entry, log *logrus.Logger, w *template.Watcher) *admission.Controller {
-	c := admission.New(admission.Options{Entry: s.ID, Log: entryLog(log, s)})
+func newAdmission(s settings.Entry, log *logrus.Logger, w *template.Watcher, f *routing.Fleet) *admission.Controller {
+	c := admission.New(admission.Options{
+		Entry: s.ID,
+		Log:   entryLog(log, s),
+		Headroom: func(model string) (admission.Headroom, bool) {
+			free, total, known := f.Headroom(model)
+			return admission.Headroom{Free: free, Total: total}, known
+		},
+	})
 	w.OnChange(c.SetTemplate)
 	return c
 }
 
-func newRelay(f *routing.Fleet, client endpoint.Client, a *admission.Controller, s settings.Entry, log *logrus.Logger) *relay.Relay {
-	return relay.New(relay.Options{Fleet: f, Client: client, Retries: a, Log: entryLog(log, s)})
+func newRelay(f *routing.Fleet, client endpoint.Client, a *admission.Controller, x Experiment, s settings.Entry, log *logrus.Logger) *relay.Relay {
+	return relay.New(relay.Options{
+		Fleet:   f,
+		Client:  client,
+		Retries: a,
+		Log:     entryLog(log, s),
+		Restart: x.RestartOnReclaim,
+	})
 }
 
 func newOnce(lc fx.Lifecycle, table platform.Table, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
--- a/bench/caller/chat.go
+++ b/bench/caller/chat.go
@@ -209,6 +209,7 @@
 
 func (a *answer) describe(r *history.Record) {
 	r.Accepted = a.accepted
+	r.Cut = a.err != nil && !a.short && !a.crossed
 	r.FirstToken = a.first
 	r.Gaps = a.gaps
 	r.Tokens = a.tokens
--- /dev/null
+++ b/bench/experiment/config.go
@@ -0,0 +1,76 @@
+// Package experiment runs a workload against a policy under a fault schedule
+// and reports what it cost and whether the promises held. It runs the real
+// code of the entries against the stand-ins, by the wall clock.
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/app"
+	"github.com/coltsfootcleat/coltsfootcleat/routing"
+)
+
+// Policy names what decides in a run.
+type Policy string
+
+// Policies. All but PolicyDefault are baselines.
+const (
+	PolicyDefault          Policy = "coltsfootcleat"
+	PolicyRoundRobin       Policy = "round-robin"
+	PolicyLeastInFlight    Policy = "least-in-flight"
+	PolicyAffinityOnly     Policy = "affinity-only"
+	PolicyRestartOnReclaim Policy = "restart-on-reclaim"
+	PolicyOnDemandOnly     Policy = "on-demand-only"
+)
+
+// Policies lists all policies.
+func Policies() []Policy {
+	return []Policy{
+		PolicyDefault, PolicyRoundRobin, PolicyLeastInFlight,
+		PolicyAffinityOnly, PolicyRestartOnReclaim, PolicyOnDemandOnly,
+	}
+}
+
+// experiment returns the entries' part of a policy.
+func (p Policy) experiment() app.Experiment {
+	switch p {
+	case PolicyRoundRobin, PolicyLeastInFlight, PolicyAffinityOnly:
+		return app.Experiment{Policy: routing.Policy(p)}
+	case PolicyRestartOnReclaim:
+		return app.Experiment{RestartOnReclaim: true}
+	default:
+		return app.Experiment{}
+	}
+}
+
+// Config describes one run.
+type Config struct {
+	Deployment string
+	Policy     Policy
+	Schedule   Schedule
+	Seed       uint64
+	// Duration is how long requests arrive.
+	Duration time.Duration
+	// Load scales the arrivals; 1 is the size of today.
+	Load float64
+	// Network is the second number of the loopback network 127.N.
+	Network int
+	// Progress is called now and then with the part of the run that is done;
+	// nil for none.
+	Progress func(done float64)
+}
+
+func (c Config) validate() error {
+	if !slices.Contains(Policies(), c.Policy) {
+		return fmt.Errorf("unknown policy %q", c.Policy)
+	}
+	if !slices.Contains(Schedules(), c.Schedule) {
+		return fmt.Errorf("unknown schedule %q", c.Schedule)
+	}
+	if c.Duration <= 0 || c.Load <= 0 {
+		return fmt.Errorf("duration %s and load %g must be above 0", c.Duration, c.Load)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/experiment/report.go
@@ -0,0 +1,236 @@
+package experiment
+
+import (
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/coltsfootcleat/coltsfootcleat/bench/history"
+	"github.com/coltsfootcleat/coltsfootcleat/prefix"
+)
+
+// Report is the result of one run. Times are in seconds, cost in the
+// deployment's currency.
+type Report struct {
+	Deployment string   `json:"deployment"`
+	Policy     Policy   `json:"policy"`
+	Schedule   Schedule `json:"schedule"`
+	Seed       uint64   `json:"seed"`
+	Load       float64  `json:"load"`
+
+	Requests          int `json:"requests"`
+	AnsweredWhole     int `json:"answered_whole"`
+	RefusedNotRun     int `json:"refused_not_run"`
+	MayHaveRun        int `json:"may_have_run"`
+	LostAnswers       int `json:"lost_answers"`
+	CrossedAnswers    int `json:"crossed_answers"`
+	DuplicateExecs    int `json:"duplicate_executions"`
+	NotRunButExecuted int `json:"not_run_but_executed"`
+	CutByDrain        int `json:"cut_by_drain"`
+	TemplateReverts   int `json:"template_reverts"`
+	InvariantsBroken  int `json:"invariants_broken"`
+	TokensGenerated   int `json:"tokens_generated"`
+	TokensRecomputed  int `json:"tokens_recomputed"`
+	TokensRequired    int `json:"tokens_required"`
+
+	TemplateConvergeP99 float64 `json:"template_converge_p99_s"`
+	NewWorkAfterDrain   float64 `json:"new_work_after_drain_s"`
+	TTFTP50             float64 `json:"ttft_p50_s"`
+	TTFTP95             float64 `json:"ttft_p95_s"`
+	UrgentTTFTP95       float64 `json:"urgent_ttft_p95_s"`
+	InterTokenP95       float64 `json:"inter_token_p95_s"`
+	UrgentInterTokenP95 float64 `json:"urgent_inter_token_p95_s"`
+	// DeadlineMet is the part of the answered requests whose first token, or
+	// reply, came within the deadline of their kind.
+	DeadlineMet     float64 `json:"deadline_met"`
+	Cost            float64 `json:"cost"`
+	CostPerAnswered float64 `json:"cost_per_answered"`
+	TableReads      float64 `json:"table_reads_per_s"`
+	TableWrites     float64 `json:"table_writes_per_s"`
+	ControlBytes    float64 `json:"control_bytes_per_s"`
+	ControlCore     float64 `json:"control_core_percent"`
+	RSS             float64 `json:"rss_mb"`
+	AddedLatencyP50 float64 `json:"added_latency_p50_s"`
+	AddedLatencyP99 float64 `json:"added_latency_p99_s"`
+	Seconds         float64 `json:"seconds"`
+
+	// Violations are the broken promises.
+	Violations []string `json:"violations"`
+}
+
+// Kept says whether every promise held.
+func (r *Report) Kept() bool { return len(r.Violations) == 0 }
+
+func (r *run) report(before, after snapshot) Report {
+	out := Report{
+		Deployment: r.config.Deployment,
+		Policy:     r.config.Policy,
+		Schedule:   r.config.Schedule,
+		Seed:       r.config.Seed,
+		Load:       r.config.Load,
+		Violations: []string{},
+	}
+	records := r.history.Records()
+	out.countOutcomes(records)
+	out.countCalls(records, after)
+	r.setTimes(&out, records)
+	out.setTokens(records, before, after)
+	out.setRates(before, after)
+	for _, v := range history.Check(records, after.records, history.Allow{CutAttached: r.killed.Load()}) {
+		out.Violations = append(out.Violations, v.Promise+": "+v.Detail)
+	}
+	out.Violations = append(out.Violations, r.faults...)
+	out.InvariantsBroken = int(after.invariants - before.invariants)
+	if out.InvariantsBroken > 0 {
+		out.Violations = append(out.Violations, "invariants broken: "+strconv.Itoa(out.InvariantsBroken))
+	}
+	if !r.killed.Load() {
+		out.CutByDrain = out.LostAnswers
+	}
+	return out
+}
+
+func (out *Report) countOutcomes(records []history.Record) {
+	out.Requests = len(records)
+	for _, r := range records {
+		switch r.Outcome {
+		case history.Whole:
+			out.AnsweredWhole++
+		case history.NotRun:
+			out.RefusedNotRun++
+		case history.Unknown:
+			out.MayHaveRun++
+		case history.Lost:
+			out.LostAnswers++
+		case history.Crossed:
+			out.CrossedAnswers++
+		}
+	}
+}
+
+func (out *Report) countCalls(records []history.Record, after snapshot) {
+	refused := make(map[string]bool)
+	for _, r := range records {
+		if r.Outcome == history.NotRun && r.Request.Key != "" {
+			refused[r.Request.Key] = true
+		}
+	}
+	for _, service := range after.records.Services {
+		for key, n := range service.Executions {
+			if n > 1 {
+				out.DuplicateExecs += n - 1
+			}
+			if n > 0 && refused[key] {
+				out.NotRunButExecuted++
+			}
+		}
+	}
+}
+
+func (r *run) setTimes(out *Report, records []history.Record) {
+	all, urgent, gaps, urgentGaps := newTimings(), newTimings(), newTimings(), newTimings()
+	met, answered := 0, 0
+	for _, rec := range records {
+		if rec.Outcome != history.Whole {
+			continue
+		}
+		answered++
+		if kind, ok := r.template.Kind(rec.Request.Class.Kind); ok && rec.FirstToken <= kind.Deadline.Std() {
+			met++
+		}
+		if rec.Request.Class.Chat == nil {
+			continue
+		}
+		all.add(rec.FirstToken)
+		if rec.Request.Class.Urgent {
+			urgent.add(rec.FirstToken)
+		}
+		for _, g := range rec.Gaps {
+			gaps.add(g)
+			if rec.Request.Class.Urgent {
+				urgentGaps.add(g)
+			}
+		}
+	}
+	out.TTFTP50, out.TTFTP95, out.UrgentTTFTP95 = all.at(50), all.at(95), urgent.at(95)
+	out.InterTokenP95, out.UrgentInterTokenP95 = gaps.at(95), urgentGaps.at(95)
+	if answered > 0 {
+		out.DeadlineMet = float64(met) / float64(answered)
+	}
+	converged := newTimings()
+	for _, d := range r.converged {
+		converged.add(d)
+	}
+	out.TemplateConvergeP99 = converged.at(99)
+	for _, d := range r.newWork {
+		out.NewWorkAfterDrain = max(out.NewWorkAfterDrain, d.Seconds())
+	}
+}
+
+// setTokens compares what the engines computed with the least that the
+// answers needed: every block of a customer's prompts once, and every token
+// of an answer once.
+func (out *Report) setTokens(records []history.Record, before, after snapshot) {
+	seen := make(map[uint64]bool)
+	prompts, answers := 0, 0
+	for _, r := range records {
+		if r.Request.Class.Chat == nil || !r.Accepted {
+			continue
+		}
+		prompts += newTokens(seen, r)
+		answers += r.Tokens
+	}
+	prefilled := int(after.records.Totals.PrefilledTokens - before.records.Totals.PrefilledTokens)
+	generated := int(after.records.Totals.GeneratedTokens - before.records.Totals.GeneratedTokens)
+	out.TokensGenerated = generated
+	out.TokensRequired = prompts + answers
+	out.TokensRecomputed = max(0, prefilled-prompts) + max(0, generated-answers)
+}
+
+// newTokens returns the tokens of a prompt that no earlier prompt of the
+// customer had.
+func newTokens(seen map[uint64]bool, r history.Record) int {
+	hashes, tokens := prefix.Hashes(r.Request.Customer.Name, prefix.Text(r.Request.Messages))
+	for _, h := range hashes {
+		if seen[h] {
+			tokens -= prefix.BlockTokens
+		}
+		seen[h] = true
+	}
+	return tokens
+}
+
+func (out *Report) setRates(before, after snapshot) {
+	out.Seconds = after.at.Sub(before.at).Seconds()
+	out.Cost = after.records.Cost - before.records.Cost
+	if out.AnsweredWhole > 0 {
+		out.CostPerAnswered = out.Cost / float64(out.AnsweredWhole)
+	}
+	out.TableReads = float64(after.table.Reads-before.table.Reads) / out.Seconds
+	out.TableWrites = float64(after.table.Writes-before.table.Writes) / out.Seconds
+	out.RSS = residentMegabytes()
+}
+
+func (out *Report) setIdle(i idle) {
+	out.ControlBytes = i.peerBytes
+	out.ControlCore = i.corePercent
+}
+
+func (out *Report) setAdded(a added) {
+	out.AddedLatencyP50 = a.entry.at(50) - a.direct.at(50)
+	out.AddedLatencyP99 = a.entry.at(99) - a.direct.at(99)
+}
+
+// residentMegabytes returns the memory of this process, stand-ins included.
+func residentMegabytes() float64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseFloat(fields[1], 64)
+	return pages * float64(os.Getpagesize()) / (1 << 20)
+}
--- /dev/null
+++ b/bench/experiment/timings.go
@@ -0,0 +1,31 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Range and precision of timings.
+const (
+	shortestMicros = 1
+	longestMicros  = int64(10 * time.Minute / time.Microsecond)
+	digits         = 3
+)
+
+// timings is a histogram of durations.
+type timings struct{ h *hdrhistogram.Histogram }
+
+func newTimings() *timings {
+	return &timings{h: hdrhistogram.New(shortestMicros, longestMicros, digits)}
+}
+
+func (t *timings) add(d time.Duration) {
+	// Durations beyond the range count as its end.
+	_ = t.h.RecordValue(min(d.Microseconds(), longestMicros))
+}
+
+// at returns a percentile in seconds.
+func (t *timings) at(percentile float64) float64 {
+	return float64(t.h.ValueAtQuantile(percentile)) / float64(time.Second/time.Microsecond)
+}
--- a/bench/history/history.go
+++ b/bench/history/history.go
@@ -34,6 +34,9 @@
 	Outcome Outcome
 	// Accepted is set once the caller was told that the request is accepted.
 	Accepted bool
+	// Cut is set when the last connection broke, so that the caller knows
+	// that the answer is not whole.
+	Cut bool
 	// Attempts counts what the caller sent.
 	Attempts int
 	// FirstToken is counted from the arrival, and Gaps are the times between
--- a/bench/inprocess/deployment.go
+++ b/bench/inprocess/deployment.go
@@ -24,8 +24,9 @@
 	Template *template.Template
 	Entries  []settings.Entry
 	// Network returns the network of the host with an IP number.
-	Network func(ip string) app.Network
-	Log     *logrus.Logger
+	Network    func(ip string) app.Network
+	Log        *logrus.Logger
+	Experiment app.Experiment
 	// EntryOptions changes parts of all entries.
 	EntryOptions []fx.Option
 }
@@ -87,6 +88,13 @@
 // Settings returns the settings of an entry host.
 func (d *Deployment) Settings(i int) settings.Entry { return d.entries[i].settings }
 
+// Entry returns the entry that runs on a host, nil while it is down.
+func (d *Deployment) Entry(i int) *app.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.entries[i].entry
+}
+
 // Up says whether an entry host runs.
 func (d *Deployment) Up(i int) bool {
 	d.mu.Lock()
@@ -106,7 +114,9 @@
 		Settings: h.settings,
 		Network:  power.network(),
 		Log:      d.options.Log,
-		Options:  d.options.EntryOptions,
+
+		Experiment: d.options.Experiment,
+		Options:    d.options.EntryOptions,
 	})
 	if err != nil {
 		return err
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -104,8 +104,8 @@
 		Messages:     c.request.Messages,
 		MaxTokens:    c.request.MaxTokens,
 		Priority:     c.priority(),
-		Resume:       c.answer.text.String(),
-		ResumeTokens: c.answer.tokens,
+		Resume:       c.resumeText(),
+		ResumeTokens: c.resumeTokens(),
 		KV:           kv,
 	})
 	if err != nil {
@@ -121,6 +121,20 @@
 	return stream, nil
 }
 
+func (c *carrier) resumeText() string {
+	if c.relay.options.Restart {
+		return ""
+	}
+	return c.answer.text.String()
+}
+
+func (c *carrier) resumeTokens() int {
+	if c.relay.options.Restart {
+		return 0
+	}
+	return c.answer.tokens
+}
+
 func (c *carrier) priority() endpoint.Priority {
 	p := endpoint.PriorityNormal
 	switch c.request.Urgency {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,6 +36,10 @@
 	GiveUp time.Duration
 	// OrderTimeout bounds cancel, export and import calls.
 	OrderTimeout time.Duration
+	// Restart starts an answer again from its beginning instead of resuming
+	// it, as a baseline for experiments. What the caller has is not sent
+	// twice.
+	Restart bool
 	// NewID returns a unique attempt ID.
 	NewID func() string
 }
