Add bench for today's sizes beside the plan size

Need: policies and baselines measured in one run on one seed. One command, two sizes; the table has a row per figure under the names of the JSON form.

--- /dev/null
+++ b/cmd/coltsfootcleat/bench.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/olekukonko/tablewriter"
+
+	"github.com/coltsfootcleat/coltsfootcleat/bench/experiment"
+	"github.com/coltsfootcleat/coltsfootcleat/deployments"
+)
+
+// Sizes of a measurement.
+const (
+	sizeToday = "today"
+	sizePlan  = "plan"
+)
+
+// benchCommand runs experiments.
+type benchCommand struct {
+	console
+	planFlags
+	size       string
+	deployment string
+	policies   string
+	schedules  string
+	seed       uint64
+	duration   time.Duration
+	load       float64
+	network    int
+	json       bool
+}
+
+// Name implements subcommands.Command.
+func (*benchCommand) Name() string { return "bench" }
+
+// Synopsis implements subcommands.Command.
+func (*benchCommand) Synopsis() string {
+	return "measure policies under load and faults, baselines beside the real one"
+}
+
+// Usage implements subcommands.Command.
+func (*benchCommand) Usage() string {
+	return `bench [-deployment NAME] [-policy LIST] [-schedule LIST] [-seed N] [-duration D] [-load X] [-json]
+bench -size plan [-members LIST] [-replicas N] [-seconds N] [-seed N] [-json]:
+  Runs the real code of three entries against stand-ins on loopback addresses,
+  once for each policy and schedule, with open-loop load, and prints a table or
+  JSON. Exits 1 if a promise was broken in any run.
+
+  Policies:  ` + joined(experiment.Policies()) + `
+  Schedules: ` + joined(experiment.Schedules()) + `
+
+  Example:
+    coltsfootcleat bench -deployment agencia-nordestina -policy coltsfootcleat,round-robin -schedule calm -duration 30s
+    coltsfootcleat bench -size plan -members 25,50,100 -seconds 20
+
+`
+}
+
+func joined[T ~string](names []T) string {
+	out := make([]string, len(names))
+	for i, n := range names {
+		out[i] = string(n)
+	}
+	return strings.Join(out, ", ")
+}
+
+// SetFlags implements subcommands.Command.
+func (c *benchCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.size, "size", sizeToday, "`size`: "+sizeToday+" for a deployment under load, "+sizePlan+" for the control paths of many entries")
+	c.planFlags.set(f)
+	f.StringVar(&c.deployment, "deployment", deployments.KarooWick, "shipped `deployment` whose mix is run")
+	f.StringVar(&c.policies, "policy", string(experiment.PolicyDefault), "comma-separated `policies`")
+	f.StringVar(&c.schedules, "schedule", string(experiment.ScheduleCalm), "comma-separated fault `schedules`")
+	f.Uint64Var(&c.seed, "seed", 1, "`seed` of load and faults")
+	f.DurationVar(&c.duration, "duration", 30*time.Second, "how long requests arrive, with its unit")
+	f.Float64Var(&c.load, "load", 1, "factor on the arrival rates of today")
+	f.IntVar(&c.network, "network", 40, "second number of the loopback `network` 127.N to use")
+	f.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+// Execute implements subcommands.Command.
+func (c *benchCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return c.exit(usageError{"bench: takes flags only"})
+	}
+	switch c.size {
+	case sizePlan:
+		return c.planFlags.run(ctx, c.seed, c.json)
+	case sizeToday:
+	default:
+		return c.exit(usageError{fmt.Sprintf("bench: unknown size %q", c.size)})
+	}
+	reports, err := c.runAll(ctx)
+	if err != nil {
+		return c.exit(err)
+	}
+	if err := c.print(reports); err != nil {
+		return c.exit(err)
+	}
+	for _, r := range reports {
+		if !r.Kept() {
+			return c.exit(fmt.Errorf("bench: %s under %s broke promises: %s", r.Policy, r.Schedule, strings.Join(r.Violations, "; ")))
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *benchCommand) runAll(ctx context.Context) ([]experiment.Report, error) {
+	var reports []experiment.Report
+	for _, schedule := range strings.Split(c.schedules, ",") {
+		for _, policy := range strings.Split(c.policies, ",") {
+			r, err := experiment.Run(ctx, experiment.Config{
+				Deployment: c.deployment,
+				Policy:     experiment.Policy(policy),
+				Schedule:   experiment.Schedule(schedule),
+				Seed:       c.seed,
+				Duration:   c.duration,
+				Load:       c.load,
+				Network:    c.network,
+			})
+			if err != nil {
+				return nil, err
+			}
+			reports = append(reports, r)
+		}
+	}
+	return reports, nil
+}
+
+func (c *benchCommand) print(reports []experiment.Report) error {
+	if c.json {
+		e := json.NewEncoder(c.out)
+		e.SetIndent("", "  ")
+		return e.Encode(reports)
+	}
+	return printReports(c.console, reports)
+}
+
+// printReports prints reports side by side, a row for each figure.
+func printReports(c console, reports []experiment.Report) error {
+	table := tablewriter.NewWriter(c.out)
+	header := []string{"figure"}
+	rows := make(map[string][]string)
+	var order []string
+	for _, r := range reports {
+		header = append(header, fmt.Sprintf("%s / %s", r.Policy, r.Schedule))
+		figures, err := figuresOf(r)
+		if err != nil {
+			return err
+		}
+		for _, figure := range figures {
+			if rows[figure.name] == nil {
+				order = append(order, figure.name)
+			}
+			rows[figure.name] = append(rows[figure.name], figure.value)
+		}
+	}
+	table.Header(header)
+	for _, name := range order {
+		if err := table.Append(append([]string{name}, rows[name]...)); err != nil {
+			return err
+		}
+	}
+	return table.Render()
+}
+
+type figure struct{ name, value string }
+
+// figuresOf lists a report's figures in the order of its JSON form.
+func figuresOf(r experiment.Report) ([]figure, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	d := json.NewDecoder(strings.NewReader(string(data)))
+	var out []figure
+	if _, err := d.Token(); err != nil {
+		return nil, err
+	}
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return nil, err
+		}
+		var value any
+		if err := d.Decode(&value); err != nil {
+			return nil, err
+		}
+		if number, ok := value.(float64); ok {
+			out = append(out, figure{name: fmt.Sprint(key), value: fmt.Sprintf("%.5g", number)})
+		}
+	}
+	return out, nil
+}
--- a/cmd/coltsfootcleat/main.go
+++ b/cmd/coltsfootcleat/main.go
@@ -13,8 +13,9 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
-	subcommands.Register(&standinCommand{console: console{out: os.Stdout, err: os.Stderr}}, "")
-	subcommands.Register(planCommand(), "")
+	terminal := console{out: os.Stdout, err: os.Stderr}
+	subcommands.Register(&standinCommand{console: terminal}, "")
+	subcommands.Register(&benchCommand{console: terminal}, "")
 	for _, c := range operatorCommands() {
 		subcommands.Register(c, "operators")
 	}
--- a/e2e/randomised/world_test.go
+++ b/e2e/randomised/world_test.go
@@ -39,7 +39,8 @@
 func customer(i int) string { return fmt.Sprintf("customer-%d", i+1) }
 
 func standinSettings(seed uint64) standin.Settings {
-	s := standin.DefaultSettings()
+	s := standin.Default()
+	s.FailureDomains = nil
 	s.Seed = seed
 	s.Listen = platformIP + ":70"
 	s.Platform.TableLatency = template.Duration(2 * time.Millisecond)
