--- /dev/null
+++ b/routing/fleet.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+// Fleet is one entry's view of all endpoints. It is safe for concurrent use.
+type Fleet struct {
+	opts    Options
+	log     *logrus.Entry
+	now     func() time.Time
+	view    atomic.Pointer[view]
+	weights atomic.Pointer[template.Weights]
+	// leaveSeq numbers MarkLeaving calls.
+	leaveSeq atomic.Uint64
+	sampler  sampler
+	index    *prefixIndex
+	mix      urgencyMix
+	// requests counts choices.
+	requests atomic.Uint64
+
+	// probeMu guards prober and ejected.
+	probeMu sync.Mutex
+	prober  prober
+	ejected []*replica
+
+	// mu guards what builds the view.
+	mu       sync.Mutex
+	listed   []platform.Host
+	hosts    map[hostKey]*hostState
+	replicas map[replicaKey]*replica
+	left     map[hostKey]leavingMark
+	stats    map[groupKey]*groupStats
+	market   market
+	numbers  numbering
+}
+
+// hostKey names one incarnation of a host.
+type hostKey struct {
+	id          string
+	incarnation string
+}
+
+// replicaKey names an endpoint on one incarnation of a host.
+type replicaKey struct {
+	host     hostKey
+	endpoint platform.Endpoint
+}
+
+// NewFleet returns a Fleet without hosts.
+func NewFleet(opts Options) *Fleet {
+	if opts.Policy == "" {
+		opts.Policy = PolicyDefault
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		silent.SetLevel(logrus.PanicLevel)
+		opts.Log = logrus.NewEntry(silent)
+	}
+	f := &Fleet{
+		opts:     opts,
+		log:      opts.Log,
+		now:      opts.Now,
+		hosts:    make(map[hostKey]*hostState),
+		replicas: make(map[replicaKey]*replica),
+		left:     make(map[hostKey]leavingMark),
+		stats:    make(map[groupKey]*groupStats),
+		market:   newMarket(),
+		index:    newPrefixIndex(opts.IndexEntries),
+	}
+	f.weights.Store(&opts.Weights)
+	f.sampler.seed(opts.Seed)
+	f.view.Store(newView(0))
+	return f
+}
+
+// SetTemplate takes over the weights of a template.
+func (f *Fleet) SetTemplate(t *template.Template) {
+	w := t.Weights
+	f.weights.Store(&w)
+}
+
+// Endpoints returns the status of all listed endpoints.
+func (f *Fleet) Endpoints() []EndpointStatus {
+	now := f.now()
+	v := f.view.Load()
+	out := make([]EndpointStatus, 0, len(v.all))
+	for _, r := range v.all {
+		out = append(out, r.status(now))
+	}
+	return out
+}
