--- a/app/modules.go
+++ b/app/modules.go
@@ -13,6 +13,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/delivery"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	endpointrest "github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/once"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	platformrest "github.com/coltsfootcleat/coltsfootcleat/platform/rest"
@@ -123,10 +124,11 @@
 	})
 }
 
-func newOnce(lc fx.Lifecycle, table platform.Table, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
+func newOnce(lc fx.Lifecycle, table platform.Table, registry *member.Registry, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
 	store := once.New(table, once.Options{
 		EntryID:     s.ID,
 		Incarnation: string(i),
+		Alive:       registry.Alive,
 		Log:         entryLog(log, s),
 	})
 	lc.Append(fx.StopHook(func(context.Context) { store.Close() }))
--- /dev/null
+++ b/cmd/coltsfootcleat/demo.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/schollz/progressbar/v3"
+
+	"github.com/coltsfootcleat/coltsfootcleat/bench/experiment"
+	"github.com/coltsfootcleat/coltsfootcleat/deployments"
+)
+
+const (
+	// demoDuration is how long the demonstration's requests arrive.
+	demoDuration = 20 * time.Second
+	// demoNetwork is the loopback network of the first deployment.
+	demoNetwork = 60
+	// barSteps is the length of the progress bar.
+	barSteps = 100
+)
+
+// demoCommand shows both deployments under load and faults.
+type demoCommand struct {
+	console
+	hold     bool
+	json     bool
+	seed     uint64
+	duration time.Duration
+}
+
+// Name implements subcommands.Command.
+func (*demoCommand) Name() string { return "demo" }
+
+// Synopsis implements subcommands.Command.
+func (*demoCommand) Synopsis() string {
+	return "run both shipped deployments under load and faults, in one process"
+}
+
+// Usage implements subcommands.Command.
+func (*demoCommand) Usage() string {
+	return `demo [-duration D] [-seed N] [-json]
+demo -hold:
+  Runs stand-ins and three entries for each shipped deployment in one process
+  on loopback addresses, with a mixed load. On the way an entry is stopped
+  gracefully, a failure domain's endpoint hosts are reclaimed, and the table
+  service is down for a while. Exits 0 only if every promise held.
+
+  With -hold it serves without load until SIGINT, and prints URLs, keys and
+  curl lines.
+
+  Example:
+    coltsfootcleat demo -duration 20s
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.hold, "hold", false, "serve until SIGINT instead of driving load")
+	f.BoolVar(&c.json, "json", false, "print JSON")
+	f.Uint64Var(&c.seed, "seed", 1, "`seed` of load and faults")
+	f.DurationVar(&c.duration, "duration", demoDuration, "how long requests arrive, with its unit")
+}
+
+// Execute implements subcommands.Command.
+func (c *demoCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return c.exit(usageError{"demo: takes flags only"})
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if c.hold {
+		return c.exit(c.holdAll(ctx))
+	}
+	return c.exit(c.drive(ctx))
+}
+
+func (c *demoCommand) config(i int) experiment.Config {
+	return experiment.Config{
+		Deployment: deployments.Names()[i],
+		Policy:     experiment.PolicyDefault,
+		Schedule:   experiment.ScheduleDemo,
+		Seed:       c.seed,
+		Duration:   c.duration,
+		Load:       1,
+		Network:    demoNetwork + i,
+	}
+}
+
+// drive runs both deployments side by side.
+func (c *demoCommand) drive(ctx context.Context) error {
+	bar := progressbar.NewOptions(barSteps, progressbar.OptionSetWriter(c.err), progressbar.OptionSetDescription("load"))
+	var (
+		work    sync.WaitGroup
+		reports = make([]experiment.Report, len(deployments.Names()))
+		errs    = make([]error, len(reports))
+	)
+	for i := range reports {
+		config := c.config(i)
+		if i == 0 {
+			config.Progress = func(done float64) { _ = bar.Set(int(done * barSteps)) }
+		}
+		work.Go(func() { reports[i], errs[i] = experiment.Run(ctx, config) })
+	}
+	work.Wait()
+	_ = bar.Finish()
+	fmt.Fprintln(c.err)
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	if err := c.print(reports); err != nil {
+		return err
+	}
+	return verdictOf(reports)
+}
+
+func (c *demoCommand) print(reports []experiment.Report) error {
+	if c.json {
+		e := json.NewEncoder(c.out)
+		e.SetIndent("", "  ")
+		return e.Encode(reports)
+	}
+	return printReports(c.console, reports)
+}
+
+// verdictOf returns an error that lists the broken promises, nil for none.
+func verdictOf(reports []experiment.Report) error {
+	for _, r := range reports {
+		if !r.Kept() {
+			return fmt.Errorf("%s broke promises: %q", r.Deployment, r.Violations)
+		}
+	}
+	return nil
+}
+
+// holdAll serves both deployments until ctx ends.
+func (c *demoCommand) holdAll(ctx context.Context) error {
+	for i := range deployments.Names() {
+		held, err := experiment.Hold(ctx, c.config(i))
+		if err != nil {
+			return err
+		}
+		defer held.Close()
+		c.describe(deployments.Names()[i], held)
+	}
+	fmt.Fprintln(c.out, "\nserving until SIGINT.")
+	<-ctx.Done()
+	return nil
+}
+
+// describe prints how to reach a held deployment.
+func (c *demoCommand) describe(name string, held *experiment.Held) {
+	fmt.Fprintf(c.out, "\n== %s\n", name)
+	entries := held.Entries()
+	for _, e := range entries {
+		fmt.Fprintf(c.out, "%s: callers http://%s operators http://%s\n", e.ID, e.Listen.Caller, e.Listen.Operator)
+	}
+	mix := held.Mix()
+	for _, customer := range mix.Customers {
+		fmt.Fprintf(c.out, "key of %s: %s\n", customer.Name, customer.Key)
+	}
+	fmt.Fprintf(c.out, "key of operators: dev-%s-operator\n", name)
+	key := mix.Customers[0].Key
+	for _, class := range mix.Classes {
+		fmt.Fprintln(c.out, curlLine(entries[0].Listen.Caller, key, class))
+	}
+	fmt.Fprintf(c.out, "curl http://%s/status -H 'Authorization: Bearer dev-%s-operator'\n", entries[0].Listen.Operator, name)
+}
--- a/cmd/coltsfootcleat/main.go
+++ b/cmd/coltsfootcleat/main.go
@@ -16,6 +16,7 @@
 	terminal := console{out: os.Stdout, err: os.Stderr}
 	subcommands.Register(&standinCommand{console: terminal}, "")
 	subcommands.Register(&benchCommand{console: terminal}, "")
+	subcommands.Register(&demoCommand{console: terminal}, "")
 	for _, c := range operatorCommands() {
 		subcommands.Register(c, "operators")
 	}
--- a/delivery/service.go
+++ b/delivery/service.go
@@ -16,8 +16,13 @@
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
-// defaultServiceTimeout bounds a call whose kind sets no deadline.
-const defaultServiceTimeout = 10 * time.Second
+const (
+	// defaultServiceTimeout bounds a call whose kind sets no deadline.
+	defaultServiceTimeout = 10 * time.Second
+	// waitFactor bounds, in timeouts of one sending, how long a caller waits
+	// for the outcome: its own call may wait for that of another entry.
+	waitFactor = 2
+)
 
 // ServiceCall is an admitted call of a plain service.
 type ServiceCall struct {
@@ -64,6 +69,8 @@
 // Call runs one call and returns the reply and the endpoint that gave it. The
 // endpoint is empty where the reply was recorded earlier.
 func (s *Services) Call(ctx context.Context, c ServiceCall) (endpoint.Reply, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, waitFactor*timeoutOf(c))
+	defer cancel()
 	if c.Repeatable {
 		return s.repeatable(ctx, c)
 	}
@@ -107,16 +114,20 @@
 	}
 }
 
+// timeoutOf bounds one sending of a call.
+func timeoutOf(c ServiceCall) time.Duration {
+	if d := c.Kind.Deadline.Std(); d > 0 {
+		return d
+	}
+	return defaultServiceTimeout
+}
+
 // send sends a call once.
 func (s *Services) send(ctx context.Context, c ServiceCall, attempt string, exclude []string) (endpoint.Reply, string, error) {
 	choice, err := s.fleet.ChooseService(c.Service, exclude)
 	if err != nil {
 		return endpoint.Reply{}, "", verdict.Wrap(verdict.NotRun, err)
 	}
-	timeout := c.Kind.Deadline.Std()
-	if timeout <= 0 {
-		timeout = defaultServiceTimeout
-	}
 	reply, err := s.client.Service(choice.Endpoint.Addr).Call(ctx, endpoint.Call{
 		Method:    c.Method,
 		Path:      c.Path,
@@ -124,7 +135,7 @@
 		Body:      c.Body,
 		Key:       c.Key,
 		AttemptID: attempt,
-		Timeout:   timeout,
+		Timeout:   timeoutOf(c),
 	})
 	s.fleet.Done(choice, routing.Outcome{Err: err})
 	return reply, choice.Endpoint.ID, err
