Batch bursts of notices and spread fewer, smaller states

Causes: each notice of a burst was a message of its own on every connection; 6 state updates a second over the fleet with long numbers; the first state of a new incarnation went out before it had its epoch and was then not repeated for a whole period.

--- a/bench/plan/run.go
+++ b/bench/plan/run.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
@@ -79,7 +80,8 @@
 	p.BootSeconds = time.Since(start).Seconds()
 	_, peak := f.metered.since(start)
 	p.BootPeakReads, p.BootPeakWrites, p.BootPeakRows = peak.Reads, peak.Writes, peak.Rows
-	return f.publishFor(settlePeriod)
+	// By then each member has published its state at least once more.
+	return f.publishFor(max(settlePeriod, member.UpdatePeriod(p.Members)*5/4))
 }
 
 // publishFor lets the demand move each second for a while.
--- a/member/pace.go
+++ b/member/pace.go
@@ -13,7 +13,7 @@
 	MaxRowsPerSecond = 400
 	// MaxUpdatesPerSecond bounds the state updates that all members publish
 	// to their peers.
-	MaxUpdatesPerSecond = 6
+	MaxUpdatesPerSecond = 4
 )
 
 const (
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -18,6 +18,9 @@
 	// yieldPeriod is how long the member with the higher ID leaves dialling to
 	// the other one.
 	yieldPeriod = time.Second
+	// joinTimeout is how long a new entry waits for its heartbeat row before
+	// it connects without one.
+	joinTimeout = 3 * time.Second
 	// forgetFactor is how many times GoneAfter the state of a member that is
 	// gone is kept.
 	forgetFactor = 2
@@ -93,6 +96,16 @@
 
 // keepNeighbours starts and ends one goroutine for each chosen neighbour.
 func (m *Mesh) keepNeighbours(ctx context.Context, g *errgroup.Group) {
+	// Peers turn away an incarnation that has no row yet, unless the table is
+	// out of reach.
+	timer := time.NewTimer(joinTimeout)
+	defer timer.Stop()
+	select {
+	case <-m.o.Registry.Joined():
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
 	cancels := make(map[string]context.CancelFunc)
 	defer func() {
 		for _, cancel := range cancels {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"strconv"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
@@ -25,9 +27,19 @@
 	SpendPerHour float64
 }
 
-// MarshalJSON writes a pair of numbers, to keep digests small.
+// MarshalJSON writes a pair of numbers with three digits at least, to keep
+// digests small.
 func (d Demand) MarshalJSON() ([]byte, error) {
-	return fmt.Appendf(nil, "[%.4g,%.4g]", d.TokensPerSecond, d.SpendPerHour), nil
+	out := appendNumber([]byte{'['}, d.TokensPerSecond)
+	out = appendNumber(append(out, ','), d.SpendPerHour)
+	return append(out, ']'), nil
+}
+
+func appendNumber(out []byte, v float64) []byte {
+	if math.Abs(v) >= 100 {
+		return strconv.AppendFloat(out, v, 'f', 0, 64)
+	}
+	return strconv.AppendFloat(out, v, 'g', 3, 64)
 }
 
 // UnmarshalJSON reads a pair of numbers.
--- a/peer/publish.go
+++ b/peer/publish.go
@@ -27,12 +27,17 @@
 // size, and at once when something urgent changed.
 func (m *Mesh) publishAll(ctx context.Context) {
 	phase := member.Phase()
+	joined := m.o.Registry.Joined()
 	for {
 		m.publish()
 		period := member.UpdatePeriod(m.o.Registry.Count())
 		timer := time.NewTimer(phase(period))
 		select {
 		case <-timer.C:
+		case <-joined:
+			// From now on the states carry the epoch of this incarnation.
+			timer.Stop()
+			joined = nil
 		case <-m.urgent:
 			timer.Stop()
 			// Urgent changes that come together go as one.
--- a/peer/send.go
+++ b/peer/send.go
@@ -8,29 +8,37 @@
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
+// urgentPause is the shortest time between two messages about urgent changes
+// on a connection.
+const urgentPause = 50 * time.Millisecond
+
 // send writes what the peer has not got yet until the connection ends:
 // notices and template versions at once, states with the digest.
 func (l *link) send(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		due := false
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-l.conn.DisconnectNotify():
 			return l.failure()
 		case <-l.wake:
+			if err := l.sendUrgent(ctx); err != nil {
+				return err
+			}
+			// The first of many changes went at once. The rest goes together,
+			// or each of them would be a message on every connection.
+			if !sleep(ctx, urgentPause) {
+				return ctx.Err()
+			}
+			continue
 		case <-timer.C:
-			due = true
 			timer.Reset(member.Jitter(digestPeriod))
 		}
 		if err := l.sendUrgent(ctx); err != nil {
 			return err
 		}
-		if !due {
-			continue
-		}
 		if err := l.conn.Notify(ctx, methodDigest, l.nextDigest()); err != nil {
 			return err
 		}
