Send shorter notices

Durations go as milliseconds and seconds now. bench reports the processor time of the step, because 410 members on one machine's cores are slower than on cores of their own.

--- a/bench/plan/report.go
+++ b/bench/plan/report.go
@@ -31,6 +31,8 @@
 	NoticeSeconds        float64 `json:"notice_s"`
 	TemplateSeconds      float64 `json:"template_s"`
 	DomainNoticesSeconds float64 `json:"domain_notices_s"`
+	// DomainNoticesCoreMS is the processor time that one member used for it.
+	DomainNoticesCoreMS float64 `json:"domain_notices_core_ms"`
 	// DomainNoticesKB is what one member sent meanwhile.
 	DomainNoticesKB float64 `json:"domain_notices_kb"`
 
@@ -97,6 +99,7 @@
 	{"notice everywhere, s", func(p Point) float64 { return p.NoticeSeconds }, budgetNoticeSeconds},
 	{"template everywhere, s", func(p Point) float64 { return p.TemplateSeconds }, budgetTemplateSeconds},
 	{"notices of a domain everywhere, s", func(p Point) float64 { return p.DomainNoticesSeconds }, budgetNoticeSeconds},
+	{"notices of a domain, ms of a core", func(p Point) float64 { return p.DomainNoticesCoreMS }, 0},
 	{"notices of a domain, KB sent", func(p Point) float64 { return p.DomainNoticesKB }, 0},
 	{"boot, s", func(p Point) float64 { return p.BootSeconds }, 0},
 	{"boot: peak reads/s", func(p Point) float64 { return p.BootPeakReads }, budgetReadsPerSecond},
--- a/bench/plan/run.go
+++ b/bench/plan/run.go
@@ -163,7 +163,7 @@
 // domain at once.
 func (f *fleet) measureDomainNotices(p *Point) error {
 	hosts := f.cfg.Replicas / plannedDomains
-	before, start := f.traffic(), time.Now()
+	before, start, cpu := f.traffic(), time.Now(), processorTime()
 	source := f.entries[f.rng.IntN(len(f.entries))]
 	for i := range hosts {
 		source.mesh.SpreadNotice(drain.Notice{
@@ -186,6 +186,7 @@
 		return err
 	}
 	p.DomainNoticesSeconds = time.Since(start).Seconds()
+	p.DomainNoticesCoreMS = 1e3 * (processorTime() - cpu).Seconds() / float64(len(f.entries))
 	if err := f.publishFor(2 * time.Second); err != nil {
 		return err
 	}
@@ -241,7 +242,7 @@
 		return err
 	}
 	for _, e := range f.entries {
-		p.OutageLostMembers = max(p.OutageLostMembers, float64(len(f.entries)-len(e.registry.Live())))
+		p.OutageLostMembers = max(p.OutageLostMembers, float64(len(f.entries)-len(e.registry.Members())))
 	}
 	start := time.Now()
 	f.table.SetFaults(standin.TableFaults{})
--- a/drain/notice.go
+++ b/drain/notice.go
@@ -21,16 +21,16 @@
 // Notice says that a host, or with an empty HostID a whole failure domain,
 // is leaving.
 type Notice struct {
-	HostID string `json:"h,omitempty"`
+	HostID string
 	// Incarnation of the host, or the ID of the drain of a failure domain.
-	Incarnation   string `json:"i"`
-	FailureDomain string `json:"d,omitempty"`
-	Reason        Reason `json:"r,omitempty"`
+	Incarnation   string
+	FailureDomain string
+	Reason        Reason
 	// Remaining is the time until the host is taken, counted from when this
 	// process got the notice; 0 when it is not known.
-	Remaining time.Duration `json:"t,omitempty"`
+	Remaining time.Duration
 	// Age is the time since the first process got the notice.
-	Age time.Duration `json:"a,omitempty"`
+	Age time.Duration
 }
 
 // Key identifies what a notice is about.
--- a/peer/link.go
+++ b/peer/link.go
@@ -224,7 +224,8 @@
 }
 
 func (l *link) handleNotices(n notices) {
-	for _, notice := range n.Notices {
+	for _, record := range n.Notices {
+		notice := record.notice()
 		l.mu.Lock()
 		l.got[notice.Key()] = true
 		l.mu.Unlock()
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
@@ -141,7 +142,39 @@
 
 // notices spreads notices at once.
 type notices struct {
-	Notices []drain.Notice `json:"n"`
+	Notices []noticeRecord `json:"n"`
+}
+
+// noticeRecord is a drain.Notice on the wire.
+type noticeRecord struct {
+	HostID        string       `json:"h,omitempty"`
+	Incarnation   string       `json:"i"`
+	FailureDomain string       `json:"d,omitempty"`
+	Reason        drain.Reason `json:"r,omitempty"`
+	RemainingMS   int64        `json:"t,omitempty"`
+	AgeSeconds    int64        `json:"a,omitempty"`
+}
+
+func recordOf(n drain.Notice) noticeRecord {
+	return noticeRecord{
+		HostID:        n.HostID,
+		Incarnation:   n.Incarnation,
+		FailureDomain: n.FailureDomain,
+		Reason:        n.Reason,
+		RemainingMS:   n.Remaining.Milliseconds(),
+		AgeSeconds:    int64(n.Age.Round(time.Second) / time.Second),
+	}
+}
+
+func (r noticeRecord) notice() drain.Notice {
+	return drain.Notice{
+		HostID:        r.HostID,
+		Incarnation:   r.Incarnation,
+		FailureDomain: r.FailureDomain,
+		Reason:        r.Reason,
+		Remaining:     time.Duration(r.RemainingMS) * time.Millisecond,
+		Age:           time.Duration(r.AgeSeconds) * time.Second,
+	}
 }
 
 // versions spreads template versions at once.
--- a/peer/send.go
+++ b/peer/send.go
@@ -60,7 +60,7 @@
 				delete(l.got, n.Key())
 				continue
 			}
-			out.Notices = append(out.Notices, n)
+			out.Notices = append(out.Notices, recordOf(n))
 		}
 		l.mu.Unlock()
 		if len(out.Notices) == 0 {
