Test each mechanism of the mesh so that its loss shows

bench/plan takes its listeners and dialers from outside and has a test over an in-memory network in virtual time.

--- a/bench/plan/config.go
+++ b/bench/plan/config.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,10 +40,21 @@
 	// Seconds is the length of the calm period that is measured.
 	Seconds int
 	Seed    uint64
+	// Listen and Dial give each member its network, by its index; nil for TCP
+	// on the loopback interface.
+	Listen func(index int) (net.Listener, error)
+	Dial   func(index int) DialFunc
 	// Log gets a line for each step; nil for none.
 	Log *logrus.Entry
 }
 
+// DialFunc opens a connection to an "ip:port".
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+func listenLoopback(int) (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+
+func dialTCP(int) DialFunc { return (&net.Dialer{}).DialContext }
+
 // Durations of the steps of a run.
 const (
 	bootTimeout    = 3 * time.Minute
--- a/bench/plan/entry.go
+++ b/bench/plan/entry.go
@@ -22,6 +22,8 @@
 // entry is the control paths of one entry host.
 type entry struct {
 	id, domain, region string
+	listen             func() (net.Listener, error)
+	dial               DialFunc
 
 	registry *member.Registry
 	notices  *drain.Set
@@ -35,7 +37,7 @@
 }
 
 func (e *entry) start(ctx context.Context, table platform.Table, log *logrus.Entry) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := e.listen()
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -56,7 +58,7 @@
 		Registry:   e.registry,
 		Notices:    e.notices,
 		Listener:   listener,
-		Dial:       (&net.Dialer{}).DialContext,
+		Dial:       e.dial,
 		Log:        log,
 		Handlers: peer.Handlers{
 			Digest:          e.heard,
--- a/bench/plan/fleet.go
+++ b/bench/plan/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"time"
 
@@ -52,6 +53,8 @@
 			id:     fmt.Sprintf("entry-%03d", i),
 			domain: fmt.Sprintf("domain-%02d", domain),
 			region: fmt.Sprintf("region-%d", domain%plannedRegions),
+			listen: func() (net.Listener, error) { return cfg.Listen(i) },
+			dial:   cfg.Dial(i),
 		})
 	}
 	return f
--- a/bench/plan/run.go
+++ b/bench/plan/run.go
@@ -21,6 +21,9 @@
 	if cfg.Replicas <= 0 {
 		cfg.Replicas = PlannedReplicas
 	}
+	if cfg.Listen == nil || cfg.Dial == nil {
+		cfg.Listen, cfg.Dial = listenLoopback, dialTCP
+	}
 	report := Report{Replicas: cfg.Replicas, Seconds: cfg.Seconds, Seed: cfg.Seed}
 	for _, members := range cfg.Members {
 		point, err := measure(ctx, cfg, members)
--- a/peer/membership_test.go
+++ b/peer/membership_test.go
@@ -100,7 +100,8 @@
 }
 
 func TestCutLinkLeavesBothAliveInALargeMesh(t *testing.T) {
-	inBubble(t, 40, func(cl *cluster) {
+	// With so many members the regular states come too rarely to refute.
+	inBubble(t, 120, func(cl *cluster) {
 		a := cl.nodes[0]
 		for _, id := range a.mesh.Peers()[:2] {
 			for _, b := range cl.nodes {
@@ -110,7 +111,7 @@
 			}
 		}
 		cl.table.SetFaults(standin.TableFaults{Outage: true})
-		for range 120 {
+		for range 90 {
 			time.Sleep(time.Second)
 			cl.c.Assert(cl.allSee(a, a.registry.Self().Incarnation, true), qt.IsTrue)
 		}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,46 @@
 	}
 }
 
+func TestNoticesAndVersionsDontWaitForTheDigest(t *testing.T) {
+	for _, size := range []int{9, 60} {
+		inBubble(t, size, func(cl *cluster) {
+			for i := range 5 {
+				time.Sleep(3 * time.Second)
+				host := fmt.Sprint("host-", i)
+				cl.nodes[i].mesh.SpreadNotice(notice(host))
+				cl.within(400*time.Millisecond, "notice", func() bool { return cl.allKnow(host, "1") })
+				cl.nodes[i].apply("karoo", uint64(i+1))
+				cl.within(400*time.Millisecond, "version", func() bool {
+					for _, n := range cl.nodes {
+						if n.version("karoo") != uint64(i+1) {
+							return false
+						}
+					}
+					return true
+				})
+			}
+		})
+	}
+}
+
+func TestBurstOfNoticesGoesInFewMessages(t *testing.T) {
+	inBubble(t, 9, func(cl *cluster) {
+		sent := func() (sum uint64) {
+			for _, n := range cl.nodes {
+				sum += n.mesh.Traffic().SentMessages
+			}
+			return sum
+		}
+		before := sent()
+		for i := range 240 {
+			cl.nodes[0].mesh.SpreadNotice(notice(fmt.Sprint("host-", i)))
+			time.Sleep(2 * time.Millisecond)
+		}
+		cl.within(time.Second, "last notice", func() bool { return cl.allKnow("host-239", "1") })
+		cl.c.Assert(sent()-before < 9*8*15, qt.IsTrue, qt.Commentf("%d messages", sent()-before))
+	})
+}
+
 func TestCallsToPeers(t *testing.T) {
 	inBubble(t, 20, func(cl *cluster) {
 		c, first := cl.c, cl.nodes[0]
