Don't take a late scan for a fresh sign of life

At 410 members scans are seven minutes apart. A member that died after its last heartbeat came back to life for five minutes when the next scan saw that heartbeat. A changed row now counts as shown since the last scan, less one heartbeat period, and refutes a suspicion only where the last scan began after it. Taking the age alone (without the rule for suspicions) still failed it; taking the whole time since the last scan made members flap where only the table speaks (TestHeartbeatsSurviveFaults/slow).

--- a/drain/watch.go
+++ b/drain/watch.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/wait"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
@@ -68,11 +69,7 @@
 			w.Log.WithError(err).WithField("source", what).Warn("drain: poll failed.")
 		}
 		period := float64(PollPeriod(w.Entries()))
-		timer := time.NewTimer(time.Duration(period * (1 - pollJitter*rand.Float64())))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !wait.For(ctx, time.Duration(period*(1-pollJitter*rand.Float64()))) {
 			return nil
 		}
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -60,6 +60,10 @@
 	lost    chan struct{}
 	isLost  bool
 	joined  chan struct{}
+
+	// lastScan is when the last scan began; it belongs to the scanning
+	// goroutine.
+	lastScan time.Time
 }
 
 // record is what this entry knows of another member.
@@ -197,7 +201,8 @@
 	defer r.mu.Unlock()
 	rec := r.others[id]
 	if rec != nil && rec.member.Incarnation == incarnation {
-		rec.sign(time.Now())
+		now := time.Now()
+		rec.note(sign{at: now, surelyAfter: now})
 	}
 }
 
@@ -205,15 +210,19 @@
 // returns false when a later incarnation of the same ID is known, or when the
 // member is this one.
 func (r *Registry) Learn(m Member, age time.Duration) bool {
+	now := time.Now()
+	return r.learn(m, sign{at: now.Add(-age), surelyAfter: now})
+}
+
+func (r *Registry) learn(m Member, s sign) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if m.ID == r.self.ID {
 		return false
 	}
-	at := time.Now().Add(-age)
 	rec := r.others[m.ID]
 	if rec == nil {
-		r.others[m.ID] = &record{member: m, lastSign: at}
+		r.others[m.ID] = &record{member: m, lastSign: s.at}
 		r.log.WithField("member", m.ID).Info("member: joined.")
 		return true
 	}
@@ -229,10 +238,11 @@
 	}
 	m.Epoch = max(m.Epoch, rec.member.Epoch)
 	if m.Incarnation != rec.member.Incarnation {
-		rec.lastSign = at
+		rec.lastSign = s.at
+		rec.suspectedAt = time.Time{}
 	}
 	rec.member = m
-	rec.sign(at)
+	rec.note(s)
 	return true
 }
 
@@ -263,11 +273,22 @@
 	r.log.WithField("member", id).Info("member: suspected.")
 }
 
-// sign notes a sign of life. The caller holds the registry's lock.
-func (rec *record) sign(at time.Time) {
-	if at.Before(rec.lastSign) {
+// sign is a sign of life.
+type sign struct {
+	// at is when the member showed it, to the best of what is known.
+	at time.Time
+	// surelyAfter is a time before which it was certainly not shown. Only a
+	// sign that is surely later than a suspicion refutes it.
+	surelyAfter time.Time
+}
+
+// note takes in a sign of life. The caller holds the registry's lock.
+func (rec *record) note(s sign) {
+	if s.at.Before(rec.lastSign) {
 		return
 	}
-	rec.lastSign = at
-	rec.suspectedAt = time.Time{}
+	rec.lastSign = s.at
+	if !s.surelyAfter.Before(rec.suspectedAt) {
+		rec.suspectedAt = time.Time{}
+	}
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -154,6 +154,37 @@
 	})
 }
 
+// TestLateScanRevivesNobody has a member die after a heartbeat that the next
+// scan sees minutes later.
+func TestLateScanRevivesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		b := newRegistry(table, "b", "1")
+		stopB := run(b)
+		time.Sleep(time.Second)
+		a := newRegistry(table, "a", "1")
+		// With so many members the scans are minutes apart.
+		for i := range 400 {
+			a.Learn(member.Member{ID: fmt.Sprint("other-", i), Incarnation: "1", Epoch: 1}, 0)
+		}
+		stopA := run(a)
+		time.Sleep(5 * time.Second)
+		c.Assert(a.Alive("b", "1"), qt.IsTrue)
+		time.Sleep(5 * time.Second)
+		c.Assert(stopB(), qt.IsNil)
+		a.Suspect("b", "1")
+		time.Sleep(11 * time.Second)
+		before := table.Counts().Reads
+		for range 900 {
+			c.Assert(a.Alive("b", "1"), qt.IsFalse)
+			time.Sleep(time.Second)
+		}
+		c.Assert(table.Counts().Reads > before, qt.IsTrue, qt.Commentf("no scan in all that time"))
+		c.Assert(stopA(), qt.IsNil)
+	})
+}
+
 func TestLearnOrdersIncarnations(t *testing.T) {
 	known := member.Member{ID: "b", Incarnation: "2", Epoch: 20, State: member.Live}
 	cases := []struct {
--- a/member/table.go
+++ b/member/table.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/wait"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
@@ -17,9 +17,6 @@
 	rowPrefix = "member/"
 	// callTimeout bounds one call of the table.
 	callTimeout = 2 * time.Second
-	// reapFactor is how many times GoneAfter a row must be unchanged before
-	// it is deleted.
-	reapFactor = 10
 )
 
 // ErrReplaced says that another incarnation owns this member's row.
@@ -55,32 +52,12 @@
 		if err != nil && ctx.Err() == nil {
 			r.log.WithError(err).Warn("member: heartbeat failed.")
 		}
-		if !sleep(ctx, phase(HeartbeatPeriod(r.Count()))) {
+		if !wait.For(ctx, phase(HeartbeatPeriod(r.Count()))) {
 			return nil
 		}
 	}
 }
 
-func (r *Registry) scans(ctx context.Context) {
-	scanned := false
-	phase := Phase()
-	for {
-		err := r.scan(ctx)
-		if err != nil && ctx.Err() == nil {
-			r.log.WithError(err).Warn("member: scan failed.")
-		}
-		scanned = scanned || err == nil
-		wait := Jitter(minScanPeriod)
-		if scanned {
-			wait = phase(ScanPeriod(r.Count()))
-		}
-		// Without a first scan the entry knows nobody and tries again soon.
-		if !sleep(ctx, wait) {
-			return
-		}
-	}
-}
-
 // write commits the heartbeat row, conditional on the row as last seen. A
 // commit whose answer was lost is read back by the next heartbeat.
 func (r *Registry) write(ctx context.Context, m Member) error {
@@ -198,97 +175,6 @@
 	return v.Member, true, nil
 }
 
-// scan reads all rows and takes in those that changed.
-func (r *Registry) scan(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rows, err := r.table.Scan(callCtx, rowPrefix)
-	if err != nil {
-		return fmt.Errorf("scan members: %w", err)
-	}
-	present := make(map[string]bool, len(rows))
-	for _, found := range rows {
-		present[strings.TrimPrefix(found.Key, rowPrefix)] = true
-		r.takeIn(found)
-	}
-	r.dropAbsent(present)
-	r.reap(ctx)
-	return nil
-}
-
-// takeIn reads a row of a scan. Only a row that changed since the last scan
-// is a sign of life.
-func (r *Registry) takeIn(found platform.Row) {
-	var v row
-	if err := json.Unmarshal(found.Value, &v); err != nil || rowPrefix+v.ID != found.Key {
-		return
-	}
-	r.mu.Lock()
-	rec := r.others[v.ID]
-	unchanged := rec != nil && rec.rowVersion == found.Version
-	r.mu.Unlock()
-	if unchanged {
-		return
-	}
-	m := v.Member
-	m.Epoch = epochOf(v, found.Version)
-	r.Learn(m, 0)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if rec := r.others[v.ID]; rec != nil {
-		rec.rowVersion = found.Version
-	}
-}
-
-// epochOf returns the epoch of a row: the first row of an incarnation has
-// none yet and is its epoch.
-func epochOf(v row, version uint64) uint64 {
-	if v.Epoch != 0 {
-		return v.Epoch
-	}
-	return version
-}
-
-// dropAbsent forgets members without a row that show no sign of life.
-func (r *Registry) dropAbsent(present map[string]bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	for id, rec := range r.others {
-		if present[id] {
-			continue
-		}
-		_, alive := r.stateLocked(rec, now)
-		if !alive || rec.member.State == Leaving {
-			delete(r.others, id)
-			r.log.WithField("member", id).Info("member: left.")
-		}
-	}
-}
-
-// reap deletes the oldest row that has been unchanged for so long that its
-// member can't come back under the same incarnation unnoticed.
-func (r *Registry) reap(ctx context.Context) {
-	r.mu.Lock()
-	limit := reapFactor * GoneAfter(len(r.others)+1)
-	var victim platform.Write
-	for id, rec := range r.others {
-		if rec.rowVersion != 0 && time.Since(rec.lastSign) > limit {
-			victim = platform.Write{Key: rowPrefix + id, Delete: true, Expect: rec.rowVersion}
-			break
-		}
-	}
-	r.mu.Unlock()
-	if victim.Key == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if _, err := r.table.Commit(ctx, victim); err == nil {
-		r.log.WithField("row", victim.Key).Info("member: deleted stale row.")
-	}
-}
-
 // SetLeaving marks this member as leaving, in the digests at once and in the
 // row with the next heartbeat.
 func (r *Registry) SetLeaving() {
@@ -314,15 +200,3 @@
 	}
 	return nil
 }
-
-// sleep waits for d and returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/wait"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
@@ -42,7 +43,7 @@
 		}
 		if err != nil {
 			m.o.Log.WithError(err).Warn("peer: accept failed.")
-			if !sleep(ctx, minRedial) {
+			if !wait.For(ctx, minRedial) {
 				return nil
 			}
 			continue
@@ -141,7 +142,7 @@
 			})
 		}
 		m.tidy()
-		if !sleep(ctx, managePeriod) {
+		if !wait.For(ctx, managePeriod) {
 			return
 		}
 	}
@@ -167,11 +168,11 @@
 
 // keep holds a connection with one neighbour until ctx ends.
 func (m *Mesh) keep(ctx context.Context, id string) {
-	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = minRedial
-	wait.MaxInterval = maxRedial
+	redial := backoff.NewExponentialBackOff()
+	redial.InitialInterval = minRedial
+	redial.MaxInterval = maxRedial
 	// When both sides choose each other, one of them dials.
-	if m.self().ID > id && !sleep(ctx, yieldPeriod) {
+	if m.self().ID > id && !wait.For(ctx, yieldPeriod) {
 		return
 	}
 	silentSince := time.Now()
@@ -181,11 +182,11 @@
 			silentSince = time.Now()
 		} else if m.connect(ctx, id) {
 			silentSince = time.Now()
-			wait.Reset()
+			redial.Reset()
 		} else if time.Since(silentSince) > silentAfter {
 			m.reportSilent(id)
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !wait.For(ctx, redial.NextBackOff()) {
 			return
 		}
 	}
@@ -285,15 +286,3 @@
 	}
 	return true
 }
-
-// sleep waits for d and returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/peer/publish.go
+++ b/peer/publish.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/wait"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
@@ -20,9 +18,6 @@
 	at time.Time
 }
 
-// errBanned refuses a peer that broke the protocol a short while ago.
-var errBanned = errors.New("peer is kept out")
-
 // publishAll publishes this entry's state with the period of the deployment's
 // size, and at once when something urgent changed.
 func (m *Mesh) publishAll(ctx context.Context) {
@@ -41,7 +36,7 @@
 		case <-m.urgent:
 			timer.Stop()
 			// Urgent changes that come together go as one.
-			if !sleep(ctx, digestPeriod) {
+			if !wait.For(ctx, digestPeriod) {
 				return
 			}
 		case <-ctx.Done():
@@ -135,73 +130,3 @@
 	m.o.Registry.Suspect(id, peer.Incarnation)
 	m.publishSoon()
 }
-
-// hello returns this entry's hello for a peer.
-func (m *Mesh) hello(to string, once bool) hello {
-	h := hello{Deployment: m.o.Deployment, Member: m.self(), Once: once}
-	if once {
-		return h
-	}
-	h.Relay = m.relaysWith(to)
-	h.Have = m.states.have()
-	return h
-}
-
-// checkHello checks who a peer says it is. It must come from the host it
-// names, which must be that of the member's heartbeat row.
-func (m *Mesh) checkHello(ctx context.Context, h hello, remote net.Addr) error {
-	if h.Deployment != m.o.Deployment {
-		return errStranger
-	}
-	if h.Member.ID == "" || h.Member.Incarnation == "" || h.Member.ID == m.self().ID {
-		return errImpostor
-	}
-	if m.isBanned(h.Member) {
-		return errBanned
-	}
-	if !sameHost(h.Member.Addr, remote.String()) {
-		return fmt.Errorf("%w: %s from %s", errImpostor, h.Member.ID, remote)
-	}
-	return m.checkKnown(ctx, h.Member)
-}
-
-// checkKnown compares a member with what is known of it, or else with the
-// table. While the table is out of reach, an unknown ID is let in, but no new
-// incarnation of a member that is alive.
-func (m *Mesh) checkKnown(ctx context.Context, peer member.Member) error {
-	known, ok := m.o.Registry.Lookup(peer.ID)
-	if !ok || known.Incarnation != peer.Incarnation {
-		registered, found, err := m.o.Registry.Read(ctx, peer.ID)
-		switch {
-		case err != nil && !ok:
-			return nil
-		case err != nil:
-			return err
-		case !found:
-			return errOutdated
-		}
-		known = registered
-	}
-	if known.Incarnation != peer.Incarnation {
-		return errOutdated
-	}
-	if known.Addr != peer.Addr {
-		return fmt.Errorf("%w: %s at %s", errImpostor, peer.ID, peer.Addr)
-	}
-	return nil
-}
-
-// sameHost reports whether two "ip:port" are on one host. All addresses of
-// the loopback interface are.
-func sameHost(a, b string) bool {
-	hostA, _, errA := net.SplitHostPort(a)
-	hostB, _, errB := net.SplitHostPort(b)
-	if errA != nil || errB != nil {
-		return false
-	}
-	if hostA == hostB {
-		return true
-	}
-	ipA, ipB := net.ParseIP(hostA), net.ParseIP(hostB)
-	return ipA != nil && ipB != nil && ipA.IsLoopback() && ipB.IsLoopback()
-}
