--- a/peer/connect.go
+++ b/peer/connect.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/wait"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
@@ -18,6 +19,9 @@
 	// yieldPeriod is how long the member with the higher ID leaves dialling to
 	// the other one.
 	yieldPeriod = time.Second
+	// joinTimeout is how long a new entry waits for its heartbeat row before
+	// it connects without one.
+	joinTimeout = 3 * time.Second
 	// forgetFactor is how many times GoneAfter the state of a member that is
 	// gone is kept.
 	forgetFactor = 2
@@ -39,7 +43,7 @@
 		}
 		if err != nil {
 			m.o.Log.WithError(err).Warn("peer: accept failed.")
-			if !sleep(ctx, minRedial) {
+			if !wait.For(ctx, minRedial) {
 				return nil
 			}
 			continue
@@ -93,6 +97,16 @@
 
 // keepNeighbours starts and ends one goroutine for each chosen neighbour.
 func (m *Mesh) keepNeighbours(ctx context.Context, g *errgroup.Group) {
+	// Peers turn away an incarnation that has no row yet, unless the table is
+	// out of reach.
+	timer := time.NewTimer(joinTimeout)
+	defer timer.Stop()
+	select {
+	case <-m.o.Registry.Joined():
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
 	cancels := make(map[string]context.CancelFunc)
 	defer func() {
 		for _, cancel := range cancels {
@@ -128,7 +142,7 @@
 			})
 		}
 		m.tidy()
-		if !sleep(ctx, managePeriod) {
+		if !wait.For(ctx, managePeriod) {
 			return
 		}
 	}
@@ -154,11 +168,11 @@
 
 // keep holds a connection with one neighbour until ctx ends.
 func (m *Mesh) keep(ctx context.Context, id string) {
-	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = minRedial
-	wait.MaxInterval = maxRedial
+	redial := backoff.NewExponentialBackOff()
+	redial.InitialInterval = minRedial
+	redial.MaxInterval = maxRedial
 	// When both sides choose each other, one of them dials.
-	if m.self().ID > id && !sleep(ctx, yieldPeriod) {
+	if m.self().ID > id && !wait.For(ctx, yieldPeriod) {
 		return
 	}
 	silentSince := time.Now()
@@ -168,11 +182,11 @@
 			silentSince = time.Now()
 		} else if m.connect(ctx, id) {
 			silentSince = time.Now()
-			wait.Reset()
+			redial.Reset()
 		} else if time.Since(silentSince) > silentAfter {
 			m.reportSilent(id)
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !wait.For(ctx, redial.NextBackOff()) {
 			return
 		}
 	}
@@ -272,15 +286,3 @@
 	}
 	return true
 }
-
-// sleep waits for d and returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"strconv"
+	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
@@ -25,9 +28,19 @@
 	SpendPerHour float64
 }
 
-// MarshalJSON writes a pair of numbers, to keep digests small.
+// MarshalJSON writes a pair of numbers with three digits at least, to keep
+// digests small.
 func (d Demand) MarshalJSON() ([]byte, error) {
-	return fmt.Appendf(nil, "[%.4g,%.4g]", d.TokensPerSecond, d.SpendPerHour), nil
+	out := appendNumber([]byte{'['}, d.TokensPerSecond)
+	out = appendNumber(append(out, ','), d.SpendPerHour)
+	return append(out, ']'), nil
+}
+
+func appendNumber(out []byte, v float64) []byte {
+	if math.Abs(v) >= 100 {
+		return strconv.AppendFloat(out, v, 'f', 0, 64)
+	}
+	return strconv.AppendFloat(out, v, 'g', 3, 64)
 }
 
 // UnmarshalJSON reads a pair of numbers.
@@ -129,7 +142,39 @@
 
 // notices spreads notices at once.
 type notices struct {
-	Notices []drain.Notice `json:"n"`
+	Notices []noticeRecord `json:"n"`
+}
+
+// noticeRecord is a drain.Notice on the wire.
+type noticeRecord struct {
+	HostID        string       `json:"h,omitempty"`
+	Incarnation   string       `json:"i"`
+	FailureDomain string       `json:"d,omitempty"`
+	Reason        drain.Reason `json:"r,omitempty"`
+	RemainingMS   int64        `json:"t,omitempty"`
+	AgeSeconds    int64        `json:"a,omitempty"`
+}
+
+func recordOf(n drain.Notice) noticeRecord {
+	return noticeRecord{
+		HostID:        n.HostID,
+		Incarnation:   n.Incarnation,
+		FailureDomain: n.FailureDomain,
+		Reason:        n.Reason,
+		RemainingMS:   n.Remaining.Milliseconds(),
+		AgeSeconds:    int64(n.Age.Round(time.Second) / time.Second),
+	}
+}
+
+func (r noticeRecord) notice() drain.Notice {
+	return drain.Notice{
+		HostID:        r.HostID,
+		Incarnation:   r.Incarnation,
+		FailureDomain: r.FailureDomain,
+		Reason:        r.Reason,
+		Remaining:     time.Duration(r.RemainingMS) * time.Millisecond,
+		Age:           time.Duration(r.AgeSeconds) * time.Second,
+	}
 }
 
 // versions spreads template versions at once.
