Queue, share and refuse work at admission

Need: the thin admission limited tokens only. Under overload work must be refused early, urgent kinds need room, and no customer may lose its share to another's flood, over several entries without a shared counter.

Weighed: strict precedence of urgent work lets a flood of urgent requests take everybody's place; so start-time fair queueing runs over all of a customer's work, and urgent work has precedence only up to two seconds ahead of the customer's share; beyond that it has the room of patient work. A concurrency limit from a latency gradient was ruled out: the load reports already say what is free.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"context"
 	"io"
 	"sync"
 	"time"
@@ -21,8 +20,13 @@
 	mu        sync.Mutex
 	tmpl      *template.Template
 	customers map[string]*customer
-	members   int
-	peers     map[string]map[string]float64
+	// shares is the sum of all customers' shares.
+	shares  float64
+	pools   map[string]*pool
+	members int
+	peers   map[string]map[string]float64
+	// peersSpend is what the other entries report as spent.
+	peersSpend map[string]map[string]float64
 }
 
 // New returns a Controller that knows no customer until SetTemplate.
@@ -47,26 +51,31 @@
 		log:       opts.Log,
 		now:       opts.Now,
 		customers: make(map[string]*customer),
+		pools:     make(map[string]*pool),
 		members:   max(opts.Members, 1),
+		shares:    1,
 	}
 }
 
-// SetTemplate takes over customers, limits and kinds.
+// SetTemplate takes over customers, limits and kinds. Requests that wait or
+// run go on.
 func (c *Controller) SetTemplate(t *template.Template) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tmpl = t
 	known := make(map[string]*customer, len(t.Customers))
+	c.shares = 0
 	for _, params := range t.Customers {
 		cu := c.customers[params.Name]
 		if cu == nil {
 			cu = newCustomer(c.now())
 		}
-		cu.setParams(params)
+		cu.params = params
 		known[params.Name] = cu
+		c.shares += params.Share
 	}
 	c.customers = known
-	c.share()
+	c.divide()
 }
 
 // SetPeers takes over the demand of the other live entries, by entry and
@@ -76,38 +85,24 @@
 	defer c.mu.Unlock()
 	c.peers = demand
 	c.members = len(demand) + 1
-	c.share()
+	c.divide()
 }
 
-// SetMembers tells the number of live entries, this one included. It is for
-// an entry that has heard of others but has no digest of them.
-func (c *Controller) SetMembers(n int) {
+// SetPeerSpend takes over what the other live entries spent in the last hour,
+// by entry and customer.
+func (c *Controller) SetPeerSpend(spend map[string]map[string]float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.members = max(n, len(c.peers)+1)
-	c.share()
+	c.peersSpend = spend
 }
 
-// Admit waits until the request may start. Its error is verdict.NotRun.
-func (c *Controller) Admit(ctx context.Context, r Request) (*Ticket, error) {
+// SetMembers tells the number of live entries, this one included. It is for
+// an entry that has heard of others but has no digest of them.
+func (c *Controller) SetMembers(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cu := c.customers[r.Customer]
-	if cu == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown customer")
-	}
-	now := c.now()
-	cu.demand.add(now, float64(r.Tokens))
-	if !r.Resumed {
-		if wait := cu.overCeiling(now); wait > 0 {
-			return nil, verdict.New(verdict.NotRun, verdict.CodeLimited, "cost ceiling reached").WithRetryAfter(wait)
-		}
-		if wait := cu.bucket.take(now, float64(r.Tokens)); wait > 0 {
-			return nil, verdict.New(verdict.NotRun, verdict.CodeLimited, "token limit reached").WithRetryAfter(wait)
-		}
-		cu.retries.earn()
-	}
-	return &Ticket{controller: c, customer: cu, charged: r.Tokens}, nil
+	c.members = max(n, len(c.peers)+1)
+	c.divide()
 }
 
 // Retry takes one retry from a customer's retry budget. It returns false when
@@ -120,14 +115,15 @@
 }
 
 // Demand returns this entry's demand per customer in tokens per second, for
-// the next digest.
+// the next digest. Refused requests count.
 func (c *Controller) Demand() map[string]float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
 	out := make(map[string]float64, len(c.customers))
 	for name, cu := range c.customers {
-		out[name] = cu.demand.rate(now)
+		cu.told = cu.demand.rate(now)
+		out[name] = cu.told
 	}
 	return out
 }
@@ -144,10 +140,39 @@
 	return out
 }
 
-// share divides each limit among the entries. c.mu is held.
-func (c *Controller) share() {
-	now := c.now()
-	for name, cu := range c.customers {
-		cu.setPart(now, c.part(now, name, cu))
+// pool returns the pool of a kind's model. c.mu is held.
+func (c *Controller) pool(kind string, now time.Time) *pool {
+	model := ""
+	if k, ok := c.tmpl.Kind(kind); ok {
+		model = k.Model
+	}
+	p := c.pools[model]
+	if p == nil {
+		p = newPool(model, now)
+		c.pools[model] = p
+	}
+	return p
+}
+
+// shareOf returns a customer's share; one that is gone from the template has
+// the least. c.mu is held.
+func (c *Controller) shareOf(name string) float64 {
+	if cu := c.customers[name]; cu != nil {
+		return cu.params.Share
+	}
+	return minShare
+}
+
+// logRefusal writes the line of a refusal.
+func (c *Controller) logRefusal(r *Request, err error) {
+	if !c.log.Logger.IsLevelEnabled(logrus.InfoLevel) {
+		return
 	}
+	c.log.WithFields(logrus.Fields{
+		"request":     r.RequestID,
+		"customer":    r.Customer,
+		"kind":        r.Kind,
+		"code":        verdict.CodeOf(err),
+		"retry_after": verdict.RetryAfterOf(err),
+	}).Info("admission: request refused.")
 }
--- a/admission/customer.go
+++ b/admission/customer.go
@@ -8,9 +8,14 @@
 
 // customer is the state of one customer. It is guarded by the Controller.
 type customer struct {
-	params  template.Customer
-	bucket  bucket
-	demand  meter
+	params template.Customer
+	bucket bucket
+	demand meter
+	// told is the demand in the last digest. Parts of limits are computed
+	// from it and not from the demand of now: the others compute theirs from
+	// the same figure, so that the parts add up to one also while the demand
+	// grows.
+	told    float64
 	spend   spendWindow
 	retries retryBudget
 }
@@ -22,21 +27,21 @@
 	return cu
 }
 
-func (cu *customer) setParams(p template.Customer) {
-	cu.params = p
-}
-
 // setPart gives the customer's bucket this entry's part of the limit.
 func (cu *customer) setPart(now time.Time, part float64) {
 	cu.bucket.resize(now, cu.params.TokensPerSecond*part, cu.params.BurstTokens*part)
 }
 
-// overCeiling returns how long new work must wait for the cost ceiling; 0
-// means not at all. A ceiling of 0 is none.
-func (cu *customer) overCeiling(now time.Time) time.Duration {
+// overCeiling returns how long new work must wait for the cost ceiling, given
+// what the other entries spent; 0 means not at all. A ceiling of 0 is none.
+func (cu *customer) overCeiling(now time.Time, peers float64) time.Duration {
 	ceiling := cu.params.CostPerHour
-	if ceiling <= 0 || cu.spend.total(now) < ceiling {
+	if ceiling <= 0 {
+		return 0
+	}
+	left := ceiling - peers
+	if cu.spend.total(now) < left {
 		return 0
 	}
-	return cu.spend.wait(now, ceiling)
+	return max(cu.spend.wait(now, left), spendSlot)
 }
--- /dev/null
+++ b/admission/overload_test.go
@@ -0,0 +1,270 @@
+package admission
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+const (
+	modelSlots    = 144
+	modelPrefill  = 100 * time.Millisecond
+	urgentDecode  = time.Second
+	patientDecode = 2 * time.Second
+	// modelCapacity is the requests per second that fill all slots with one
+	// urgent request in five.
+	modelCapacity   = modelSlots / (0.1 + 0.2*1 + 0.8*2)
+	urgentDeadline  = 460 * time.Millisecond
+	patientDeadline = 10 * time.Second
+	reportEvery     = 100 * time.Millisecond
+	// Tokens are in step with the time that a request holds a slot.
+	urgentTokens  = 220
+	patientTokens = 420
+)
+
+// engines is a model of the endpoints: slots that serve the urgent first.
+type engines struct {
+	mu      sync.Mutex
+	free    int
+	waiting [ranks][]chan struct{}
+	// reported is the last load report; since counts, for each entry, what it
+	// started after the report.
+	reported int
+	since    []int
+}
+
+func (e *engines) acquire(entry, rank int) {
+	e.mu.Lock()
+	e.since[entry]++
+	if e.free > 0 {
+		e.free--
+		e.mu.Unlock()
+		return
+	}
+	turn := make(chan struct{})
+	e.waiting[rank] = append(e.waiting[rank], turn)
+	e.mu.Unlock()
+	<-turn
+}
+
+func (e *engines) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for rank := range e.waiting {
+		if len(e.waiting[rank]) > 0 {
+			close(e.waiting[rank][0])
+			e.waiting[rank] = e.waiting[rank][1:]
+			return
+		}
+	}
+	e.free++
+}
+
+func (e *engines) report() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reported = e.free
+	for _, q := range e.waiting {
+		e.reported -= len(q)
+	}
+	clear(e.since)
+}
+
+func (e *engines) headroom(entry int) Headroom {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Headroom{Free: e.reported - e.since[entry], Total: modelSlots, Unseen: e.since[entry]}
+}
+
+// load is what one customer sends.
+type load struct {
+	customer   string
+	perSecond  float64
+	urgentPart float64
+}
+
+// tally counts one customer's requests.
+type tally struct {
+	sent    int
+	inTime  int
+	tokens  float64
+	urgent  []time.Duration
+	refused map[verdict.Code]int
+}
+
+// overload drives several entries in virtual time and returns the tallies.
+func overload(t *testing.T, entries int, customers []template.Customer, loads []load, duration time.Duration) map[string]*tally {
+	tallies := map[string]*tally{}
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		e := &engines{free: modelSlots, reported: modelSlots, since: make([]int, entries)}
+		ctls := make([]*Controller, entries)
+		for i := range ctls {
+			ctls[i] = New(Options{Members: entries, Headroom: func(string) (Headroom, bool) { return e.headroom(i), true }})
+			ctls[i].SetTemplate(testTemplate(customers...))
+		}
+		stop := make(chan struct{})
+		wg.Go(func() { every(stop, reportEvery, e.report) })
+		wg.Go(func() { every(stop, time.Second, func() { exchange(ctls) }) })
+		for n, l := range loads {
+			tl := &tally{refused: map[verdict.Code]int{}}
+			tallies[l.customer] = tl
+			rng := rand.New(rand.NewPCG(uint64(n), 5))
+			wg.Go(func() {
+				end := time.Now().Add(duration)
+				for {
+					time.Sleep(time.Duration(rng.ExpFloat64() / l.perSecond * float64(time.Second)))
+					if time.Now().After(end) {
+						return
+					}
+					entry := rng.IntN(entries)
+					urgent := rng.Float64() < l.urgentPart
+					wg.Go(func() { call(ctls[entry], e, entry, l.customer, urgent, &mu, tl) })
+				}
+			})
+		}
+		time.Sleep(duration + time.Minute)
+		close(stop)
+		wg.Wait()
+	})
+	return tallies
+}
+
+func every(stop chan struct{}, d time.Duration, run func()) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(d):
+			run()
+		}
+	}
+}
+
+// exchange gives each entry the demand of the others.
+func exchange(ctls []*Controller) {
+	digests := make([]map[string]float64, len(ctls))
+	for i, ctl := range ctls {
+		digests[i] = ctl.Demand()
+	}
+	for i, ctl := range ctls {
+		peers := map[string]map[string]float64{}
+		for j := range ctls {
+			if j != i {
+				peers[string(rune('a'+j))] = digests[j]
+			}
+		}
+		ctl.SetPeers(peers)
+	}
+}
+
+func call(ctl *Controller, e *engines, entry int, customer string, urgent bool, mu *sync.Mutex, tl *tally) {
+	r := Request{Customer: customer, Kind: "plan", Urgency: template.UrgencyPatient, Tokens: patientTokens, Deadline: patientDeadline}
+	decode := patientDecode
+	if urgent {
+		r.Kind, r.Urgency, r.Tokens, r.Deadline = "ask", template.UrgencyUrgent, urgentTokens, urgentDeadline
+		decode = urgentDecode
+	}
+	r.PredictedWait = func() time.Duration { return modelPrefill }
+	sent := time.Now()
+	ticket, err := ctl.Admit(context.Background(), r)
+	if err != nil {
+		mu.Lock()
+		tl.sent++
+		tl.refused[verdict.CodeOf(err)]++
+		mu.Unlock()
+		return
+	}
+	e.acquire(entry, rankOf(r.Urgency))
+	time.Sleep(modelPrefill)
+	ttft := time.Since(sent)
+	time.Sleep(decode)
+	e.release()
+	ticket.Done(Usage{})
+	mu.Lock()
+	defer mu.Unlock()
+	tl.sent++
+	if urgent {
+		tl.urgent = append(tl.urgent, ttft)
+	}
+	if ttft <= r.Deadline {
+		tl.inTime++
+		tl.tokens += float64(r.Tokens)
+	}
+}
+
+func unlimited(name string, share float64) template.Customer {
+	return template.Customer{Name: name, Share: share, TokensPerSecond: 1e9, BurstTokens: 1e9}
+}
+
+func p95(d []time.Duration) time.Duration {
+	d = slices.Clone(d)
+	slices.Sort(d)
+	if len(d) == 0 {
+		return 0
+	}
+	return d[len(d)*95/100]
+}
+
+// TestGoodputUnderOverload raises the load to twice the capacity: goodput
+// stays within 10% of its peak, and urgent questions keep their target.
+func TestGoodputUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	peak, at2 := 0.0, 0.0
+	for _, factor := range []float64{0.7, 1, 1.5, 2} {
+		loads := []load{{"a", factor * modelCapacity * 0.6, 0.2}, {"b", factor * modelCapacity * 0.4, 0.2}}
+		tallies := overload(t, 3, []template.Customer{unlimited("a", 3), unlimited("b", 2)}, loads, 40*time.Second)
+		tokens, sent, inTime := 0.0, 0, 0
+		var urgent []time.Duration
+		refused := 0
+		for _, tl := range tallies {
+			tokens += tl.tokens
+			sent += tl.sent
+			inTime += tl.inTime
+			urgent = append(urgent, tl.urgent...)
+			refused += tl.refused[verdict.CodeOverloaded] + tl.refused[verdict.CodeDeadline]
+		}
+		t.Logf("load %.1f: sent %d, in time %d, refused %d, late %d, %.0f tokens/s, urgent answered %d, p95 %v",
+			factor, sent, inTime, refused, sent-inTime-refused, tokens/40, len(urgent), p95(urgent))
+		peak = max(peak, tokens)
+		at2 = tokens
+		c.Check(p95(urgent) <= urgentDeadline, qt.IsTrue)
+		// Urgent work is far below the capacity, so that all of it is served.
+		c.Check(float64(len(urgent)) > 0.95*0.2*float64(sent), qt.IsTrue)
+	}
+	c.Check(at2 >= 0.9*peak, qt.IsTrue, qt.Commentf("%.0f of %.0f tokens", at2, peak))
+}
+
+// TestFloodTakesNoShare lets one customer flood with urgent or patient work
+// while two others stay within their shares.
+func TestFloodTakesNoShare(t *testing.T) {
+	for _, urgentPart := range []float64{0, 0.2, 1} {
+		c := qt.New(t)
+		customers := []template.Customer{unlimited("flood", 1), unlimited("small", 1), unlimited("large", 2)}
+		loads := []load{
+			{"flood", 3 * modelCapacity, urgentPart},
+			{"small", 0.2 * modelCapacity, 0.2},
+			{"large", 0.4 * modelCapacity, 0.2},
+		}
+		tallies := overload(t, 3, customers, loads, 40*time.Second)
+		for _, name := range []string{"small", "large"} {
+			tl := tallies[name]
+			t.Logf("flood urgent %.1f: %s: sent %d, in time %d, refused %v, urgent p95 %v", urgentPart, name, tl.sent, tl.inTime, tl.refused, p95(tl.urgent))
+			c.Check(float64(tl.inTime) >= 0.95*float64(tl.sent), qt.IsTrue)
+			c.Check(p95(tl.urgent) <= urgentDeadline, qt.IsTrue)
+		}
+		fl := tallies["flood"]
+		t.Logf("flood urgent %.1f: flood: sent %d, in time %d, refused %v", urgentPart, fl.sent, fl.inTime, fl.refused)
+		c.Check(fl.inTime > 0, qt.IsTrue)
+	}
+}
--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,172 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// full returns a controller whose one place is taken, and its ticket.
+func full(c *qt.C, opts Options) (*Controller, *Ticket) {
+	opts.MaxInFlight = 1
+	ctl := New(opts)
+	ctl.SetTemplate(testTemplate(unlimited("a", 1), unlimited("b", 1)))
+	ticket, err := ctl.Admit(context.Background(), Request{Customer: "a", Kind: "plan", Urgency: template.UrgencyNormal, Tokens: 10})
+	c.Assert(err, qt.IsNil)
+	return ctl, ticket
+}
+
+func normal(customer string) Request {
+	return Request{Customer: customer, Kind: "plan", Urgency: template.UrgencyNormal, Tokens: 10}
+}
+
+func TestWaitEndsInNotRun(t *testing.T) {
+	tests := []struct {
+		name     string
+		request  func(*Request)
+		cancel   time.Duration
+		code     verdict.Code
+		waited   time.Duration
+		occupied int
+	}{
+		{"deadline passes in the queue", func(r *Request) { r.Deadline = time.Second }, 0, verdict.CodeDeadline, time.Second, 0},
+		{"predicted wait passes the deadline", func(r *Request) {
+			r.Deadline = time.Second
+			r.PredictedWait = func() time.Duration { return 2 * time.Second }
+		}, 0, verdict.CodeOverloaded, 0, 0},
+		{"caller goes away", func(*Request) {}, time.Second, verdict.CodeCancelled, time.Second, 0},
+		{"queue is full", func(*Request) {}, 0, verdict.CodeOverloaded, 0, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctl, ticket := full(c, Options{MaxQueue: 2})
+				others, stop := context.WithCancel(context.Background())
+				defer stop()
+				var wg sync.WaitGroup
+				for range test.occupied {
+					wg.Go(func() { _, _ = ctl.Admit(others, normal("b")) })
+				}
+				synctest.Wait()
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				if test.cancel > 0 {
+					ctx, cancel = context.WithTimeout(ctx, test.cancel)
+					defer cancel()
+				}
+				r := normal("b")
+				test.request(&r)
+				before := ctl.customers["b"].bucket
+				began := time.Now()
+				_, err := ctl.Admit(ctx, r)
+				c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+				c.Assert(verdict.CodeOf(err), qt.Equals, test.code)
+				c.Assert(time.Since(began), qt.Equals, test.waited)
+				after := ctl.customers["b"].bucket
+				c.Assert(after.debt, qt.Equals, before.debt)
+				c.Assert(after.tokens >= before.tokens, qt.IsTrue, qt.Commentf("tokens are given back"))
+				stop()
+				wg.Wait()
+				c.Assert(ctl.pools["m"].queue.waiting, qt.Equals, 0)
+				ticket.Done(Usage{})
+				c.Assert(ctl.pools["m"].inFlight, qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// TestOrderOfStart fills the only place and lets requests of all kinds wait.
+func TestOrderOfStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctl, ticket := full(c, Options{})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var mu sync.Mutex
+		var order []string
+		var wg sync.WaitGroup
+		enter := func(name string, r Request) {
+			wg.Go(func() {
+				tk, err := ctl.Admit(ctx, r)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				mu.Lock()
+				order = append(order, name)
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+				tk.Done(Usage{})
+			})
+			synctest.Wait()
+		}
+		r := normal("a")
+		r.Urgency = template.UrgencyPatient
+		enter("patient", r)
+		enter("a1", normal("a"))
+		enter("a2", normal("a"))
+		enter("a3", normal("a"))
+		enter("b1", normal("b"))
+		r = normal("b")
+		r.Resumed = true
+		enter("resumed", r)
+		ticket.Done(Usage{})
+		wg.Wait()
+		// b has used nothing yet and goes before a's second request.
+		c.Assert(order, qt.DeepEquals, []string{"resumed", "b1", "a1", "a2", "a3", "patient"})
+	})
+}
+
+// TestRoomFromOtherEntries frees a place without any request of this entry
+// ending.
+func TestRoomFromOtherEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var mu sync.Mutex
+		h := Headroom{Free: -5, Total: 1}
+		ctl := New(Options{Members: 2, Headroom: func(string) (Headroom, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			return h, true
+		}})
+		ctl.SetTemplate(testTemplate(unlimited("a", 1)))
+		time.AfterFunc(time.Second, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			h.Free = 1
+		})
+		began := time.Now()
+		r := normal("a")
+		r.Deadline = time.Minute
+		_, err := ctl.Admit(context.Background(), r)
+		c.Assert(err, qt.IsNil)
+		waited := time.Since(began)
+		c.Assert(waited >= time.Second && waited <= time.Second+headroomAge, qt.IsTrue, qt.Commentf("%v", waited))
+	})
+}
+
+// TestPlacesBeyondQuotaGoBackToAll has an entry with more than its part.
+func TestPlacesBeyondQuotaGoBackToAll(t *testing.T) {
+	c := qt.New(t)
+	p := newPool("m", time.Time{})
+	p.quota = [ranks]float64{4, 3, 2}
+	p.spare = [ranks]float64{5, 0, 0}
+	for range 5 {
+		c.Assert(p.hasRoom(rankUrgent), qt.IsTrue)
+		p.take(time.Time{}, 1)
+	}
+	c.Assert(p.hasRoom(rankUrgent), qt.IsFalse)
+	p.give()
+	c.Assert(p.hasRoom(rankUrgent), qt.IsFalse)
+	p.give()
+	c.Assert(p.hasRoom(rankUrgent), qt.IsTrue)
+	c.Assert(p.hasRoom(rankNormal), qt.IsFalse)
+}
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -1,12 +1,15 @@
 package admission
 
+import "time"
+
 // Ticket is the permission to run one request. Done must be called once the
 // request ended.
 type Ticket struct {
 	controller *Controller
 	customer   *customer
+	pool       *pool
 	// charged is what was taken from the bucket.
-	charged int
+	charged float64
 	done    bool
 }
 
@@ -21,8 +24,17 @@
 	}
 	t.done = true
 	now := c.now()
-	if u.Tokens > 0 {
-		t.customer.bucket.correct(now, float64(t.charged), float64(u.Tokens))
+	if u.Tokens > 0 && t.charged > 0 {
+		t.customer.bucket.correct(now, t.charged, float64(u.Tokens))
 	}
 	t.customer.spend.add(now, u.Cost)
+	t.pool.give()
+	c.dispatch(t.pool, now)
+}
+
+// refund gives back the tokens of a request that did not start. The
+// Controller's lock is held.
+func (t *Ticket) refund(now time.Time) {
+	t.customer.bucket.correct(now, t.charged, 0)
+	t.charged = 0
 }
--- a/admission/types.go
+++ b/admission/types.go
@@ -15,6 +15,9 @@
 	// negative while streams wait.
 	Free  int
 	Total int
+	// Unseen counts this entry's own streams that Free allows for although
+	// the endpoints' reports don't show them yet.
+	Unseen int
 }
 
 // Options configure a Controller. The zero value works.
--- a/routing/decision_test.go
+++ b/routing/decision_test.go
@@ -248,13 +248,15 @@
 	f := NewFleet(Options{})
 	f.SetHosts(testHosts(3))
 	f.ReportLoad("e0", endpoint.Load{Running: 6, MaxRunning: 10})
+	f.ReportLoad("e1", endpoint.Load{MaxRunning: 16})
+	f.ReportLoad("e2", endpoint.Load{MaxRunning: 16})
 	_, err := f.Choose(testRequest())
 	c.Assert(err, qt.IsNil)
-	free, total, ok := f.Headroom(testModel)
+	h, ok := f.Headroom(testModel)
 	c.Assert(ok, qt.IsTrue)
-	c.Assert(total, qt.Equals, 10+2*defaultMaxRunning)
-	c.Assert(free < total-6, qt.IsTrue)
-	_, _, ok = f.Headroom("unknown")
+	total := 10 + 2*16
+	c.Assert(h, qt.Equals, Headroom{Free: total - 6 - 1, Total: total, Unseen: 1})
+	_, ok = f.Headroom("unknown")
 	c.Assert(ok, qt.IsFalse)
 }
 
--- a/routing/headroom.go
+++ b/routing/headroom.go
@@ -7,13 +7,23 @@
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
-// Headroom returns the streams that the endpoints of a model, over all its
-// versions, have room for and their total. Free is negative while streams
-// wait. The last result is false for an unknown model.
-func (f *Fleet) Headroom(model string) (free, total int, known bool) {
+// Headroom is the room that the endpoints of a model have for streams.
+type Headroom struct {
+	// Free and Total count streams. Free is negative while streams wait.
+	Free  int
+	Total int
+	// Unseen counts own streams that Free allows for although the endpoints'
+	// reports don't show them yet.
+	Unseen int
+}
+
+// Headroom returns the headroom of a model over all its versions, and false
+// for an unknown model.
+func (f *Fleet) Headroom(model string) (Headroom, bool) {
 	now := f.now()
-	v := f.view.Load()
-	for key, g := range v.groups {
+	var h Headroom
+	known := false
+	for key, g := range f.view.Load().groups {
 		if key.kind != platform.KindEngine || key.name != model {
 			continue
 		}
@@ -22,12 +32,13 @@
 			r.mu.Lock()
 			batch := r.rates().batch
 			streams := r.streams(batch, now)
+			h.Unseen += r.own.unseen().requests
 			r.mu.Unlock()
-			total += int(batch)
-			free += int(math.Round(batch - streams))
+			h.Total += int(batch)
+			h.Free += int(math.Round(batch - streams))
 		}
 	}
-	return free, total, known
+	return h, known
 }
 
 // Predict returns the time to the first token that Choose would predict now,
