--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -83,6 +83,28 @@
 	}
 }
 
+// TestLateStartIsRefused frees a place when the request's wait at the endpoint
+// has grown past the deadline.
+func TestLateStartIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctl, ticket := full(c, Options{})
+		predicted := 100 * time.Millisecond
+		r := normal("b")
+		r.Deadline = time.Second
+		r.PredictedWait = func() time.Duration { return predicted }
+		time.AfterFunc(500*time.Millisecond, func() {
+			predicted = 900 * time.Millisecond
+			ticket.Done(Usage{})
+		})
+		began := time.Now()
+		_, err := ctl.Admit(context.Background(), r)
+		c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeDeadline)
+		c.Assert(time.Since(began), qt.Equals, 500*time.Millisecond)
+	})
+}
+
 // TestOrderOfStart fills the only place and lets requests of all kinds wait.
 func TestOrderOfStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
