--- a/cmd/coltsfootcleat/main.go
+++ b/cmd/coltsfootcleat/main.go
@@ -12,6 +12,13 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&serveCommand{}, "")
+	terminal := console{out: os.Stdout, err: os.Stderr}
+	subcommands.Register(&standinCommand{console: terminal}, "")
+	subcommands.Register(&benchCommand{console: terminal}, "")
+	for _, c := range operatorCommands() {
+		subcommands.Register(c, "operators")
+	}
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
