Feed the fleet with cache events, offers and failures

Need: an entry asked endpoints for their load only, so that the prefix index, prices, loss rates and ejections had nothing to go by, and peers' spend did not count against a cost ceiling. SetPeers took the number of digests for the number of members: an entry that had heard nobody yet enforced the whole limit although SetMembers had told it of others.

Change: a probe is a load report and the cache events since the last one, and a failed one is reported; offers are read every 30 s; an engine's own report of leaving goes to the notices; digests are shared before they are published, so that all entries divide by demand of the same age. Members that were not heard count as the average of those that were; parts of six entries that hear 0, 1, 3 or 5 others add up to one (test). Contract: template.Urgency has Rank, in place of three copies.

--- a/admission/admit.go
+++ b/admission/admit.go
@@ -76,7 +76,7 @@
 // refuse says why a request can't be taken, or takes its tokens. Tokens come
 // last, so that a refusal costs none. c.mu is held.
 func (c *Controller) refuse(p *pool, cu *customer, r *Request, now time.Time, predicted time.Duration, tokens float64) error {
-	rank := rankOf(r.Urgency)
+	rank := r.Urgency.Rank()
 	if wait := p.wait(now, rank, r.Customer, cu.params.Share) + predicted; !r.Resumed && r.Deadline > 0 && wait > r.Deadline {
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "predicted wait of %v passes the deadline", wait).
 			WithRetryAfter(max(wait-r.Deadline, minRetryAfter))
@@ -100,7 +100,7 @@
 func newWaiter(r *Request, now time.Time, tokens float64, predicted time.Duration) *waiter {
 	w := &waiter{
 		customer:  r.Customer,
-		rank:      rankOf(r.Urgency),
+		rank:      r.Urgency.Rank(),
 		tokens:    tokens,
 		resumed:   r.Resumed,
 		predicted: r.PredictedWait,
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -21,10 +21,13 @@
 	tmpl      *template.Template
 	customers map[string]*customer
 	// shares is the sum of all customers' shares.
-	shares  float64
-	pools   map[string]*pool
-	members int
-	peers   map[string]map[string]float64
+	shares float64
+	pools  map[string]*pool
+	// members counts the live entries. It follows the peers heard until
+	// SetMembers tells it.
+	members     int
+	membersTold bool
+	peers       map[string]map[string]float64
 	// peersSpend is what the other entries report as spent.
 	peersSpend map[string]map[string]float64
 }
@@ -84,7 +87,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.peers = demand
-	c.members = len(demand) + 1
+	if !c.membersTold {
+		c.members = len(demand) + 1
+	}
 	c.divide()
 }
 
@@ -96,12 +101,13 @@
 	c.peersSpend = spend
 }
 
-// SetMembers tells the number of live entries, this one included. It is for
-// an entry that has heard of others but has no digest of them.
+// SetMembers tells the number of live entries, this one included, also those
+// of which no digest was heard.
 func (c *Controller) SetMembers(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.members = max(n, len(c.peers)+1)
+	c.members = max(n, 1)
+	c.membersTold = true
 	c.divide()
 }
 
--- a/admission/flow.go
+++ b/admission/flow.go
@@ -6,27 +6,15 @@
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
-const ranks = 3
+const ranks = template.Ranks
 
-// Ranks of urgencies, the most urgent first.
-const (
-	rankUrgent = iota
-	rankNormal
-	rankPatient
+// Ranks of urgencies.
+var (
+	rankUrgent  = template.UrgencyUrgent.Rank()
+	rankNormal  = template.UrgencyNormal.Rank()
+	rankPatient = template.UrgencyPatient.Rank()
 )
 
-// rankOf orders urgencies. An unknown one is normal.
-func rankOf(u template.Urgency) int {
-	switch u {
-	case template.UrgencyUrgent:
-		return rankUrgent
-	case template.UrgencyPatient:
-		return rankPatient
-	default:
-		return rankNormal
-	}
-}
-
 // waiter is a request that waits for room.
 type waiter struct {
 	customer string
--- a/admission/limits_test.go
+++ b/admission/limits_test.go
@@ -130,6 +130,30 @@
 	}
 }
 
+// TestPartsNeverExceedWhole hears of some members only, or of none.
+func TestPartsNeverExceedWhole(t *testing.T) {
+	for _, heard := range []int{0, 1, 3, 5} {
+		c := qt.New(t)
+		const entries = 6
+		sum := 0.0
+		for i := range entries {
+			ctl := New(Options{Now: newClock().now})
+			ctl.SetTemplate(testTemplate(unlimited("a", 1)))
+			_, err := ctl.Admit(context.Background(), Request{Customer: "a", Kind: "plan", Tokens: 100})
+			c.Assert(err, qt.IsNil)
+			own := ctl.Demand()
+			peers := map[string]map[string]float64{}
+			for j := range heard {
+				peers[fmt.Sprint((i+j+1)%entries)] = own
+			}
+			ctl.SetMembers(entries)
+			ctl.SetPeers(peers)
+			sum += ctl.limitPart("a", ctl.customers["a"])
+		}
+		c.Assert(sum > 0.99 && sum < 1.01, qt.IsTrue, qt.Commentf("%d heard: parts add up to %v", heard, sum))
+	}
+}
+
 func TestPeersCountAgainstCeiling(t *testing.T) {
 	c := qt.New(t)
 	ctl := New(Options{Now: newClock().now})
--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -185,7 +185,7 @@
 		mu.Unlock()
 		return
 	}
-	e.acquire(entry, rankOf(r.Urgency))
+	e.acquire(entry, r.Urgency.Rank())
 	time.Sleep(modelPrefill)
 	ttft := time.Since(sent)
 	time.Sleep(decode)
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -51,11 +51,10 @@
 	p.seenAt = now
 	h, part := p.headroom(opts, part)
 	total := float64(h.Total)
-	reserved := [ranks]float64{
-		rankUrgent:  -math.Ceil(total * urgentOverdraft),
-		rankNormal:  math.Floor(total * normalReserve),
-		rankPatient: math.Floor(total * patientReserve),
-	}
+	var reserved [ranks]float64
+	reserved[rankUrgent] = -math.Ceil(total * urgentOverdraft)
+	reserved[rankNormal] = math.Floor(total * normalReserve)
+	reserved[rankPatient] = math.Floor(total * patientReserve)
 	for rank := range ranks {
 		p.quota[rank] = math.Floor((total - reserved[rank]) * part)
 		p.spare[rank] = h.spare(reserved[rank], part)
--- a/admission/share.go
+++ b/admission/share.go
@@ -20,38 +20,40 @@
 // limitPart returns this entry's part of a customer's limit, in (0, 1]. All
 // entries that see the same demand get parts that add up to 1. c.mu is held.
 func (c *Controller) limitPart(name string, cu *customer) float64 {
-	own := cu.told
-	total := own
+	others := 0.0
 	for _, demand := range c.peers {
-		total += demand[name]
+		others += demand[name]
 	}
-	return c.part(own, total)
+	return c.part(cu.told, others)
 }
 
 // roomPart returns this entry's part of the endpoints' free places, by the
 // demand of all customers. c.mu is held.
 func (c *Controller) roomPart() float64 {
-	own := 0.0
+	own, others := 0.0, 0.0
 	for _, cu := range c.customers {
 		own += cu.told
 	}
-	total := own
 	for _, demand := range c.peers {
 		for _, n := range demand {
-			total += n
+			others += n
 		}
 	}
-	return c.part(own, total)
+	return c.part(own, others)
 }
 
 // part divides by demand, and equally as far as the floor goes or where no
-// peer was heard.
-func (c *Controller) part(own, total float64) float64 {
-	equal := 1 / float64(c.members)
-	if len(c.peers) == 0 || total <= 0 {
-		return equal
+// peer was heard. Members that were not heard count as the average of those
+// that were, so that a partition can't lift all parts at once.
+func (c *Controller) part(own, others float64) float64 {
+	members := float64(max(c.members, len(c.peers)+1))
+	if len(c.peers) > 0 {
+		others *= (members - 1) / float64(len(c.peers))
 	}
-	return floorShare*equal + (1-floorShare)*own/total
+	if len(c.peers) == 0 || own+others <= 0 {
+		return 1 / members
+	}
+	return floorShare/members + (1-floorShare)*own/(own+others)
 }
 
 // peerSpend returns what the other entries spent for a customer. c.mu is
--- a/app/loops.go
+++ b/app/loops.go
@@ -20,6 +20,7 @@
 const (
 	hostListPeriod = time.Second
 	noticePeriod   = 500 * time.Millisecond
+	offerPeriod    = 30 * time.Second
 	probePeriod    = 50 * time.Millisecond
 	probeTimeout   = time.Second
 )
@@ -27,7 +28,7 @@
 // loopModule runs the background loops.
 var loopModule = fx.Module("loops",
 	fx.Provide(newLoops),
-	fx.Invoke(watchTemplates, watchHosts, watchNotices, probeEndpoints),
+	fx.Invoke(watchTemplates, watchHosts, watchNotices, watchOffers, probeEndpoints),
 )
 
 // Loops are the background goroutines of an entry. All end when it stops.
@@ -109,20 +110,45 @@
 	})
 }
 
-// probeEndpoints asks for the load of the endpoint that the fleet knows least
-// about.
+// watchOffers keeps prices and loss rates in step with the cloud's.
+func watchOffers(lc fx.Lifecycle, l *Loops, cloud platform.Cloud, f *routing.Fleet, s settings.Entry, log *logrus.Logger) {
+	l.Every(lc, offerPeriod, func(ctx context.Context) {
+		offers, err := cloud.Offers(ctx)
+		if err != nil {
+			entryLog(log, s).WithError(err).Warn("app: offers can't be read.")
+			return
+		}
+		f.SetOffers(offers)
+	})
+}
+
+// probeEndpoints probes what the fleet asks for. One probe is a load report
+// and the cache events since the last one.
 func probeEndpoints(lc fx.Lifecycle, l *Loops, f *routing.Fleet, client endpoint.Client) {
 	l.Every(lc, probePeriod, func(ctx context.Context) {
 		e, ok := f.NextProbe()
-		if !ok || e.Kind != platform.KindEngine {
+		if !ok {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		load, err := client.Engine(e.Addr).Load(ctx)
-		if err != nil {
-			return
+		if err := probe(ctx, f, client.Engine(e.Addr), e.ID); err != nil {
+			f.ReportFailure(e.ID, err)
 		}
-		f.ReportLoad(e.ID, load)
 	})
 }
+
+func probe(ctx context.Context, f *routing.Fleet, engine endpoint.Engine, id string) error {
+	load, err := engine.Load(ctx)
+	if err != nil {
+		return err
+	}
+	f.ReportLoad(id, load)
+	from := f.EventsFrom(id)
+	events, err := engine.CacheEvents(ctx, from)
+	if err != nil {
+		return err
+	}
+	f.ApplyCacheEvents(id, from, events)
+	return nil
+}
--- a/app/mesh.go
+++ b/app/mesh.go
@@ -92,7 +92,7 @@
 	return p.digests[id]
 }
 
-// share hands the demand of the live entries to admission.
+// share hands demand and spend of the live entries to admission.
 func (p *peerDigests) share() {
 	live := make(map[string]bool)
 	for _, id := range p.registry.Live() {
@@ -100,16 +100,27 @@
 	}
 	p.mu.Lock()
 	demand := make(map[string]map[string]float64, len(p.digests))
+	spend := make(map[string]map[string]float64, len(p.digests))
 	for id, d := range p.digests {
 		if !live[id] {
 			delete(p.digests, id)
 			continue
 		}
 		demand[id] = demandOf(d)
+		spend[id] = spendOf(d)
 	}
 	p.mu.Unlock()
 	p.admission.SetMembers(max(1, len(live)))
 	p.admission.SetPeers(demand)
+	p.admission.SetPeerSpend(spend)
+}
+
+func spendOf(d peer.Digest) map[string]float64 {
+	out := make(map[string]float64, len(d.Demand))
+	for customer, v := range d.Demand {
+		out[customer] = v.SpendPerHour
+	}
+	return out
 }
 
 func demandOf(d peer.Digest) map[string]float64 {
@@ -183,8 +194,10 @@
 	l.Go(lc, func(ctx context.Context) { _ = r.Run(ctx) })
 	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
 	l.Every(lc, digestPeriod, func(context.Context) {
-		m.Publish(ownDigest(a, gate))
+		// Limits are divided by the demand that was told a period ago, which
+		// is what the other entries divide by too.
 		digests.share()
+		m.Publish(ownDigest(a, gate))
 	})
 }
 
--- a/app/modules.go
+++ b/app/modules.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/admission"
 	"github.com/coltsfootcleat/coltsfootcleat/callerapi"
 	"github.com/coltsfootcleat/coltsfootcleat/delivery"
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	endpointrest "github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
 	"github.com/coltsfootcleat/coltsfootcleat/once"
@@ -88,13 +89,18 @@
 	})
 }
 
-func newFleet(s settings.Entry, x Experiment, log *logrus.Logger, w *template.Watcher) *routing.Fleet {
+func newFleet(s settings.Entry, x Experiment, log *logrus.Logger, w *template.Watcher, notices *drain.Set) *routing.Fleet {
 	f := routing.NewFleet(routing.Options{
 		FailureDomain: s.FailureDomain,
 		Region:        s.Region,
 		Log:           entryLog(log, s),
 		Seed:          rand.Uint64(),
 		Policy:        x.Policy,
+		OnLeaving: func(hostID, incarnation, reason string) {
+			if reason == routing.ReasonEngine {
+				notices.Add(drain.Notice{HostID: hostID, Incarnation: incarnation, Reason: drain.ReasonEngine})
+			}
+		},
 	})
 	w.OnChange(f.SetTemplate)
 	return f
@@ -105,8 +111,8 @@
 		Entry: s.ID,
 		Log:   entryLog(log, s),
 		Headroom: func(model string) (admission.Headroom, bool) {
-			free, total, known := f.Headroom(model)
-			return admission.Headroom{Free: free, Total: total}, known
+			h, known := f.Headroom(model)
+			return admission.Headroom(h), known
 		},
 	})
 	w.OnChange(c.SetTemplate)
--- a/reclaim/plan.go
+++ b/reclaim/plan.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
 const (
@@ -94,7 +92,7 @@
 
 // byUrgency puts the most urgent first, then what is nearest to its end.
 func byUrgency(a, b *candidate) int {
-	if ra, rb := rank(a.Urgency), rank(b.Urgency); ra != rb {
+	if ra, rb := a.Urgency.Rank(), b.Urgency.Rank(); ra != rb {
 		return ra - rb
 	}
 	if a.RemainingTokens != b.RemainingTokens {
@@ -102,14 +100,3 @@
 	}
 	return strings.Compare(a.ID, b.ID)
 }
-
-func rank(u template.Urgency) int {
-	switch u {
-	case template.UrgencyUrgent:
-		return 0
-	case template.UrgencyPatient:
-		return 2
-	default:
-		return 1
-	}
-}
--- a/routing/economics.go
+++ b/routing/economics.go
@@ -6,10 +6,6 @@
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
-// ReasonOperator marks a host that leaves by an operator's wish. It does not
-// count as a loss of its class.
-const ReasonOperator = "operator drain"
-
 const (
 	// priorHostHours is the weight of an offer's loss rate against own
 	// observation.
--- a/routing/feedback.go
+++ b/routing/feedback.go
@@ -75,7 +75,7 @@
 	r.setLoad(l, f.now())
 	r.mu.Unlock()
 	if l.Leaving && !r.host.leaving() {
-		f.foundLeaving(r.host, "endpoint report")
+		f.foundLeaving(r.host, ReasonEngine)
 	}
 }
 
--- a/routing/hosts.go
+++ b/routing/hosts.go
@@ -30,7 +30,7 @@
 		key := hostKey{h.ID, h.Incarnation}
 		mark, marked := f.left[key]
 		if !marked && h.State == platform.HostLeaving {
-			mark = leavingMark{reason: "host list"}
+			mark = leavingMark{reason: ReasonHostList}
 			found = append(found, leavingHost{key, mark.reason})
 			marked = true
 		}
--- a/routing/leaving_test.go
+++ b/routing/leaving_test.go
@@ -84,7 +84,7 @@
 	c.Assert(told, qt.Equals, 1)
 	c.Assert(f.Leaving("h0"), qt.IsTrue)
 	c.Assert(f.Endpoints()[0].Leaving, qt.IsTrue)
-	c.Assert(f.Endpoints()[0].LeavingReason, qt.Equals, "host list")
+	c.Assert(f.Endpoints()[0].LeavingReason, qt.Equals, ReasonHostList)
 	// A list that lags behind does not bring the host back.
 	f.SetHosts(testHosts(2))
 	c.Assert(f.Leaving("h0"), qt.IsTrue)
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -29,8 +29,8 @@
 // when everything looks broken the fault may be on this side.
 func (f *Fleet) pickCheapest(v *view, g *group, req *Request, now time.Time) pick {
 	p := f.pricingFor(g, req)
-	d := demand{before: f.mix.upTo(rank(req.Urgency))}
-	f.mix.add(rank(req.Urgency), req.PromptTokens)
+	d := demand{before: f.mix.upTo(req.Urgency.Rank())}
+	f.mix.add(req.Urgency.Rank(), req.PromptTokens)
 
 	var near candidateList
 	f.gather(v, g, req, &near)
--- a/routing/stats.go
+++ b/routing/stats.go
@@ -42,27 +42,12 @@
 	turn atomic.Uint64
 }
 
-const (
-	urgencyRanks = 3
-	// mixWindow is the number of tokens after which older ones count half.
-	mixWindow = 1 << 20
-)
-
-// rank orders urgencies, the most urgent first. An unknown one is normal.
-func rank(u template.Urgency) int {
-	switch u {
-	case template.UrgencyUrgent:
-		return 0
-	case template.UrgencyPatient:
-		return 2
-	default:
-		return 1
-	}
-}
+// mixWindow is the number of tokens after which older ones count half.
+const mixWindow = 1 << 20
 
 // urgencyMix measures which part of the prompt tokens is how urgent.
 type urgencyMix struct {
-	tokens [urgencyRanks]atomic.Int64
+	tokens [template.Ranks]atomic.Int64
 }
 
 func (m *urgencyMix) add(rank, tokens int) {
--- a/routing/types.go
+++ b/routing/types.go
@@ -20,6 +20,16 @@
 	PolicyAffinityOnly  Policy = "affinity-only"
 )
 
+// Reasons for which a host leaves. Others may be given to MarkLeaving.
+const (
+	// ReasonHostList and ReasonEngine are those that the Fleet finds itself.
+	ReasonHostList = "host_list"
+	ReasonEngine   = "engine"
+	// ReasonOperator is an operator's wish. It does not count as a loss of
+	// the host's class.
+	ReasonOperator = "operator"
+)
+
 // Options configure a Fleet. The zero value works.
 type Options struct {
 	// FailureDomain and Region are those of the entry.
--- a/template/schema.go
+++ b/template/schema.go
@@ -15,6 +15,22 @@
 	UrgencyPatient Urgency = "patient"
 )
 
+// Ranks is the number of ranks of urgency.
+const Ranks = 3
+
+// Rank orders urgencies from 0, the most urgent, to Ranks-1. An unknown one
+// ranks as normal.
+func (u Urgency) Rank() int {
+	switch u {
+	case UrgencyUrgent:
+		return 0
+	case UrgencyPatient:
+		return 2
+	default:
+		return 1
+	}
+}
+
 // Delivery says how an answer reaches its caller.
 type Delivery string
 
