Prove convergence and no fall back of template versions

Need: an approved version is in force on every entry that takes new work within 4 s, and no entry goes back, also over restarts, table outages, stale peers and partitions.

Freshness now means that the table, or peers over a while, confirmed the version held.

Ruled out: counting any contact with a peer for the whole bound.

--- a/template/apply.go
+++ b/template/apply.go
@@ -62,9 +62,5 @@
 func (w *Watcher) settled() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.claims) > 0 {
-		return false
-	}
-	peersHeard := !w.firstPeer.IsZero() && time.Since(w.firstPeer) >= w.opts.Settle
-	return w.tableSeen || peersHeard
+	return !w.behind && (!w.confirmedTable.IsZero() || w.peersConfirmLocked(time.Now()))
 }
--- a/template/claims.go
+++ b/template/claims.go
@@ -14,10 +14,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
-// tableClaim stands for the table among the peers that show a version.
-const tableClaim = ""
-
-// claim notes the version that a peer or the table shows; it returns true where that is a
+// claim notes the version that a peer shows; it returns true where that is a
 // higher one than was known.
 func (w *Watcher) claim(version uint64, from string) bool {
 	w.mu.Lock()
@@ -34,9 +31,7 @@
 		return false
 	}
 	w.claims[from] = version
-	if w.behind.IsZero() {
-		w.behind = time.Now()
-	}
+	w.claimedAt, w.behind = time.Now(), true
 	return true
 }
 
@@ -61,8 +56,8 @@
 }
 
 func (w *Watcher) caughtUpLocked() {
-	if len(w.claims) == 0 {
-		w.behind = time.Time{}
+	if len(w.claims) == 0 && w.head <= w.known() {
+		w.behind = false
 	}
 }
 
@@ -125,9 +120,6 @@
 	defer cancel()
 	var asked sync.WaitGroup
 	for i, c := range claims {
-		if c.peer == tableClaim {
-			continue
-		}
 		asked.Go(func() {
 			if !pause(ctx, time.Duration(i)*hedgePause) || c.version <= w.known() {
 				return
--- a/template/fleet_test.go
+++ b/template/fleet_test.go
@@ -50,6 +50,19 @@
 	l.f = f
 }
 
+// moveTo sends later calls to another table.
+func (l *link) moveTo(table *standin.Table) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table = table
+}
+
+func (l *link) to() *standin.Table {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table
+}
+
 // enter waits as the faults say, and returns those of the call.
 func (l *link) enter(ctx context.Context) (faults, error) {
 	l.mu.Lock()
@@ -70,14 +83,14 @@
 	if _, err := l.enter(ctx); err != nil {
 		return platform.Row{}, false, err
 	}
-	return l.table.Get(ctx, key)
+	return l.to().Get(ctx, key)
 }
 
 func (l *link) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
 	if _, err := l.enter(ctx); err != nil {
 		return nil, err
 	}
-	return l.table.Scan(ctx, prefix)
+	return l.to().Scan(ctx, prefix)
 }
 
 func (l *link) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
@@ -103,12 +116,12 @@
 		if f.late > 0 {
 			l.late.Go(func() {
 				time.Sleep(f.late)
-				_, _ = l.table.Commit(context.Background(), writes...)
+				_, _ = l.to().Commit(context.Background(), writes...)
 			})
 		}
 		return 0, lost
 	}
-	version, err := l.table.Commit(ctx, writes...)
+	version, err := l.to().Commit(ctx, writes...)
 	if lostAnswer {
 		return 0, lost
 	}
--- a/template/poll.go
+++ b/template/poll.go
@@ -24,32 +24,56 @@
 	}
 }
 
-// readTable reads the head, and has a higher version fetched. The entry counts
-// as having reached the table when it sent the request: a process that was
-// paused since then knows nothing newer.
+// readTable reads the head, and the version it names where that is higher. The
+// table's word counts from when the request was sent: a process that was paused
+// since then knows nothing newer.
 func (w *Watcher) readTable(ctx context.Context) {
 	sent := time.Now()
 	head, err := w.store.Head(ctx, w.name)
-	if err == nil && w.claim(head.Version, tableClaim) {
-		w.signal()
+	w.noteTable(head, err)
+	if err != nil {
+		return
+	}
+	if head.Version > w.known() {
+		w.fetchTable(ctx, head.Version)
 	}
-	w.noteTable(sent, err)
-	if err == nil && head.Version < w.known() {
+	if head.Version < w.known() {
 		w.log.WithFields(logrus.Fields{"version": w.known(), "head": head.Version}).
 			Warn("template: table shows an older version, kept.")
 	}
+	w.compareHead(sent, head.Version)
 }
 
-func (w *Watcher) noteTable(sent time.Time, err error) {
+// noteTable notes whether the table was reached, and what it showed.
+func (w *Watcher) noteTable(head Head, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil && !w.tableDown {
 		w.log.WithError(err).Warn("template: table not reached.")
 	}
 	w.tableDown = err != nil
-	if err == nil {
-		w.tableSeen = true
-		w.touchLocked(sent)
+	if err != nil {
+		return
+	}
+	w.head = max(w.head, head.Version)
+	if w.head > w.known() {
+		w.behind = true
+	}
+}
+
+// compareHead notes whether the version held is that of the head read. If it
+// is, the table confirms it as of when the request was sent. No version that a
+// peer showed before has been approved then, and the entry is not behind by it;
+// the peer is asked for it all the same.
+func (w *Watcher) compareHead(sent time.Time, head uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if head > w.known() {
+		return
+	}
+	w.confirmedTable = sent
+	if w.head <= w.known() && w.claimedAt.Before(sent) {
+		w.behind = false
 	}
 }
 
--- a/template/watcher.go
+++ b/template/watcher.go
@@ -17,10 +17,10 @@
 	// force on every entry that takes new work.
 	ConvergenceBound = 4 * time.Second
 
-	// catchUpBound is how long an entry that knows of a higher version may go
-	// on with the one it has. What is left of ConvergenceBound is for learning
-	// of it: one poll, and one call that timed out.
-	catchUpBound = 2 * time.Second
+	// peerBound is how long an entry may go on that has heard a peer last. The
+	// peer itself may be late to learn of a version: by one poll, and one call
+	// that timed out.
+	peerBound = ConvergenceBound / 2
 
 	defaultPoll   = time.Second
 	defaultSettle = 2 * time.Second
@@ -29,7 +29,7 @@
 	// hedgePause is how long one peer is waited for before the next is asked.
 	hedgePause = 100 * time.Millisecond
 	// maxClaims bounds the peers whose versions are remembered.
-	maxClaims = 64
+	maxClaims = 32
 )
 
 // FetchFunc asks a peer for a version of a template.
@@ -73,19 +73,20 @@
 	onChange []func(*Template)
 
 	mu sync.Mutex
-	// heard is when the table or a peer was last reached; before the first
-	// time it is zero.
-	heard time.Time
-	// firstPeer is when the first peer was heard.
-	firstPeer time.Time
-	// claims holds the version that each peer, or the table, shows where it is
-	// above the highest one held; behind is since when there has been one.
-	claims map[string]uint64
-	behind time.Time
+	// confirmedTable and confirmedPeer are when the table and a peer were last
+	// reached without showing a higher version than the one held. peersSince is
+	// since when peers have done so without a gap. All are zero before.
+	confirmedTable, confirmedPeer, peersSince time.Time
+	// claims holds the version that each peer shows where it is above the
+	// highest one held, claimedAt is when the last one came, and head is the
+	// highest version named by the table. behind says that one of them is
+	// believed to be above the version held.
+	claims    map[string]uint64
+	claimedAt time.Time
+	head      uint64
+	behind    bool
 	// tableDown is set while the last reading of the table has failed.
 	tableDown bool
-	// tableSeen is set once the head was read.
-	tableSeen bool
 }
 
 // NewWatcher returns a Watcher of the named template. It does nothing until
@@ -127,9 +128,10 @@
 // Once true it stays so.
 func (w *Watcher) Ready() bool { return w.ready.Load() }
 
-// Fresh says that new work may be taken: the entry is ready, has reached the
-// table or a peer within ConvergenceBound, and has not known of a higher
-// version for long without having it.
+// Fresh says that new work may be taken: the entry is ready, and the table has
+// confirmed its version within ConvergenceBound, or peers within half of it.
+// An entry that comes back to its peers and can't read the table listens to
+// them first, like a new one: the first it hears may have been away as well.
 func (w *Watcher) Fresh() bool {
 	if !w.ready.Load() {
 		return false
@@ -137,10 +139,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	if w.heard.IsZero() || now.Sub(w.heard) > ConvergenceBound {
-		return false
-	}
-	return w.behind.IsZero() || now.Sub(w.behind) <= catchUpBound
+	return within(now, w.confirmedTable, ConvergenceBound) || w.peersConfirmLocked(now)
+}
+
+// peersConfirmLocked says that peers have been heard for long enough, and up to
+// now, without showing a higher version.
+func (w *Watcher) peersConfirmLocked(now time.Time) bool {
+	heardFor := w.confirmedPeer.Sub(w.peersSince)
+	return within(now, w.confirmedPeer, peerBound) && heardFor >= w.opts.Settle
 }
 
 // OnChange registers f to be called with each version that comes into force,
@@ -158,17 +164,22 @@
 func (w *Watcher) Touch() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.touchLocked(time.Now())
-	if w.firstPeer.IsZero() {
-		w.firstPeer = time.Now()
+	if w.behind {
+		return
 	}
+	now := time.Now()
+	if !within(now, w.confirmedPeer, peerBound) {
+		w.peersSince = now
+	}
+	w.confirmedPeer = now
 }
 
-// Observe notes the version that the peer from shows. A higher one is fetched
-// at once.
+// Observe notes the version that the peer from shows, 0 for none. A higher one
+// is fetched at once.
 func (w *Watcher) Observe(version uint64, from string) {
+	higher := w.claim(version, from)
 	w.Touch()
-	if w.claim(version, from) {
+	if higher || !w.Ready() {
 		w.signal()
 	}
 }
@@ -185,10 +196,9 @@
 	return err
 }
 
-func (w *Watcher) touchLocked(at time.Time) {
-	if at.After(w.heard) {
-		w.heard = at
-	}
+// within says that at was no longer than d before now; a zero time never was.
+func within(now, at time.Time, d time.Duration) bool {
+	return !at.IsZero() && now.Sub(at) <= d
 }
 
 func (w *Watcher) signal() {
--- /dev/null
+++ b/template/watcher_test.go
@@ -0,0 +1,347 @@
+package template_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// inFleet runs a test in virtual time with a fleet that is stopped at its end.
+func inFleet(t *testing.T, body func(c *qt.C, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		body(qt.New(t), f)
+	})
+}
+
+func TestApprovedVersionIsInForceEverywhereWithinTheBound(t *testing.T) {
+	// Entries without a fault, entries whose way to the table is cut or
+	// refused, and entries whose calls take long.
+	all := []faults{{}, {}, {cut: true}, {down: true}, {latency: 300 * time.Millisecond}, {}}
+	tests := []struct {
+		name    string
+		digests bool
+		faults  []faults
+	}{
+		{"by digest and poll", true, all[:2]},
+		{"by poll alone", false, []faults{{}, {}, {latency: 300 * time.Millisecond}}},
+		{"some without the table", true, all},
+		{"one alone reaches the table", true, []faults{{}, {cut: true}, {cut: true}, {cut: true}, {down: true}, {down: true}, {cut: true}}},
+	}
+	for _, test := range tests {
+		for offset := range 8 {
+			t.Run(fmt.Sprintf("%s, %d ms after a tick", test.name, offset*125), func(t *testing.T) {
+				inFleet(t, func(c *qt.C, f *fleet) {
+					f.digests = test.digests
+					f.publish(0, 1)
+					for i, fa := range test.faults {
+						f.start(fmt.Sprintf("entry-%d", i), fa)
+					}
+					time.Sleep(10*time.Second + time.Duration(offset)*125*time.Millisecond)
+					for version := uint64(1); version < 4; version++ {
+						f.publish(version, float64(version)+1)
+						time.Sleep(template.ConvergenceBound)
+						for id, got := range f.versions() {
+							c.Check(got, qt.Equals, version+1, qt.Commentf("%s", id))
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestDraftIsNotInForce(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.publish(0, 1)
+		e := f.start("a", faults{})
+		_, err := template.NewStore(f.table, template.StoreOptions{}).Edit(context.Background(), 1, "ana", small(2))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(10 * time.Second)
+		c.Assert(e.w.Version(), qt.Equals, uint64(1))
+	})
+}
+
+func TestNothingIsReadyBeforeTheFirstVersion(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		a, b := f.start("a", faults{}), f.start("b", faults{down: true})
+		time.Sleep(10 * time.Second)
+		for _, e := range []*entry{a, b} {
+			c.Check(e.w.Ready(), qt.IsFalse)
+			c.Check(e.w.Fresh(), qt.IsFalse)
+			c.Check(e.w.Current(), qt.IsNil)
+			c.Check(e.w.Index(), qt.IsNil)
+		}
+	})
+}
+
+// A new process must not begin with the version of the first peer it hears.
+func TestRestartDuringTableOutageTakesTheHighestOfItsPeers(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.publish(0, 1)
+		// The stale entry lost its way to all when version 2 was approved.
+		f.start("stale", faults{})
+		f.start("a", faults{})
+		f.start("b", faults{})
+		time.Sleep(2 * time.Second)
+		f.isolate("stale", true)
+		f.publish(1, 2)
+		time.Sleep(template.ConvergenceBound)
+		f.stop("b")
+		for _, e := range f.entries {
+			e.link.set(faults{down: true})
+		}
+		// It hears the stale entry alone at first, then the other one, too.
+		f.isolate("a", true)
+		f.isolate("stale", false)
+		f.entries["stale"].link.set(faults{down: true})
+		b := f.start("b", faults{down: true})
+		time.Sleep(1500 * time.Millisecond)
+		c.Assert(b.w.Ready(), qt.IsFalse)
+		c.Assert(b.w.Current(), qt.IsNil)
+		f.isolate("a", false)
+		f.entries["a"].link.set(faults{down: true})
+		time.Sleep(template.ConvergenceBound)
+		c.Assert(b.w.Ready(), qt.IsTrue)
+		c.Assert(b.w.Version(), qt.Equals, uint64(2))
+		c.Assert(f.versions()["stale"], qt.Equals, uint64(2))
+	})
+}
+
+func TestStalePeerNeverLowersAVersion(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.digests = false
+		f.publish(0, 1)
+		f.publish(1, 2)
+		e := f.start("a", faults{})
+		time.Sleep(time.Second)
+		for range 20 {
+			e.w.Observe(1, "stale")
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(e.w.Version(), qt.Equals, uint64(2))
+		}
+	})
+}
+
+func TestTableThatFellBackNeverLowersAVersion(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.publish(0, 1)
+		f.publish(1, 2)
+		e := f.start("a", faults{})
+		time.Sleep(2 * time.Second)
+		restored := newFleet(t)
+		restored.publish(0, 1)
+		e.link.moveTo(restored.table)
+		time.Sleep(10 * time.Second)
+		c.Assert(e.w.Version(), qt.Equals, uint64(2))
+	})
+}
+
+func TestPartitionedEntryTakesNoNewWorkAndComesBack(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.publish(0, 1)
+		a := f.start("a", faults{})
+		f.start("b", faults{})
+		f.start("c", faults{})
+		time.Sleep(5 * time.Second)
+		c.Assert(a.w.Fresh(), qt.IsTrue)
+		f.isolate("a", true)
+		f.publish(1, 2)
+		time.Sleep(template.ConvergenceBound + time.Millisecond)
+		c.Assert(a.w.Fresh(), qt.IsFalse)
+		// What is in progress keeps its version.
+		c.Assert(a.w.Current().Version, qt.Equals, uint64(1))
+		c.Assert(f.entries["b"].w.Fresh(), qt.IsTrue)
+		time.Sleep(time.Minute)
+		c.Assert(a.w.Fresh(), qt.IsFalse)
+		f.isolate("a", false)
+		back := time.Now()
+		for !a.w.Fresh() {
+			time.Sleep(10 * time.Millisecond)
+			c.Assert(time.Since(back) <= template.ConvergenceBound, qt.IsTrue)
+		}
+		time.Sleep(template.ConvergenceBound)
+		c.Assert(a.w.Version(), qt.Equals, uint64(2))
+		c.Assert(a.w.Fresh(), qt.IsTrue)
+	})
+}
+
+func TestTableOutageAloneStopsNoWork(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.publish(0, 1)
+		a, b := f.start("a", faults{}), f.start("b", faults{})
+		time.Sleep(5 * time.Second)
+		a.link.set(faults{down: true})
+		b.link.set(faults{cut: true})
+		for range 60 {
+			time.Sleep(time.Second)
+			c.Assert(a.w.Fresh() && b.w.Fresh(), qt.IsTrue)
+		}
+	})
+}
+
+// Found by seed 1597 of TestRandomised: time that passed after a single digest
+// counted as listening.
+func TestOnePeerHeardOnceConfirmsNothing(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.digests = false
+		f.publish(0, 1)
+		a := f.start("a", faults{})
+		time.Sleep(5 * time.Second)
+		a.link.set(faults{down: true})
+		time.Sleep(10 * time.Second)
+		c.Assert(a.w.Fresh(), qt.IsFalse)
+		a.w.Observe(1, "away as well")
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(a.w.Fresh(), qt.IsFalse)
+		}
+	})
+}
+
+// An answer that arrives after a pause is as old as its request.
+func TestPausedProcessIsNotFreshByAnOldAnswer(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.publish(0, 1)
+		e := f.start("a", faults{})
+		time.Sleep(5*time.Second + 500*time.Millisecond)
+		// The next answer comes long after its request, as to a process that
+		// was stopped in between.
+		store := template.NewStore(e.link, template.StoreOptions{CallTimeout: time.Minute})
+		w := template.NewWatcher(store, "agencia", template.WatcherOptions{})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		e.link.set(faults{latency: template.ConvergenceBound + time.Second})
+		go func() { done <- w.Run(ctx) }()
+		time.Sleep(11 * time.Second)
+		c.Check(w.Ready(), qt.IsTrue)
+		c.Check(w.Fresh(), qt.IsFalse)
+		cancel()
+		c.Assert(<-done, qt.IsNil)
+	})
+}
+
+// An entry that knows of a version it can't get must not go on with the old one.
+func TestEntryThatCannotGetAKnownVersionTakesNoNewWork(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.digests = false
+		f.publish(0, 1)
+		e := f.start("a", faults{})
+		time.Sleep(5 * time.Second)
+		e.link.set(faults{down: true})
+		for range 4 {
+			e.w.Observe(2, "unreachable")
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Millisecond)
+		c.Assert(e.w.Fresh(), qt.IsFalse)
+		c.Assert(e.w.Version(), qt.Equals, uint64(1))
+		f.publish(1, 2)
+		e.link.set(faults{})
+		time.Sleep(template.ConvergenceBound)
+		c.Assert(e.w.Fresh(), qt.IsTrue)
+		c.Assert(e.w.Version(), qt.Equals, uint64(2))
+	})
+}
+
+func TestPeerThatShowsNonsenseDoesNoHarm(t *testing.T) {
+	broken := small(1)
+	broken.Version = 9
+	broken.Customers = nil
+	other := small(1)
+	other.Version, other.Name = 9, "other"
+	older := small(1)
+	older.Version = 1
+	fetches := map[string]func() (*template.Template, error){
+		"not valid":      func() (*template.Template, error) { return broken, nil },
+		"other template": func() (*template.Template, error) { return other, nil },
+		"older":          func() (*template.Template, error) { return older, nil },
+		"nothing":        func() (*template.Template, error) { return nil, nil },
+		"unknown": func() (*template.Template, error) {
+			return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "none")
+		},
+		"failure": func() (*template.Template, error) { return nil, errors.New("broken") },
+	}
+	for name, fetch := range fetches {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, func(c *qt.C, f *fleet) {
+				f.publish(0, 1)
+				store := template.NewStore(f.table, template.StoreOptions{})
+				w := template.NewWatcher(store, "agencia", template.WatcherOptions{
+					Fetch: func(context.Context, string, string, uint64) (*template.Template, error) { return fetch() },
+				})
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan error, 1)
+				go func() { done <- w.Run(ctx) }()
+				time.Sleep(2 * time.Second)
+				for i := range 200 {
+					w.Observe(uint64(9+i), fmt.Sprintf("liar-%d", i))
+				}
+				f.publish(1, 2)
+				time.Sleep(template.ConvergenceBound)
+				c.Check(w.Version(), qt.Equals, uint64(2))
+				c.Check(w.Fresh(), qt.IsTrue)
+				cancel()
+				c.Assert(<-done, qt.IsNil)
+			})
+		})
+	}
+}
+
+func TestCallbacksSeeEachVersionOnceAndInOrder(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		e := f.start("a", faults{})
+		f.start("b", faults{})
+		var (
+			mu   sync.Mutex
+			seen []uint64
+		)
+		e.w.OnChange(func(t *template.Template) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen = append(seen, t.Version)
+		})
+		for version := range uint64(5) {
+			f.publish(version, 1)
+			time.Sleep(template.ConvergenceBound)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		c.Assert(slices.Equal(seen, []uint64{1, 2, 3, 4, 5}), qt.IsTrue, qt.Commentf("%v", seen))
+		var late []uint64
+		e.w.OnChange(func(t *template.Template) { late = append(late, t.Version) })
+		c.Assert(late, qt.DeepEquals, []uint64{5})
+	})
+}
+
+func TestRequestKeepsTheVersionItBeganWith(t *testing.T) {
+	inFleet(t, func(c *qt.C, f *fleet) {
+		f.publish(0, 1)
+		e := f.start("a", faults{})
+		time.Sleep(2 * time.Second)
+		began := e.w.Index()
+		f.publish(1, 2)
+		time.Sleep(template.ConvergenceBound)
+		customer, ok := began.CustomerByKey(kitchenKey)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(customer.Share, qt.Equals, 1.0)
+		c.Assert(began.Template.Version, qt.Equals, uint64(1))
+		customer, ok = e.w.Index().CustomerByKey(kitchenKey)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(customer.Share, qt.Equals, 2.0)
+		_, ok = e.w.Index().CustomerByKey(marketKey)
+		c.Assert(ok, qt.IsFalse)
+	})
+}
