job: record where a stream runs as one value

Need: an adopter checks each frame of the stream that it reads on, for which it needs the attempt's ID, and the host, to leave it when it is reclaimed. Weighed: two more strings beside the two there were; a typed value says what belongs together. Measured: go test ./job passes.

--- a/job/adopter.go
+++ b/job/adopter.go
@@ -190,7 +190,7 @@
 		return
 	}
 	a.log.WithFields(logrus.Fields{
-		"request": id, "owner": owner, "fence": r.Fence, "endpoint": r.EndpointAddr, "tokens": r.Checkpoint.Tokens,
+		"request": id, "owner": owner, "fence": r.Fence, "endpoint": r.Stream.EndpointID, "tokens": r.Checkpoint.Tokens,
 	}).Info("adopt: request claimed.")
 	a.resume(ctx, r)
 }
--- a/job/fault_test.go
+++ b/job/fault_test.go
@@ -199,10 +199,10 @@
 			back <- err
 		}()
 		synctest.Wait()
-		err = one.Bind(t.Context(), "r1", "10.0.0.1:80", "stale")
+		err = one.Bind(t.Context(), "r1", Stream{Addr: "10.0.0.1:80", ID: "stale"})
 		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeFenced)
 		c.Assert(<-back, qt.IsNil)
-		c.Assert(one.Bind(t.Context(), "r1", "10.0.0.1:80", "s2"), qt.IsNil)
+		c.Assert(one.Bind(t.Context(), "r1", Stream{Addr: "10.0.0.1:80", ID: "s2"}), qt.IsNil)
 	})
 }
 
--- a/job/record.go
+++ b/job/record.go
@@ -45,10 +45,9 @@
 	Fence            uint64 `json:"fence"`
 
 	State State `json:"state"`
-	// EndpointAddr and StreamID locate the engine's stream while it runs.
-	EndpointAddr string     `json:"endpoint_addr,omitempty"`
-	StreamID     string     `json:"stream_id,omitempty"`
-	Checkpoint   Checkpoint `json:"checkpoint"`
+	// Stream locates the engine's stream while it runs.
+	Stream     Stream     `json:"stream"`
+	Checkpoint Checkpoint `json:"checkpoint"`
 	// Answer is set in a final state.
 	Answer *Answer `json:"answer,omitempty"`
 
@@ -61,6 +60,18 @@
 	Joined bool `json:"-"`
 }
 
+// Stream locates a stream on an engine, for whoever reads it on.
+type Stream struct {
+	HostID     string `json:"host_id,omitempty"`
+	EndpointID string `json:"endpoint_id,omitempty"`
+	// Addr is the engine's "ip:port".
+	Addr string `json:"addr,omitempty"`
+	// ID is empty while no engine has taken the request.
+	ID string `json:"id,omitempty"`
+	// AttemptID is on each frame of the stream.
+	AttemptID string `json:"attempt_id,omitempty"`
+}
+
 // Checkpoint is the answer so far.
 type Checkpoint struct {
 	Tokens int  `json:"tokens,omitempty"`
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -57,14 +57,14 @@
 				r := request("r1")
 				r.Messages[0].Content = text
 				c.Assert(one.Accept(ctx, r), qt.IsNil)
-				c.Assert(one.Bind(ctx, "r1", "10.0.0.1:80", "s1"), qt.IsNil)
+				c.Assert(one.Bind(ctx, "r1", Stream{Addr: "10.0.0.1:80", ID: "s1"}), qt.IsNil)
 				c.Assert(one.Checkpoint(ctx, "r1", 5, text), qt.IsNil)
 				c.Assert(one.Checkpoint(ctx, "r1", 9, text+"y"), qt.IsNil)
 
 				claimed, err := two.Claim(ctx, "karoo", "r1", 1)
 				c.Assert(err, qt.IsNil)
 				c.Assert(claimed.Fence, qt.Equals, uint64(2))
-				c.Assert(claimed.StreamID, qt.Equals, "s1")
+				c.Assert(claimed.Stream.ID, qt.Equals, "s1")
 				c.Assert(claimed.Messages, qt.DeepEquals, r.Messages)
 				c.Assert(claimed.Checkpoint.Tokens, qt.Equals, 9)
 				c.Assert(claimed.Checkpoint.Text.Inline, qt.Equals, text+"y")
--- a/job/update.go
+++ b/job/update.go
@@ -9,10 +9,10 @@
 
 // Bind records the engine's stream that answers the request, so that an
 // adopter can attach to it.
-func (s *Store) Bind(ctx context.Context, id, endpointAddr, streamID string) error {
+func (s *Store) Bind(ctx context.Context, id string, stream Stream) error {
 	return s.update(ctx, id, platform.PriorityAccept, func(r *Record) {
 		r.State = StateRunning
-		r.EndpointAddr, r.StreamID = endpointAddr, streamID
+		r.Stream = stream
 	})
 }
 
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -215,13 +215,13 @@
 			return ctx.Err()
 		}
 		if errors.Is(err, errEngineGone) {
-			r.StreamID = ""
+			r.Stream.ID = ""
 		}
 	}
 }
 
 func (e *entry) runOnce(ctx context.Context, r *Record) error {
-	if r.StreamID == "" {
+	if r.Stream.ID == "" {
 		if err := e.begin(ctx, r); err != nil {
 			return err
 		}
@@ -231,7 +231,7 @@
 		if err := e.gate.Pass(); err != nil {
 			return err
 		}
-		n, err := e.engine.tokens(r.StreamID, r.ID)
+		n, err := e.engine.tokens(r.Stream.ID, r.ID)
 		if err != nil {
 			return err
 		}
@@ -257,9 +257,9 @@
 	if r.Checkpoint.Text.Inline != wholeAnswer(r.ID, r.Checkpoint.Tokens) {
 		panic(fmt.Sprintf("request %s has a checkpoint of %d tokens with text %q", r.ID, r.Checkpoint.Tokens, r.Checkpoint.Text.Inline))
 	}
-	r.StreamID = e.engine.generate(r.ID, r.Checkpoint.Tokens)
+	r.Stream.ID = e.engine.generate(r.ID, r.Checkpoint.Tokens)
 	e.stopAt("bind")
-	return e.store.Bind(ctx, r.ID, "10.0.0.1:80", r.StreamID)
+	return e.store.Bind(ctx, r.ID, Stream{Addr: "10.0.0.1:80", ID: r.Stream.ID})
 }
 
 // checkpoint records the answer so far; a failure is left to the next one.
