Measure templates, and pin what the trials missed

Need: figures for the cost of a version and of a poll, and tests that fail when a mechanism is taken out.

Trials on a scratch copy, one mechanism taken out at a time: 23 changes of store, watcher, parser and key check.

--- a/template/approve_test.go
+++ b/template/approve_test.go
@@ -191,6 +191,33 @@
 	})
 }
 
+// momentary makes the table refuse calls for a moment after the first commit,
+// whose answer is lost, so that it can't be read back at once.
+func momentary(l *link) {
+	l.set(faults{loseAnswer: 1})
+	l.afterCommit = func(int) {
+		l.afterCommit = nil
+		l.set(faults{down: true})
+		time.AfterFunc(50*time.Millisecond, func() { l.set(faults{}) })
+	}
+}
+
+func TestLostAnswerThatCannotBeReadBackAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		l := newLink(standin.NewTable(1), 1)
+		store := template.NewStore(l, template.StoreOptions{})
+		momentary(l)
+		d, err := store.Edit(ctx, 0, "ana", small(1))
+		c.Assert(err, qt.IsNil)
+		momentary(l)
+		version, err := store.Approve(ctx, "agencia", d.ID, "ana")
+		c.Assert(err, qt.IsNil)
+		c.Assert(version, qt.Equals, uint64(1))
+	})
+}
+
 func TestEditUnderTableFaults(t *testing.T) {
 	tests := []struct {
 		name string
--- a/template/index.go
+++ b/template/index.go
@@ -8,6 +8,12 @@
 
 // Index is one version of a template with tables for the look-ups of a
 // request. It is immutable: a request that holds one can't see a later version.
+//
+// The tables are built once for a version and read by every request, as the
+// plan cache of CUBRID compiles a statement once and executes it many times
+// ("CUBRID XASL Cache"). Its comparison of time stamps between prepare and
+// execute has no counterpart here, since a request holds the version itself;
+// nor has its invalidation by dependency, since a change replaces the whole.
 type Index struct {
 	Template  *Template
 	kinds     map[string]Kind
