Report every fault of stand-in settings with line and key

Need: one check for all files; the stand-in's loader stopped at the first value of a wrong type, had no line for a broken rule, and stood beside tomlfile.

Change: standin.ParseSettings takes the file's name and uses tomlfile.

--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return standin.Settings{}, err
 	}
-	s, err := standin.ParseSettings(data)
+	s, err := standin.ParseSettings("standin.toml", data)
 	if err != nil {
 		return s, err
 	}
--- a/internal/tomlfile/validate.go
+++ b/internal/tomlfile/validate.go
@@ -77,6 +77,12 @@
 	switch e.Tag() {
 	case "required":
 		return "is missing"
+	case "required_with":
+		return "is missing beside " + snake(e.Param())
+	case "required_without":
+		return "is missing, and so is " + snake(e.Param())
+	case "cidrv4":
+		return fmt.Sprintf("must be a network of IPv4 addresses, not %q", e.Value())
 	case "name":
 		return "must be 1 to 64 letters, digits, dots, dashes or underscores"
 	case "key_hash":
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -4,7 +4,6 @@
 package standin
 
 import (
-	"bytes"
 	_ "embed"
 	"errors"
 	"fmt"
@@ -12,10 +11,8 @@
 	"os"
 	"time"
 
-	"github.com/go-playground/validator/v10"
-	"github.com/pelletier/go-toml/v2"
-
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/tomlfile"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -24,11 +21,11 @@
 	// Seed is that of all random faults.
 	Seed uint64 `toml:"seed"`
 	// Listen is the "ip:port" of the platform and of the admin interface.
-	Listen         string          `toml:"listen" validate:"required,hostname_port"`
+	Listen         string          `toml:"listen" validate:"required,ip_port"`
 	Platform       Platform        `toml:"platform"`
 	Engine         Engine          `toml:"engine"`
 	Service        Service         `toml:"service"`
-	FailureDomains []FailureDomain `toml:"failure_domains" validate:"required,unique=Name,dive"`
+	FailureDomains []FailureDomain `toml:"failure_domains" validate:"required,dive"`
 }
 
 // Platform sets up the platform's services.
@@ -117,7 +114,7 @@
 // Default returns a deployment of three failure domains with three engines
 // and one plain service each.
 func Default() Settings {
-	s, err := ParseSettings(defaultTOML)
+	s, err := ParseSettings("default.toml", defaultTOML)
 	if err != nil {
 		panic(err) // the file is part of the package, and tested
 	}
@@ -142,55 +139,57 @@
 	if err != nil {
 		return Settings{}, fmt.Errorf("stand-in settings: %w", err)
 	}
-	s, err := ParseSettings(data)
-	if err != nil {
-		return Settings{}, fmt.Errorf("%s: %w", path, err)
-	}
-	return s, nil
+	return ParseSettings(path, data)
 }
 
-// ParseSettings reads and validates TOML. Unknown keys are faults.
-func ParseSettings(data []byte) (Settings, error) {
+// ParseSettings reads and validates TOML; file is the name to report faults
+// under. The error is of type settings.Faults.
+func ParseSettings(file string, data []byte) (Settings, error) {
 	s := base()
-	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return Settings{}, describe(err)
-	}
-	if err := s.Validate(); err != nil {
+	doc := tomlfile.Decode(file, data, &s)
+	doc.Check(s.problems())
+	if err := doc.Err(); err != nil {
 		return Settings{}, err
 	}
 	return s, nil
 }
 
-// describe adds line and key to a fault of the file.
-func describe(err error) error {
-	var unknown *toml.StrictMissingError
-	if errors.As(err, &unknown) {
-		return fmt.Errorf("unknown keys:\n%s", unknown.String())
-	}
-	var fault *toml.DecodeError
-	if errors.As(err, &fault) {
-		line, column := fault.Position()
-		return fmt.Errorf("line %d, column %d: %w", line, column, err)
+// Validate reports all faults of settings that come from no file.
+func (s Settings) Validate() error {
+	var faults []error
+	for _, p := range s.problems() {
+		faults = append(faults, fmt.Errorf("%s: %s", p.Key, p.Text))
 	}
-	return err
+	return errors.Join(faults...)
 }
 
-// Validate reports all faults of the settings.
-func (s Settings) Validate() error {
-	faults := []error{validator.New(validator.WithRequiredStructEnabled()).Struct(s)}
-	for _, d := range s.FailureDomains {
-		faults = append(faults, d.validateNetwork())
+// problems returns all broken rules of s.
+func (s Settings) problems() []tomlfile.Problem {
+	problems := tomlfile.Validate(s)
+	for i, d := range s.FailureDomains {
+		key := fmt.Sprintf("failure_domains[%d]", i)
+		if text := d.networkProblem(); text != "" {
+			problems = append(problems, tomlfile.Problem{Key: key + ".network", Text: text})
+		}
+		for _, other := range s.FailureDomains[:i] {
+			if overlap(d.Network, other.Network) {
+				problems = append(problems, tomlfile.Problem{
+					Key: key + ".network", Text: fmt.Sprintf("shares addresses with %q", other.Name)})
+			}
+			if d.Name != "" && d.Name == other.Name {
+				problems = append(problems, tomlfile.Problem{
+					Key: key + ".name", Text: fmt.Sprintf("%q stands twice", d.Name)})
+			}
+		}
 	}
-	faults = append(faults, s.validateDisjoint())
-	return errors.Join(faults...)
+	return problems
 }
 
-// validateNetwork checks that each host finds an address.
-func (d FailureDomain) validateNetwork() error {
+// networkProblem says whether each host finds an address.
+func (d FailureDomain) networkProblem() string {
 	network, err := netip.ParsePrefix(d.Network)
 	if err != nil {
-		return nil // the validator reports it
+		return "" // the validator reports it
 	}
 	hosts := 0
 	for _, g := range d.Hosts {
@@ -198,24 +197,15 @@
 	}
 	room := 1<<(32-network.Bits()) - 2
 	if hosts > room {
-		return fmt.Errorf("failure domain %q: %d hosts in a network of %d addresses", d.Name, hosts, room)
+		return fmt.Sprintf("has %d addresses for %d hosts", room, hosts)
 	}
-	return nil
+	return ""
 }
 
-// validateDisjoint checks that no two failure domains share addresses.
-func (s Settings) validateDisjoint() error {
-	var faults []error
-	for i, a := range s.FailureDomains {
-		for _, b := range s.FailureDomains[i+1:] {
-			pa, errA := netip.ParsePrefix(a.Network)
-			pb, errB := netip.ParsePrefix(b.Network)
-			if errA == nil && errB == nil && pa.Overlaps(pb) {
-				faults = append(faults, fmt.Errorf("failure domains %q and %q share addresses", a.Name, b.Name))
-			}
-		}
-	}
-	return errors.Join(faults...)
+func overlap(a, b string) bool {
+	pa, errA := netip.ParsePrefix(a)
+	pb, errB := netip.ParsePrefix(b)
+	return errA == nil && errB == nil && pa.Overlaps(pb)
 }
 
 // engineConfig returns the configuration of one engine, without its model.
