Add placement

Need: replicas per model, version and failure domain from demand, which survive the loss of a failure domain for urgent kinds, at the lowest price; refusals, paced loads, a version roll without a gap; by whichever entry holds the lease.

Recording requests in the table against waiting out the host list's lag: the wait needs no writes. A request whose answer is lost is repeated under its own ID and counts as a host meanwhile.

--- a/endpoint/rest/rest_test.go
+++ b/endpoint/rest/rest_test.go
@@ -1,6 +1,7 @@
 package rest_test
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -11,10 +12,12 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint/protocol"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
 	"github.com/coltsfootcleat/coltsfootcleat/prefix"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // serve serves a handler in the bubble of the test until it ends.
@@ -81,3 +84,36 @@
 		c.Assert(service.Executions("k"), qt.Equals, 1)
 	})
 }
+
+// TestStreamThatBreaksOff ends the connection at each byte of a chunk.
+func TestStreamThatBreaksOff(t *testing.T) {
+	chunk, err := json.Marshal(protocol.ChunkOf(endpoint.Frame{Text: "word", Tokens: 1}))
+	qt.Assert(t, err, qt.IsNil)
+	event := "data: " + string(chunk) + "\n\n"
+	for end := range len(event) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			network := memnet.New()
+			serve(c, network, "10.0.0.1:80", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, event+event[:end])
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}))
+			client := rest.NewClient(network.Dialer("10.0.0.2"))
+			defer client.Close()
+			s, err := client.Engine("10.0.0.1:80").Generate(t.Context(), endpoint.GenerateRequest{})
+			c.Assert(err, qt.IsNil)
+			defer s.Close()
+			frames := 0
+			for err == nil {
+				if _, err = s.Next(t.Context()); err == nil {
+					frames++
+				}
+			}
+			c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+			c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun)
+			// The last byte only ends the event's empty line.
+			c.Assert(frames == 2, qt.Equals, end == len(event)-1)
+		})
+	}
+}
--- a/endpoint/rest/stream.go
+++ b/endpoint/rest/stream.go
@@ -38,10 +38,21 @@
 
 func newStream(resp *http.Response, cancel context.CancelFunc) *stream {
 	lines := bufio.NewScanner(resp.Body)
+	lines.Split(wholeLines)
 	lines.Buffer(make([]byte, 0, 4<<10), lineBytes)
 	return &stream{id: resp.Header.Get(protocol.HeaderStream), body: resp.Body, cancel: cancel, lines: lines}
 }
 
+// wholeLines is a bufio.SplitFunc that leaves out a last line without an end:
+// the connection broke within it.
+func wholeLines(data []byte, _ bool) (int, []byte, error) {
+	end := bytes.IndexByte(data, '\n')
+	if end < 0 {
+		return 0, nil, nil
+	}
+	return end + 1, data[:end], nil
+}
+
 // ID implements endpoint.Stream.
 func (s *stream) ID() string { return s.id }
 
--- a/endpoint/standin/engine.go
+++ b/endpoint/standin/engine.go
@@ -218,7 +218,7 @@
 // afterLocked runs f with the lock held, unless the engine dies before.
 func (e *Engine) afterLocked(d time.Duration, f func()) *time.Timer {
 	var timer *time.Timer
-	timer = time.AfterFunc(d, func() {
+	timer = time.AfterFunc(max(d, 1), func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if _, live := e.timers[timer]; !live {
--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -47,8 +47,8 @@
 		d.timer = nil
 	}
 	d.at = at
-	if !at.IsZero() {
-		d.timer = time.AfterFunc(time.Until(at), h.wake)
+	if left := time.Until(at); !at.IsZero() && left > 0 {
+		d.timer = time.AfterFunc(left, h.wake)
 	}
 	h.cond.Broadcast()
 }
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,512 @@
+package placement_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	endpointrest "github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
+	"github.com/coltsfootcleat/coltsfootcleat/placement"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// lease is a lease that a test takes and gives.
+type lease struct {
+	mu    sync.Mutex
+	fence uint64
+	held  bool
+}
+
+func (l *lease) Fence() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence, l.held
+}
+
+func (l *lease) set(fence uint64, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fence, l.held = fence, held
+}
+
+// world is the default deployment with controllers over it.
+type world struct {
+	*qt.C
+	deployment *standin.Deployment
+	network    *memnet.Network
+	endpoints  *endpointrest.Client
+	cloud      *cloud
+
+	mu       sync.Mutex
+	demand   []placement.Demand
+	template *template.Template
+}
+
+// cloud passes calls on and can lose the answers of requests.
+type cloud struct {
+	platform.Cloud
+	mu    sync.Mutex
+	lose  bool
+	calls int
+}
+
+func (c *cloud) Request(ctx context.Context, r platform.HostRequest) (platform.Host, error) {
+	c.mu.Lock()
+	lose := c.lose
+	c.calls++
+	c.mu.Unlock()
+	h, err := c.Cloud.Request(ctx, r)
+	if lose {
+		return platform.Host{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "cloud: %w", errors.New("lost"))
+	}
+	return h, err
+}
+
+func (c *cloud) setLose(lose bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lose = lose
+}
+
+func (c *cloud) requests() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+// run runs a test over the default deployment in virtual time. Its weight
+// store sets no pace.
+func run(t *testing.T, name string, test func(w *world)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			network := memnet.New()
+			settings := standin.Default()
+			settings.Platform.WeightLoadsPerMinute = 0
+			d, err := standin.New(settings, network.Dialer("127.9.0.2"), quiet())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, d.Start(network.Listen), qt.IsNil)
+			defer d.Close()
+			w := &world{
+				C: qt.New(t), deployment: d, network: network, cloud: &cloud{Cloud: d.Platform.Cloud},
+				endpoints: endpointrest.NewClient(network.Dialer("127.9.0.1")),
+				template: &template.Template{
+					Models: []template.Model{{Name: "assistant", Version: "v1", MinReplicas: 2, MaxReplicas: 20}},
+					Kinds:  []template.Kind{{Name: "question", Urgency: template.UrgencyUrgent, Model: "assistant"}},
+				},
+			}
+			defer w.endpoints.Close()
+			w.setDemand(placement.Demand{Streams: 100, UrgentStreams: 40})
+			test(w)
+		})
+	})
+}
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func (w *world) setDemand(d placement.Demand) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d.Model, d.Version = "assistant", w.template.Models[0].Version
+	w.demand = []placement.Demand{d}
+}
+
+// setTemplate changes a copy of the template.
+func (w *world) setTemplate(change func(t *template.Template)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := *w.template
+	t.Models = slices.Clone(t.Models)
+	change(&t)
+	w.template = &t
+}
+
+// control starts a controller; it ends with the test.
+func (w *world) control(l *lease, cfg placement.Config) {
+	ctx, cancel := context.WithCancel(w.TB.Context())
+	done := make(chan struct{})
+	c := placement.New(cfg, placement.Deps{
+		Lease: l, HostList: w.deployment.Platform.HostList, Cloud: w.cloud,
+		WeightStore: w.deployment.Platform.WeightStore, Endpoints: w.endpoints, Log: quiet(),
+		Template: func() *template.Template {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.template
+		},
+		Demand: func() []placement.Demand {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return slices.Clone(w.demand)
+		},
+	})
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx)
+	}()
+	w.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// fastShrink lets needs fall and versions go soon.
+var fastShrink = placement.Config{ShrinkAfter: 20 * time.Second}
+
+// count counts the live engine hosts by failure domain.
+func (w *world) count() map[string]int {
+	out := make(map[string]int)
+	for _, h := range w.live() {
+		out[h.FailureDomain]++
+	}
+	return out
+}
+
+func (w *world) live() []platform.Host {
+	hosts, err := w.deployment.Platform.HostList.Hosts(w.TB.Context())
+	w.Assert(err, qt.IsNil)
+	return slices.DeleteFunc(hosts, func(h platform.Host) bool {
+		return h.State != platform.HostLive || h.Endpoints[0].Kind != platform.KindEngine
+	})
+}
+
+func (w *world) total() int { return len(w.live()) }
+
+// serving counts the live engines that serve a version.
+func (w *world) serving(version string) int {
+	n := 0
+	for _, h := range w.live() {
+		s, err := w.endpoints.Engine(h.Endpoints[0].Addr).State(w.TB.Context())
+		if err == nil && !s.Leaving && slices.Contains(s.Models, endpoint.LoadedModel{Model: "assistant", Version: version}) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestDemand(t *testing.T) {
+	// A replica of the default deployment runs 16 streams, and 0.7 of that is
+	// planned for: 100 streams need 9 replicas, 40 urgent ones 4.
+	for _, test := range []struct {
+		name   string
+		demand placement.Demand
+		want   map[string]int
+	}{
+		{"as it is", placement.Demand{Streams: 100, UrgentStreams: 40}, map[string]int{"midrand": 3, "centurion": 3, "kempton": 3}},
+		{"more patient work goes to the cheapest", placement.Demand{Streams: 130, UrgentStreams: 40}, map[string]int{"midrand": 6, "centurion": 3, "kempton": 3}},
+		{"more urgent work is spread", placement.Demand{Streams: 100, UrgentStreams: 100}, map[string]int{"midrand": 5, "centurion": 5, "kempton": 4}},
+		{"prompts need replicas as well", placement.Demand{PromptRate: 70000}, map[string]int{"midrand": 7, "centurion": 3, "kempton": 3}},
+		{"never more than the template allows", placement.Demand{Streams: 1000}, map[string]int{"midrand": 14, "centurion": 3, "kempton": 3}},
+		{"less work leaves the cheapest, spread", placement.Demand{Streams: 40, UrgentStreams: 20}, map[string]int{"midrand": 2, "centurion": 2}},
+		{"no work leaves the least there may be", placement.Demand{}, map[string]int{"midrand": 1, "centurion": 1}},
+	} {
+		run(t, test.name, func(w *world) {
+			w.setDemand(test.demand)
+			w.control(&lease{fence: 1, held: true}, fastShrink)
+			time.Sleep(3 * time.Minute)
+			w.Assert(w.count(), qt.DeepEquals, test.want)
+			w.Assert(w.serving("v1"), qt.Equals, w.total())
+		})
+	}
+}
+
+func TestWave(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		refuse []string
+		want   map[string]int
+	}{
+		// Midrand is the cheapest: what is lost there comes back there. No failure
+		// domain has more than five of nine, so that four are left for urgent
+		// work, as long as two can be had.
+		{"replaced in place", nil, map[string]int{"midrand": 3, "centurion": 3, "kempton": 3}},
+		{"replaced elsewhere when refused", []string{"midrand"}, map[string]int{"centurion": 5, "kempton": 4}},
+		{"refused in the cheapest two", []string{"midrand", "centurion"}, map[string]int{"centurion": 3, "kempton": 6}},
+	} {
+		run(t, test.name, func(w *world) {
+			w.control(&lease{fence: 1, held: true}, fastShrink)
+			time.Sleep(30 * time.Second)
+			f := w.deployment.Platform.Faults()
+			f.Cloud.RefuseDomains = test.refuse
+			w.deployment.Platform.SetFaults(f)
+			w.deployment.ReclaimDomain("midrand", 15*time.Second)
+			// The replacements serve before the hosts are taken.
+			time.Sleep(14 * time.Second)
+			w.Assert(w.count(), qt.DeepEquals, test.want)
+			w.Assert(w.serving("v1"), qt.Equals, 9)
+			time.Sleep(time.Minute)
+			w.Assert(w.count(), qt.DeepEquals, test.want)
+			w.Assert(w.serving("v1"), qt.Equals, 9)
+		})
+	}
+}
+
+// TestRefusalsBackOff has everything refused for ten minutes: the cloud must
+// not be stormed, and be asked again soon after it gives way.
+func TestRefusalsBackOff(t *testing.T) {
+	run(t, "", func(w *world) {
+		w.control(&lease{fence: 1, held: true}, placement.Config{})
+		time.Sleep(30 * time.Second)
+		f := w.deployment.Platform.Faults()
+		f.Cloud.RefuseAll = true
+		w.deployment.Platform.SetFaults(f)
+		w.deployment.ReclaimDomain("midrand", time.Second)
+		time.Sleep(10 * time.Minute)
+		w.Assert(w.total(), qt.Equals, 6)
+		// Six offers, each tried after 2, 4, 8 ... up to 120 s, with jitter.
+		calls := w.cloud.requests()
+		w.Assert(calls >= 6*7 && calls <= 6*20, qt.IsTrue, qt.Commentf("%d requests", calls))
+		f.Cloud.RefuseAll = false
+		w.deployment.Platform.SetFaults(f)
+		time.Sleep(4 * time.Minute)
+		w.Assert(w.total(), qt.Equals, 9)
+	})
+}
+
+// TestLoadsArePaced counts the hosts that start while the weight store lets
+// one load begin every ten seconds.
+func TestLoadsArePaced(t *testing.T) {
+	run(t, "", func(w *world) {
+		w.control(&lease{fence: 1, held: true}, placement.Config{})
+		f := w.deployment.Platform.Faults()
+		f.WeightStore.LoadsPerMinute = 6
+		w.deployment.Platform.SetFaults(f)
+		time.Sleep(30 * time.Second)
+		w.deployment.ReclaimDomain("midrand", time.Second)
+		w.deployment.ReclaimDomain("kempton", time.Second)
+		time.Sleep(25 * time.Second)
+		// Three at once by the store's burst, then one every ten seconds.
+		first := w.cloud.requests()
+		w.Assert(first >= 4 && first <= 5, qt.IsTrue, qt.Commentf("%d requests", first))
+		time.Sleep(time.Minute)
+		w.Assert(w.total(), qt.Equals, 9)
+	})
+}
+
+func TestLostAnswerOfARequestIsNoSecondHost(t *testing.T) {
+	run(t, "", func(w *world) {
+		// Rounds come faster than the host list shows new hosts.
+		w.control(&lease{fence: 1, held: true}, placement.Config{Period: 200 * time.Millisecond})
+		time.Sleep(30 * time.Second)
+		w.cloud.setLose(true)
+		w.deployment.ReclaimDomain("midrand", time.Second)
+		time.Sleep(30 * time.Second)
+		w.cloud.setLose(false)
+		time.Sleep(3 * time.Minute)
+		w.Assert(w.count(), qt.DeepEquals, map[string]int{"midrand": 3, "centurion": 3, "kempton": 3})
+		// Nothing was too many at any time: no host was released.
+		w.Assert(len(w.deployment.Records().Attempts), qt.Equals, 12)
+	})
+}
+
+func TestCeilingSparesUrgentWork(t *testing.T) {
+	run(t, "", func(w *world) {
+		w.setDemand(placement.Demand{Streams: 200, UrgentStreams: 40})
+		cfg := fastShrink
+		cfg.CostPerHour = 6
+		w.control(&lease{fence: 1, held: true}, cfg)
+		time.Sleep(3 * time.Minute)
+		cost := 0.0
+		for _, h := range w.live() {
+			cost += h.PricePerHour
+		}
+		w.Assert(cost < 6+1e-9, qt.IsTrue, qt.Commentf("%v", cost))
+		// Four are left for urgent work when any failure domain is lost.
+		for domain, n := range w.count() {
+			w.Assert(w.total()-n >= 4, qt.IsTrue, qt.Commentf("%s: %v", domain, w.count()))
+		}
+	})
+}
+
+// TestLossRatesChooseTheClass compares a low and a high cost of losing hosts.
+func TestLossRatesChooseTheClass(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		lossCost float64
+		want     bool
+	}{
+		{"losses cost little", 0.1, true},
+		{"losses cost much", 100, false},
+	} {
+		run(t, test.name, func(w *world) {
+			w.setDemand(placement.Demand{Streams: 130, UrgentStreams: 40})
+			w.control(&lease{fence: 1, held: true}, placement.Config{LossCost: test.lossCost, ShrinkAfter: time.Hour})
+			time.Sleep(3 * time.Minute)
+			reclaimable := 0
+			for _, h := range w.live() {
+				if h.Reclaimable {
+					reclaimable++
+				}
+			}
+			w.Assert(reclaimable > 0, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestVersionRollHasNoGap approves a new version and watches every second:
+// the old one serves on every engine until the new one does.
+func TestVersionRollHasNoGap(t *testing.T) {
+	run(t, "", func(w *world) {
+		w.deployment.Platform.WeightStore.Publish("assistant", "v2")
+		w.control(&lease{fence: 1, held: true}, fastShrink)
+		time.Sleep(30 * time.Second)
+		w.Assert(w.serving("v1"), qt.Equals, 9)
+		w.setTemplate(func(t *template.Template) { t.Models[0].Version = "v2" })
+		// Requests accepted before are bound to the old version.
+		w.mu.Lock()
+		w.demand = []placement.Demand{
+			{Model: "assistant", Version: "v2", Streams: 100, UrgentStreams: 40},
+			{Model: "assistant", Version: "v1", InFlight: 3},
+		}
+		w.mu.Unlock()
+		for range 120 {
+			time.Sleep(time.Second)
+			w.Assert(w.serving("v1"), qt.Equals, 9)
+		}
+		w.Assert(w.serving("v2"), qt.Equals, 9)
+		w.setDemand(placement.Demand{Streams: 100, UrgentStreams: 40})
+		for w.serving("v1") > 0 {
+			w.Assert(w.serving("v2"), qt.Equals, 9)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// TestOverrideIsLoadedWhereNeeded has one customer on a version of its own.
+func TestOverrideIsLoadedWhereNeeded(t *testing.T) {
+	run(t, "", func(w *world) {
+		w.deployment.Platform.WeightStore.Publish("assistant", "v2")
+		w.setTemplate(func(t *template.Template) {
+			t.Customers = []template.Customer{{Name: "c", ModelVersions: map[string]string{"assistant": "v2"}}}
+		})
+		w.mu.Lock()
+		w.demand = append(w.demand, placement.Demand{Model: "assistant", Version: "v2", Streams: 10, UrgentStreams: 10})
+		w.mu.Unlock()
+		w.control(&lease{fence: 1, held: true}, fastShrink)
+		time.Sleep(2 * time.Minute)
+		w.Assert(w.serving("v2"), qt.Equals, 2)
+		w.Assert(w.serving("v1") >= 9, qt.IsTrue)
+	})
+}
+
+func TestOnlyTheHolderActs(t *testing.T) {
+	run(t, "", func(w *world) {
+		old, next := &lease{fence: 1, held: true}, &lease{fence: 2}
+		// Rounds come faster than the host list shows new hosts.
+		cfg := placement.Config{Period: 200 * time.Millisecond}
+		w.control(old, cfg)
+		w.control(next, cfg)
+		time.Sleep(30 * time.Second)
+		w.deployment.ReclaimDomain("midrand", time.Second)
+		// The lease passes on in the middle of the replacement.
+		for w.cloud.requests() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		old.set(1, false)
+		next.set(2, true)
+		time.Sleep(3 * time.Minute)
+		w.Assert(w.count(), qt.DeepEquals, map[string]int{"midrand": 3, "centurion": 3, "kempton": 3})
+		w.Assert(len(w.deployment.Records().Attempts), qt.Equals, 12)
+	})
+}
+
+// TestPausedHolderIsFenced lets the old holder believe in its lease: engines
+// that check refuse its orders.
+func TestPausedHolderIsFenced(t *testing.T) {
+	run(t, "", func(w *world) {
+		w.deployment.Platform.WeightStore.Publish("assistant", "v2")
+		w.control(&lease{fence: 2, held: true}, fastShrink)
+		time.Sleep(20 * time.Second)
+		for _, h := range w.live() {
+			err := w.endpoints.Engine(h.Endpoints[0].Addr).Order(w.TB.Context(), endpoint.Order{Kind: endpoint.OrderRole, Fence: 2})
+			w.Assert(err, qt.IsNil)
+		}
+		w.setTemplate(func(t *template.Template) { t.Models[0].Version = "v2" })
+		w.setDemand(placement.Demand{})
+		w.control(&lease{fence: 1, held: true}, placement.Config{Settle: time.Millisecond, Period: time.Second})
+		time.Sleep(2 * time.Minute)
+		for _, h := range w.live() {
+			s, err := w.endpoints.Engine(h.Endpoints[0].Addr).State(w.TB.Context())
+			w.Assert(err, qt.IsNil)
+			w.Assert(s.Fence, qt.Equals, uint64(2))
+		}
+	})
+}
+
+func TestShortDipKeepsHosts(t *testing.T) {
+	run(t, "", func(w *world) {
+		w.control(&lease{fence: 1, held: true}, fastShrink)
+		time.Sleep(time.Minute)
+		w.setDemand(placement.Demand{})
+		time.Sleep(10 * time.Second)
+		w.setDemand(placement.Demand{Streams: 100, UrgentStreams: 40})
+		time.Sleep(time.Minute)
+		w.Assert(w.serving("v1"), qt.Equals, 9)
+		w.Assert(w.cloud.requests(), qt.Equals, 0)
+	})
+}
+
+func TestHostListOutageStopsDecisions(t *testing.T) {
+	run(t, "", func(w *world) {
+		w.control(&lease{fence: 1, held: true}, fastShrink)
+		time.Sleep(30 * time.Second)
+		f := w.deployment.Platform.Faults()
+		f.HostList.Outage = true
+		w.deployment.Platform.SetFaults(f)
+		time.Sleep(5 * time.Second) // until a round that began before is over
+		w.setDemand(placement.Demand{Streams: 400})
+		time.Sleep(time.Minute)
+		w.Assert(w.cloud.requests(), qt.Equals, 0)
+		f.HostList.Outage = false
+		w.deployment.Platform.SetFaults(f)
+		time.Sleep(2 * time.Minute)
+		w.Assert(w.total(), qt.Equals, 20)
+	})
+}
+
+// TestDrainWaitsForStreams has a long stream on every host while nearly all
+// hosts become too many.
+func TestDrainWaitsForStreams(t *testing.T) {
+	run(t, "", func(w *world) {
+		var wg sync.WaitGroup
+		for _, h := range w.live() {
+			s, err := w.endpoints.Engine(h.Endpoints[0].Addr).Generate(w.TB.Context(), endpoint.GenerateRequest{
+				RequestID: h.ID, AttemptID: h.ID, Customer: "c", Model: "assistant", Version: "v1", MaxTokens: 6000,
+				Messages: []endpoint.Message{{Role: "user", Content: h.ID}},
+			})
+			w.Assert(err, qt.IsNil)
+			wg.Go(func() {
+				defer s.Close()
+				for {
+					_, err := s.Next(w.TB.Context())
+					if err != nil {
+						w.Check(errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
+						return
+					}
+				}
+			})
+		}
+		w.setDemand(placement.Demand{})
+		w.control(&lease{fence: 1, held: true}, fastShrink)
+		time.Sleep(40 * time.Second)
+		w.Assert(w.total(), qt.Equals, 9)
+		wg.Wait()
+		time.Sleep(time.Minute)
+		w.Assert(w.total(), qt.Equals, 2)
+	})
+}
