--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -387,6 +387,29 @@
 	})
 }
 
+// TestSlowRollKeepsTheOldVersion paces the loads, so that they take longer
+// than an unused version is kept.
+func TestSlowRollKeepsTheOldVersion(t *testing.T) {
+	run(t, "", func(w *world) {
+		w.deployment.Platform.WeightStore.Publish("assistant", "v2")
+		f := w.deployment.Platform.Faults()
+		f.WeightStore.LoadsPerMinute = 6
+		w.deployment.Platform.SetFaults(f)
+		w.control(&lease{fence: 1, held: true}, fastShrink)
+		time.Sleep(30 * time.Second)
+		w.setTemplate(func(t *template.Template) { t.Models[0].Version = "v2" })
+		w.setDemand(placement.Demand{Streams: 100, UrgentStreams: 40})
+		start := time.Now()
+		for w.serving("v2") < 9 {
+			w.Assert(w.serving("v1"), qt.Equals, 9)
+			time.Sleep(time.Second)
+		}
+		w.Assert(time.Since(start) > time.Minute, qt.IsTrue)
+		time.Sleep(time.Minute)
+		w.Assert(w.serving("v1"), qt.Equals, 0)
+	})
+}
+
 // TestOverrideIsLoadedWhereNeeded has one customer on a version of its own.
 func TestOverrideIsLoadedWhereNeeded(t *testing.T) {
 	run(t, "", func(w *world) {
