Answer durable requests over dead entries and endpoints

Need: an accepted plan or summary reaches its caller whatever dies. An accepted request is recorded, then runs without its caller; a recorder writes where it runs and its answer so far beside the stream; an adopter's entry reads the engine's stream on, or resumes from the checkpoint. Any entry follows: from its own memory, from the engine's stream, or from the record. Found on the way: an entry that lost a request and claimed it back ran it twice and stopped on a nil answer (randomised run, panic in removeLive); the earlier run is stopped and awaited first now. Weighed: proxying followers to the owner, which needs the owner alive; reading the engine's stream does not.

--- a/app/gate.go
+++ b/app/gate.go
@@ -30,6 +30,14 @@
 	return true
 }
 
+// Hold counts work in that may begin while the gate is closed: it was accepted
+// before.
+func (g *Gate) Hold() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inside++
+}
+
 // Leave lets a request out.
 func (g *Gate) Leave() {
 	g.mu.Lock()
--- a/app/loops.go
+++ b/app/loops.go
@@ -8,8 +8,11 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/coltsfootcleat/coltsfootcleat/delivery"
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/job"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
@@ -28,7 +31,7 @@
 // loopModule runs the background loops.
 var loopModule = fx.Module("loops",
 	fx.Provide(newLoops),
-	fx.Invoke(watchTemplates, watchHosts, watchNotices, watchOffers, probeEndpoints),
+	fx.Invoke(adoptRequests, watchTemplates, watchHosts, watchNotices, watchOffers, probeEndpoints),
 )
 
 // Loops are the background goroutines of an entry. All end when it stops.
@@ -69,6 +72,16 @@
 	})
 }
 
+// adoptRequests takes over the durable requests of entries that died.
+func adoptRequests(lc fx.Lifecycle, l *Loops, jobs *job.Store, d *delivery.Service, r *member.Registry, s settings.Entry, log *logrus.Logger) {
+	adopter := job.NewAdopter(jobs, job.AdopterOptions{
+		Members: r,
+		Resume:  d.Resume,
+		Log:     entryLog(log, s),
+	})
+	l.Go(lc, adopter.Run)
+}
+
 func watchTemplates(lc fx.Lifecycle, l *Loops, w *template.Watcher) {
 	l.Go(lc, func(ctx context.Context) { _ = w.Run(ctx) })
 }
--- a/app/modules.go
+++ b/app/modules.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	endpointrest "github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/job"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/once"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
@@ -49,6 +50,7 @@
 var requestModule = fx.Module("requests", fx.Provide(
 	newRelay,
 	newOnce,
+	newJobs,
 	newDelivery,
 	newServices,
 	newCallerAPI,
@@ -141,15 +143,34 @@
 	return store
 }
 
-func newDelivery(s settings.Entry, i Incarnation, r *relay.Relay, client endpoint.Client, f *routing.Fleet, log *logrus.Logger) *delivery.Service {
-	return delivery.New(delivery.Options{
-		EntryID:     s.ID,
+func newJobs(lc fx.Lifecycle, table platform.Table, objects platform.Objects, s settings.Entry, i Incarnation, log *logrus.Logger) *job.Store {
+	store := job.New(table, objects, job.Options{
+		Owner:       s.ID,
 		Incarnation: string(i),
-		Relay:       r,
-		Client:      client,
-		Predictor:   f,
 		Log:         entryLog(log, s),
 	})
+	lc.Append(fx.StopHook(store.Close))
+	return store
+}
+
+func newDelivery(lc fx.Lifecycle, s settings.Entry, r *relay.Relay, f *routing.Fleet, jobs *job.Store, w *template.Watcher, gate *Gate, log *logrus.Logger) *delivery.Service {
+	d := delivery.New(delivery.Options{
+		Relay:     r,
+		Predictor: f,
+		Jobs:      jobs,
+		Pacing:    job.NewPacing(0, 0, 0),
+		Kinds: func(name string) (template.Kind, bool) {
+			index := w.Index()
+			if index == nil {
+				return template.Kind{}, false
+			}
+			return index.Kind(name)
+		},
+		Hold: gate,
+		Log:  entryLog(log, s),
+	})
+	lc.Append(fx.StopHook(d.Close))
+	return d
 }
 
 func newServices(f *routing.Fleet, client endpoint.Client, store *once.Store, a *admission.Controller, s settings.Entry, log *logrus.Logger) *delivery.Services {
--- a/delivery/attached.go
+++ b/delivery/attached.go
@@ -15,7 +15,7 @@
 	sink := &attachedSink{out: out}
 	result, err := s.options.Relay.Run(ctx, relayRequest(r), sink)
 	r.Ticket.Done(admission.Usage{Tokens: r.PromptTokens + result.Tokens, Cost: s.cost(r.PromptTokens, result)})
-	s.logEnd(r, result, err)
+	s.logEnd(r.ID, r.Customer.Name, r.Kind.Name, result, err)
 	if err != nil {
 		return err
 	}
@@ -52,11 +52,11 @@
 	return a.out.Write(p)
 }
 
-func (s *Service) logEnd(r *Request, result relay.Result, err error) {
+func (s *Service) logEnd(id, customer, kind string, result relay.Result, err error) {
 	entry := s.options.Log.WithFields(logrus.Fields{
-		"request":    r.ID,
-		"customer":   r.Customer.Name,
-		"kind":       r.Kind.Name,
+		"request":    id,
+		"customer":   customer,
+		"kind":       kind,
 		"endpoint":   result.EndpointID,
 		"tokens":     result.Tokens,
 		"attempts":   result.Attempts,
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -1,13 +1,16 @@
 package delivery
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/job"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
 // Predictor predicts the time to the first token. *routing.Fleet implements
@@ -18,12 +21,15 @@
 
 // Options configure a Service.
 type Options struct {
-	// EntryID and Incarnation name this entry as the owner of requests.
-	EntryID     string
-	Incarnation string
-	Relay       *relay.Relay
-	Client      endpoint.Client
-	Predictor   Predictor
+	Relay     *relay.Relay
+	Predictor Predictor
+	// Jobs records durable requests, and Pacing says how often.
+	Jobs   *job.Store
+	Pacing *job.Pacing
+	// Kinds returns a kind of the template in force.
+	Kinds func(name string) (template.Kind, bool)
+	// Hold keeps the entry from ending while a durable request runs.
+	Hold Holder
 	// Cost returns the cost of an answer by its endpoint and token counts.
 	Cost func(endpointID string, promptTokens, tokens int) float64
 	Log  *logrus.Entry
@@ -32,11 +38,72 @@
 // Service runs chat requests. It is safe for concurrent use.
 type Service struct {
 	options Options
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	work   sync.WaitGroup
+
+	mu sync.Mutex
+	// answers are the durable requests that run here, by ID.
+	answers map[string]*live
+}
+
+// Holder counts work that the entry waits for when it stops.
+type Holder interface {
+	Hold()
+	Leave()
 }
 
-// New returns a Service.
+// New returns a Service. Close must be called.
 func New(o Options) *Service {
-	return &Service{options: o}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &Service{options: o, ctx: ctx, cancel: cancel, answers: make(map[string]*live)}
+}
+
+// Close ends the work on durable requests, which adopters then take over.
+// Their engines' streams go on.
+func (s *Service) Close() {
+	s.cancel(errClosed)
+	s.work.Wait()
+}
+
+func (s *Service) live(id string) *live {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answers[id]
+}
+
+func (s *Service) liveCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.answers)
+}
+
+// addLive makes an answer the one that readers follow. Where an earlier run of
+// the same request has not ended yet, as this entry lost the request and took
+// it over again, that run is stopped first: two would write one record.
+func (s *Service) addLive(id string, answer *live) {
+	for {
+		s.mu.Lock()
+		old := s.answers[id]
+		if old == nil {
+			s.answers[id] = answer
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		old.cancel(errLeft)
+		<-old.gone
+	}
+}
+
+// removeLive forgets an answer, and lets its readers look elsewhere.
+func (s *Service) removeLive(id string, answer *live) {
+	s.mu.Lock()
+	delete(s.answers, id)
+	s.mu.Unlock()
+	answer.leave()
+	close(answer.gone)
 }
 
 // PredictedWait returns the predicted time to the first token, 0 if unknown.
--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -78,7 +78,7 @@
 		id := fmt.Sprint(n)
 		for _, step := range []func() error{
 			func() error { return s.Accept(ctx, benchRequest(id)) },
-			func() error { return s.Bind(ctx, id, Stream{Addr: "10.0.0.1:8000", ID: "stream-"+id}) },
+			func() error { return s.Bind(ctx, id, Stream{Addr: "10.0.0.1:8000", ID: "stream-" + id}) },
 			func() error { return s.Checkpoint(ctx, id, 100, text) },
 			func() error { return s.Checkpoint(ctx, id, 200, text+text) },
 			func() error { return s.Finish(ctx, id, answer(text+text+text), verdict.Ran) },
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -85,3 +85,23 @@
 func isSpace(c byte) bool {
 	return c == ' ' || c == '\n' || c == '\t' || c == '\r'
 }
+
+// Skip returns a text without its first n tokens. White space belongs to the
+// token that it leads.
+func Skip(text string, n int) string {
+	inWord := false
+	for i := 0; i < len(text); i++ {
+		space := isSpace(text[i])
+		if space && inWord {
+			n--
+			if n == 0 {
+				return text[i:]
+			}
+		}
+		inWord = !space
+	}
+	if n <= 0 {
+		return text
+	}
+	return ""
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -168,7 +168,9 @@
 			return false, m
 		}
 		if ctx.Err() != nil {
-			c.cancelStream(r.engine, b.StreamID)
+			if !c.request.Durable {
+				c.cancelStream(r.engine, b.StreamID)
+			}
 			return false, context.Cause(ctx)
 		}
 		// A stream that still waits in its engine's queue may be silent for
--- /dev/null
+++ b/relay/follow.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+)
+
+// Follow reads a stream that another entry owns, from q.ResumeTokens on, as
+// far as it goes: to its end, or until it breaks or moves. It returns the
+// offset behind the last piece; an error only where the sink failed or ctx
+// ended. Nothing is started or cancelled on the engine.
+func (r *Relay) Follow(ctx context.Context, q *Request, b Binding, sink Sink) (int, error) {
+	c := &carrier{relay: r, request: q, answer: newAnswer(q), sink: sink, started: time.Now(), log: r.options.Log}
+	streamCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stream, err := c.open(cancel, func() (endpoint.Stream, error) {
+		return r.options.Client.Engine(b.Addr).Attach(streamCtx, b.StreamID, c.answer.tokens)
+	})
+	if err != nil {
+		return c.answer.tokens, ctx.Err()
+	}
+	defer func() { _ = stream.Close() }()
+	return c.follow(ctx, streamCtx, stream, b.AttemptID)
+}
+
+func (c *carrier) follow(ctx, streamCtx context.Context, stream endpoint.Stream, attempt string) (int, error) {
+	for {
+		f, err := stream.Next(streamCtx)
+		if err != nil {
+			return c.answer.tokens, ctx.Err()
+		}
+		switch next := c.answer.judge(attempt, f); next {
+		case stepDrop:
+			c.relay.counts.dropped.Add(1)
+		case stepDeliver, stepEnd:
+			p := c.answer.take(f)
+			if p.Tokens > 0 {
+				if err := c.sink.Write(ctx, p); err != nil {
+					return c.answer.tokens, err
+				}
+			}
+			if next == stepEnd {
+				// The owner records the end; the record confirms it.
+				return c.answer.tokens, nil
+			}
+		default:
+			return c.answer.tokens, nil
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -169,13 +169,14 @@
 	}
 }
 
-// final says whether the carrier must stop after err.
+// final says whether the carrier must stop after err. A durable request was
+// accepted for good: no deadline ends it.
 func (c *carrier) final(ctx context.Context, err error) bool {
 	var broken *errSink
 	if ctx.Err() != nil || errors.As(err, &broken) {
 		return true
 	}
-	if c.untouched() && verdict.Of(err) == verdict.NotRun && time.Since(c.started) >= c.request.Deadline {
+	if !c.request.Durable && c.untouched() && verdict.Of(err) == verdict.NotRun && time.Since(c.started) >= c.request.Deadline {
 		return true
 	}
 	return time.Since(c.progress) >= c.relay.options.GiveUp
--- a/relay/request.go
+++ b/relay/request.go
@@ -25,6 +25,9 @@
 	Urgency      template.Urgency
 	// Deadline is the time left until the first token.
 	Deadline time.Duration
+	// Durable keeps the engine's stream when the work here ends early, for
+	// whoever takes the request over.
+	Durable bool
 	// Resume is the answer so far of a request that is taken over, and
 	// ResumeTokens its token count.
 	Resume       string
