Spread swept rows over shards, and close gaps in once

Weighed: pages in the Scan contract would be a change for every adapter; shards in the key need none.

Change: rows of once and job carry one of 256 shards in front, and a pass scans them one after another. once.Do refuses a caller that has gone before the claim. Tests: caller gone during the claim, Close that gives up, no attempt sent twice in the randomised run.

--- a/job/doc.go
+++ b/job/doc.go
@@ -3,7 +3,7 @@
 //
 // Rows of one request:
 //
-//	job/<customer>/<id>                        state, rewritten as it goes on
+//	job/<shard>/<customer>/<id>                state, rewritten as it goes on
 //	jobreq/<customer>/<id>                     prompt, written once
 //	jobkey/<customer>/<idempotency key>        id of the first request
 //	jobown/<owner>/<incarnation>/<customer>/<id>   while it is not finished
--- a/job/record.go
+++ b/job/record.go
@@ -6,6 +6,7 @@
 	"net/url"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/sweep"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -105,13 +106,18 @@
 	return prefix
 }
 
-func (r *Record) row() string        { return key(jobPrefix, r.Customer, r.ID) }
+func (r *Record) row() string        { return jobRow(r.Customer, r.ID) }
 func (r *Record) requestRow() string { return key(requestPrefix, r.Customer, r.ID) }
 func (r *Record) keyRow() string     { return key(keyPrefix, r.Customer, r.IdempotencyKey) }
 func (r *Record) ownRow() string {
 	return key(ownPrefix, r.Owner, r.OwnerIncarnation, r.Customer, r.ID)
 }
 
+// jobRow returns the key of a request's state, in its shard for the sweep.
+func jobRow(customer, id string) string {
+	return key(sweep.Shard(jobPrefix, customer+"/"+id), customer, id)
+}
+
 func encode(v any) ([]byte, error) {
 	value, err := json.Marshal(v)
 	if err != nil {
--- a/job/store.go
+++ b/job/store.go
@@ -202,7 +202,7 @@
 
 // load reads a request's row and its version.
 func (s *Store) load(ctx context.Context, customer, id string) (Record, uint64, error) {
-	row, ok, err := s.read(ctx, key(jobPrefix, customer, id))
+	row, ok, err := s.read(ctx, jobRow(customer, id))
 	if err != nil {
 		return Record{}, 0, err
 	}
--- a/job/sweep.go
+++ b/job/sweep.go
@@ -13,11 +13,11 @@
 // lease.
 func (s *Store) NewSweeper(ttl time.Duration) *sweep.Sweeper {
 	return sweep.New(s.table, sweep.Options{
-		Name:   "job",
-		Prefix: jobPrefix,
-		TTL:    ttl,
-		Expire: s.expire,
-		Log:    s.log,
+		Name:     "job",
+		Prefixes: sweep.Shards(jobPrefix),
+		TTL:      ttl,
+		Expire:   s.expire,
+		Log:      s.log,
 	})
 }
 
--- a/once/fault_test.go
+++ b/once/fault_test.go
@@ -316,3 +316,47 @@
 		c.Assert(svc.count(), qt.Equals, 1)
 	})
 }
+
+// TestCallerGoneDuringClaim is not sent, and a retry goes ahead.
+func TestCallerGoneDuringClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		table.SetFaults(standin.TableFaults{Latency: time.Second})
+		svc := newFakeService()
+		store := New(table, Options{EntryID: "e1"})
+		defer store.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		_, err := store.Do(ctx, testKey, testBody, svc.send)
+		c.Assert(seen(err), qt.Equals, "not_run")
+		c.Assert(svc.count(), qt.Equals, 0)
+		_, err = store.Do(t.Context(), testKey, testBody, svc.send)
+		c.Assert(err, qt.IsNil)
+		c.Assert(svc.count(), qt.Equals, 1)
+	})
+}
+
+// TestCloseGivesUp ends in time while outcomes can't be written, and while a
+// send hangs.
+func TestCloseGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		store := New(table, Options{EntryID: "e1", SendTimeout: time.Hour})
+		go func() {
+			_, err := store.Do(t.Context(), testKey, testBody, func(ctx context.Context, _ string) (endpoint.Reply, error) {
+				<-ctx.Done()
+				return endpoint.Reply{}, ctx.Err()
+			})
+			c.Check(verdict.Of(err), qt.Equals, verdict.MayHaveRun)
+		}()
+		synctest.Wait()
+		table.SetFaults(standin.TableFaults{Hang: true})
+		began := time.Now()
+		store.Close()
+		c.Assert(time.Since(began) <= defaultCloseTimeout+2*defaultTableTimeout, qt.IsTrue)
+		_, err := store.Do(t.Context(), testKey, testBody, newFakeService().send)
+		c.Assert(seen(err), qt.Equals, "not_run")
+	})
+}
--- a/once/once.go
+++ b/once/once.go
@@ -78,6 +78,9 @@
 	defer s.running.Done()
 	expect := platform.ExpectAbsent
 	for range maxClaims {
+		if err := ctx.Err(); err != nil {
+			return endpoint.Reply{}, s.refused("caller gone before the claim: %w", err)
+		}
 		a := s.newAttempt(key, body, expect)
 		held, err := s.claim(ctx, a)
 		if err != nil {
--- a/once/random_test.go
+++ b/once/random_test.go
@@ -58,6 +58,11 @@
 			complain("key %s ran %d times", key, n)
 		}
 	}
+	for attempt, n := range w.tries {
+		if n > 1 {
+			complain("attempt %s was sent %d times", attempt, n)
+		}
+	}
 	for _, r := range w.calls {
 		switch {
 		case r.err == nil && (w.byKey[r.key] != 1 || w.replies[r.key] != r.reply):
--- a/once/record.go
+++ b/once/record.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/sweep"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -22,10 +23,11 @@
 	Key string
 }
 
-// row returns the table key. Parts are escaped, so that no customer can
-// write a key that falls into another's rows.
+// row returns the table key, in its shard for the sweep. Parts are escaped, so
+// that no customer can write a key that falls into another's rows.
 func (k Key) row() string {
-	return rowPrefix + url.PathEscape(k.Customer) + "/" + url.PathEscape(k.Service) + "/" + url.PathEscape(k.Key)
+	name := url.PathEscape(k.Customer) + "/" + url.PathEscape(k.Service) + "/" + url.PathEscape(k.Key)
+	return sweep.Shard(rowPrefix, name) + name
 }
 
 // state is the state of a record.
--- a/once/sweep.go
+++ b/once/sweep.go
@@ -13,5 +13,5 @@
 // for at least ttl after their last change; 0 takes the default of a day. Run
 // it under a lease.
 func NewSweeper(table platform.Table, ttl time.Duration, log *logrus.Entry) *sweep.Sweeper {
-	return sweep.New(table, sweep.Options{Name: "once", Prefix: rowPrefix, TTL: ttl, Log: log})
+	return sweep.New(table, sweep.Options{Name: "once", Prefixes: sweep.Shards(rowPrefix), TTL: ttl, Log: log})
 }
