Suspect a member only after all signs but one are lost

Seen with go test -count=40 ./member: a live member was Suspect in the view of an entry that knows it from the table alone.

Cause: half of GoneAfter is 4 s with few members, but two scans in a row may fall between two heartbeats, so that 4.4 s without a sign are ordinary. Suspicion now begins 6 s after the last sign (one lost sign fewer than GoneAfter); GoneAfter is unchanged.

--- a/member/member.go
+++ b/member/member.go
@@ -181,15 +181,15 @@
 
 // stateLocked returns the state of a record, and false when it is gone.
 func (r *Registry) stateLocked(rec *record, now time.Time) (State, bool) {
-	limit := GoneAfter(len(r.others) + 1)
+	members := len(r.others) + 1
 	silent := now.Sub(rec.lastSign)
-	if silent > limit {
+	if silent > GoneAfter(members) {
 		return Suspect, false
 	}
 	if !rec.suspectedAt.IsZero() {
 		return Suspect, now.Sub(rec.suspectedAt) <= refuteWindow
 	}
-	if silent > limit/2 {
+	if silent > suspectAfter(members) {
 		return Suspect, true
 	}
 	return rec.member.State, true
--- a/member/pace.go
+++ b/member/pace.go
@@ -53,7 +53,17 @@
 // GoneAfter returns how long a member may show no sign of life before it
 // counts as gone. A suspicion of its peers makes it shorter.
 func GoneAfter(members int) time.Duration {
-	return signSlack + lostSigns*max(HeartbeatPeriod(members), UpdatePeriod(members))
+	return signSlack + lostSigns*signPeriod(members)
+}
+
+// suspectAfter returns how long a member may show no sign of life before it
+// is suspected: one lost sign fewer than GoneAfter allows.
+func suspectAfter(members int) time.Duration {
+	return signSlack + (lostSigns-1)*signPeriod(members)
+}
+
+func signPeriod(members int) time.Duration {
+	return max(HeartbeatPeriod(members), UpdatePeriod(members))
 }
 
 // Jitter returns a duration near d, so that members don't fall into step.
