--- /dev/null
+++ b/once/process_test.go
@@ -0,0 +1,91 @@
+package once
+
+import (
+	"context"
+	"sync"
+
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+)
+
+// step is a point of an attempt at which a process can stop.
+type step int
+
+const (
+	never step = iota
+	beforeInsert
+	afterInsert
+	beforeSend
+	afterSend
+	beforeOutcome
+	afterOutcome
+)
+
+// process is one entry's way to the outside, which stops at a step of its
+// first attempt.
+type process struct {
+	*standin.Gate
+	table platform.Table
+
+	mu      sync.Mutex
+	stopAt  step
+	commits int
+	stopped chan struct{} // closed at the step
+}
+
+func newProcess(table platform.Table, stopAt step) *process {
+	return &process{
+		Gate:    standin.NewGate(table),
+		table:   table,
+		stopAt:  stopAt,
+		stopped: make(chan struct{}),
+	}
+}
+
+// reach stops the process if this is its step, and passes the gate.
+func (p *process) reach(at step) error {
+	p.mu.Lock()
+	if p.stopAt == at && at != never {
+		p.stopAt = never
+		p.Pause()
+		close(p.stopped)
+	}
+	p.mu.Unlock()
+	return p.Pass()
+}
+
+func (p *process) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+	p.mu.Lock()
+	p.commits++
+	before, after := never, never
+	switch p.commits {
+	case 1:
+		before, after = beforeInsert, afterInsert
+	case 2:
+		before, after = beforeOutcome, afterOutcome
+	}
+	p.mu.Unlock()
+	if err := p.reach(before); err != nil {
+		return 0, err
+	}
+	version, err := p.table.Commit(ctx, writes...)
+	if killed := p.reach(after); killed != nil {
+		return 0, killed
+	}
+	return version, err
+}
+
+// sender wraps a send with the process's steps.
+func (p *process) sender(send SendFunc) SendFunc {
+	return func(ctx context.Context, attempt string) (endpoint.Reply, error) {
+		if err := p.reach(beforeSend); err != nil {
+			return endpoint.Reply{}, err
+		}
+		reply, err := send(ctx, attempt)
+		if killed := p.reach(afterSend); killed != nil {
+			return endpoint.Reply{}, killed
+		}
+		return reply, err
+	}
+}
