--- /dev/null
+++ b/app/control.go
@@ -0,0 +1,183 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootcleat/coltsfootcleat/admission"
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
+	"github.com/coltsfootcleat/coltsfootcleat/job"
+	"github.com/coltsfootcleat/coltsfootcleat/lease"
+	"github.com/coltsfootcleat/coltsfootcleat/once"
+	"github.com/coltsfootcleat/coltsfootcleat/placement"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/relay"
+	"github.com/coltsfootcleat/coltsfootcleat/routing"
+	"github.com/coltsfootcleat/coltsfootcleat/settings"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+const (
+	// controlLease is the name of the lease under which one entry places
+	// replicas and sweeps old rows.
+	controlLease = "control"
+	// orderTimeout is the longest timeout of an order to an engine.
+	orderTimeout = 2 * time.Second
+	// sweepCheck is how often the lease is looked at for sweeping.
+	sweepCheck = time.Second
+)
+
+// controlModule runs what one entry at a time does for the deployment.
+var controlModule = fx.Module("control",
+	fx.Provide(newControlLease, newPlacementDemand, newPlacement),
+	fx.Invoke(runPlacement, runSweepers),
+)
+
+func newControlLease(lc fx.Lifecycle, l *Loops, table platform.Table, s settings.Entry, i Incarnation, log *logrus.Logger) *lease.Lease {
+	held := lease.New(table, lease.Options{
+		Name:          controlLease,
+		Owner:         s.ID,
+		Incarnation:   string(i),
+		SuccessorWait: orderTimeout,
+		Log:           entryLog(log, s),
+	})
+	l.Go(lc, held.Run)
+	return held
+}
+
+// orderLease is the control lease for whoever gives orders.
+type orderLease struct{ *lease.Lease }
+
+// Fence implements placement.Lease.
+func (l orderLease) Fence() (uint64, bool) { return l.MayOrder() }
+
+type placementDeps struct {
+	fx.In
+
+	Lease       *lease.Lease
+	HostList    platform.HostList
+	Cloud       platform.Cloud
+	WeightStore platform.WeightStore
+	Endpoints   endpoint.Client
+	Watcher     *template.Watcher
+	Demand      *placementDemand
+	Settings    settings.Entry
+	Log         *logrus.Logger
+}
+
+func newPlacement(d placementDeps) *placement.Controller {
+	return placement.New(placement.Config{CallTimeout: orderTimeout}, placement.Deps{
+		Lease:       orderLease{d.Lease},
+		HostList:    d.HostList,
+		Cloud:       d.Cloud,
+		WeightStore: d.WeightStore,
+		Endpoints:   d.Endpoints,
+		Template:    d.Watcher.Current,
+		Demand:      d.Demand.now,
+		Log:         entryLog(d.Log, d.Settings),
+	})
+}
+
+func runPlacement(lc fx.Lifecycle, l *Loops, c *placement.Controller, notices *drain.Set) {
+	notices.OnLeaving(func(drain.Notice) { c.Kick() })
+	l.Go(lc, func(ctx context.Context) { _ = c.Run(ctx) })
+}
+
+// runSweepers deletes old records while the lease is held.
+func runSweepers(lc fx.Lifecycle, l *Loops, held *lease.Lease, table platform.Table, jobs *job.Store, s settings.Entry, log *logrus.Logger) {
+	l.Go(lc, func(ctx context.Context) {
+		whileHeld(ctx, held, jobs.NewSweeper(0).Run)
+	})
+	l.Go(lc, func(ctx context.Context) {
+		whileHeld(ctx, held, once.NewSweeper(table, 0, entryLog(log, s)).Run)
+	})
+}
+
+// whileHeld runs f whenever the lease is held, and ends it when the lease is
+// lost.
+func whileHeld(ctx context.Context, held *lease.Lease, f func(ctx context.Context)) {
+	for ctx.Err() == nil {
+		if _, ok := held.Held(); ok {
+			runUnder(ctx, held, f)
+		}
+		ctxtime.Sleep(ctx, sweepCheck)
+	}
+}
+
+func runUnder(ctx context.Context, held *lease.Lease, f func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f(ctx)
+	}()
+	for ctxtime.Sleep(ctx, sweepCheck) {
+		if _, ok := held.Held(); !ok {
+			break
+		}
+	}
+	cancel()
+	<-done
+}
+
+// placementDemand estimates the work of each model version over all entries.
+type placementDemand struct {
+	fleet     *routing.Fleet
+	relay     *relay.Relay
+	admission *admission.Controller
+	digests   *peerDigests
+}
+
+func newPlacementDemand(f *routing.Fleet, r *relay.Relay, a *admission.Controller, d *peerDigests) *placementDemand {
+	return &placementDemand{fleet: f, relay: r, admission: a, digests: d}
+}
+
+// now sums up what the engines report, which is the work of all entries. What
+// part of it is urgent, and what part of the demand is prompts, is taken to
+// be as on this entry.
+func (p *placementDemand) now() []placement.Demand {
+	type key struct{ model, version string }
+	byVersion := make(map[key]*placement.Demand)
+	total := 0.0
+	for _, e := range p.fleet.Endpoints() {
+		if e.Endpoint.Kind != platform.KindEngine {
+			continue
+		}
+		k := key{e.Endpoint.Name, e.Endpoint.Version}
+		d := byVersion[k]
+		if d == nil {
+			d = &placement.Demand{Model: k.model, Version: k.version}
+			byVersion[k] = d
+		}
+		streams := max(e.Running+e.Waiting, e.InFlight)
+		d.Streams += float64(streams)
+		d.InFlight += streams
+		total += float64(streams)
+	}
+	urgent, prompts := p.relay.UrgentPart(), p.promptRate()
+	out := make([]placement.Demand, 0, len(byVersion))
+	for _, d := range byVersion {
+		if total > 0 {
+			d.PromptRate = prompts * d.Streams / total
+		}
+		d.UrgentStreams = d.Streams * urgent
+		d.UrgentPromptRate = d.PromptRate * urgent
+		out = append(out, *d)
+	}
+	return out
+}
+
+// promptRate returns the prompt tokens a second that need a prefill: the
+// demand of all entries, less what the own requests found cached or generated.
+func (p *placementDemand) promptRate() float64 {
+	rate := p.digests.tokensPerSecond()
+	for _, own := range p.admission.Demand() {
+		rate += own
+	}
+	return rate * p.relay.PrefillPart()
+}
--- a/app/entry.go
+++ b/app/entry.go
@@ -65,6 +65,7 @@
 		requestModule,
 		meshModule,
 		operatorModule,
+		controlModule,
 		serverModule,
 		loopModule,
 		fx.Populate(&e.watcher, &e.mesh, &e.relay),
--- a/app/mesh.go
+++ b/app/mesh.go
@@ -92,6 +92,19 @@
 	return p.digests[id]
 }
 
+// tokensPerSecond returns the demand of all other entries.
+func (p *peerDigests) tokensPerSecond() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	total := 0.0
+	for _, d := range p.digests {
+		for _, demand := range d.Demand {
+			total += demand.TokensPerSecond
+		}
+	}
+	return total
+}
+
 // share hands demand and spend of the live entries to admission.
 func (p *peerDigests) share() {
 	live := make(map[string]bool)
--- a/app/modules.go
+++ b/app/modules.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/once"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/guard"
 	platformrest "github.com/coltsfootcleat/coltsfootcleat/platform/rest"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
@@ -30,7 +31,7 @@
 var platformModule = fx.Module("platform", fx.Provide(
 	newMetrics,
 	newPlatformClient,
-	func(c *platformrest.Client, m *telemetry.Metrics) platform.Table { return m.Table(c.Table()) },
+	newTable,
 	func(c *platformrest.Client) platform.Objects { return c.Objects() },
 	func(c *platformrest.Client) platform.HostList { return c.HostList() },
 	func(c *platformrest.Client) platform.Cloud { return c.Cloud() },
@@ -75,6 +76,15 @@
 	return c
 }
 
+// newTable counts what reaches the table service, and guards it.
+func newTable(c *platformrest.Client, m *telemetry.Metrics, s settings.Entry, log *logrus.Logger) platform.Table {
+	return guard.New(m.Table(c.Table()), guard.Options{
+		Timeout:         s.Platform.Timeout.Std(),
+		WritesPerSecond: s.Platform.WritesPerSecond,
+		Log:             entryLog(log, s),
+	})
+}
+
 func newEndpointClient(lc fx.Lifecycle, n Network) endpoint.Client {
 	c := endpointrest.NewClient(n.Dial)
 	lc.Append(fx.StopHook(c.Close))
--- a/app/status.go
+++ b/app/status.go
@@ -6,6 +6,7 @@
 	"go.uber.org/fx"
 
 	"github.com/coltsfootcleat/coltsfootcleat/admission"
+	"github.com/coltsfootcleat/coltsfootcleat/lease"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/operatorapi"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
@@ -28,6 +29,7 @@
 	Watcher   *template.Watcher
 	Gate      *Gate
 	Drainer   *drainer
+	Lease     *lease.Lease
 }
 
 func newStatusSource(d statusDeps) *statusSource { return &statusSource{deps: d} }
@@ -44,11 +46,20 @@
 		Entries:    s.entries(),
 		Endpoints:  s.endpoints(),
 		Customers:  s.customers(),
-		Leases:     []operatorapi.LeaseStatus{},
+		Leases:     s.leases(),
 		Drains:     drains,
 	}, nil
 }
 
+// leases lists the lease that this entry holds; others show theirs.
+func (s *statusSource) leases() []operatorapi.LeaseStatus {
+	fence, held := s.deps.Lease.Held()
+	if !held {
+		return []operatorapi.LeaseStatus{}
+	}
+	return []operatorapi.LeaseStatus{{Name: controlLease, Owner: s.deps.Settings.ID, Fence: fence}}
+}
+
 func (s *statusSource) entries() []operatorapi.EntryStatus {
 	var out []operatorapi.EntryStatus
 	for _, m := range s.deps.Registry.Members() {
--- a/bench/caller/call.go
+++ b/bench/caller/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/bench/history"
 	"github.com/coltsfootcleat/coltsfootcleat/bench/workload"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 )
 
 // call sends a call of a plain service until its outcome is known or the
@@ -31,7 +32,7 @@
 			r.Outcome = history.Unknown
 		}
 		r.Detail = err.Error()
-		if final(err) || !sleep(ctx, pause) {
+		if final(err) || !ctxtime.Sleep(ctx, pause) {
 			return r
 		}
 		pause = min(2*pause, longestPause)
--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -189,14 +189,3 @@
 	}
 	return req, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bench/caller/chat.go
+++ b/bench/caller/chat.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/bench/history"
 	"github.com/coltsfootcleat/coltsfootcleat/bench/workload"
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/prefix"
 )
 
@@ -36,7 +37,7 @@
 			break
 		}
 		r.Detail = err.Error()
-		if a.crossed || a.short || final(err) || !c.mayRepeat(q, a, err) || !sleep(ctx, pause) {
+		if a.crossed || a.short || final(err) || !c.mayRepeat(q, a, err) || !ctxtime.Sleep(ctx, pause) {
 			a.err = err
 			break
 		}
--- a/delivery/durable.go
+++ b/delivery/durable.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/admission"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/job"
 	"github.com/coltsfootcleat/coltsfootcleat/prefix"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
@@ -140,7 +141,7 @@
 			// An earlier try took effect.
 			return nil
 		}
-		if !sleep(ctx, pause) {
+		if !ctxtime.Sleep(ctx, pause) {
 			return err
 		}
 		pause = min(2*pause, longestRecordPause)
@@ -204,14 +205,3 @@
 }
 
 var errClosed = errors.New("entry stops")
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/delivery/follow.go
+++ b/delivery/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/job"
 	"github.com/coltsfootcleat/coltsfootcleat/prefix"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
@@ -28,7 +29,7 @@
 		if done || err != nil {
 			return err
 		}
-		if !sleep(ctx, followPause) {
+		if !ctxtime.Sleep(ctx, followPause) {
 			return context.Cause(ctx)
 		}
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -228,6 +228,8 @@
 			if next == stepEnd {
 				c.result.Tokens = c.answer.tokens
 				c.result.FinishReason = f.FinishReason
+				c.relay.counts.tokens.Add(uint64(c.request.PromptTokens + c.answer.tokens))
+				c.relay.counts.prefilled.Add(uint64(max(0, c.request.PromptTokens-c.result.CachedTokens)))
 				return stepEnd, nil
 			}
 		default:
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -16,6 +16,22 @@
 
 type counters struct {
 	dropped, reread, broken, resumed, moved, migrated atomic.Uint64
+	// prefilled and tokens are sums over whole answers.
+	prefilled, tokens atomic.Uint64
+}
+
+// UrgentPart returns the part of the running streams that is urgent, in
+// [0, 1].
+func (r *Relay) UrgentPart() float64 { return r.streams.urgentPart() }
+
+// PrefillPart returns the part of all prompt and answer tokens carried so far
+// that had to be prefilled, in [0, 1].
+func (r *Relay) PrefillPart() float64 {
+	tokens := r.counts.tokens.Load()
+	if tokens == 0 {
+		return 0
+	}
+	return min(1, float64(r.counts.prefilled.Load())/float64(tokens))
 }
 
 func (c *counters) snapshot() Counts {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -162,7 +163,7 @@
 			pause = firstPause
 			continue
 		}
-		if !sleep(ctx, pause) {
+		if !ctxtime.Sleep(ctx, pause) {
 			return c.result, c.classify(ctx, context.Cause(ctx))
 		}
 		pause = min(2*pause, longestPause)
@@ -236,14 +237,3 @@
 	}
 	return choice, err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/relay/streams.go
+++ b/relay/streams.go
@@ -79,6 +79,25 @@
 	}
 }
 
+// urgentPart returns the part of the running streams that is urgent.
+func (s *streams) urgentPart() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all, urgent := 0, 0
+	for _, host := range s.byHost {
+		for r := range host {
+			all++
+			if r.answer.request.Urgency == template.UrgencyUrgent {
+				urgent++
+			}
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(urgent) / float64(all)
+}
+
 func (s *streams) on(hostID string) []*running {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/template/claims.go
+++ b/template/claims.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -92,7 +93,7 @@
 		for len(w.open()) > 0 {
 			w.catchUp(ctx)
 			w.updateReady()
-			if len(w.open()) > 0 && !pause(ctx, retryPause) {
+			if len(w.open()) > 0 && !ctxtime.Sleep(ctx, retryPause) {
 				return ctx.Err()
 			}
 		}
@@ -121,7 +122,7 @@
 	var asked sync.WaitGroup
 	for i, c := range claims {
 		asked.Go(func() {
-			if !pause(ctx, time.Duration(i)*hedgePause) || c.version <= w.known() {
+			if !ctxtime.Sleep(ctx, time.Duration(i)*hedgePause) || c.version <= w.known() {
 				return
 			}
 			refuted := w.fetchPeer(ctx, c)
--- a/template/edit.go
+++ b/template/edit.go
@@ -4,8 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -143,7 +143,7 @@
 	unknown := false
 	var last error
 	for try := range s.opts.Tries {
-		if try > 0 && !pause(ctx, s.opts.Pause) {
+		if try > 0 && !ctxtime.Sleep(ctx, s.opts.Pause) {
 			break
 		}
 		last = s.commit(ctx, writes)
@@ -246,15 +246,3 @@
 	var conflict *platform.ConflictError
 	return errors.As(err, &conflict)
 }
-
-// pause waits for d; it returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
