memnet: let a dial over a cut link time out

Ruled out: a leak in the platform client, whose dial has a limit of 2 s on a real network (app.TCP). Change: the same limit in memnet, with a test.

--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -23,6 +23,9 @@
 	portSpan  = 40000
 )
 
+// dialTimeout bounds a dial over a cut link.
+const dialTimeout = 2 * time.Second
+
 // addr is an "ip:port".
 type addr string
 
@@ -94,6 +97,9 @@
 func (n *Network) dial(ctx context.Context, from, address string) (net.Conn, error) {
 	to := addr(address)
 	if n.stalled(from, to.host()) {
+		// Whoever dials may have given up on its context long ago.
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: to, Err: ctx.Err()}
 	}
@@ -128,7 +134,7 @@
 }
 
 // Cut stops all traffic between two hosts, or lets it pass again. While a
-// link is cut, writes vanish and dials hang until their context ends. When it
+// link is cut, writes vanish and dials hang until they time out. When it
 // is restored, the connections that were open are reset.
 func (n *Network) Cut(a, b string, on bool) {
 	n.mu.Lock()
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -67,3 +67,17 @@
 		c.Assert(err, qt.ErrorMatches, ".*connection refused")
 	})
 }
+
+// Seed 894 of the randomised runs: an http.Transport dials with a context that
+// outlives its request.
+func TestDialOverCutLinkTimesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := memnet.New()
+		_, err := network.Listen("10.0.0.1:80")
+		c.Assert(err, qt.IsNil)
+		network.Cut("10.0.0.1", "10.0.0.2", true)
+		_, err = network.Dialer("10.0.0.2")(context.Background(), "tcp", "10.0.0.1:80")
+		c.Assert(err, qt.ErrorMatches, ".*deadline exceeded")
+	})
+}
