--- a/app/entry.go
+++ b/app/entry.go
@@ -67,6 +67,7 @@
 		operatorModule,
 		serverModule,
 		loopModule,
+		reclaimModule,
 		fx.Populate(&e.watcher, &e.mesh, &e.relay),
 	}
 	e.app = fx.New(append(options, c.Options...)...)
--- a/reclaim/types.go
+++ b/reclaim/types.go
@@ -27,6 +27,8 @@
 	Model   string
 	Version string
 	Urgency template.Urgency
+	// Hashes are the prompt's block hashes of package prefix.
+	Hashes []uint64
 	// PromptTokens and GeneratedTokens are what the KV cache holds;
 	// RemainingTokens is how many more are expected.
 	PromptTokens    int
