--- a/app/modules.go
+++ b/app/modules.go
@@ -14,8 +14,11 @@
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	endpointrest "github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/job"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/once"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/guard"
 	platformrest "github.com/coltsfootcleat/coltsfootcleat/platform/rest"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
@@ -28,7 +31,7 @@
 var platformModule = fx.Module("platform", fx.Provide(
 	newMetrics,
 	newPlatformClient,
-	func(c *platformrest.Client, m *telemetry.Metrics) platform.Table { return m.Table(c.Table()) },
+	newTable,
 	func(c *platformrest.Client) platform.Objects { return c.Objects() },
 	func(c *platformrest.Client) platform.HostList { return c.HostList() },
 	func(c *platformrest.Client) platform.Cloud { return c.Cloud() },
@@ -48,6 +51,7 @@
 var requestModule = fx.Module("requests", fx.Provide(
 	newRelay,
 	newOnce,
+	newJobs,
 	newDelivery,
 	newServices,
 	newCallerAPI,
@@ -72,6 +76,15 @@
 	return c
 }
 
+// newTable counts what reaches the table service, and guards it.
+func newTable(c *platformrest.Client, m *telemetry.Metrics, s settings.Entry, log *logrus.Logger) platform.Table {
+	return guard.New(m.Table(c.Table()), guard.Options{
+		Timeout:         s.Platform.Timeout.Std(),
+		WritesPerSecond: s.Platform.WritesPerSecond,
+		Log:             entryLog(log, s),
+	})
+}
+
 func newEndpointClient(lc fx.Lifecycle, n Network) endpoint.Client {
 	c := endpointrest.NewClient(n.Dial)
 	lc.Append(fx.StopHook(c.Close))
@@ -129,25 +142,45 @@
 	})
 }
 
-func newOnce(lc fx.Lifecycle, table platform.Table, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
+func newOnce(lc fx.Lifecycle, table platform.Table, registry *member.Registry, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
 	store := once.New(table, once.Options{
 		EntryID:     s.ID,
 		Incarnation: string(i),
+		Alive:       registry.Alive,
 		Log:         entryLog(log, s),
 	})
 	lc.Append(fx.StopHook(func(context.Context) { store.Close() }))
 	return store
 }
 
-func newDelivery(s settings.Entry, i Incarnation, r *relay.Relay, client endpoint.Client, f *routing.Fleet, log *logrus.Logger) *delivery.Service {
-	return delivery.New(delivery.Options{
-		EntryID:     s.ID,
+func newJobs(lc fx.Lifecycle, table platform.Table, objects platform.Objects, s settings.Entry, i Incarnation, log *logrus.Logger) *job.Store {
+	store := job.New(table, objects, job.Options{
+		Owner:       s.ID,
 		Incarnation: string(i),
-		Relay:       r,
-		Client:      client,
-		Predictor:   f,
 		Log:         entryLog(log, s),
 	})
+	lc.Append(fx.StopHook(store.Close))
+	return store
+}
+
+func newDelivery(lc fx.Lifecycle, s settings.Entry, r *relay.Relay, f *routing.Fleet, jobs *job.Store, w *template.Watcher, gate *Gate, log *logrus.Logger) *delivery.Service {
+	d := delivery.New(delivery.Options{
+		Relay:     r,
+		Predictor: f,
+		Jobs:      jobs,
+		Pacing:    job.NewPacing(0, 0, 0),
+		Kinds: func(name string) (template.Kind, bool) {
+			index := w.Index()
+			if index == nil {
+				return template.Kind{}, false
+			}
+			return index.Kind(name)
+		},
+		Hold: gate,
+		Log:  entryLog(log, s),
+	})
+	lc.Append(fx.StopHook(d.Close))
+	return d
 }
 
 func newServices(f *routing.Fleet, client endpoint.Client, store *once.Store, a *admission.Controller, s settings.Entry, log *logrus.Logger) *delivery.Services {
--- a/bench/plan/run.go
+++ b/bench/plan/run.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
@@ -20,6 +21,9 @@
 	if cfg.Replicas <= 0 {
 		cfg.Replicas = PlannedReplicas
 	}
+	if cfg.Listen == nil || cfg.Dial == nil {
+		cfg.Listen, cfg.Dial = listenLoopback, dialTCP
+	}
 	report := Report{Replicas: cfg.Replicas, Seconds: cfg.Seconds, Seed: cfg.Seed}
 	for _, members := range cfg.Members {
 		point, err := measure(ctx, cfg, members)
@@ -79,7 +83,8 @@
 	p.BootSeconds = time.Since(start).Seconds()
 	_, peak := f.metered.since(start)
 	p.BootPeakReads, p.BootPeakWrites, p.BootPeakRows = peak.Reads, peak.Writes, peak.Rows
-	return f.publishFor(settlePeriod)
+	// By then each member has published its state at least once more.
+	return f.publishFor(max(settlePeriod, member.UpdatePeriod(p.Members)*5/4))
 }
 
 // publishFor lets the demand move each second for a while.
@@ -161,7 +166,7 @@
 // domain at once.
 func (f *fleet) measureDomainNotices(p *Point) error {
 	hosts := f.cfg.Replicas / plannedDomains
-	before, start := f.traffic(), time.Now()
+	before, start, cpu := f.traffic(), time.Now(), processorTime()
 	source := f.entries[f.rng.IntN(len(f.entries))]
 	for i := range hosts {
 		source.mesh.SpreadNotice(drain.Notice{
@@ -184,6 +189,7 @@
 		return err
 	}
 	p.DomainNoticesSeconds = time.Since(start).Seconds()
+	p.DomainNoticesCoreMS = 1e3 * (processorTime() - cpu).Seconds() / float64(len(f.entries))
 	if err := f.publishFor(2 * time.Second); err != nil {
 		return err
 	}
@@ -239,7 +245,7 @@
 		return err
 	}
 	for _, e := range f.entries {
-		p.OutageLostMembers = max(p.OutageLostMembers, float64(len(f.entries)-len(e.registry.Live())))
+		p.OutageLostMembers = max(p.OutageLostMembers, float64(len(f.entries)-len(e.registry.Members())))
 	}
 	start := time.Now()
 	f.table.SetFaults(standin.TableFaults{})
--- a/peer/link.go
+++ b/peer/link.go
@@ -137,70 +137,6 @@
 	return nil
 }
 
-// handleHello checks who dials and answers with this entry's own hello.
-func (l *link) handleHello(ctx context.Context, req *jsonrpc2.Request) {
-	var h hello
-	err := params(req, &h)
-	select {
-	case <-l.ready:
-		err = fmt.Errorf("%w: second hello", errGarbage)
-	default:
-	}
-	if err == nil {
-		err = l.mesh.checkHello(ctx, h, l.remote)
-	}
-	if err == nil && h.To != l.mesh.self().ID {
-		err = errImpostor
-	}
-	if err != nil {
-		l.fail(err)
-		return
-	}
-	l.accept(h)
-	if h.Once {
-		l.stream.idle = onceTimeout
-	}
-	if err := l.conn.Reply(ctx, req.ID, l.mesh.hello(h.Member.ID, h.Once)); err != nil {
-		l.fail(err)
-		return
-	}
-	close(l.ready)
-}
-
-// accept takes over what a checked hello says.
-func (l *link) accept(h hello) {
-	l.peer = h.Member
-	l.once = h.Once
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.relay = h.Relay
-	for id, s := range h.Have {
-		l.has[id] = s
-	}
-}
-
-// open says hello as the dialling side.
-func (l *link) open(ctx context.Context, to member.Member, once bool) error {
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-	mine := l.mesh.hello(to.ID, once)
-	mine.To = to.ID
-	var theirs hello
-	if err := l.conn.Call(ctx, methodHello, mine, &theirs); err != nil {
-		return fmt.Errorf("hello: %w", err)
-	}
-	if theirs.Member.ID != to.ID {
-		return errImpostor
-	}
-	if err := l.mesh.checkHello(ctx, theirs, l.remote); err != nil {
-		return err
-	}
-	theirs.Once = once
-	l.accept(theirs)
-	close(l.ready)
-	return nil
-}
-
 func (l *link) handleDigest(d digest) error {
 	peer := l.peer
 	if d.Leaving {
@@ -224,7 +160,8 @@
 }
 
 func (l *link) handleNotices(n notices) {
-	for _, notice := range n.Notices {
+	for _, record := range n.Notices {
+		notice := record.notice()
 		l.mu.Lock()
 		l.got[notice.Key()] = true
 		l.mu.Unlock()
