--- a/routing/headroom.go
+++ b/routing/headroom.go
@@ -52,7 +52,7 @@
 	now := f.now()
 	p := f.pricingFor(g, &req)
 	p.reserve = noReserve
-	s := f.newSelection(g, p, demand{before: f.mix.upTo(req.Urgency.Rank())}, now)
+	s := newSelection(g, p, demand{before: f.mix.upTo(req.Urgency.Rank())}, now)
 	var near candidateList
 	f.gather(v, g, &req, &near)
 	for i := range near.n {
--- a/routing/index_test.go
+++ b/routing/index_test.go
@@ -147,3 +147,20 @@
 	f.Started(choice, endpoint.Frame{})
 	c.Assert(expectCached(c, f, req.Hashes), qt.Equals, 4*prefix.BlockTokens)
 }
+
+func TestCachedTokensAndLoads(t *testing.T) {
+	c := qt.New(t)
+	f := NewFleet(Options{})
+	f.SetHosts(testHosts(2))
+	prompt := promptHashes(1, 10)
+	f.ApplyCacheEvents("e1", 0, cached(prompt[:5]))
+	c.Assert(f.CachedTokens(prompt), qt.DeepEquals, map[string]int{"e1": 5 * prefix.BlockTokens})
+	f.ReportLoad("e0", endpoint.Load{Running: 3, Waiting: 2, MaxRunning: 4, PrefillRate: 9000, DecodeRate: 50, QueuedPromptTokens: 700})
+	f.MarkLeaving("h0", "1", "notice")
+	got := f.Loads()[0]
+	got.Endpoint = f.Endpoints()[1].Endpoint
+	c.Assert(got, qt.Equals, EndpointLoad{
+		Endpoint: got.Endpoint, HostID: "h0", Leaving: true, PrefillRate: 9000, DecodeRate: 50,
+		Batch: 4, FreeSlots: -1, QueuedPromptTokens: 700,
+	})
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -34,7 +34,7 @@
 
 	var near candidateList
 	f.gather(v, g, req, &near)
-	s := f.newSelection(g, p, d, now)
+	s := newSelection(g, p, d, now)
 	for i := range near.n {
 		s.offer(req, near.items[i])
 	}
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -24,7 +24,7 @@
 	seen      int
 }
 
-func (f *Fleet) newSelection(g *group, p pricing, d demand, now time.Time) selection {
+func newSelection(g *group, p pricing, d demand, now time.Time) selection {
 	return selection{p: p, d: d, stats: g.stats, now: now, small: len(g.replicas) <= scanAll}
 }
 
