--- a/app/entry.go
+++ b/app/entry.go
@@ -68,6 +68,7 @@
 		controlModule,
 		serverModule,
 		loopModule,
+		reclaimModule,
 		fx.Populate(&e.watcher, &e.mesh, &e.relay),
 	}
 	e.app = fx.New(append(options, c.Options...)...)
