--- a/peer/link.go
+++ b/peer/link.go
@@ -67,6 +67,8 @@
 	stateChange    uint64
 	sentTemplates  map[string]uint64
 	askedRelay     bool
+	// relayed says whether the last digest relayed states.
+	relayed bool
 }
 
 func (m *Mesh) newLink(ctx context.Context, nc net.Conn, dialled bool, idle time.Duration) *link {
--- a/peer/send.go
+++ b/peer/send.go
@@ -103,6 +103,11 @@
 }
 
 func (l *link) newStatesLocked(relay bool) []state {
+	if relay && !l.relayed {
+		// What was passed over until now is due; has keeps the rest back.
+		l.stateChange = 0
+	}
+	l.relayed = relay
 	fresh, last := l.mesh.states.since(l.stateChange)
 	now := time.Now()
 	self := l.mesh.self().ID
--- a/peer/stream_test.go
+++ b/peer/stream_test.go
@@ -13,6 +13,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
 func framed(body string) []byte {
@@ -139,3 +144,21 @@
 		c.Assert(known, qt.IsFalse)
 	})
 }
+
+func TestRelayBeginsWithWhatWasPassedOver(t *testing.T) {
+	c := qt.New(t)
+	members := fleet(4, 0)
+	registry := member.New(standin.NewTable(1), member.Options{ID: members[0].ID, Log: logrus.NewEntry(logrus.New())})
+	m := New(Options{Registry: registry, Notices: drain.NewSet(logrus.NewEntry(logrus.New()))})
+	for i := range members[1:] {
+		registry.Learn(members[i+1], 0)
+		m.states.put(state{Origin: members[i+1].ID, Stamp: stamp{1, 1}, Member: &members[i+1]})
+	}
+	l := &link{mesh: m, peer: members[1], has: map[string]stamp{members[2].ID: {1, 1}}}
+	c.Assert(l.newStatesLocked(false), qt.HasLen, 0)
+	sent := l.newStatesLocked(true)
+	c.Assert(sent, qt.HasLen, 1)
+	c.Assert(sent[0].Origin, qt.Equals, members[3].ID)
+	c.Assert(sent[0].Member, qt.IsNotNil)
+	c.Assert(l.newStatesLocked(true), qt.HasLen, 0)
+}
