--- a/app/entry.go
+++ b/app/entry.go
@@ -65,8 +65,10 @@
 		requestModule,
 		meshModule,
 		operatorModule,
+		controlModule,
 		serverModule,
 		loopModule,
+		reclaimModule,
 		fx.Populate(&e.watcher, &e.mesh, &e.relay),
 	}
 	e.app = fx.New(append(options, c.Options...)...)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -168,7 +168,9 @@
 			return false, m
 		}
 		if ctx.Err() != nil {
-			c.cancelStream(r.engine, b.StreamID)
+			if !c.request.Durable {
+				c.cancelStream(r.engine, b.StreamID)
+			}
 			return false, context.Cause(ctx)
 		}
 		// A stream that still waits in its engine's queue may be silent for
@@ -226,6 +228,8 @@
 			if next == stepEnd {
 				c.result.Tokens = c.answer.tokens
 				c.result.FinishReason = f.FinishReason
+				c.relay.counts.tokens.Add(uint64(c.request.PromptTokens + c.answer.tokens))
+				c.relay.counts.prefilled.Add(uint64(max(0, c.request.PromptTokens-c.result.CachedTokens)))
 				return stepEnd, nil
 			}
 		default:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -162,20 +163,21 @@
 			pause = firstPause
 			continue
 		}
-		if !sleep(ctx, pause) {
+		if !ctxtime.Sleep(ctx, pause) {
 			return c.result, c.classify(ctx, context.Cause(ctx))
 		}
 		pause = min(2*pause, longestPause)
 	}
 }
 
-// final says whether the carrier must stop after err.
+// final says whether the carrier must stop after err. A durable request was
+// accepted for good: no deadline ends it.
 func (c *carrier) final(ctx context.Context, err error) bool {
 	var broken *errSink
 	if ctx.Err() != nil || errors.As(err, &broken) {
 		return true
 	}
-	if c.untouched() && verdict.Of(err) == verdict.NotRun && time.Since(c.started) >= c.request.Deadline {
+	if !c.request.Durable && c.untouched() && verdict.Of(err) == verdict.NotRun && time.Since(c.started) >= c.request.Deadline {
 		return true
 	}
 	return time.Since(c.progress) >= c.relay.options.GiveUp
@@ -235,14 +237,3 @@
 	}
 	return choice, err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
