--- a/bench/experiment/report.go
+++ b/bench/experiment/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/bench/history"
 	"github.com/coltsfootcleat/coltsfootcleat/prefix"
+	"github.com/coltsfootcleat/coltsfootcleat/standin"
 )
 
 // Report is the result of one run. Times are in seconds, cost in the
@@ -32,6 +33,9 @@
 	TokensGenerated   int `json:"tokens_generated"`
 	TokensRecomputed  int `json:"tokens_recomputed"`
 	TokensRequired    int `json:"tokens_required"`
+	// TokensLost is the part of the recomputed tokens that resumed or
+	// repeated attempts computed; the rest was not reused from a cache.
+	TokensLost int `json:"tokens_recomputed_lost"`
 
 	TemplateConvergeP99 float64 `json:"template_converge_p99_s"`
 	NewWorkAfterDrain   float64 `json:"new_work_after_drain_s"`
@@ -56,8 +60,13 @@
 
 	// Violations are the broken promises.
 	Violations []string `json:"violations"`
+
+	records []history.Record
 }
 
+// Records are the histories of all requests. They must not be changed.
+func (r *Report) Records() []history.Record { return r.records }
+
 // Kept says whether every promise held.
 func (r *Report) Kept() bool { return len(r.Violations) == 0 }
 
@@ -71,6 +80,7 @@
 		Violations: []string{},
 	}
 	records := r.history.Records()
+	out.records = records
 	out.countOutcomes(records)
 	out.countCalls(records, after)
 	r.setTimes(&out, records)
@@ -185,6 +195,27 @@
 	out.TokensGenerated = generated
 	out.TokensRequired = prompts + answers
 	out.TokensRecomputed = max(0, prefilled-prompts) + max(0, generated-answers)
+	out.TokensLost = max(0, generated-answers) + repeatedPrefill(after.records)
+}
+
+// repeatedPrefill returns the tokens prefilled by all attempts of a request
+// after its first.
+func repeatedPrefill(did standin.Records) int {
+	total := make(map[string]int)
+	first := make(map[string]int)
+	for _, attempts := range did.Attempts {
+		for _, a := range attempts {
+			total[a.RequestID] += a.PrefilledTokens
+			if a.ResumeTokens == 0 {
+				first[a.RequestID] = max(first[a.RequestID], a.PrefilledTokens)
+			}
+		}
+	}
+	sum := 0
+	for id, n := range total {
+		sum += n - first[id]
+	}
+	return sum
 }
 
 // newTokens returns the tokens of a prompt that no earlier prompt of the
--- a/cmd/coltsfootcleat/bench.go
+++ b/cmd/coltsfootcleat/bench.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/olekukonko/tablewriter"
 
 	"github.com/coltsfootcleat/coltsfootcleat/bench/experiment"
+	"github.com/coltsfootcleat/coltsfootcleat/bench/history"
 	"github.com/coltsfootcleat/coltsfootcleat/deployments"
 )
 
@@ -34,6 +36,7 @@
 	load       float64
 	network    int
 	json       bool
+	requests   string
 }
 
 // Name implements subcommands.Command.
@@ -82,6 +85,7 @@
 	f.Float64Var(&c.load, "load", 1, "factor on the arrival rates of today")
 	f.IntVar(&c.network, "network", 40, "second number of the loopback `network` 127.N to use")
 	f.BoolVar(&c.json, "json", false, "print JSON")
+	f.StringVar(&c.requests, "requests", "", "`file` to write a JSON line for each request to")
 }
 
 // Execute implements subcommands.Command.
@@ -103,6 +107,9 @@
 	if err := c.print(reports); err != nil {
 		return c.exit(err)
 	}
+	if err := c.writeRequests(reports); err != nil {
+		return c.exit(err)
+	}
 	for _, r := range reports {
 		if !r.Kept() {
 			return c.exit(fmt.Errorf("bench: %s under %s broke promises: %s", r.Policy, r.Schedule, strings.Join(r.Violations, "; ")))
@@ -133,6 +140,44 @@
 	return reports, nil
 }
 
+// requestLine is a request in the file that -requests names.
+type requestLine struct {
+	Policy     experiment.Policy   `json:"policy"`
+	Schedule   experiment.Schedule `json:"schedule"`
+	Number     int                 `json:"number"`
+	Kind       string              `json:"kind"`
+	Customer   string              `json:"customer"`
+	Arrived    float64             `json:"arrived_s"`
+	FirstToken float64             `json:"first_token_s"`
+	Ended      float64             `json:"ended_s"`
+	Outcome    history.Outcome     `json:"outcome"`
+	Attempts   int                 `json:"attempts"`
+	Tokens     int                 `json:"tokens"`
+	Detail     string              `json:"detail,omitempty"`
+}
+
+func (c *benchCommand) writeRequests(reports []experiment.Report) error {
+	if c.requests == "" {
+		return nil
+	}
+	var out strings.Builder
+	e := json.NewEncoder(&out)
+	for _, report := range reports {
+		for _, r := range report.Records() {
+			err := e.Encode(requestLine{
+				Policy: report.Policy, Schedule: report.Schedule, Number: r.Request.Number,
+				Kind: r.Request.Class.Kind, Customer: r.Request.Customer.Name,
+				Arrived: r.Request.At.Seconds(), FirstToken: r.FirstToken.Seconds(), Ended: r.Ended.Seconds(),
+				Outcome: r.Outcome, Attempts: r.Attempts, Tokens: r.Tokens, Detail: r.Detail,
+			})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return os.WriteFile(c.requests, []byte(out.String()), 0o644)
+}
+
 func (c *benchCommand) print(reports []experiment.Report) error {
 	if c.json {
 		e := json.NewEncoder(c.out)
