Refuse bad input of callers before anything runs

A table of 70-odd bad requests against the caller interface found these faults, all seen failing on the code before: - a path escaped as %2e%2e, %252e, ';x', '/./', a slash at its end or an escaped letter passed for a repeatable route by its prefix while the service reads another path; a repeatable prefix listed before an exact route took it; - text behind the JSON, negative max_tokens, messages without a role, idempotency keys of any length and with control characters, and two headers of one name were taken; - a body that stalls held its connection for ever: the read deadline was taken off before the server read the rest of the body, and refusals that don't read the body (unknown key, unknown path, GET with a body) had none; - whole answers and service replies had no write deadline, so that a caller that stops reading kept a draining entry from ending; - a durable request that could not be recorded kept its place in admission; - a path with a slash too many was redirected, and so sent twice.

Routes are matched on the decoded path, exact ones first, then the longest prefix; paths that two sides could decode differently are refused. Weighed: passing the escaped path on and matching it, which can't know how the service decodes. Keys are at most 256 printable ASCII bytes. New codes too_large (413) and body_stalled (408). The stream of a durable request holds the gate of a draining entry, and a draining entry sends new readers elsewhere.

--- a/callerapi/chat.go
+++ b/callerapi/chat.go
@@ -1,7 +1,6 @@
 package callerapi
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -28,6 +27,25 @@
 	MaxCompletionTokens int                `json:"max_completion_tokens"`
 }
 
+// check finds faults that need no template.
+func (r *chatRequest) check() error {
+	if r.Model == "" || len(r.Model) > maxNameBytes {
+		return invalid("model is missing or longer than %d bytes", maxNameBytes)
+	}
+	if r.MaxTokens < 0 || r.MaxCompletionTokens < 0 {
+		return invalid("max_tokens is negative")
+	}
+	if len(r.Messages) == 0 {
+		return invalid("messages is empty")
+	}
+	for i, m := range r.Messages {
+		if m.Role == "" {
+			return invalid("message %d has no role", i)
+		}
+	}
+	return nil
+}
+
 func (s *Server) chat(c *gin.Context) {
 	request, stream, err := s.parseChat(c)
 	if err != nil {
@@ -75,6 +93,8 @@
 			s.attached(c, r, stream)
 			return
 		}
+		// Nothing runs that would give the place back.
+		r.Ticket.Done(admission.Usage{})
 		s.fail(c, err)
 		return
 	}
@@ -108,15 +128,22 @@
 		return nil, false, err
 	}
 	var in chatRequest
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	if err := decoder.Decode(&in); err != nil {
-		return nil, false, invalid("body is no chat request: %v", err)
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, false, invalid("body is no chat request: %w", err)
 	}
-	if len(in.Messages) == 0 {
-		return nil, false, invalid("messages is empty")
+	if err := in.check(); err != nil {
+		return nil, false, err
+	}
+	key, err := singleHeader(c, HeaderIdempotencyKey, maxKeyBytes)
+	if err != nil {
+		return nil, false, err
+	}
+	kindName, err := singleHeader(c, HeaderRequestKind, maxNameBytes)
+	if err != nil {
+		return nil, false, err
 	}
 	t, customer := templateIn(c), customerIn(c)
-	kind, err := kindOf(t.Template, customer, c.GetHeader(HeaderRequestKind), in.Model)
+	kind, err := kindOf(t.Template, customer, kindName, in.Model)
 	if err != nil {
 		return nil, false, err
 	}
@@ -136,7 +163,7 @@
 		Hashes:          hashes,
 		PromptTokens:    tokens,
 		MaxTokens:       limitTokens(in, kind),
-		IdempotencyKey:  c.GetHeader(HeaderIdempotencyKey),
+		IdempotencyKey:  key,
 	}, in.Stream, nil
 }
 
@@ -151,9 +178,6 @@
 // kindOf returns the kind that a request names, or the first attached kind of
 // its model where it names none.
 func kindOf(t *template.Template, customer template.Customer, name, model string) (template.Kind, error) {
-	if model == "" {
-		return template.Kind{}, invalid("model is missing")
-	}
 	if !slices.ContainsFunc(t.Models, func(m template.Model) bool { return m.Name == model }) {
 		return template.Kind{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "unknown model %q", model)
 	}
--- a/callerapi/errors.go
+++ b/callerapi/errors.go
@@ -45,6 +45,8 @@
 	verdict.CodeOverloaded:   http.StatusServiceUnavailable,
 	verdict.CodeUnavailable:  http.StatusServiceUnavailable,
 	verdict.CodeDeadline:     http.StatusGatewayTimeout,
+	verdict.CodeTooLarge:     http.StatusRequestEntityTooLarge,
+	verdict.CodeStalled:      http.StatusRequestTimeout,
 }
 
 // statusOf returns the HTTP status for err.
@@ -70,6 +72,7 @@
 
 // fail answers with err. Nothing of the answer may have been written.
 func (s *Server) fail(c *gin.Context, err error) {
+	boundWrite(c)
 	c.Header(HeaderVerdict, verdict.Of(err).String())
 	if after := verdict.RetryAfterOf(err); after > 0 {
 		seconds := int64((after + time.Second - 1) / time.Second)
--- /dev/null
+++ b/callerapi/input_test.go
@@ -0,0 +1,232 @@
+package callerapi_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+const (
+	chatPath = "/v1/chat/completions"
+	good     = `{"model":"lm","messages":[{"role":"user","content":"hi"}]}`
+)
+
+func chat(body string, header ...string) *http.Request {
+	return request(http.MethodPost, chatPath, body, header...)
+}
+
+func order(path string, header ...string) *http.Request {
+	return request(http.MethodPost, "/services/orders"+path, "{}", header...)
+}
+
+func without(req *http.Request, header string) *http.Request {
+	req.Header.Del(header)
+	return req
+}
+
+func withAuth(value string) *http.Request {
+	req := chat(good)
+	req.Header.Set("Authorization", value)
+	return req
+}
+
+func TestBadInputRunsNothing(t *testing.T) {
+	long := strings.Repeat("k", 257)
+	tests := []struct {
+		name   string
+		req    *http.Request
+		status int
+		code   verdict.Code
+	}{
+		{"malformed JSON", chat(`{"model":`), 400, verdict.CodeInvalid},
+		{"no JSON", chat(`which wick`), 400, verdict.CodeInvalid},
+		{"no body", chat(``), 400, verdict.CodeInvalid},
+		{"null", chat(`null`), 400, verdict.CodeInvalid},
+		{"array", chat(`[` + good + `]`), 400, verdict.CodeInvalid},
+		{"trailing garbage", chat(good + `x`), 400, verdict.CodeInvalid},
+		{"two requests", chat(good + good), 400, verdict.CodeInvalid},
+		{"oversized body", chat(`{"x":"` + strings.Repeat("x", bodyLimit) + `"}`), 413, verdict.CodeTooLarge},
+		{"oversized body of a service", request("POST", "/services/orders/orders", strings.Repeat("x", bodyLimit+1), "Idempotency-Key", "k"), 413, verdict.CodeTooLarge},
+		{"model is a number", chat(`{"model":5,"messages":[{"role":"user","content":"hi"}]}`), 400, verdict.CodeInvalid},
+		{"messages is text", chat(`{"model":"lm","messages":"hi"}`), 400, verdict.CodeInvalid},
+		{"content is a number", chat(`{"model":"lm","messages":[{"role":"user","content":5}]}`), 400, verdict.CodeInvalid},
+		{"stream is text", chat(`{"model":"lm","stream":"yes","messages":[{"role":"user","content":"hi"}]}`), 400, verdict.CodeInvalid},
+		{"no messages", chat(`{"model":"lm"}`), 400, verdict.CodeInvalid},
+		{"empty messages", chat(`{"model":"lm","messages":[]}`), 400, verdict.CodeInvalid},
+		{"message without a role", chat(`{"model":"lm","messages":[{"content":"hi"}]}`), 400, verdict.CodeInvalid},
+		{"no model", chat(`{"messages":[{"role":"user","content":"hi"}]}`), 400, verdict.CodeInvalid},
+		{"unknown model", chat(`{"model":"gone","messages":[{"role":"user","content":"hi"}]}`), 404, verdict.CodeNotFound},
+		{"over-long model", chat(`{"model":"` + long + `","messages":[{"role":"user","content":"hi"}]}`), 400, verdict.CodeInvalid},
+		{"negative max_tokens", chat(`{"model":"lm","max_tokens":-1,"messages":[{"role":"user","content":"hi"}]}`), 400, verdict.CodeInvalid},
+		{"negative max_completion_tokens", chat(`{"model":"lm","max_completion_tokens":-1,"messages":[{"role":"user","content":"hi"}]}`), 400, verdict.CodeInvalid},
+		{"max_tokens beyond any number", chat(`{"model":"lm","max_tokens":1e30,"messages":[{"role":"user","content":"hi"}]}`), 400, verdict.CodeInvalid},
+		{"fractional max_tokens", chat(`{"model":"lm","max_tokens":1.5,"messages":[{"role":"user","content":"hi"}]}`), 400, verdict.CodeInvalid},
+
+		{"unknown kind", chat(good, "X-Request-Kind", "gone"), 400, verdict.CodeInvalid},
+		{"kind of another model", chat(good, "X-Request-Kind", "translate"), 400, verdict.CodeInvalid},
+		{"kind of a service", chat(good, "X-Request-Kind", "order"), 400, verdict.CodeInvalid},
+		{"kind of another customer", chat(good, "X-Request-Kind", "secret"), 400, verdict.CodeInvalid},
+		{"over-long kind", chat(good, "X-Request-Kind", long), 400, verdict.CodeInvalid},
+		{"two kinds", chat(good, "X-Request-Kind", "question", "X-Request-Kind", "plan"), 400, verdict.CodeInvalid},
+		{"route of another customer", order("/audit"), 400, verdict.CodeInvalid},
+
+		{"no key", without(chat(good), "Authorization"), 401, verdict.CodeUnauthorized},
+		{"unknown key", withAuth("Bearer nobody"), 401, verdict.CodeUnauthorized},
+		{"empty key", withAuth("Bearer "), 401, verdict.CodeUnauthorized},
+		{"hash of the key", withAuth("Bearer " + hash(keyOne)), 401, verdict.CodeUnauthorized},
+		{"key of another deployment", withAuth("Bearer dev-karoo-candle-house"), 401, verdict.CodeUnauthorized},
+		{"another scheme", withAuth("Basic " + keyOne), 401, verdict.CodeUnauthorized},
+		{"unknown key on a service", without(order("/orders", "Idempotency-Key", "k"), "Authorization"), 401, verdict.CodeUnauthorized},
+
+		{"no idempotency key", order("/orders"), 400, verdict.CodeInvalid},
+		{"empty idempotency key", order("/orders", "Idempotency-Key", ""), 400, verdict.CodeInvalid},
+		{"no idempotency key on an unnamed route", order("/other"), 400, verdict.CodeInvalid},
+		{"no idempotency key on an unnamed method", request("DELETE", "/services/orders/orders", ""), 400, verdict.CodeInvalid},
+		{"over-long idempotency key", order("/orders", "Idempotency-Key", long), 400, verdict.CodeInvalid},
+		{"tab in an idempotency key", order("/orders", "Idempotency-Key", "a\tb"), 400, verdict.CodeInvalid},
+		{"idempotency key beyond ASCII", order("/orders", "Idempotency-Key", "a\u00e9"), 400, verdict.CodeInvalid},
+		{"two idempotency keys", order("/orders", "Idempotency-Key", "a", "Idempotency-Key", "b"), 400, verdict.CodeInvalid},
+		{"over-long idempotency key on chat", chat(good, "X-Request-Kind", "plan", "Idempotency-Key", long), 400, verdict.CodeInvalid},
+
+		{"unknown service", request("POST", "/services/gone/orders", "{}", "Idempotency-Key", "k"), 404, verdict.CodeNotFound},
+		{"no path in a service", request("POST", "/services/orders", "{}", "Idempotency-Key", "k"), 404, verdict.CodeNotFound},
+		{"unknown path", request("POST", "/v1/completions", good), 404, verdict.CodeNotFound},
+		{"slash behind a path", request("POST", chatPath+"/", good), 404, verdict.CodeNotFound},
+		{"another method", request("DELETE", chatPath, ""), 404, verdict.CodeNotFound},
+
+		// Each of these could pass for the repeatable /stock/* and reach
+		// another path of the service.
+		{"dot segments", order("/stock/../orders"), 400, verdict.CodeInvalid},
+		{"one dot", order("/stock/./commit"), 400, verdict.CodeInvalid},
+		{"two slashes", order("/stock//commit"), 400, verdict.CodeInvalid},
+		{"escaped dot segments", order("/stock/%2e%2E/orders"), 400, verdict.CodeInvalid},
+		{"escaped slash", order("/stock/..%2forders"), 400, verdict.CodeInvalid},
+		{"escaped escape", order("/stock/%252e%252e/orders"), 400, verdict.CodeInvalid},
+		{"escaped backslash", order("/stock/%5c..%5corders"), 400, verdict.CodeInvalid},
+		{"path parameter", order("/stock/commit;x=1"), 400, verdict.CodeInvalid},
+		{"escaped path parameter", order("/stock/commit%3bx=1"), 400, verdict.CodeInvalid},
+		{"escaped control character", order("/stock/commit%00"), 400, verdict.CodeInvalid},
+		{"escaped letter", order("/stock/c%6fmmit"), 400, verdict.CodeInvalid},
+		{"slash at the end", order("/stock/commit/"), 400, verdict.CodeInvalid},
+		{"the plain path", order("/stock/commit"), 400, verdict.CodeInvalid},
+		{"escaped service", request("POST", "/services%2Forders/stock/x", "{}"), 400, verdict.CodeInvalid},
+
+		{"bad offset", request("GET", "/v1/requests/r1/stream?from=x", ""), 400, verdict.CodeInvalid},
+		{"negative offset", request("GET", "/v1/requests/r1/stream?from=-1", ""), 400, verdict.CodeInvalid},
+		{"huge offset", request("GET", "/v1/requests/r1/stream?from=99999999999999999999", ""), 400, verdict.CodeInvalid},
+		{"bad Last-Event-ID", request("GET", "/v1/requests/r1/stream", "", "Last-Event-ID", "one"), 400, verdict.CodeInvalid},
+		{"unknown request", request("GET", "/v1/requests/other", ""), 404, verdict.CodeNotFound},
+		{"stream of an unknown request", request("GET", "/v1/requests/other/stream", ""), 404, verdict.CodeNotFound},
+		{"body where none is taken", request("GET", "/v1/models", "{}"), 400, verdict.CodeInvalid},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(t)
+				w.assertNotRun(c, w.send(c, test.req), test.status, test.code)
+			})
+		})
+	}
+}
+
+func TestGoodInputRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t)
+		for i, req := range []*http.Request{
+			chat(good), chat(" " + good + "\n"),
+			chat(good, "X-Request-Kind", "plan", "Idempotency-Key", strings.Repeat("k", 256)),
+			chat(`{"model":"lm","max_tokens":1000000000,"messages":[{"role":"user","content":"hi"}]}`),
+			order("/orders", "Idempotency-Key", "k 1"), order("/stock/x%20y"), order("/stock/commit", "Idempotency-Key", "k"),
+		} {
+			r := w.send(c, req)
+			c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%d: %s", i, r.body))
+			c.Assert(w.ran.Load(), qt.Equals, int64(i+1))
+		}
+		c.Assert(w.last.MaxTokens, qt.Equals, 40, qt.Commentf("the kind bounds max_tokens"))
+		c.Assert(w.call.Repeatable, qt.IsFalse)
+		w.send(c, order("/stock/x%20y?q=1%2F2"))
+		c.Assert(w.call.Path, qt.Equals, "/stock/x%20y?q=1%2F2")
+		c.Assert(w.call.Repeatable, qt.IsTrue)
+	})
+}
+
+// TestFailuresKeepTheirVerdict maps what the parts behind report.
+func TestFailuresKeepTheirVerdict(t *testing.T) {
+	tests := []struct {
+		verdict verdict.Verdict
+		code    verdict.Code
+		status  int
+	}{
+		{verdict.NotRun, verdict.CodeKeyReused, 422},
+		{verdict.MayHaveRun, verdict.CodeInProgress, 409},
+		{verdict.NotRun, verdict.CodeLimited, 429},
+		{verdict.NotRun, verdict.CodeOverloaded, 503},
+		{verdict.MayHaveRun, verdict.CodeUnavailable, 503},
+		{verdict.NotRun, verdict.CodeDeadline, 504},
+		{verdict.Ran, verdict.CodeInternal, 500},
+	}
+	for _, test := range tests {
+		t.Run(string(test.code), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(t)
+				w.fail = verdict.New(test.verdict, test.code, "failed").WithRetryAfter(1500 * time.Millisecond)
+				// MaxInFlight is 1: a place that is not given back refuses the
+				// next request.
+				for range 3 {
+					for _, req := range []*http.Request{chat(good), chat(good, "X-Request-Kind", "plan"), order("/orders", "Idempotency-Key", "k")} {
+						r := w.send(c, req)
+						c.Assert(r.status, qt.Equals, test.status, qt.Commentf("%s", r.body))
+						c.Assert(r.code, qt.Equals, string(test.code))
+						c.Assert(r.header.Get("X-Verdict"), qt.Equals, test.verdict.String())
+						c.Assert(r.header.Get("Retry-After"), qt.Equals, "2")
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestEntryThatTakesNoWork(t *testing.T) {
+	states := map[string]func(w *world){
+		"draining":    func(w *world) { w.closed = true },
+		"stale":       func(w *world) { w.stale = true },
+		"no template": func(w *world) { w.index = nil },
+	}
+	for name, set := range states {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(t)
+				set(w)
+				for _, req := range []*http.Request{chat(good), chat(good, "X-Request-Kind", "plan"), order("/orders", "Idempotency-Key", "k"), order("/stock/x")} {
+					r := w.send(c, req)
+					w.assertNotRun(c, r, http.StatusServiceUnavailable, verdict.CodeUnavailable)
+					c.Assert(r.header.Get("Retry-After"), qt.Equals, "1")
+				}
+			})
+		})
+	}
+}
+
+func TestModelsAndStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t)
+		r := w.send(c, request("GET", "/v1/models", ""))
+		c.Assert(r.body, qt.Contains, fmt.Sprintf("%q", "other"))
+		c.Assert(w.send(c, request("GET", "/v1/requests/r1", "")).status, qt.Equals, http.StatusOK)
+		w.closed = true
+		r = w.send(c, request("GET", "/v1/requests/r1/stream", ""))
+		w.assertNotRun(c, r, http.StatusServiceUnavailable, verdict.CodeUnavailable)
+	})
+}
--- a/callerapi/output.go
+++ b/callerapi/output.go
@@ -109,6 +109,7 @@
 	o.c.Header("Content-Type", "text/event-stream")
 	o.c.Header("Cache-Control", "no-cache")
 	o.c.Status(http.StatusOK)
+	boundWrite(o.c)
 	o.c.Writer.WriteHeaderNow()
 	_ = o.control.Flush()
 }
@@ -161,7 +162,7 @@
 	if id != "" {
 		m.ID = sse.ID(id)
 	}
-	_ = o.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	boundWrite(o.c)
 	if _, err := m.WriteTo(o.c.Writer); err != nil {
 		return err
 	}
@@ -192,6 +193,7 @@
 func (s *Server) finish(c *gin.Context, o *output, err error) {
 	switch {
 	case err == nil && !o.stream:
+		boundWrite(c)
 		c.JSON(http.StatusOK, o.whole())
 	case err == nil:
 	case o.begun:
--- a/callerapi/requests.go
+++ b/callerapi/requests.go
@@ -16,6 +16,7 @@
 		return
 	}
 	c.Header(HeaderRequestID, c.Param("id"))
+	boundWrite(c)
 	c.JSON(http.StatusOK, status)
 }
 
@@ -47,7 +48,7 @@
 	}
 	from, err := strconv.Atoi(text)
 	if err != nil || from < 0 {
-		return 0, invalid("offset %q is no whole number of tokens", text)
+		return 0, invalid("offset is no whole number of tokens")
 	}
 	return from, nil
 }
@@ -65,5 +66,6 @@
 	for _, m := range t.Models {
 		list = append(list, model{ID: m.Name, Object: "model", OwnedBy: t.Name})
 	}
+	boundWrite(c)
 	c.JSON(http.StatusOK, gin.H{"object": "list", "data": list})
 }
--- a/callerapi/server.go
+++ b/callerapi/server.go
@@ -88,14 +88,16 @@
 func New(deps Deps) *Server {
 	gin.SetMode(gin.ReleaseMode)
 	s := &Server{deps: deps, engine: gin.New()}
-	s.engine.Use(gin.CustomRecovery(s.recovered))
+	// A redirect would have the caller send its request a second time.
+	s.engine.RedirectTrailingSlash = false
+	s.engine.Use(gin.CustomRecovery(s.recovered), s.boundBody)
 	work := s.engine.Group("/", s.admitWork, s.authenticate)
 	work.POST("/v1/chat/completions", s.chat)
 	work.Any("/services/:service/*path", s.service)
-	read := s.engine.Group("/", s.authenticate)
+	read := s.engine.Group("/", s.refuseBody, s.authenticate)
 	read.GET("/v1/models", s.models)
 	read.GET("/v1/requests/:id", s.requestStatus)
-	read.GET("/v1/requests/:id/stream", s.requestStream)
+	read.GET("/v1/requests/:id/stream", s.holdGate, s.requestStream)
 	s.engine.NoRoute(s.noRoute)
 	return s
 }
@@ -124,3 +126,14 @@
 	}
 	c.Next()
 }
+
+// holdGate keeps a draining entry alive for a reader, and sends new readers to
+// the other entries.
+func (s *Server) holdGate(c *gin.Context) {
+	if !s.deps.Gate.Enter() {
+		s.fail(c, errDraining)
+		return
+	}
+	defer s.deps.Gate.Leave()
+	c.Next()
+}
--- a/callerapi/service.go
+++ b/callerapi/service.go
@@ -2,13 +2,12 @@
 
 import (
 	"net/http"
-	"strings"
+	"net/url"
 
 	"github.com/gin-gonic/gin"
 
 	"github.com/coltsfootcleat/coltsfootcleat/admission"
 	"github.com/coltsfootcleat/coltsfootcleat/delivery"
-	"github.com/coltsfootcleat/coltsfootcleat/template"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -59,6 +58,7 @@
 	c.Header(HeaderEndpoint, endpointID)
 	c.Header(HeaderVerdict, verdict.Ran.String())
 	c.Status(status)
+	boundWrite(c)
 	_, _ = c.Writer.Write(body)
 }
 
@@ -75,26 +75,27 @@
 func serviceCall(c *gin.Context, body []byte) (delivery.ServiceCall, error) {
 	t, customer := templateIn(c), customerIn(c)
 	name := c.Param("service")
-	path := strings.TrimPrefix(c.Request.URL.EscapedPath(), "/services/"+name)
-	if strings.Contains(path, "..") || strings.Contains(path, "//") {
-		return delivery.ServiceCall{}, invalid("path %q is not clean", path)
+	path := c.Param("path")
+	if err := checkPath(c.Request.URL); err != nil {
+		return delivery.ServiceCall{}, err
 	}
 	service, ok := t.Service(name)
 	if !ok {
-		return delivery.ServiceCall{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "unknown service %q", name)
+		return delivery.ServiceCall{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "unknown service %q", clip(name))
 	}
 	route := routeOf(service, c.Request.Method, path)
-	key := c.GetHeader(HeaderIdempotencyKey)
+	key, err := singleHeader(c, HeaderIdempotencyKey, maxKeyBytes)
+	if err != nil {
+		return delivery.ServiceCall{}, err
+	}
 	if !route.Repeatable && key == "" {
-		return delivery.ServiceCall{}, invalid("%s %s may not be repeated: header %s is missing", c.Request.Method, path, HeaderIdempotencyKey)
+		return delivery.ServiceCall{}, invalid("this call may not be repeated: header %s is missing", HeaderIdempotencyKey)
 	}
 	kind, ok := t.Kind(route.Kind)
 	if ok && !mayUse(customer, kind) {
 		return delivery.ServiceCall{}, invalid("request kind %q is not for this customer", kind.Name)
 	}
-	if raw := c.Request.URL.RawQuery; raw != "" {
-		path += "?" + raw
-	}
+	target := url.URL{Path: path, RawQuery: c.Request.URL.RawQuery}
 	return delivery.ServiceCall{
 		Customer:   customer.Name,
 		Service:    name,
@@ -102,7 +103,7 @@
 		Repeatable: route.Repeatable,
 		Key:        key,
 		Method:     c.Request.Method,
-		Path:       path,
+		Path:       target.RequestURI(),
 		Header:     passedHeaders(c.Request.Header),
 		Body:       body,
 	}, nil
@@ -119,20 +120,3 @@
 	}
 	return out
 }
-
-// routeOf returns the route of a call. What no route names may not be
-// repeated.
-func routeOf(s template.Service, method, path string) template.Route {
-	for _, r := range s.Routes {
-		if r.Method != method {
-			continue
-		}
-		if r.Path == path {
-			return r
-		}
-		if p, ok := strings.CutSuffix(r.Path, "*"); ok && strings.HasPrefix(path, p) {
-			return r
-		}
-	}
-	return template.Route{Method: method, Path: path}
-}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -65,6 +65,9 @@
 	CodeFenced       Code = "fenced"
 	CodeCancelled    Code = "cancelled"
 	CodeInternal     Code = "internal"
+	// CodeTooLarge and CodeStalled refuse a request by its body.
+	CodeTooLarge Code = "too_large"
+	CodeStalled  Code = "body_stalled"
 )
 
 // Error is a failure with its verdict. It is immutable after construction.
