Test the bounds of a peer connection without net.Pipe

TestStreamBoundsWhatItReads/good failed now and then: net.Pipe refuses to set a read deadline once the other end has closed, with io.ErrClosedPipe where TCP lets the reader come to its io.EOF. The fault was the pipe's, not the stream's. The cases and what they assert are unchanged; the two ends come from memnet, which sets deadlines as TCP does.

--- a/peer/stream_test.go
+++ b/peer/stream_test.go
@@ -13,12 +13,36 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
 )
 
 func framed(body string) []byte {
 	return append(binary.AppendUvarint(nil, uint64(len(body))), body...)
 }
 
+// connection returns both ends of a connection. As over TCP, and unlike
+// net.Pipe, setting a deadline does not fail once the other end has closed.
+func connection(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	const address = "10.0.0.1:1"
+	network := memnet.New()
+	l, err := network.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err = network.Dialer("10.0.0.2")(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
+
 func TestStreamBoundsWhatItReads(t *testing.T) {
 	padding := strings.Repeat("x", maxMessageBytes)
 	cases := []struct {
@@ -39,7 +63,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				near, far := net.Pipe()
+				near, far := connection(t)
 				go func() {
 					defer far.Close()
 					for range tc.repeat {
