Let a slow reader cost nobody else anything

Need: a caller that reads slowly, stops reading or goes away. What is held for it are the buffers of two connections: the engine's stream is not read while a write to the caller waits.

Found by tests over two real entries in virtual time: - the time for which an engine may be silent also ran while the answer's reader was written to, so that pauses of a reader had the stream read again, and after four of them abandoned and computed again elsewhere. The timer now runs only while a frame is awaited; - the rest of a recorded answer went out as one event, of more than 64 KB in the test: too long a line for many clients, and all of it has to pass within one write deadline. Readers get pieces of at most 256 tokens.

Shown: a stopped reader of an attached answer stops the reading of its engine and is cut after the write deadline, which cancels the engine's stream; one that pauses has its whole answer from one attempt without a re-read; one that goes away cancels the stream within a second; durable runs go on for both, and their text comes back from any offset at either entry.

Without the change of relay/attempt.go (trial) TestSlowReaderIsNoStall and TestAttachedReaderThatPauses fail, the latter with 2 re-reads.

Measured: go test ./app ./relay ./delivery passes; ./app takes 5 s.

--- a/app/app_test.go
+++ b/app/app_test.go
@@ -120,16 +120,21 @@
 }
 
 func startEntry(t *testing.T, network *memnet.Network, s settings.Entry) *app.Entry {
+	t.Helper()
+	ip, _, _ := strings.Cut(s.Listen.Caller, ":")
+	return startEntryOn(t, app.Network{Listen: network.Listen, Dial: network.Dialer(ip)}, s)
+}
+
+func startEntryOn(t *testing.T, network app.Network, s settings.Entry) *app.Entry {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	if os.Getenv("ENTRY_LOG") != "" {
 		log.SetOutput(os.Stderr)
 	}
-	ip, _, _ := strings.Cut(s.Listen.Caller, ":")
 	entry, err := app.New(app.Config{
 		Settings: s,
-		Network:  app.Network{Listen: network.Listen, Dial: network.Dialer(ip)},
+		Network:  network,
 		Log:      log,
 	})
 	if err != nil {
--- a/delivery/follow.go
+++ b/delivery/follow.go
@@ -82,10 +82,8 @@
 // finish writes the rest of a recorded answer.
 func (f *follower) finish(r *job.Record) error {
 	whole := Piece{Text: r.Answer.Text.Inline, Tokens: r.Answer.Tokens}
-	if rest, ok := after(whole, f.from); ok && rest.Tokens > 0 {
-		if err := f.out.Write(rest); err != nil {
-			return err
-		}
+	if _, err := write(f.out, whole, f.from); err != nil {
+		return err
 	}
 	prompt := 0
 	if len(r.Messages) > 0 {
--- a/delivery/live.go
+++ b/delivery/live.go
@@ -9,6 +9,10 @@
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
+// pieceTokens bounds a piece that a reader gets. A slow reader has to take one
+// in its time, and comes back behind it.
+const pieceTokens = 256
+
 // live is the answer of a durable request that this entry generates. Any
 // number of readers follow it. It is safe for concurrent use.
 type live struct {
@@ -104,12 +108,11 @@
 	for next := 0; ; {
 		v := l.view(next)
 		for _, p := range v.pieces {
-			if rest, ok := after(p, from); ok {
-				if err := out.Write(rest); err != nil {
-					return from, err
-				}
-				from = rest.Offset + rest.Tokens
+			end, err := write(out, p, from)
+			if err != nil {
+				return end, err
 			}
+			from = end
 		}
 		next += len(v.pieces)
 		switch {
@@ -126,6 +129,26 @@
 	}
 }
 
+// write writes the part of a piece that is behind a token offset, in pieces of
+// at most pieceTokens, and returns the offset that was reached.
+func write(out Output, p Piece, from int) (int, error) {
+	rest, ok := after(p, from)
+	for ok && rest.Text != "" {
+		end := rest.Offset + pieceTokens
+		head := rest
+		rest, ok = after(rest, end)
+		if ok {
+			head.Text = head.Text[:len(head.Text)-len(rest.Text)]
+			head.Tokens = pieceTokens
+		}
+		if err := out.Write(head); err != nil {
+			return from, err
+		}
+		from = head.Offset + head.Tokens
+	}
+	return from, nil
+}
+
 // after returns the part of a piece that is behind a token offset.
 func after(p Piece, from int) (Piece, bool) {
 	skip := from - p.Offset
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -214,10 +214,11 @@
 	defer stall.Stop()
 	for {
 		f, err := stream.Next(readCtx)
+		// A slow reader of the answer is no stall of its engine.
+		stall.Stop()
 		if err != nil {
 			return stepReread, c.readError(readCtx, err)
 		}
-		stall.Reset(c.relay.options.Stall)
 		switch next := c.answer.judge(attempt, f); next {
 		case stepDrop:
 			c.relay.counts.dropped.Add(1)
@@ -233,6 +234,7 @@
 		default:
 			return next, nil
 		}
+		stall.Reset(c.relay.options.Stall)
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -183,6 +183,8 @@
 	at     int
 	then   func()
 	err    error
+	// pause is how long each write takes.
+	pause time.Duration
 }
 
 func (s *textSink) Bound(_ context.Context, b relay.Binding) error {
@@ -194,6 +196,7 @@
 	if s.err != nil {
 		return s.err
 	}
+	time.Sleep(s.pause)
 	if p.Offset != s.tokens {
 		return fmt.Errorf("piece at %d, want %d", p.Offset, s.tokens)
 	}
@@ -412,3 +415,19 @@
 		c.Assert(f.engines["a"].attached, qt.Equals, 1)
 	})
 }
+
+// TestSlowReaderIsNoStall lets the sink take longer than an engine may be
+// silent, at each piece.
+func TestSlowReaderIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFakeFleet()
+		r := newRelay(f)
+		sink := &textSink{pause: 3 * time.Second}
+		result, err := r.Run(t.Context(), request(), sink)
+		c.Assert(err, qt.IsNil)
+		c.Assert(sink.text.String(), qt.Equals, wholeAnswer())
+		c.Assert(result.Attempts, qt.Equals, 1)
+		c.Assert(r.Counts(), qt.Equals, relay.Counts{})
+	})
+}
