Scope a service's key by customer, and ask services by it

Need: the caller's Idempotency-Key went to the service as it was, so that the calls of two customers with the same key met there. A service now knows a call as <customer>/<key> (endpoint.ScopedKey, an addition to the contract); names of customers have no slash, so that no two pairs meet. The checkers of bench, e2e and app count by the scoped key.

once asks the service about a call whose outcome is unknown, by the scoped key, at one replica after the other (delivery.Lookup). Its no stays may_have_run, as package once has it.

Mended beside it: delivery.Services.Call read which endpoint was used while the send, which may outlive the call, could still write it: a data race. It comes through a channel now.

--- a/app/app_test.go
+++ b/app/app_test.go
@@ -115,7 +115,7 @@
 			status := order(c, caller, "http://10.1.0.2:80", "order-1")
 			c.Assert(status, qt.Equals, http.StatusOK)
 		}
-		c.Assert(service.Executions("order-1"), qt.Equals, 1)
+		c.Assert(service.Executions("one/order-1"), qt.Equals, 1)
 	})
 }
 
--- a/app/modules.go
+++ b/app/modules.go
@@ -132,11 +132,12 @@
 	})
 }
 
-func newOnce(lc fx.Lifecycle, table platform.Table, registry *member.Registry, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
+func newOnce(lc fx.Lifecycle, table platform.Table, f *routing.Fleet, client endpoint.Client, registry *member.Registry, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
 	store := once.New(table, once.Options{
 		EntryID:     s.ID,
 		Incarnation: string(i),
 		Alive:       registry.Alive,
+		Lookup:      delivery.Lookup(f, client),
 		Log:         entryLog(log, s),
 	})
 	lc.Append(fx.StopHook(func(context.Context) { store.Close() }))
--- a/app/world_test.go
+++ b/app/world_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -129,3 +130,14 @@
 	}
 	return req
 }
+
+// send returns the response and its whole body.
+func (w *world) send(c *qt.C, req *http.Request) (*http.Response, string) {
+	c.Helper()
+	resp, err := w.caller.Do(req)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	return resp, string(body)
+}
--- a/bench/experiment/report.go
+++ b/bench/experiment/report.go
@@ -112,7 +112,7 @@
 	refused := make(map[string]bool)
 	for _, r := range records {
 		if r.Outcome == history.NotRun && r.Request.Key != "" {
-			refused[r.Request.Key] = true
+			refused[r.Request.ServiceKey()] = true
 		}
 	}
 	for _, service := range after.records.Services {
--- a/bench/history/check.go
+++ b/bench/history/check.go
@@ -76,7 +76,7 @@
 	if r.Request.Class.Call == nil || !r.Request.Class.Call.Once {
 		return
 	}
-	n := c.executions[r.Request.Key]
+	n := c.executions[r.Request.ServiceKey()]
 	switch {
 	case n > 1:
 		c.add(PromiseOnce, "%s was executed %d times", r.Request.Key, n)
--- a/bench/workload/workload.go
+++ b/bench/workload/workload.go
@@ -79,6 +79,9 @@
 	Body string
 }
 
+// ServiceKey is the key under which a service counts the request's executions.
+func (r Request) ServiceKey() string { return endpoint.ScopedKey(r.Customer.Name, r.Key) }
+
 // Arrivals returns the requests of a run in order of their arrival. Arrivals
 // are a Poisson process whose rates are scaled by load.
 func Arrivals(m Mix, seed uint64, duration time.Duration, load float64) []Request {
--- a/delivery/service.go
+++ b/delivery/service.go
@@ -74,14 +74,20 @@
 	if c.Repeatable {
 		return s.repeatable(ctx, c)
 	}
-	var used string
+	// The send may go on after Do has returned.
+	used := make(chan string, 1)
 	key := once.Key{Customer: c.Customer, Service: c.Service, Key: c.Key}
 	reply, err := s.once.Do(ctx, key, digest(c), func(ctx context.Context, attempt string) (endpoint.Reply, error) {
 		reply, endpointID, err := s.send(ctx, c, attempt, nil)
-		used = endpointID
+		used <- endpointID
 		return reply, err
 	})
-	return reply, used, err
+	select {
+	case endpointID := <-used:
+		return reply, endpointID, err
+	default:
+		return reply, "", err
+	}
 }
 
 // digest is what a repeat under the same key must match: another method, path
@@ -133,10 +139,19 @@
 		Path:      c.Path,
 		Header:    c.Header,
 		Body:      c.Body,
-		Key:       c.Key,
+		Key:       scopedKey(c),
 		AttemptID: attempt,
 		Timeout:   timeoutOf(c),
 	})
 	s.fleet.Done(choice, routing.Outcome{Err: err})
 	return reply, choice.Endpoint.ID, err
 }
+
+// scopedKey keeps the calls of two customers with the same key apart in the
+// service.
+func scopedKey(c ServiceCall) string {
+	if c.Key == "" {
+		return ""
+	}
+	return endpoint.ScopedKey(c.Customer, c.Key)
+}
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -121,7 +121,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(r.status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(r.header.Get("X-Verdict"), qt.Equals, "not_run")
-	c.Assert(s.records().Services[service].Executions["o-1"], qt.Equals, 0)
+	c.Assert(s.records().Services[service].Executions[scoped("o-1")], qt.Equals, 0)
 	// Attached work goes on with the last known template, for as long as its
 	// peers or the table were heard within the bound.
 	s.post(s.platform+"/faults", `{"table":{"outage":false}}`)
@@ -132,7 +132,7 @@
 		}
 		return err
 	})
-	c.Assert(s.records().Services[service].Executions["o-1"], qt.Equals, 1)
+	c.Assert(s.records().Services[service].Executions[scoped("o-1")], qt.Equals, 1)
 }
 
 func TestOrderOverAKilledEntryRunsAtMostOnce(t *testing.T) {
@@ -153,7 +153,7 @@
 	// not, no one may say that it was not run, and no one sends it again.
 	c.Assert(r.header.Get("X-Verdict"), qt.Equals, "may_have_run")
 	time.Sleep(2 * time.Second)
-	n := s.records().Services[service].Executions["o-1"]
+	n := s.records().Services[service].Executions[scoped("o-1")]
 	c.Assert(n <= 1, qt.IsTrue, qt.Commentf("executed %d times", n))
 }
 
@@ -174,7 +174,7 @@
 	c.Assert(err, qt.IsNil)
 	s.entries[0].resume()
 	woken := <-first
-	n := s.records().Services[service].Executions["o-1"]
+	n := s.records().Services[service].Executions[scoped("o-1")]
 	c.Assert(n <= 1, qt.IsTrue, qt.Commentf("executed %d times", n))
 	if n == 1 {
 		c.Assert(second.header.Get("X-Verdict"), qt.Not(qt.Equals), "not_run")
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -26,11 +26,15 @@
 	model       = "karoo-lm"
 	version     = "2026.1"
 	service     = "order-and-stock"
+	customer    = "karoo-candle-house"
 	customerKey = "dev-karoo-candle-house"
 	otherKey    = "dev-drakensberg-tapers"
 	operatorKey = "dev-karoo-wick-operator"
 )
 
+// scoped is the key by which the service knows a call of the first customer.
+func scoped(key string) string { return endpoint.ScopedKey(customer, key) }
+
 // system is the stand-ins and the entry hosts of one test. Each test has its
 // own loopback networks, so that tests of other packages don't meet it.
 type system struct {
@@ -219,7 +223,7 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
 	}
-	c.Assert(s.records().Services[service].Executions, qt.DeepEquals, map[string]int{"order-1": 1})
+	c.Assert(s.records().Services[service].Executions, qt.DeepEquals, map[string]int{scoped("order-1"): 1})
 	for _, e := range s.entries {
 		e.terminate()
 		e.wait()
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -203,7 +203,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Key is the idempotency key; empty for calls that may be repeated.
+	// Key is the idempotency key within the service, as ScopedKey gives it;
+	// empty for none.
 	Key string
 	// AttemptID names the one attempt that may send the call.
 	AttemptID string
@@ -213,6 +214,11 @@
 	Timeout time.Duration
 }
 
+// ScopedKey is the idempotency key by which a service knows a customer's call.
+// Two customers may use the same key of their own. Names of customers have no
+// slash.
+func ScopedKey(customer, key string) string { return customer + "/" + key }
+
 // Reply is a plain service's answer.
 type Reply struct {
 	Status int
