--- /dev/null
+++ b/delivery/durable_test.go
@@ -0,0 +1,272 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/admission"
+	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/job"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/prefix"
+	"github.com/coltsfootcleat/coltsfootcleat/relay"
+	"github.com/coltsfootcleat/coltsfootcleat/routing"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// A plan takes 50 to 100 s, longer than the time between two checkpoints.
+const (
+	planTokens = 1000
+	decodeRate = 10
+)
+
+var planKind = template.Kind{
+	Name: "plan", Urgency: template.UrgencyPatient, Deadline: template.Duration(time.Second),
+	Delivery: template.DeliveryDurable, Outage: template.OutageRefuse, Model: "lm", MaxTokens: planTokens,
+}
+
+// oneEngine is a fleet of one engine, and the client for it.
+type oneEngine struct {
+	engine *enginestandin.Engine
+	none   bool
+}
+
+func (o *oneEngine) Choose(routing.Request) (routing.Choice, error) {
+	if o.none {
+		return routing.Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no endpoint")
+	}
+	return routing.Choice{HostID: "h1", Endpoint: platform.Endpoint{ID: "e1", Addr: "10.8.0.1:1"}}, nil
+}
+
+func (o *oneEngine) Started(routing.Choice, endpoint.Frame)        {}
+func (o *oneEngine) Progress(routing.Choice, endpoint.Load)        {}
+func (o *oneEngine) Done(routing.Choice, routing.Outcome)          {}
+func (o *oneEngine) Predict(routing.Request) (time.Duration, bool) { return 0, false }
+func (o *oneEngine) Engine(string) endpoint.Engine                 { return o.engine }
+func (o *oneEngine) Service(string) endpoint.Service               { return nil }
+
+// held counts the work that keeps an entry from ending.
+type held struct{ n atomic.Int64 }
+
+func (h *held) Hold()  { h.n.Add(1) }
+func (h *held) Leave() { h.n.Add(-1) }
+
+// entry is the part of an entry host that runs durable requests.
+type entry struct {
+	*Service
+	jobs *job.Store
+	held *held
+}
+
+// world is entries on one table. It lives in one synctest bubble.
+type world struct {
+	table   *standin.Table
+	objects *standin.Objects
+	fleet   *oneEngine
+	admit   *admission.Controller
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	engine := enginestandin.NewEngine(enginestandin.EngineConfig{Model: "lm", Version: "1", DecodeRate: decodeRate})
+	t.Cleanup(engine.Close)
+	w := &world{table: standin.NewTable(1), objects: standin.NewObjects(1), fleet: &oneEngine{engine: engine}}
+	t.Cleanup(w.table.Close)
+	w.admit = admission.New(admission.Options{})
+	w.admit.SetTemplate(&template.Template{
+		Kinds:     []template.Kind{planKind},
+		Customers: []template.Customer{{Name: "one", Share: 1, TokensPerSecond: 1e6, BurstTokens: 1e6}},
+	})
+	return w
+}
+
+func (w *world) entry(t *testing.T, id string) *entry {
+	t.Helper()
+	silent := logrus.New()
+	silent.SetOutput(io.Discard)
+	log := logrus.NewEntry(silent)
+	e := &entry{held: &held{}}
+	e.jobs = job.New(w.table, w.objects, job.Options{Owner: id, Incarnation: "i-" + id, Log: log})
+	e.Service = New(Options{
+		Relay:     relay.New(relay.Options{Fleet: w.fleet, Client: w.fleet, Log: log, GiveUp: time.Minute}),
+		Predictor: w.fleet,
+		Jobs:      e.jobs,
+		Pacing:    job.NewPacing(0, 0, 0),
+		Kinds:     func(string) (template.Kind, bool) { return planKind, true },
+		Hold:      e.held,
+		Log:       log,
+	})
+	t.Cleanup(func() {
+		e.Close()
+		e.jobs.Close()
+	})
+	return e
+}
+
+func (w *world) request(c *qt.C, id string) *Request {
+	c.Helper()
+	ticket, err := w.admit.Admit(context.Background(), admission.Request{RequestID: id, Customer: "one", Kind: "plan", Tokens: planTokens})
+	c.Assert(err, qt.IsNil)
+	messages := []endpoint.Message{{Role: "user", Content: "a plan for " + id}}
+	hashes, tokens := prefix.Hashes("one", prefix.Text(messages))
+	return &Request{
+		ID: id, Customer: template.Customer{Name: "one"}, Kind: planKind, Model: "lm", Version: "1",
+		Messages: messages, Hashes: hashes, PromptTokens: tokens, MaxTokens: planTokens, Ticket: ticket,
+	}
+}
+
+func wholeAnswer(r *Request) string {
+	prompt := prefix.Text(r.Messages)
+	return enginestandin.Answer("lm", "1", prompt, enginestandin.AnswerTokens(prompt, planTokens))
+}
+
+// follow reads an answer in the background.
+func follow(c *qt.C, e *entry, id string, from int) (*reader, chan error) {
+	out, done := newReader(from), make(chan error, 1)
+	go func() { done <- e.Follow(c.Context(), "one", id, from, out) }()
+	return out, done
+}
+
+// TestEndIsRecordedAfterAnOutage keeps the entry alive, and its readers
+// served, until the whole answer is recorded.
+func TestEndIsRecordedAfterAnOutage(t *testing.T) {
+	outages := map[string]standin.TableFaults{
+		"outage":      {Outage: true},
+		"hangs":       {Hang: true},
+		"lost writes": {LoseRequest: 1},
+	}
+	for name, faults := range outages {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(t)
+				one, two := w.entry(t, "one"), w.entry(t, "two")
+				r := w.request(c, "r1")
+				_, err := one.Durable(t.Context(), r)
+				c.Assert(err, qt.IsNil)
+				out, done := follow(c, one, "r1", 3)
+				time.Sleep(time.Second)
+				w.table.SetFaults(faults)
+				c.Assert(<-done, qt.IsNil)
+				c.Assert(out.text.String(), qt.Equals, prefix.Skip(wholeAnswer(r), 3))
+				time.Sleep(time.Minute)
+				c.Assert(one.held.n.Load(), qt.Equals, int64(1), qt.Commentf("entry may end before the answer is recorded"))
+
+				w.table.SetFaults(standin.TableFaults{})
+				time.Sleep(10 * time.Second)
+				c.Assert(one.held.n.Load(), qt.Equals, int64(0))
+				status, err := two.Status(t.Context(), "one", "r1")
+				c.Assert(err, qt.IsNil)
+				c.Assert(status.State, qt.Equals, string(job.StateDone))
+				c.Assert(status.Text, qt.Equals, wholeAnswer(r))
+				c.Assert(w.fleet.engine.Attempts(), qt.HasLen, 1)
+			})
+		})
+	}
+}
+
+// TestFencedRunEnds once another entry owns the request, and its readers stay
+// with the answer.
+func TestFencedRunEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t)
+		one, two := w.entry(t, "one"), w.entry(t, "two")
+		r := w.request(c, "r1")
+		_, err := one.Durable(t.Context(), r)
+		c.Assert(err, qt.IsNil)
+		out, done := follow(c, one, "r1", 0)
+		time.Sleep(2 * time.Second)
+		record, err := two.jobs.Claim(t.Context(), "one", "r1", 1)
+		c.Assert(err, qt.IsNil)
+		resumed := make(chan error, 1)
+		go func() { resumed <- two.Resume(t.Context(), record) }()
+		elsewhere, doneElsewhere := follow(c, two, "r1", 5)
+		// The next checkpoint of the first entry meets the higher fence.
+		time.Sleep(one.options.Pacing.Interval(1) + time.Second)
+		c.Assert(one.held.n.Load(), qt.Equals, int64(0), qt.Commentf("the fenced run goes on"))
+		c.Assert(two.held.n.Load(), qt.Equals, int64(1), qt.Commentf("the answer ended too early for this test"))
+
+		c.Assert(<-resumed, qt.IsNil)
+		c.Assert(<-done, qt.IsNil)
+		c.Assert(<-doneElsewhere, qt.IsNil)
+		c.Assert(out.text.String(), qt.Equals, wholeAnswer(r))
+		c.Assert(elsewhere.text.String(), qt.Equals, prefix.Skip(wholeAnswer(r), 5))
+		c.Assert(out.ends, qt.Equals, 1)
+		c.Assert(one.live("r1"), qt.IsNil)
+		c.Assert(w.fleet.engine.Attempts(), qt.HasLen, 1, qt.Commentf("the engine's stream was not taken over"))
+	})
+}
+
+// TestFailureIsRecorded tells every reader the same, at any entry.
+func TestFailureIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t)
+		w.fleet.none = true
+		one, two := w.entry(t, "one"), w.entry(t, "two")
+		_, err := one.Durable(t.Context(), w.request(c, "r1"))
+		c.Assert(err, qt.IsNil)
+		_, here := follow(c, one, "r1", 0)
+		_, there := follow(c, two, "r1", 0)
+		for _, done := range []chan error{here, there} {
+			err := <-done
+			c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeUnavailable)
+			c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+		}
+		status, err := two.Status(t.Context(), "one", "r1")
+		c.Assert(err, qt.IsNil)
+		c.Assert(status.State, qt.Equals, string(job.StateFailed))
+		c.Assert(status.Verdict, qt.Equals, "not_run")
+	})
+}
+
+// TestOnlyItsCustomerSeesARequest, while it runs and when it has ended.
+func TestOnlyItsCustomerSeesARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t)
+		one, two := w.entry(t, "one"), w.entry(t, "two")
+		_, err := one.Durable(t.Context(), w.request(c, "r1"))
+		c.Assert(err, qt.IsNil)
+		synctest.Wait()
+		c.Assert(one.live("r1"), qt.IsNotNil)
+		for range 2 {
+			for _, e := range []*entry{one, two} {
+				_, err := e.Status(t.Context(), "two", "r1")
+				c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeNotFound)
+				out := newReader(0)
+				err = e.Follow(t.Context(), "two", "r1", 0, out)
+				c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeNotFound)
+				c.Assert(out.text.Len(), qt.Equals, 0)
+			}
+			time.Sleep(2 * time.Minute)
+		}
+	})
+}
+
+// TestAttachedRequestGivesItsPlaceBack also when its caller is gone.
+func TestAttachedRequestGivesItsPlaceBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t)
+		one := w.entry(t, "one")
+		gone := errors.New("connection reset")
+		for range admission.DefaultMaxInFlight + admission.DefaultMaxQueue {
+			err := one.Attached(t.Context(), w.request(c, "r1"), &reader{fail: gone})
+			c.Assert(errors.Is(err, gone), qt.IsTrue)
+			c.Assert(verdict.Of(err), qt.Equals, verdict.Ran)
+		}
+	})
+}
--- /dev/null
+++ b/delivery/live_test.go
@@ -0,0 +1,171 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootcleat/coltsfootcleat/job"
+	"github.com/coltsfootcleat/coltsfootcleat/prefix"
+)
+
+// reader is an Output that collects what it gets.
+type reader struct {
+	from    int
+	next    int
+	text    strings.Builder
+	largest int
+	ends    int
+	fail    error
+}
+
+func newReader(from int) *reader { return &reader{from: from, next: from} }
+
+func (r *reader) Bound(string) error { return nil }
+
+func (r *reader) Write(p Piece) error {
+	if r.fail != nil {
+		return r.fail
+	}
+	if p.Offset != r.next {
+		return errors.New("piece leaves a gap or repeats")
+	}
+	r.next += p.Tokens
+	r.largest = max(r.largest, p.Tokens)
+	r.text.WriteString(p.Text)
+	return nil
+}
+
+func (r *reader) End(Summary) error {
+	r.ends++
+	return nil
+}
+
+// drawTokens draws the tokens of an answer: words, each but the first led by
+// white space.
+func drawTokens(t *rapid.T) []string {
+	space := rapid.StringMatching(`[ \n\t]{1,3}`)
+	word := rapid.StringMatching(`[a-zé.,]{1,4}`)
+	tokens := make([]string, rapid.IntRange(1, 600).Draw(t, "tokens"))
+	for i := range tokens {
+		if tokens[i] = word.Draw(t, "word"); i > 0 {
+			tokens[i] = space.Draw(t, "space") + tokens[i]
+		}
+	}
+	return tokens
+}
+
+// drawPieces splits tokens at any places.
+func drawPieces(t *rapid.T, tokens []string) []Piece {
+	var pieces []Piece
+	longest := rapid.SampledFrom([]int{1, 7, len(tokens)}).Draw(t, "longest")
+	for at := 0; at < len(tokens); {
+		n := rapid.IntRange(1, min(longest, len(tokens)-at)).Draw(t, "piece")
+		pieces = append(pieces, Piece{Offset: at, Text: strings.Join(tokens[at:at+n], ""), Tokens: n})
+		at += n
+	}
+	return pieces
+}
+
+// TestReaderGetsTheTextBehindItsOffset holds for any split of an answer into
+// pieces, any offset, and a reader that comes at any time.
+func TestReaderGetsTheTextBehindItsOffset(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tokens := drawTokens(rt)
+		pieces := drawPieces(rt, tokens)
+		from := rapid.IntRange(0, len(tokens)+2).Draw(rt, "from")
+		early := rapid.IntRange(0, len(pieces)).Draw(rt, "early")
+		want := strings.Join(tokens[min(from, len(tokens)):], "")
+
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			answer := newLive(&job.Record{Customer: "one"}, func(error) {})
+			for _, p := range pieces[:early] {
+				answer.add(p)
+			}
+			out := newReader(from)
+			done := make(chan error)
+			var reached int
+			go func() {
+				var err error
+				reached, err = answer.follow(t.Context(), from, out)
+				done <- err
+			}()
+			for _, p := range pieces[early:] {
+				synctest.Wait()
+				answer.add(p)
+			}
+			answer.end(&Summary{Tokens: len(tokens)}, nil)
+			c.Assert(<-done, qt.IsNil)
+			c.Assert(out.text.String(), qt.Equals, want)
+			c.Assert(reached, qt.Equals, max(from, len(tokens)))
+			c.Assert(out.ends, qt.Equals, 1)
+			c.Assert(out.largest <= pieceTokens, qt.IsTrue)
+		})
+
+		// The same from the record of the whole answer.
+		whole := strings.Join(tokens, "")
+		out := newReader(from)
+		f := follower{from: from, out: out}
+		err := f.finish(&job.Record{Answer: &job.Answer{Text: job.Text{Inline: whole}, Tokens: len(tokens)}})
+		if err != nil || out.text.String() != want || out.ends != 1 || out.largest > pieceTokens {
+			rt.Fatalf("record from %d: %q, %v, want %q", from, out.text.String(), err, want)
+		}
+		if from < len(tokens) && prefix.Skip(whole, from) != want {
+			rt.Fatalf("Skip %d: %q, want %q", from, prefix.Skip(whole, from), want)
+		}
+	})
+}
+
+// TestFollowersGoOnElsewhere where the answer has not ended here, and come
+// back from what they have got.
+func TestFollowersGoOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		answer := newLive(&job.Record{}, func(error) {})
+		answer.add(Piece{Text: "a b", Tokens: 2})
+		done := make(chan error)
+		go func() {
+			from, err := answer.follow(t.Context(), 1, newReader(1))
+			c.Check(from, qt.Equals, 2)
+			done <- err
+		}()
+		synctest.Wait()
+		answer.leave()
+		c.Assert(<-done, qt.Equals, error(errLeft))
+
+		// An answer that has ended stays as it ended.
+		ended := newLive(&job.Record{}, func(error) {})
+		ended.end(&Summary{}, nil)
+		ended.leave()
+		_, err := ended.follow(t.Context(), 0, newReader(0))
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+func TestFollowEndsWithItsReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		answer := newLive(&job.Record{}, func(error) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() {
+			_, err := answer.follow(ctx, 0, newReader(0))
+			done <- err
+		}()
+		synctest.Wait()
+		cancel()
+		c.Assert(<-done, qt.Equals, context.Canceled)
+
+		answer.add(Piece{Text: "a b", Tokens: 2})
+		gone := errors.New("connection reset")
+		from, err := answer.follow(t.Context(), 1, &reader{fail: gone})
+		c.Assert(err, qt.Equals, gone)
+		c.Assert(from, qt.Equals, 1)
+	})
+}
