--- a/app/app_test.go
+++ b/app/app_test.go
@@ -115,21 +115,26 @@
 			status := order(c, caller, "http://10.1.0.2:80", "order-1")
 			c.Assert(status, qt.Equals, http.StatusOK)
 		}
-		c.Assert(service.Executions("order-1"), qt.Equals, 1)
+		c.Assert(service.Executions("one/order-1"), qt.Equals, 1)
 	})
 }
 
 func startEntry(t *testing.T, network *memnet.Network, s settings.Entry) *app.Entry {
+	t.Helper()
+	ip, _, _ := strings.Cut(s.Listen.Caller, ":")
+	return startEntryOn(t, app.Network{Listen: network.Listen, Dial: network.Dialer(ip)}, s)
+}
+
+func startEntryOn(t *testing.T, network app.Network, s settings.Entry) *app.Entry {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	if os.Getenv("ENTRY_LOG") != "" {
 		log.SetOutput(os.Stderr)
 	}
-	ip, _, _ := strings.Cut(s.Listen.Caller, ":")
 	entry, err := app.New(app.Config{
 		Settings: s,
-		Network:  app.Network{Listen: network.Listen, Dial: network.Dialer(ip)},
+		Network:  network,
 		Log:      log,
 	})
 	if err != nil {
