--- a/endpoint/standin/faults.go
+++ b/endpoint/standin/faults.go
@@ -33,6 +33,9 @@
 	CrossFrame float64 `json:"cross_frame"`
 	// WrongTotal is the probability that an end mark has a wrong count.
 	WrongTotal float64 `json:"wrong_total"`
+	// EarlyEnd is the probability, per frame, that it carries the end mark
+	// although the answer goes on.
+	EarlyEnd float64 `json:"early_end"`
 	// LoseEvent is the probability that a cache event is lost.
 	LoseEvent float64 `json:"lose_event"`
 	// EventLag and LoadLag are added to the lags of the reports.
@@ -94,13 +97,16 @@
 		return errReset()
 	}
 	if e.rng.Float64() < faults.CrossFrame {
-		if other, ok := e.otherFrameLocked(r.stream); ok {
+		if other, ok := e.otherFrameLocked(r.stream, f.Offset); ok {
 			r.queued = append(r.queued, other)
 		}
 	}
 	if f.End && e.rng.Float64() < faults.WrongTotal {
 		f.Total++
 	}
+	if !f.End && e.rng.Float64() < faults.EarlyEnd {
+		f.End, f.Total = true, r.stream.total
+	}
 	switch {
 	case f.End:
 		// Nothing is read behind the end mark.
@@ -128,14 +134,18 @@
 	}
 }
 
-// otherFrameLocked returns a frame of another running stream.
-func (e *Engine) otherFrameLocked(not *stream) (endpoint.Frame, bool) {
+// otherFrameLocked returns a frame of another running stream: the one at the
+// offset that the reader awaits where there is one, which only the IDs tell
+// from the right one.
+func (e *Engine) otherFrameLocked(not *stream, offset int) (endpoint.Frame, bool) {
 	now := time.Now()
 	for _, s := range e.streams {
 		have := s.generated(now)
-		if s != not && s.state == stateDecode && have > s.request.ResumeTokens {
-			return s.frame(have-1, have), true
+		if s == not || s.state != stateDecode || have <= s.request.ResumeTokens {
+			continue
 		}
+		at := min(max(offset, s.request.ResumeTokens), have-1)
+		return s.frame(at, at+1), true
 	}
 	return endpoint.Frame{}, false
 }
