--- a/app/loops.go
+++ b/app/loops.go
@@ -88,9 +88,10 @@
 
 // watchHosts keeps the fleet in step with the host list. Notices in it are
 // taken in first, so that a leaving host never looks new.
-func watchHosts(lc fx.Lifecycle, l *Loops, list platform.HostList, f *routing.Fleet, notices *drain.Set, s settings.Entry, log *logrus.Logger) {
+func watchHosts(lc fx.Lifecycle, l *Loops, list platform.HostList, client endpoint.Client, f *routing.Fleet, notices *drain.Set, s settings.Entry, log *logrus.Logger) {
 	notices.OnLeaving(func(n drain.Notice) { f.MarkLeaving(n.HostID, n.Incarnation, string(n.Reason)) })
 
+	engines := newLoadedFilter(client)
 	l.Every(lc, hostListPeriod, func(ctx context.Context) {
 		hosts, err := list.Hosts(ctx)
 		if err != nil {
@@ -98,7 +99,7 @@
 			return
 		}
 		notices.Hosts(hosts)
-		f.SetHosts(hosts)
+		f.SetHosts(engines.visible(ctx, hosts))
 	})
 }
 
--- a/bench/experiment/config.go
+++ b/bench/experiment/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"slices"
 	"time"
 
@@ -57,6 +58,8 @@
 	Load float64
 	// Network is the second number of the loopback network 127.N.
 	Network int
+	// Log takes the entries' log lines; nil drops them.
+	Log io.Writer
 	// Progress is called now and then with the part of the run that is done;
 	// nil for none.
 	Progress func(done float64)
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -131,6 +131,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	log.SetLevel(logrus.WarnLevel)
+	if c.Log != nil {
+		log.SetOutput(c.Log)
+		log.SetLevel(logrus.InfoLevel)
+	}
 	return inprocess.Options{
 		Standins:   standins,
 		Template:   r.template,
--- a/cmd/coltsfootcleat/bench.go
+++ b/cmd/coltsfootcleat/bench.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -37,6 +38,7 @@
 	network    int
 	json       bool
 	requests   string
+	log        string
 }
 
 // Name implements subcommands.Command.
@@ -85,6 +87,7 @@
 	f.Float64Var(&c.load, "load", 1, "factor on the arrival rates of today")
 	f.IntVar(&c.network, "network", 40, "second number of the loopback `network` 127.N to use")
 	f.BoolVar(&c.json, "json", false, "print JSON")
+	f.StringVar(&c.log, "log", "", "`file` to write the entries' log lines to")
 	f.StringVar(&c.requests, "requests", "", "`file` to write a JSON line for each request to")
 }
 
@@ -119,6 +122,11 @@
 }
 
 func (c *benchCommand) runAll(ctx context.Context) ([]experiment.Report, error) {
+	log, err := c.openLog()
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
 	var reports []experiment.Report
 	for _, schedule := range strings.Split(c.schedules, ",") {
 		for _, policy := range strings.Split(c.policies, ",") {
@@ -130,6 +138,7 @@
 				Duration:   c.duration,
 				Load:       c.load,
 				Network:    c.network,
+				Log:        log,
 			})
 			if err != nil {
 				return nil, err
@@ -140,6 +149,14 @@
 	return reports, nil
 }
 
+// openLog opens the log file; without one, lines are dropped.
+func (c *benchCommand) openLog() (io.WriteCloser, error) {
+	if c.log == "" {
+		return os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	}
+	return os.Create(c.log)
+}
+
 // requestLine is a request in the file that -requests names.
 type requestLine struct {
 	Policy     experiment.Policy   `json:"policy"`
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -106,7 +106,7 @@
 	p.need = max(c.replicasFor(total, capacity), p.model.MinReplicas)
 	w := c.needs[p.model.Name]
 	if w == nil {
-		w = &window{began: now, length: c.cfg.ShrinkAfter}
+		w = &window{began: now, length: c.cfg.ShrinkAfter, floor: len(p.replicas)}
 		c.needs[p.model.Name] = w
 	}
 	p.need, p.urgent = w.highest(now, p.need, p.urgent, len(p.replicas))
@@ -237,6 +237,10 @@
 	began   time.Time
 	length  time.Duration
 	samples []sample
+	// floor is the least that ran since the window began. It is not what runs
+	// now: while hosts are replaced the old and the new ones run side by side,
+	// and a need that followed them would grow with each round.
+	floor int
 }
 
 type sample struct {
@@ -245,12 +249,13 @@
 }
 
 // highest adds a sample and returns the highest ones of the window. Until the
-// window is full, the need is at least what runs already.
+// window is full, the need is at least the least that ran since it began.
 func (w *window) highest(now time.Time, need, urgent, running int) (int, int) {
 	w.samples = append(w.samples, sample{at: now, need: need, urgent: urgent})
 	w.samples = slices.DeleteFunc(w.samples, func(s sample) bool { return now.Sub(s.at) > w.length })
+	w.floor = min(w.floor, running)
 	if now.Sub(w.began) < w.length {
-		need = max(need, running)
+		need = max(need, w.floor)
 	}
 	for _, s := range w.samples {
 		need, urgent = max(need, s.need), max(urgent, s.urgent)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		c.exclude = append(c.exclude, choice.Endpoint.ID)
 		c.mayHaveRun = c.mayHaveRun || verdict.Of(err) != verdict.NotRun
+		c.log.WithError(err).WithField("endpoint", choice.Endpoint.ID).Warn("relay: endpoint did not take the request.")
 		return false, c.causeOf(streamCtx, err)
 	}
 	c.accepted = true
