Let a reader of another entry's request leave a hung engine

A reader at an entry that does not own the request reads the engine's stream. Where that engine hangs, the owner leaves it for another one, but the reader waited for ever. It now goes back to the record after the time for which an engine may be silent, and attaches to where the answer goes on.

Without the change (trial) TestReaderElsewhereLeavesAHungEngine ends in a deadlock of its bubble.

--- a/delivery/durable_test.go
+++ b/delivery/durable_test.go
@@ -29,6 +29,7 @@
 const (
 	planTokens = 1000
 	decodeRate = 10
+	otherAddr  = "10.8.0.2:1"
 )
 
 var planKind = template.Kind{
@@ -36,16 +37,21 @@
 	Delivery: template.DeliveryDurable, Outage: template.OutageRefuse, Model: "lm", MaxTokens: planTokens,
 }
 
-// oneEngine is a fleet of one engine, and the client for it.
+// oneEngine is a fleet that offers one engine, and the client for it.
 type oneEngine struct {
 	engine *enginestandin.Engine
 	none   bool
+	// other takes the place of engine once it is set.
+	other atomic.Pointer[enginestandin.Engine]
 }
 
 func (o *oneEngine) Choose(routing.Request) (routing.Choice, error) {
 	if o.none {
 		return routing.Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no endpoint")
 	}
+	if o.other.Load() != nil {
+		return routing.Choice{HostID: "h2", Endpoint: platform.Endpoint{ID: "e2", Addr: otherAddr}}, nil
+	}
 	return routing.Choice{HostID: "h1", Endpoint: platform.Endpoint{ID: "e1", Addr: "10.8.0.1:1"}}, nil
 }
 
@@ -53,9 +59,15 @@
 func (o *oneEngine) Progress(routing.Choice, endpoint.Load)        {}
 func (o *oneEngine) Done(routing.Choice, routing.Outcome)          {}
 func (o *oneEngine) Predict(routing.Request) (time.Duration, bool) { return 0, false }
-func (o *oneEngine) Engine(string) endpoint.Engine                 { return o.engine }
 func (o *oneEngine) Service(string) endpoint.Service               { return nil }
 
+func (o *oneEngine) Engine(addr string) endpoint.Engine {
+	if addr == otherAddr {
+		return o.other.Load()
+	}
+	return o.engine
+}
+
 // held counts the work that keeps an entry from ending.
 type held struct{ n atomic.Int64 }
 
@@ -209,6 +221,30 @@
 	})
 }
 
+// TestReaderElsewhereLeavesAHungEngine when the owner of the request does.
+func TestReaderElsewhereLeavesAHungEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t)
+		one, two := w.entry(t, "one"), w.entry(t, "two")
+		r := w.request(c, "r1")
+		_, err := one.Durable(t.Context(), r)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		out, done := follow(c, two, "r1", 0)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		c.Assert(out.next > 0, qt.IsTrue)
+		w.fleet.engine.SetFaults(enginestandin.EngineFaults{Hang: true})
+		other := enginestandin.NewEngine(enginestandin.EngineConfig{Model: "lm", Version: "1", DecodeRate: decodeRate})
+		defer other.Close()
+		w.fleet.other.Store(other)
+		c.Assert(<-done, qt.IsNil)
+		c.Assert(out.text.String(), qt.Equals, wholeAnswer(r))
+		c.Assert(out.ends, qt.Equals, 1)
+	})
+}
+
 // TestFailureIsRecorded tells every reader the same, at any entry.
 func TestFailureIsRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -22,12 +22,15 @@
 		return c.answer.tokens, ctx.Err()
 	}
 	defer func() { _ = stream.Close() }()
-	return c.follow(ctx, streamCtx, stream, b.AttemptID)
+	stall := time.AfterFunc(r.options.Stall, func() { cancel(errStalled) })
+	defer stall.Stop()
+	return c.follow(ctx, streamCtx, stall, stream, b.AttemptID)
 }
 
-func (c *carrier) follow(ctx, streamCtx context.Context, stream endpoint.Stream, attempt string) (int, error) {
+func (c *carrier) follow(ctx, streamCtx context.Context, stall *time.Timer, stream endpoint.Stream, attempt string) (int, error) {
 	for {
 		f, err := stream.Next(streamCtx)
+		stall.Stop()
 		if err != nil {
 			return c.answer.tokens, ctx.Err()
 		}
@@ -48,5 +51,6 @@
 		default:
 			return c.answer.tokens, nil
 		}
+		stall.Reset(c.relay.options.Stall)
 	}
 }
