--- a/delivery/durable_test.go
+++ b/delivery/durable_test.go
@@ -138,6 +138,15 @@
 	}
 }
 
+// accept has the durable request r1 recorded at an entry, where it then runs.
+func (w *world) accept(c *qt.C, e *entry) *Request {
+	c.Helper()
+	r := w.request(c, "r1")
+	_, err := e.Durable(c.Context(), r)
+	c.Assert(err, qt.IsNil)
+	return r
+}
+
 func wholeAnswer(r *Request) string {
 	prompt := prefix.Text(r.Messages)
 	return enginestandin.Answer("lm", "1", prompt, enginestandin.AnswerTokens(prompt, planTokens))
@@ -164,9 +173,7 @@
 				c := qt.New(t)
 				w := newWorld(t)
 				one, two := w.entry(t, "one"), w.entry(t, "two")
-				r := w.request(c, "r1")
-				_, err := one.Durable(t.Context(), r)
-				c.Assert(err, qt.IsNil)
+				r := w.accept(c, one)
 				out, done := follow(c, one, "r1", 3)
 				time.Sleep(time.Second)
 				w.table.SetFaults(faults)
@@ -195,9 +202,7 @@
 		c := qt.New(t)
 		w := newWorld(t)
 		one, two := w.entry(t, "one"), w.entry(t, "two")
-		r := w.request(c, "r1")
-		_, err := one.Durable(t.Context(), r)
-		c.Assert(err, qt.IsNil)
+		r := w.accept(c, one)
 		out, done := follow(c, one, "r1", 0)
 		time.Sleep(2 * time.Second)
 		record, err := two.jobs.Claim(t.Context(), "one", "r1", 1)
@@ -227,9 +232,7 @@
 		c := qt.New(t)
 		w := newWorld(t)
 		one, two := w.entry(t, "one"), w.entry(t, "two")
-		r := w.request(c, "r1")
-		_, err := one.Durable(t.Context(), r)
-		c.Assert(err, qt.IsNil)
+		r := w.accept(c, one)
 		time.Sleep(time.Second)
 		out, done := follow(c, two, "r1", 0)
 		time.Sleep(3 * time.Second)
@@ -252,8 +255,7 @@
 		w := newWorld(t)
 		w.fleet.none = true
 		one, two := w.entry(t, "one"), w.entry(t, "two")
-		_, err := one.Durable(t.Context(), w.request(c, "r1"))
-		c.Assert(err, qt.IsNil)
+		w.accept(c, one)
 		_, here := follow(c, one, "r1", 0)
 		_, there := follow(c, two, "r1", 0)
 		for _, done := range []chan error{here, there} {
@@ -274,8 +276,7 @@
 		c := qt.New(t)
 		w := newWorld(t)
 		one, two := w.entry(t, "one"), w.entry(t, "two")
-		_, err := one.Durable(t.Context(), w.request(c, "r1"))
-		c.Assert(err, qt.IsNil)
+		w.accept(c, one)
 		synctest.Wait()
 		c.Assert(one.live("r1"), qt.IsNotNil)
 		for range 2 {
