Give every answer of the caller interface its own headers

Replies of services and the reads of durable requests lacked X-Template-Version, the reads X-Durability as well; a service's own X-Request-Id was passed on beside the entry's. Headers of this interface are never taken from a service.

TestHeadersOfAnswers fails on the code before for these six headers.

--- a/callerapi/input_test.go
+++ b/callerapi/input_test.go
@@ -230,3 +230,29 @@
 		w.assertNotRun(c, r, http.StatusServiceUnavailable, verdict.CodeUnavailable)
 	})
 }
+
+// TestHeadersOfAnswers are this interface's own, whatever a service sets.
+func TestHeadersOfAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t)
+		tests := []struct {
+			req  *http.Request
+			want map[string]string
+		}{
+			{chat(good), map[string]string{"X-Request-Id": "r1", "X-Endpoint": "e1", "X-Template-Version": "7", "X-Durability": "attached"}},
+			{chat(good, "X-Request-Kind", "plan"), map[string]string{"X-Request-Id": "r1", "X-Endpoint": "e1", "X-Template-Version": "7", "X-Durability": "durable"}},
+			{order("/orders", "Idempotency-Key", "k"), map[string]string{"X-Request-Id": "r1", "X-Endpoint": "s1", "X-Template-Version": "7", "X-Verdict": "ran", "X-Order": "5"}},
+			// A request keeps the version that it began with.
+			{request("GET", "/v1/requests/r1", ""), map[string]string{"X-Request-Id": "r1", "X-Template-Version": "6", "X-Durability": "durable"}},
+			{request("GET", "/v1/requests/r1/stream", ""), map[string]string{"X-Request-Id": "r1", "X-Template-Version": "6", "X-Durability": "durable"}},
+		}
+		for _, test := range tests {
+			r := w.send(c, test.req)
+			c.Assert(r.status, qt.Equals, http.StatusOK)
+			for name, value := range test.want {
+				c.Check(r.header.Values(name), qt.DeepEquals, []string{value}, qt.Commentf("%s of %s", name, test.req.URL.Path))
+			}
+		}
+	})
+}
--- a/callerapi/requests.go
+++ b/callerapi/requests.go
@@ -1,10 +1,14 @@
 package callerapi
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 
 	"github.com/gin-gonic/gin"
+
+	"github.com/coltsfootcleat/coltsfootcleat/delivery"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
 // requestStatus answers with the state of a durable request, and the whole
@@ -15,7 +19,7 @@
 		s.fail(c, err)
 		return
 	}
-	c.Header(HeaderRequestID, c.Param("id"))
+	setDurableHeaders(c, status)
 	boundWrite(c)
 	c.JSON(http.StatusOK, status)
 }
@@ -33,11 +37,17 @@
 		s.fail(c, err)
 		return
 	}
-	c.Header(HeaderRequestID, id)
+	setDurableHeaders(c, status)
 	out := s.newOutput(c, id, status.Model, true)
 	s.finish(c, out, s.deps.Answers.Follow(c.Request.Context(), customer, id, from, out))
 }
 
+func setDurableHeaders(c *gin.Context, status delivery.Status) {
+	c.Header(HeaderRequestID, status.ID)
+	c.Header(HeaderDurability, string(template.DeliveryDurable))
+	c.Header(HeaderTemplateVersion, fmt.Sprint(status.TemplateVersion))
+}
+
 func offsetOf(c *gin.Context) (int, error) {
 	text := c.Query("from")
 	if text == "" {
--- a/callerapi/service.go
+++ b/callerapi/service.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"fmt"
 	"net/http"
 	"net/url"
 
@@ -25,6 +26,7 @@
 	}
 	call.RequestID = s.deps.NewID()
 	c.Header(HeaderRequestID, call.RequestID)
+	c.Header(HeaderTemplateVersion, fmt.Sprint(templateIn(c).Template.Version))
 	ticket, err := s.deps.Admission.Admit(c.Request.Context(), admission.Request{
 		RequestID: call.RequestID,
 		Customer:  call.Customer,
@@ -48,7 +50,7 @@
 
 func writeReply(c *gin.Context, status int, header http.Header, endpointID string, body []byte) {
 	for name, values := range header {
-		if hopByHop[name] {
+		if notPassed[name] {
 			continue
 		}
 		for _, v := range values {
@@ -62,13 +64,20 @@
 	_, _ = c.Writer.Write(body)
 }
 
-// hopByHop headers belong to one connection and are not passed on.
-var hopByHop = map[string]bool{
-	"Connection":        true,
-	"Content-Length":    true,
-	"Keep-Alive":        true,
-	"Transfer-Encoding": true,
-	"Upgrade":           true,
+// notPassed are headers of a service's reply that are not passed on: they
+// belong to one connection, or to this interface.
+var notPassed = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Keep-Alive":          true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	HeaderRequestID:       true,
+	HeaderEndpoint:        true,
+	HeaderTemplateVersion: true,
+	HeaderDurability:      true,
+	HeaderVerdict:         true,
 }
 
 // serviceCall checks a call against the template.
--- a/callerapi/world_test.go
+++ b/callerapi/world_test.go
@@ -130,7 +130,7 @@
 	if id != "r1" {
 		return delivery.Status{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no request")
 	}
-	return delivery.Status{ID: id, Model: "lm"}, nil
+	return delivery.Status{ID: id, Model: "lm", TemplateVersion: 6}, nil
 }
 
 func (f *fakes) PredictedWait(*delivery.Request) time.Duration { return 0 }
@@ -142,7 +142,8 @@
 	f.ran.Add(1)
 	f.call = c
 	time.Sleep(f.delay)
-	return endpoint.Reply{Status: http.StatusOK, Body: []byte(f.whole)}, "s1", nil
+	header := http.Header{"X-Verdict": {"not_run"}, "X-Request-Id": {"other"}, "X-Endpoint": {"other"}, "X-Order": {"5"}}
+	return endpoint.Reply{Status: http.StatusOK, Header: header, Body: []byte(f.whole)}, "s1", nil
 }
 
 // world is the interface on a network in memory. It lives in one synctest
