Let refuted suspicions pass before the next digest

A report of a silent member and its refutation each took up to a digest period per hop, several hops at 410 members, against the 10 s that a suspected member has. (On cores overloaded by two; that this is the whole cause is likely and not proved.)

--- a/peer/link.go
+++ b/peer/link.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -52,6 +53,8 @@
 	once  bool
 
 	handoffs chan struct{}
+	// hurry asks for a digest before its time.
+	hurry atomic.Bool
 
 	mu sync.Mutex
 	// has is what the peer has of each origin.
