Take back the states that don't wait for the digest

Each urgent state brings forward the digests of every entry it reaches, which under load makes more members look silent, which makes more urgent states.

--- a/peer/link.go
+++ b/peer/link.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -53,8 +52,6 @@
 	once  bool
 
 	handoffs chan struct{}
-	// hurry asks for a digest before its time.
-	hurry atomic.Bool
 
 	mu sync.Mutex
 	// has is what the peer has of each origin.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -241,16 +241,6 @@
 	}
 }
 
-// hurryAll brings the next digest on each connection forward.
-func (m *Mesh) hurryAll() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, l := range m.links {
-		l.hurry.Store(true)
-		l.poke()
-	}
-}
-
 func (h Handlers) digest(from string, d Digest) {
 	if h.Digest != nil {
 		h.Digest(from, d)
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -114,8 +114,6 @@
 	Member *member.Member `json:"m,omitempty"`
 	// Leaving marks a member that takes no new work.
 	Leaving bool `json:"l,omitempty"`
-	// Urgent states, such as a refuted suspicion, don't wait for the digest.
-	Urgent bool `json:"u,omitempty"`
 	// AgeSeconds is the time since the origin published the state, summed up
 	// over the entries that it passed.
 	AgeSeconds int `json:"a,omitempty"`
--- a/peer/publish.go
+++ b/peer/publish.go
@@ -23,15 +23,12 @@
 func (m *Mesh) publishAll(ctx context.Context) {
 	phase := member.Phase()
 	joined := m.o.Registry.Joined()
-	urgent := false
 	for {
-		m.publish(urgent)
-		urgent = true
+		m.publish()
 		period := member.UpdatePeriod(m.o.Registry.Count())
 		timer := time.NewTimer(phase(period))
 		select {
 		case <-timer.C:
-			urgent = false
 		case <-joined:
 			// From now on the states carry the epoch of this incarnation.
 			timer.Stop()
@@ -49,9 +46,8 @@
 	}
 }
 
-// publish puts this entry's own state among the states. An urgent one doesn't
-// wait for the digest.
-func (m *Mesh) publish(urgent bool) {
+// publish puts this entry's own state among the states.
+func (m *Mesh) publish() {
 	self := m.self()
 	m.mu.Lock()
 	m.number++
@@ -60,7 +56,6 @@
 		Stamp:   stamp{Epoch: self.Epoch, Number: m.number},
 		Member:  &self,
 		Leaving: self.State == member.Leaving,
-		Urgent:  urgent,
 		Digest:  m.own,
 	}
 	st.Templates = m.templates
@@ -69,9 +64,6 @@
 	}
 	m.mu.Unlock()
 	m.states.put(st)
-	if urgent {
-		m.hurryAll()
-	}
 }
 
 // publishSoon brings the next publication forward.
@@ -98,9 +90,6 @@
 		return
 	}
 	m.o.Registry.Learn(from, age)
-	if st.Urgent {
-		m.hurryAll()
-	}
 	for _, s := range st.Silent {
 		m.takeSilent(self, s)
 	}
--- a/peer/send.go
+++ b/peer/send.go
@@ -28,11 +28,6 @@
 			if err := l.sendUrgent(ctx); err != nil {
 				return err
 			}
-			if l.hurry.Swap(false) {
-				if err := l.sendDigest(ctx); err != nil {
-					return err
-				}
-			}
 			// The first of many changes went at once. The rest goes together,
 			// or each of them would be a message on every connection.
 			if !wait.For(ctx, urgentPause) {
@@ -45,16 +40,12 @@
 		if err := l.sendUrgent(ctx); err != nil {
 			return err
 		}
-		if err := l.sendDigest(ctx); err != nil {
+		if err := l.conn.Notify(ctx, methodDigest, l.nextDigest()); err != nil {
 			return err
 		}
 	}
 }
 
-func (l *link) sendDigest(ctx context.Context) error {
-	return l.conn.Notify(ctx, methodDigest, l.nextDigest())
-}
-
 // sendUrgent sends new notices and template versions.
 func (l *link) sendUrgent(ctx context.Context) error {
 	for {
