--- a/app/loops.go
+++ b/app/loops.go
@@ -21,17 +21,15 @@
 
 // Periods of the loops.
 const (
-	hostListPeriod = time.Second
-	noticePeriod   = 500 * time.Millisecond
-	offerPeriod    = 30 * time.Second
-	probePeriod    = 50 * time.Millisecond
-	probeTimeout   = time.Second
+	offerPeriod  = 30 * time.Second
+	probePeriod  = 50 * time.Millisecond
+	probeTimeout = time.Second
 )
 
 // loopModule runs the background loops.
 var loopModule = fx.Module("loops",
 	fx.Provide(newLoops),
-	fx.Invoke(adoptRequests, watchTemplates, watchHosts, watchNotices, watchOffers, probeEndpoints),
+	fx.Invoke(adoptRequests, watchTemplates, watchHosts, watchOffers, probeEndpoints),
 )
 
 // Loops are the background goroutines of an entry. All end when it stops.
@@ -86,42 +84,20 @@
 	l.Go(lc, func(ctx context.Context) { _ = w.Run(ctx) })
 }
 
-// watchHosts keeps the fleet in step with the host list. Notices in it are
-// taken in first, so that a leaving host never looks new.
-func watchHosts(lc fx.Lifecycle, l *Loops, list platform.HostList, client endpoint.Client, f *routing.Fleet, notices *drain.Set, s settings.Entry, log *logrus.Logger) {
+// watchHosts keeps the fleet in step with the host list and the cloud API's
+// notices. Notices are taken in first, so that a leaving host never looks new.
+func watchHosts(lc fx.Lifecycle, l *Loops, list platform.HostList, cloud platform.Cloud, client endpoint.Client, f *routing.Fleet, notices *drain.Set, members *member.Registry, s settings.Entry, log *logrus.Logger) {
 	notices.OnLeaving(func(n drain.Notice) { f.MarkLeaving(n.HostID, n.Incarnation, string(n.Reason)) })
-
 	engines := newLoadedFilter(client)
-	l.Every(lc, hostListPeriod, func(ctx context.Context) {
-		hosts, err := list.Hosts(ctx)
-		if err != nil {
-			entryLog(log, s).WithError(err).Warn("app: host list can't be read.")
-			return
-		}
-		notices.Hosts(hosts)
-		f.SetHosts(engines.visible(ctx, hosts))
-	})
-}
-
-// watchNotices reads the cloud API's notices.
-func watchNotices(lc fx.Lifecycle, l *Loops, cloud platform.Cloud, notices *drain.Set, s settings.Entry, log *logrus.Logger) {
-	var after uint64
-	l.Every(lc, noticePeriod, func(ctx context.Context) {
-		list, err := cloud.Notices(ctx, after)
-		if err != nil {
-			entryLog(log, s).WithError(err).Warn("app: notices can't be read.")
-			return
-		}
-		for _, n := range list {
-			after = max(after, n.Seq)
-			notices.Add(drain.Notice{
-				HostID:      n.HostID,
-				Incarnation: n.Incarnation,
-				Reason:      drain.ReasonReclaim,
-				Remaining:   n.Remaining,
-			})
-		}
-	})
+	watch := drain.Watch{
+		Set:     notices,
+		Cloud:   cloud,
+		List:    list,
+		Entries: members.Count,
+		OnHosts: func(hosts []platform.Host) { f.SetHosts(engines.visible(l.ctx, hosts)) },
+		Log:     entryLog(log, s),
+	}
+	l.Go(lc, func(ctx context.Context) { _ = watch.Run(ctx) })
 }
 
 // watchOffers keeps prices and loss rates in step with the cloud's.
