Feed the metrics, and spend the retry budget where nothing has run

Change: the setting is gone, since a blocked write already stops the reading of the engine's stream; the metrics are fed where requests end; an attached request that no engine took asks the budget before its next attempt, with a test; job asserts that versions stay; KV sizes are settings.

--- a/app/modules.go
+++ b/app/modules.go
@@ -132,13 +132,15 @@
 	return c
 }
 
-func newRelay(f *routing.Fleet, client endpoint.Client, a *admission.Controller, x Experiment, s settings.Entry, log *logrus.Logger) *relay.Relay {
+func newRelay(f *routing.Fleet, client endpoint.Client, a *admission.Controller, x Experiment, m *telemetry.Metrics, s settings.Entry, log *logrus.Logger) *relay.Relay {
 	return relay.New(relay.Options{
 		Fleet:   f,
 		Client:  client,
 		Retries: a,
 		Log:     entryLog(log, s),
 		Restart: x.RestartOnReclaim,
+
+		OnResume: m.Resumed,
 	})
 }
 
@@ -164,7 +166,7 @@
 	return store
 }
 
-func newDelivery(lc fx.Lifecycle, s settings.Entry, r *relay.Relay, f *routing.Fleet, jobs *job.Store, w *template.Watcher, gate *Gate, log *logrus.Logger) *delivery.Service {
+func newDelivery(lc fx.Lifecycle, s settings.Entry, r *relay.Relay, f *routing.Fleet, jobs *job.Store, w *template.Watcher, gate *Gate, m *telemetry.Metrics, log *logrus.Logger) *delivery.Service {
 	d := delivery.New(delivery.Options{
 		Relay:     r,
 		Predictor: f,
@@ -177,15 +179,16 @@
 			}
 			return index.Kind(name)
 		},
-		Hold: gate,
-		Log:  entryLog(log, s),
+		Meter: m,
+		Hold:  gate,
+		Log:   entryLog(log, s),
 	})
 	lc.Append(fx.StopHook(d.Close))
 	return d
 }
 
-func newServices(f *routing.Fleet, client endpoint.Client, store *once.Store, a *admission.Controller, s settings.Entry, log *logrus.Logger) *delivery.Services {
-	return delivery.NewServices(f, client, store, a, entryLog(log, s))
+func newServices(f *routing.Fleet, client endpoint.Client, store *once.Store, a *admission.Controller, m *telemetry.Metrics, s settings.Entry, log *logrus.Logger) *delivery.Services {
+	return delivery.NewServices(f, client, store, a, m, entryLog(log, s))
 }
 
 func newCallerAPI(w *template.Watcher, a *admission.Controller, d *delivery.Service, services *delivery.Services, gate *Gate, s settings.Entry, log *logrus.Logger) *callerapi.Server {
--- a/app/operator.go
+++ b/app/operator.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/lease"
 	"github.com/coltsfootcleat/coltsfootcleat/operatorapi"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
@@ -48,13 +49,21 @@
 	serveHTTP(lc, n, s.Listen.Operator, api.Handler(), entryLog(log, s))
 }
 
-func observeState(m *telemetry.Metrics, w *template.Watcher, notices *drain.Set) error {
+func observeState(m *telemetry.Metrics, w *template.Watcher, notices *drain.Set, held *lease.Lease) error {
 	return m.Observe(telemetry.Gauges{
 		TemplateVersion: w.Version,
+		Leases:          func() int { return leasesHeld(held) },
 		Draining:        func() int { return len(notices.All()) },
 	})
 }
 
+func leasesHeld(l *lease.Lease) int {
+	if _, held := l.Held(); held {
+		return 1
+	}
+	return 0
+}
+
 // drainer begins graceful stops of endpoint hosts and failure domains.
 type drainer struct {
 	notices *drain.Set
--- a/app/reclaim.go
+++ b/app/reclaim.go
@@ -12,13 +12,6 @@
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
 )
 
-const (
-	// kvBytesPerToken is the size of a KV cache.
-	kvBytesPerToken = 128 << 10
-	// kvBandwidth is what a leaving host can send, in bytes per second.
-	kvBandwidth = 1 << 30
-)
-
 // reclaimModule takes running streams off hosts that will be reclaimed.
 var reclaimModule = fx.Module("reclaim", fx.Invoke(runReclaim))
 
@@ -28,7 +21,7 @@
 	if x.RestartOnReclaim {
 		return
 	}
-	c := &streamCarrier{relay: r, fleet: f, members: m}
+	c := &streamCarrier{relay: r, fleet: f, members: m, kv: s.KV}
 	runner := reclaim.NewRunner(reclaim.RunnerOptions{Carrier: c, Targets: c.targets, Log: entryLog(log, s)})
 	notices.OnLeaving(func(n drain.Notice) {
 		if n.HostID != "" && n.Reason != drain.ReasonOperator {
@@ -43,6 +36,7 @@
 	relay   *relay.Relay
 	fleet   *routing.Fleet
 	members *member.Registry
+	kv      settings.KV
 }
 
 // Streams implements reclaim.Carrier.
@@ -64,7 +58,7 @@
 			GeneratedTokens: s.Tokens,
 			RemainingTokens: max(0, s.MaxTokens-s.Tokens),
 			DecodeRate:      rates[s.EndpointID],
-			KVBytes:         int64(s.PromptTokens+s.Tokens) * kvBytesPerToken,
+			KVBytes:         int64(s.PromptTokens+s.Tokens) * c.kv.BytesPerToken,
 		})
 	}
 	return out
@@ -82,7 +76,7 @@
 // may count on.
 func (c *streamCarrier) targets(streams []reclaim.Stream) reclaim.Targets {
 	t := reclaim.Targets{
-		Bandwidth: kvBandwidth,
+		Bandwidth: c.kv.Bandwidth,
 		Part:      1 / float64(max(1, len(c.members.Live()))),
 	}
 	for _, l := range c.fleet.Loads() {
--- a/delivery/attached.go
+++ b/delivery/attached.go
@@ -7,6 +7,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/admission"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // Attached answers a request while its caller stays connected. When ctx ends
@@ -52,6 +53,24 @@
 	return a.out.Write(p)
 }
 
+// count tells the meter how a request ended.
+func (s *Service) count(kind string, result relay.Result, err error) {
+	m := s.options.Meter
+	if m == nil {
+		return
+	}
+	for range result.Attempts - 1 {
+		m.Retried("stream")
+	}
+	m.Recomputed(result.Recomputed)
+	if err != nil {
+		m.Failed(kind, verdict.Of(err))
+		return
+	}
+	m.Answered(kind)
+	m.FirstToken(kind, result.FirstToken)
+}
+
 func (s *Service) logEnd(id, customer, kind string, result relay.Result, err error) {
 	entry := s.options.Log.WithFields(logrus.Fields{
 		"request":    id,
@@ -63,6 +82,7 @@
 		"recomputed": result.Recomputed,
 		"ttft":       result.FirstToken,
 	})
+	s.count(kind, result, err)
 	if err != nil {
 		entry.WithError(err).Warn("delivery: request failed.")
 		return
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // Predictor predicts the time to the first token. *routing.Fleet implements
@@ -28,6 +29,8 @@
 	Pacing *job.Pacing
 	// Kinds returns a kind of the template in force.
 	Kinds func(name string) (template.Kind, bool)
+	// Meter counts requests; nil for none.
+	Meter Meter
 	// Hold keeps the entry from ending while a durable request runs.
 	Hold Holder
 	// Cost returns the cost of an answer by its endpoint and token counts.
@@ -48,6 +51,15 @@
 	answers map[string]*live
 }
 
+// Meter counts what becomes of requests. *telemetry.Metrics implements it.
+type Meter interface {
+	Answered(kind string)
+	Failed(kind string, v verdict.Verdict)
+	Retried(reason string)
+	Recomputed(tokens int)
+	FirstToken(kind string, d time.Duration)
+}
+
 // Holder counts work that the entry waits for when it stops.
 type Holder interface {
 	Hold()
--- a/delivery/service.go
+++ b/delivery/service.go
@@ -53,6 +53,7 @@
 	client  endpoint.Client
 	once    *once.Store
 	retries Retries
+	meter   Meter
 	log     *logrus.Entry
 }
 
@@ -62,13 +63,25 @@
 }
 
 // NewServices returns a Services.
-func NewServices(fleet ServiceFleet, client endpoint.Client, store *once.Store, retries Retries, log *logrus.Entry) *Services {
-	return &Services{fleet: fleet, client: client, once: store, retries: retries, log: log}
+func NewServices(fleet ServiceFleet, client endpoint.Client, store *once.Store, retries Retries, meter Meter, log *logrus.Entry) *Services {
+	return &Services{fleet: fleet, client: client, once: store, retries: retries, meter: meter, log: log}
 }
 
 // Call runs one call and returns the reply and the endpoint that gave it. The
 // endpoint is empty where the reply was recorded earlier.
 func (s *Services) Call(ctx context.Context, c ServiceCall) (endpoint.Reply, string, error) {
+	reply, endpointID, err := s.call(ctx, c)
+	switch {
+	case s.meter == nil:
+	case err != nil:
+		s.meter.Failed(c.Kind.Name, verdict.Of(err))
+	default:
+		s.meter.Answered(c.Kind.Name)
+	}
+	return reply, endpointID, err
+}
+
+func (s *Services) call(ctx context.Context, c ServiceCall) (endpoint.Reply, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, waitFactor*timeoutOf(c))
 	defer cancel()
 	if c.Repeatable {
--- a/delivery/service_test.go
+++ b/delivery/service_test.go
@@ -77,7 +77,7 @@
 	})
 	silent := logrus.New()
 	silent.SetOutput(io.Discard)
-	return NewServices(f, f, store, f, logrus.NewEntry(silent))
+	return NewServices(f, f, store, f, nil, logrus.NewEntry(silent))
 }
 
 func call(key string) ServiceCall {
--- a/job/update.go
+++ b/job/update.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/coltsfootcleat/coltsfootcleat/invariant"
 	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -115,6 +116,8 @@
 			return updateWrites(&r, version)
 		},
 		applied: func(version uint64, _ bool) {
+			invariant.Check(next.TemplateVersion == first.TemplateVersion && next.Version == first.Version,
+				invariant.RequestVersionFixed, "request %s changed from version %d", id, first.TemplateVersion)
 			h.set(next, version)
 			if next.State.Finished() {
 				s.disown(id, h)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -58,6 +58,7 @@
 	})
 	if err != nil {
 		c.exclude = append(c.exclude, choice.Endpoint.ID)
+		c.refused = true
 		c.mayHaveRun = c.mayHaveRun || verdict.Of(err) != verdict.NotRun
 		c.log.WithError(err).WithField("endpoint", choice.Endpoint.ID).Warn("relay: endpoint did not take the request.")
 		return false, c.causeOf(streamCtx, err)
@@ -114,6 +115,7 @@
 	}
 	if c.answer.tokens > 0 {
 		c.relay.counts.resumed.Add(1)
+		c.relay.options.OnResume(how(kv))
 		c.log.WithField("endpoint", choice.Endpoint.ID).
 			WithField("offset", c.answer.tokens).
 			WithField("kv", kv != "").
@@ -136,6 +138,14 @@
 	return c.answer.tokens
 }
 
+// how names the way in which an answer goes on elsewhere.
+func how(kv string) string {
+	if kv != "" {
+		return "kv"
+	}
+	return "text"
+}
+
 func (c *carrier) priority() endpoint.Priority {
 	p := endpoint.PriorityNormal
 	switch c.request.Urgency {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,9 @@
 	// it, as a baseline for experiments. What the caller has is not sent
 	// twice.
 	Restart bool
+	// OnResume is told how an answer goes on elsewhere, "kv" or "text"; nil for
+	// none.
+	OnResume func(how string)
 	// NewID returns a unique attempt ID.
 	NewID func() string
 }
@@ -63,6 +66,9 @@
 	if o.OrderTimeout == 0 {
 		o.OrderTimeout = defaultOrder
 	}
+	if o.OnResume == nil {
+		o.OnResume = func(string) {}
+	}
 	if o.NewID == nil {
 		o.NewID = uuid.NewString
 	}
@@ -135,6 +141,8 @@
 	// accepted is set once an engine has taken an attempt; mayHaveRun once
 	// the start of one has failed without it being known.
 	accepted, mayHaveRun bool
+	// refused is set when an endpoint did not take the last attempt.
+	refused bool
 }
 
 // errSink wraps an error of the sink: the relay must stop.
@@ -163,6 +171,9 @@
 			pause = firstPause
 			continue
 		}
+		if c.refused && !c.mayRetry() {
+			return c.result, c.classify(ctx, err)
+		}
 		if !ctxtime.Sleep(ctx, pause) {
 			return c.result, c.classify(ctx, context.Cause(ctx))
 		}
@@ -186,6 +197,17 @@
 // untouched says that nothing of the answer exists yet.
 func (c *carrier) untouched() bool { return !c.accepted && c.answer.tokens == 0 }
 
+// mayRetry asks the retry budget for one more attempt of a request that no
+// engine has taken. What was accepted goes on without asking.
+func (c *carrier) mayRetry() bool {
+	c.refused = false
+	budget := c.relay.options.Retries
+	if budget == nil || c.request.Durable || !c.untouched() {
+		return true
+	}
+	return budget.Retry(c.request.Customer)
+}
+
 func (c *carrier) moved(err error) bool {
 	var m *Move
 	return errors.As(err, &m)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -208,12 +208,14 @@
 	return nil
 }
 
-func newRelay(f *fakeFleet) *relay.Relay {
+func newRelay(f *fakeFleet) *relay.Relay { return newRelayWith(f, nil) }
+
+func newRelayWith(f *fakeFleet, retries relay.Retries) *relay.Relay {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n := 0
 	return relay.New(relay.Options{
-		Fleet: f, Client: f, Log: logrus.NewEntry(log),
+		Fleet: f, Client: f, Retries: retries, Log: logrus.NewEntry(log),
 		Stall: time.Second, GiveUp: time.Minute,
 		NewID: func() string { n++; return fmt.Sprintf("attempt-%d", n) },
 	})
@@ -374,6 +376,35 @@
 	})
 }
 
+// noRetries is a retry budget that is spent.
+type noRetries struct{ asked int }
+
+func (n *noRetries) Retry(string) bool {
+	n.asked++
+	return false
+}
+
+func TestSpentRetryBudgetEndsARefusedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFakeFleet()
+		f.engines["a"].refuse = verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full")
+		budget := &noRetries{}
+		_, err := newRelayWith(f, budget).Run(t.Context(), request(), &textSink{})
+		c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+		c.Assert(budget.asked, qt.Equals, 1)
+		c.Assert(f.engines["b"].requests, qt.HasLen, 0)
+
+		durable := request()
+		durable.Durable = true
+		sink := &textSink{}
+		_, err = newRelayWith(f, budget).Run(t.Context(), durable, sink)
+		c.Assert(err, qt.IsNil)
+		c.Assert(sink.text.String(), qt.Equals, wholeAnswer())
+		c.Assert(budget.asked, qt.Equals, 1)
+	})
+}
+
 func TestUnknownStartIsNeverNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/settings/load.go
+++ b/settings/load.go
@@ -24,11 +24,11 @@
 			Timeout:         template.Duration(time.Second),
 			WritesPerSecond: 40,
 		},
+		KV:  KV{BytesPerToken: 128 << 10, Bandwidth: 1 << 30},
 		Log: Log{Level: "info", Format: "text"},
 		Limits: Limits{
-			BodyBytes:      4 << 20,
-			BodyTimeout:    template.Duration(10 * time.Second),
-			BufferedTokens: 4096,
+			BodyBytes:   4 << 20,
+			BodyTimeout: template.Duration(10 * time.Second),
 		},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,15 @@
 	OperatorKeySHA256 string `toml:"operator_key_sha256" validate:"required,key_hash"`
 	Log               Log    `toml:"log"`
 	Limits            Limits `toml:"limits"`
+	KV                KV     `toml:"kv"`
+}
+
+// KV describes the engines' KV caches, for decisions about moving them.
+type KV struct {
+	// BytesPerToken is the size of a token's part of a KV cache.
+	BytesPerToken int64 `toml:"bytes_per_token" validate:"gt=0"`
+	// Bandwidth is what a host can send, in bytes per second.
+	Bandwidth float64 `toml:"bandwidth" validate:"gt=0,finite"`
 }
 
 // Listen holds the "ip:port" of each listener.
@@ -50,6 +59,4 @@
 	BodyBytes int64 `toml:"body_bytes" validate:"gt=0"`
 	// BodyTimeout bounds the time to read a request body.
 	BodyTimeout template.Duration `toml:"body_timeout" validate:"gt=0"`
-	// BufferedTokens bounds what is held for a slow reader.
-	BufferedTokens int `toml:"buffered_tokens" validate:"gt=0"`
 }
