--- a/reclaim/runner.go
+++ b/reclaim/runner.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 )
 
 const (
@@ -116,7 +118,7 @@
 	began := time.Now()
 	r.carryOut(ctx, wave, until.Sub(began))
 	usable := time.Duration(usablePart * float64(until.Sub(began)))
-	if !sleepUntil(ctx, began.Add(usable)) {
+	if !ctxtime.Sleep(ctx, time.Until(began.Add(usable))) {
 		return
 	}
 	r.carryOut(ctx, wave, 0)
@@ -140,7 +142,7 @@
 			r.log(hosts[d.StreamID], &d)
 			continue
 		}
-		if !sleepUntil(ctx, d.Start) {
+		if !ctxtime.Sleep(ctx, time.Until(d.Start)) {
 			return
 		}
 		if r.opts.Carrier.Move(hosts[d.StreamID], d) {
@@ -162,19 +164,3 @@
 		"reason":     d.Reason,
 	}).Info("reclaim: stream on a leaving host.")
 }
-
-// sleepUntil waits for a time. It returns false when ctx ended.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
