Leave the mesh and the lease at once on a planned stop

Cause: an entry that was stopped by SIGTERM kept its membership row, so that others took it for alive until it had gone stale, and it held the control lease for the length of its drain. Change: a drain marks the member as leaving and gives the lease back, the end of the stop deletes the row, after the loops that would write it again. Measured: the new test passes, and fails with the deletion of the row taken out; with the early release taken out it still passes, since the end of the lease's loop gives it back as well. 20 randomised seeds and the tests over processes pass.

--- a/app/app_test.go
+++ b/app/app_test.go
@@ -119,6 +119,32 @@
 	})
 }
 
+func TestPlannedStopLeavesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := memnet.New()
+		p := standin.NewPlatform(1)
+		serveOn(t, network, platformIP+":70", p.Handler())
+		_, err := template.NewStore(p.Table, template.StoreOptions{}).Publish(t.Context(), 0, "test", testTemplate())
+		c.Assert(err, qt.IsNil)
+		entry := startEntry(t, network, entrySettings(1))
+		time.Sleep(10 * time.Second)
+		rows := func(prefix string) int {
+			found, err := p.Table.Scan(t.Context(), prefix)
+			c.Assert(err, qt.IsNil)
+			return len(found)
+		}
+		c.Assert(rows("member/entry-1"), qt.Equals, 1)
+		c.Assert(entry.Drain(t.Context()), qt.IsNil)
+		c.Assert(entry.Stop(t.Context()), qt.IsNil)
+		c.Assert(rows("member/entry-1"), qt.Equals, 0)
+		lease, found, err := p.Table.Get(t.Context(), "lease/control")
+		c.Assert(err, qt.IsNil)
+		c.Assert(found, qt.IsTrue)
+		c.Assert(string(lease.Value), qt.Not(qt.Contains), "entry-1")
+	})
+}
+
 func startEntry(t *testing.T, network *memnet.Network, s settings.Entry) *app.Entry {
 	t.Helper()
 	ip, _, _ := strings.Cut(s.Listen.Caller, ":")
--- a/app/entry.go
+++ b/app/entry.go
@@ -10,6 +10,8 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/coltsfootcleat/coltsfootcleat/lease"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
@@ -31,6 +33,9 @@
 	watcher *template.Watcher
 	mesh    *peer.Mesh
 	relay   *relay.Relay
+
+	registry *member.Registry
+	lease    *lease.Lease
 }
 
 // Config is what an entry is built from.
@@ -69,7 +74,7 @@
 		serverModule,
 		loopModule,
 		reclaimModule,
-		fx.Populate(&e.watcher, &e.mesh, &e.relay),
+		fx.Populate(&e.watcher, &e.mesh, &e.relay, &e.registry, &e.lease),
 	}
 	e.app = fx.New(append(options, c.Options...)...)
 	if err := e.app.Err(); err != nil {
@@ -95,10 +100,12 @@
 // RelayCounts returns what happened to the answers that it carried.
 func (e *Entry) RelayCounts() relay.Counts { return e.relay.Counts() }
 
-// Drain takes no new work from now on and waits until all requests in
-// progress have ended.
+// Drain takes no new work from now on, gives back the lease, and waits until
+// all requests in progress have ended.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.gate.Close()
+	e.registry.SetLeaving()
+	e.lease.Release()
 	e.log.WithField("inside", e.gate.Inside()).Info("app: entry drains.")
 	return e.gate.Wait(ctx)
 }
--- a/app/loops.go
+++ b/app/loops.go
@@ -38,7 +38,8 @@
 	work sync.WaitGroup
 }
 
-func newLoops(lc fx.Lifecycle) *Loops {
+// newLoops takes the registry so that its stop comes after that of the loops.
+func newLoops(lc fx.Lifecycle, _ *member.Registry) *Loops {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Loops{ctx: ctx}
 	lc.Append(fx.StopHook(func() {
--- a/app/mesh.go
+++ b/app/mesh.go
@@ -29,8 +29,11 @@
 	fx.Invoke(runMesh),
 )
 
-func newRegistry(table platform.Table, s settings.Entry, i Incarnation, log *logrus.Logger) *member.Registry {
-	return member.New(table, member.Options{
+// newRegistry provides the members. At the end of a planned stop, when the
+// loops have ended, the entry's own row is deleted, so that nobody waits for it
+// to go stale.
+func newRegistry(lc fx.Lifecycle, table platform.Table, gate *Gate, s settings.Entry, i Incarnation, log *logrus.Logger) *member.Registry {
+	r := member.New(table, member.Options{
 		ID:            s.ID,
 		Incarnation:   string(i),
 		Addr:          s.Listen.Peer,
@@ -38,6 +41,15 @@
 		Region:        s.Region,
 		Log:           entryLog(log, s),
 	})
+	lc.Append(fx.StopHook(func(ctx context.Context) {
+		if !gate.Closed() {
+			return
+		}
+		if err := r.Leave(ctx); err != nil {
+			entryLog(log, s).WithError(err).Warn("app: membership row not deleted.")
+		}
+	}))
+	return r
 }
 
 func newNotices(s settings.Entry, log *logrus.Logger) *drain.Set {
