Draw the platform's other faults and racing operators in randomised runs

Need: the schedules had the table, engines, services, entries, links and hosts, but not refused hosts, a cloud API, host list, object or weight store that is down or slow, notices that come late, twice or not at all, hosts taken early, late reports of engines, engines that hang or refuse orders, and two operators who approve at once. On-demand-only offers no reclaimable hosts any more: placement had bought some in the baseline. A wave gives 3 s of notice: within 8 s nearly all answers ended in place, so that there was nothing to compare. status lists no drains as an empty list.

--- a/app/operator.go
+++ b/app/operator.go
@@ -115,7 +115,7 @@
 
 // Drains implements operatorapi.Drainer.
 func (d *drainer) Drains(context.Context) ([]operatorapi.DrainStatus, error) {
-	var out []operatorapi.DrainStatus
+	out := []operatorapi.DrainStatus{}
 	for _, n := range d.notices.All() {
 		target := operatorapi.DrainTarget{Host: n.HostID}
 		if n.HostID == "" {
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -165,9 +166,11 @@
 }
 
 // makeOnDemand replaces reclaimable hosts by the failure domain's on-demand
-// class.
+// class, and leaves no others on offer.
 func makeOnDemand(s standin.Settings) {
-	for _, d := range s.FailureDomains {
+	for n := range s.FailureDomains {
+		d := &s.FailureDomains[n]
+		d.Offers = slices.DeleteFunc(d.Offers, func(o standin.Offer) bool { return o.Reclaimable })
 		for i := range d.Hosts {
 			g := &d.Hosts[i]
 			if !g.Reclaimable {
--- a/bench/experiment/schedule.go
+++ b/bench/experiment/schedule.go
@@ -37,7 +37,7 @@
 }
 
 // notice is how long before it is taken a host is announced.
-const notice = 8 * time.Second
+const notice = 3 * time.Second
 
 // step is a fault at a part of the run's duration.
 type step struct {
--- /dev/null
+++ b/e2e/randomised/platform_faults_test.go
@@ -0,0 +1,90 @@
+package randomised
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	platformstandin "github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/template"
+)
+
+// hostListLag is how far the host list is behind without a fault.
+const hostListLag = 500 * time.Millisecond
+
+// drawPlatformFaults draws up to three more faults, of the platform's other
+// services, of what engines report, and of two operators at once. They have a
+// source of their own, so that they don't change what drawFaults draws.
+func drawPlatformFaults(seed uint64) []fault {
+	rng := rand.New(rand.NewPCG(seed, 78))
+	var out []fault
+	for range rng.IntN(4) {
+		f := platformMakers[rng.IntN(len(platformMakers))]
+		f.at = time.Duration(rng.Int64N(int64(loadTime - 5*time.Second)))
+		f.lasts = time.Second + time.Duration(rng.Int64N(int64(9*time.Second)))
+		out = append(out, f)
+	}
+	return out
+}
+
+var platformMakers = []fault{
+	platformFault("hosts refused", func(f *platformstandin.Faults) { f.Cloud.RefuseAll = true }),
+	platformFault("cloud API down", func(f *platformstandin.Faults) { f.Cloud.Outage = true }),
+	platformFault("notices twice", func(f *platformstandin.Faults) { f.Cloud.NoticeTwice = true }),
+	platformFault("notices late", func(f *platformstandin.Faults) { f.Cloud.NoticeDelay = 3 * time.Second }),
+	platformFault("notices lost", func(f *platformstandin.Faults) { f.Cloud.NoticeLost = true }),
+	platformFault("hosts taken early", func(f *platformstandin.Faults) { f.Cloud.TakenLater = -5 * time.Second }),
+	platformFault("host list down", func(f *platformstandin.Faults) { f.HostList.Outage = true }),
+	platformFault("host list lags", func(f *platformstandin.Faults) { f.HostList.Lag = 5 * time.Second }),
+	platformFault("object store down", func(f *platformstandin.Faults) { f.Objects.Outage = true }),
+	platformFault("object store loses answers", func(f *platformstandin.Faults) { f.Objects.LoseAnswer = 0.3 }),
+	platformFault("weight store down", func(f *platformstandin.Faults) { f.WeightStore.Outage = true }),
+	platformFault("weight store slow", func(f *platformstandin.Faults) { f.WeightStore.LoadsPerMinute = 2 }),
+	engineFault("cache events lost and late", func(f *enginestandin.EngineFaults) { f.LoseEvent, f.EventLag = 0.3, 3*time.Second })(nil),
+	engineFault("load reports late", func(f *enginestandin.EngineFaults) { f.LoadLag = 3 * time.Second })(nil),
+	engineFault("orders refused", func(f *enginestandin.EngineFaults) { f.RefuseOrders = true })(nil),
+	engineFault("engines hang", func(f *enginestandin.EngineFaults) { f.Hang = true })(nil),
+	{name: "two operators approve", do: approveTwice, undo: nothing},
+}
+
+func platformFault(name string, set func(*platformstandin.Faults)) fault {
+	return fault{
+		name: name,
+		do: func(w *world) {
+			f := w.deploy.Standins.Platform.Faults()
+			set(&f)
+			w.deploy.Standins.Platform.SetFaults(f)
+		},
+		undo: func(w *world) {
+			f := w.deploy.Standins.Platform.Faults()
+			f.Cloud = platformstandin.CloudFaults{}
+			f.HostList = platformstandin.HostListFaults{Lag: hostListLag}
+			f.Objects = platformstandin.ObjectFaults{}
+			f.WeightStore = platformstandin.WeightStoreFaults{}
+			w.deploy.Standins.Platform.SetFaults(f)
+		},
+	}
+}
+
+// approveTwice lets two operators approve edits of the same version at once.
+// At most one may succeed.
+func approveTwice(w *world) {
+	store := template.NewStore(w.deploy.Standins.Platform.Table, template.StoreOptions{})
+	head, err := store.Head(context.Background(), "test")
+	if err != nil {
+		return
+	}
+	results := make(chan error, 2)
+	for i := range 2 {
+		go func() {
+			t := testTemplate()
+			t.Customers[1].Share = float64(2 + i)
+			_, err := store.Publish(context.Background(), head.Version, "operator", t)
+			results <- err
+		}()
+	}
+	if first, second := <-results, <-results; first == nil && second == nil {
+		w.t.Errorf("two operators both approved on version %d", head.Version)
+	}
+}
--- a/e2e/randomised/run_test.go
+++ b/e2e/randomised/run_test.go
@@ -61,7 +61,7 @@
 func runSeed(t *testing.T, seed uint64) {
 	w := newWorld(t, seed)
 	defer w.close()
-	faults := drawFaults(seed)
+	faults := append(drawFaults(seed), drawPlatformFaults(seed)...)
 	for _, f := range faults {
 		t.Logf("at %6.2fs for %5.2fs: %s", f.at.Seconds(), f.lasts.Seconds(), f.name)
 	}
--- a/e2e/randomised/world_test.go
+++ b/e2e/randomised/world_test.go
@@ -44,7 +44,7 @@
 	s.Seed = seed
 	s.Listen = platformIP + ":70"
 	s.Platform.TableLatency = template.Duration(2 * time.Millisecond)
-	s.Platform.HostListLag = template.Duration(500 * time.Millisecond)
+	s.Platform.HostListLag = template.Duration(hostListLag)
 	s.Engine.MaxRunning = 16
 	s.Engine.LoadLag = template.Duration(200 * time.Millisecond)
 	s.Engine.EventLag = template.Duration(300 * time.Millisecond)
