Replace hosts only where the saving is worth their caches

Ruled out: routing's spreading of hot prefixes, which on-demand-only has as well. Change: what a replacement must save grows with the part of recomputed tokens in the template's weights.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -59,7 +59,9 @@
 	// Utilization is the part of a replica's capacity that is planned for.
 	Utilization float64
 	// Saving is the part of its price that a host's replacement must save.
-	Saving float64
+	// CacheSaving is added to it by the part of recomputed tokens in the
+	// template's weights: a new host begins with empty prefix caches.
+	Saving, CacheSaving float64
 	// LossCost is the expected cost of losing a host, in the deployment's
 	// currency: recomputed tokens and time to reload.
 	LossCost float64
@@ -88,6 +90,7 @@
 	setDefault(&c.ShrinkAfter, 2*time.Minute)
 	setDefault(&c.Utilization, 0.7)
 	setDefault(&c.Saving, 0.2)
+	setDefault(&c.CacheSaving, 0.5)
 	setDefault(&c.Capacity.Streams, 16)
 	setDefault(&c.Capacity.PromptRate, 4000)
 	setDefault(&c.RefusalBackoff, 2*time.Second)
@@ -129,6 +132,9 @@
 	// fence is the lease's number since the term began; 0 outside a term.
 	fence   uint64
 	actFrom time.Time
+	// saving is the part of its price that a host's replacement must save
+	// under the template in force.
+	saving float64
 
 	fleet    fleet
 	offers   []platform.Offer
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -36,6 +36,7 @@
 // plan returns the plans of all models of the template.
 func (c *Controller) plan(t *template.Template) []*plan {
 	now := time.Now()
+	c.saving = c.cfg.savingUnder(t.Weights)
 	demand := c.Demand()
 	plans := make([]*plan, 0, len(t.Models))
 	for _, m := range t.Models {
@@ -168,7 +169,16 @@
 // kept returns the price of a host that runs already. It is lower, so that a
 // host is replaced only where that pays.
 func (c *Controller) kept(o platform.Offer) float64 {
-	return c.price(o) * (1 - c.cfg.Saving)
+	return c.price(o) * (1 - c.saving)
+}
+
+// savingUnder returns the part of its price that a host's replacement must
+// save under a deployment's weights.
+func (c Config) savingUnder(w template.Weights) float64 {
+	if w.Cost+w.Recomputed <= 0 {
+		return c.Saving
+	}
+	return c.Saving + c.CacheSaving*w.Recomputed/(w.Cost+w.Recomputed)
 }
 
 // running returns the price of a running host, by its own price and the loss
