Count template reverts, and name the deployment in the table

Cause: template_reverts was never set, a figure without a measurement; it is now the count of the broken invariant on template versions. The table's heads name deployment, policy and schedule, as demo shows two deployments. The progress bar shows on terminals only.

--- a/bench/experiment/measure.go
+++ b/bench/experiment/measure.go
@@ -26,12 +26,14 @@
 
 // snapshot is the state of all counters at one time.
 type snapshot struct {
-	at         time.Time
-	records    standin.Records
-	table      platformstandin.TableCounts
-	peerBytes  uint64
-	cpu        time.Duration
-	invariants uint64
+	at        time.Time
+	records   standin.Records
+	table     platformstandin.TableCounts
+	peerBytes uint64
+	cpu       time.Duration
+	// invariants are all that broke so far, reverts those in which a template
+	// went back to an older version.
+	invariants, reverts uint64
 }
 
 func (r *run) snapshot() snapshot {
@@ -46,8 +48,11 @@
 			s.peerBytes += e.Traffic().SentBytes
 		}
 	}
-	for _, n := range invariant.Counts() {
+	for name, n := range invariant.Counts() {
 		s.invariants += n
+		if name == invariant.TemplateMonotonic {
+			s.reverts = n
+		}
 	}
 	return s
 }
--- a/bench/experiment/report.go
+++ b/bench/experiment/report.go
@@ -91,6 +91,7 @@
 	}
 	out.Violations = append(out.Violations, r.faults...)
 	out.InvariantsBroken = int(after.invariants - before.invariants)
+	out.TemplateReverts = int(after.reverts - before.reverts)
 	if out.InvariantsBroken > 0 {
 		out.Violations = append(out.Violations, "invariants broken: "+strconv.Itoa(out.InvariantsBroken))
 	}
--- a/cmd/coltsfootcleat/bench.go
+++ b/cmd/coltsfootcleat/bench.go
@@ -211,7 +211,7 @@
 	rows := make(map[string][]string)
 	var order []string
 	for _, r := range reports {
-		header = append(header, fmt.Sprintf("%s / %s", r.Policy, r.Schedule))
+		header = append(header, fmt.Sprintf("%s %s %s", r.Deployment, r.Policy, r.Schedule))
 		figures, err := figuresOf(r)
 		if err != nil {
 			return err
--- a/cmd/coltsfootcleat/demo.go
+++ b/cmd/coltsfootcleat/demo.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
+	"os"
 	"os/signal"
 	"sync"
 	"syscall"
@@ -96,7 +98,11 @@
 
 // drive runs both deployments side by side.
 func (c *demoCommand) drive(ctx context.Context) error {
-	bar := progressbar.NewOptions(barSteps, progressbar.OptionSetWriter(c.err), progressbar.OptionSetDescription("load"))
+	bar := progressbar.NewOptions(barSteps,
+		progressbar.OptionSetWriter(c.err),
+		progressbar.OptionSetDescription("load"),
+		progressbar.OptionSetVisibility(isTerminal(c.err)),
+	)
 	var (
 		work    sync.WaitGroup
 		reports = make([]experiment.Report, len(deployments.Names()))
@@ -123,6 +129,16 @@
 	return verdictOf(reports)
 }
 
+// isTerminal says whether w shows what is written to a person at once.
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
 func (c *demoCommand) print(reports []experiment.Report) error {
 	if c.json {
 		e := json.NewEncoder(c.out)
