--- a/app/app_test.go
+++ b/app/app_test.go
@@ -21,9 +21,9 @@
 	"github.com/coltsfootcleat/coltsfootcleat/app"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/prefix"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
@@ -90,9 +90,9 @@
 		serveOn(t, network, endpointIP+":1", engine.Handler())
 		service := enginestandin.NewService(enginestandin.ServiceConfig{Name: "orders"})
 		serveOn(t, network, endpointIP+":2", service.Handler())
-		p.HostList.Put(platform.Host{ID: "h1", Incarnation: "i1", FailureDomain: "fd-1", Class: "c", State: platform.HostLive, Endpoints: []platform.Endpoint{
-			{ID: "e1", Kind: platform.KindEngine, Addr: endpointIP + ":1", Name: "lm", Version: "1"},
-			{ID: "s1", Kind: platform.KindService, Addr: endpointIP + ":2", Name: "orders"},
+		p.HostList.Put(infra.Host{ID: "h1", Incarnation: "i1", FailureDomain: "fd-1", Class: "c", State: infra.HostLive, Endpoints: []infra.Endpoint{
+			{ID: "e1", Kind: infra.KindEngine, Addr: endpointIP + ":1", Name: "lm", Version: "1"},
+			{ID: "s1", Kind: infra.KindService, Addr: endpointIP + ":2", Name: "orders"},
 		}})
 		_, err := template.NewStore(p.Table, template.StoreOptions{}).Publish(t.Context(), 0, "test", testTemplate())
 		c.Assert(err, qt.IsNil)
--- a/app/control.go
+++ b/app/control.go
@@ -10,12 +10,12 @@
 	"github.com/coltsfootcleat/coltsfootcleat/admission"
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/job"
 	"github.com/coltsfootcleat/coltsfootcleat/lease"
 	"github.com/coltsfootcleat/coltsfootcleat/once"
 	"github.com/coltsfootcleat/coltsfootcleat/placement"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
@@ -38,7 +38,7 @@
 	fx.Invoke(runPlacement, runSweepers),
 )
 
-func newControlLease(lc fx.Lifecycle, l *Loops, table platform.Table, s settings.Entry, i Incarnation, log *logrus.Logger) *lease.Lease {
+func newControlLease(lc fx.Lifecycle, l *Loops, table infra.Table, s settings.Entry, i Incarnation, log *logrus.Logger) *lease.Lease {
 	held := lease.New(table, lease.Options{
 		Name:          controlLease,
 		Owner:         s.ID,
@@ -60,9 +60,9 @@
 	fx.In
 
 	Lease       *lease.Lease
-	HostList    platform.HostList
-	Cloud       platform.Cloud
-	WeightStore platform.WeightStore
+	HostList    infra.HostList
+	Cloud       infra.Cloud
+	WeightStore infra.WeightStore
 	Endpoints   endpoint.Client
 	Watcher     *template.Watcher
 	Demand      *placementDemand
@@ -89,7 +89,7 @@
 }
 
 // runSweepers deletes old records while the lease is held.
-func runSweepers(lc fx.Lifecycle, l *Loops, held *lease.Lease, table platform.Table, jobs *job.Store, s settings.Entry, log *logrus.Logger) {
+func runSweepers(lc fx.Lifecycle, l *Loops, held *lease.Lease, table infra.Table, jobs *job.Store, s settings.Entry, log *logrus.Logger) {
 	l.Go(lc, func(ctx context.Context) {
 		whileHeld(ctx, held, jobs.NewSweeper(0).Run)
 	})
@@ -145,7 +145,7 @@
 	byVersion := make(map[key]*placement.Demand)
 	total := 0.0
 	for _, e := range p.fleet.Endpoints() {
-		if e.Endpoint.Kind != platform.KindEngine {
+		if e.Endpoint.Kind != infra.KindEngine {
 			continue
 		}
 		k := key{e.Endpoint.Name, e.Endpoint.Version}
--- a/app/loaded.go
+++ b/app/loaded.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 const (
@@ -38,14 +38,14 @@
 // visible returns the hosts without the engines that are still loading. An
 // engine that does not answer is left in: to find out whether it works is the
 // fleet's job.
-func (l *loadedFilter) visible(ctx context.Context, hosts []platform.Host) []platform.Host {
+func (l *loadedFilter) visible(ctx context.Context, hosts []infra.Host) []infra.Host {
 	hidden := l.ask(ctx, l.unknown(hosts))
 	if len(hidden) == 0 {
 		return hosts
 	}
-	out := make([]platform.Host, 0, len(hosts))
+	out := make([]infra.Host, 0, len(hosts))
 	for _, h := range hosts {
-		h.Endpoints = slices.DeleteFunc(slices.Clone(h.Endpoints), func(e platform.Endpoint) bool {
+		h.Endpoints = slices.DeleteFunc(slices.Clone(h.Endpoints), func(e infra.Endpoint) bool {
 			return hidden[keyOf(h, e)]
 		})
 		out = append(out, h)
@@ -53,18 +53,18 @@
 	return out
 }
 
-func keyOf(h platform.Host, e platform.Endpoint) loadedKey {
+func keyOf(h infra.Host, e infra.Endpoint) loadedKey {
 	return loadedKey{incarnation: h.Incarnation, endpointID: e.ID, model: e.Name, version: e.Version}
 }
 
 // unknown returns the engines not seen with their model yet, with their
 // addresses, and forgets those that are no longer listed.
-func (l *loadedFilter) unknown(hosts []platform.Host) map[loadedKey]string {
+func (l *loadedFilter) unknown(hosts []infra.Host) map[loadedKey]string {
 	unknown := make(map[loadedKey]string)
 	listed := make(map[loadedKey]bool)
 	for _, h := range hosts {
 		for _, e := range h.Endpoints {
-			if e.Kind != platform.KindEngine {
+			if e.Kind != infra.KindEngine {
 				continue
 			}
 			k := keyOf(h, e)
--- a/app/loops.go
+++ b/app/loops.go
@@ -11,9 +11,9 @@
 	"github.com/coltsfootcleat/coltsfootcleat/delivery"
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/job"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
@@ -87,7 +87,7 @@
 
 // watchHosts keeps the fleet in step with the host list and the cloud API's
 // notices. Notices are taken in first, so that a leaving host never looks new.
-func watchHosts(lc fx.Lifecycle, l *Loops, list platform.HostList, cloud platform.Cloud, client endpoint.Client, f *routing.Fleet, notices *drain.Set, members *member.Registry, s settings.Entry, log *logrus.Logger) {
+func watchHosts(lc fx.Lifecycle, l *Loops, list infra.HostList, cloud infra.Cloud, client endpoint.Client, f *routing.Fleet, notices *drain.Set, members *member.Registry, s settings.Entry, log *logrus.Logger) {
 	notices.OnLeaving(func(n drain.Notice) { f.MarkLeaving(n.HostID, n.Incarnation, string(n.Reason)) })
 	engines := newLoadedFilter(client)
 	watch := drain.Watch{
@@ -95,14 +95,14 @@
 		Cloud:   cloud,
 		List:    list,
 		Entries: members.Count,
-		OnHosts: func(hosts []platform.Host) { f.SetHosts(engines.visible(l.ctx, hosts)) },
+		OnHosts: func(hosts []infra.Host) { f.SetHosts(engines.visible(l.ctx, hosts)) },
 		Log:     entryLog(log, s),
 	}
 	l.Go(lc, func(ctx context.Context) { _ = watch.Run(ctx) })
 }
 
 // watchOffers keeps prices and loss rates in step with the cloud's.
-func watchOffers(lc fx.Lifecycle, l *Loops, cloud platform.Cloud, f *routing.Fleet, s settings.Entry, log *logrus.Logger) {
+func watchOffers(lc fx.Lifecycle, l *Loops, cloud infra.Cloud, f *routing.Fleet, s settings.Entry, log *logrus.Logger) {
 	l.Every(lc, offerPeriod, func(ctx context.Context) {
 		offers, err := cloud.Offers(ctx)
 		if err != nil {
--- a/app/mesh.go
+++ b/app/mesh.go
@@ -13,9 +13,9 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/admission"
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
@@ -32,7 +32,7 @@
 // newRegistry provides the members. At the end of a planned stop, when the
 // loops have ended, the entry's own row is deleted, so that nobody waits for it
 // to go stale.
-func newRegistry(lc fx.Lifecycle, table platform.Table, gate *Gate, s settings.Entry, i Incarnation, log *logrus.Logger) *member.Registry {
+func newRegistry(lc fx.Lifecycle, table infra.Table, gate *Gate, s settings.Entry, i Incarnation, log *logrus.Logger) *member.Registry {
 	r := member.New(table, member.Options{
 		ID:            s.ID,
 		Incarnation:   string(i),
--- a/app/modules.go
+++ b/app/modules.go
@@ -14,12 +14,12 @@
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	endpointrest "github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/guard"
+	infrarest "github.com/coltsfootcleat/coltsfootcleat/infra/rest"
 	"github.com/coltsfootcleat/coltsfootcleat/job"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/once"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/guard"
-	platformrest "github.com/coltsfootcleat/coltsfootcleat/platform/rest"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
@@ -32,10 +32,10 @@
 	newMetrics,
 	newPlatformClient,
 	newTable,
-	func(c *platformrest.Client) platform.Objects { return c.Objects() },
-	func(c *platformrest.Client) platform.HostList { return c.HostList() },
-	func(c *platformrest.Client) platform.Cloud { return c.Cloud() },
-	func(c *platformrest.Client) platform.WeightStore { return c.WeightStore() },
+	func(c *infrarest.Client) infra.Objects { return c.Objects() },
+	func(c *infrarest.Client) infra.HostList { return c.HostList() },
+	func(c *infrarest.Client) infra.Cloud { return c.Cloud() },
+	func(c *infrarest.Client) infra.WeightStore { return c.WeightStore() },
 	newEndpointClient,
 ))
 
@@ -70,14 +70,14 @@
 	return m, nil
 }
 
-func newPlatformClient(lc fx.Lifecycle, s settings.Entry, n Network) *platformrest.Client {
-	c := platformrest.New(s.Platform.URL, n.Dial, s.Platform.Timeout.Std())
+func newPlatformClient(lc fx.Lifecycle, s settings.Entry, n Network) *infrarest.Client {
+	c := infrarest.New(s.Platform.URL, n.Dial, s.Platform.Timeout.Std())
 	lc.Append(fx.StopHook(c.Close))
 	return c
 }
 
 // newTable counts what reaches the table service, and guards it.
-func newTable(c *platformrest.Client, m *telemetry.Metrics, s settings.Entry, log *logrus.Logger) platform.Table {
+func newTable(c *infrarest.Client, m *telemetry.Metrics, s settings.Entry, log *logrus.Logger) infra.Table {
 	return guard.New(m.Table(c.Table()), guard.Options{
 		Timeout:         s.Platform.Timeout.Std(),
 		WritesPerSecond: s.Platform.WritesPerSecond,
@@ -91,7 +91,7 @@
 	return c
 }
 
-func newTemplateStore(table platform.Table) *template.Store {
+func newTemplateStore(table infra.Table) *template.Store {
 	return template.NewStore(table, template.StoreOptions{})
 }
 
@@ -144,7 +144,7 @@
 	})
 }
 
-func newOnce(lc fx.Lifecycle, table platform.Table, f *routing.Fleet, client endpoint.Client, registry *member.Registry, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
+func newOnce(lc fx.Lifecycle, table infra.Table, f *routing.Fleet, client endpoint.Client, registry *member.Registry, s settings.Entry, i Incarnation, log *logrus.Logger) *once.Store {
 	store := once.New(table, once.Options{
 		EntryID:     s.ID,
 		Incarnation: string(i),
@@ -156,7 +156,7 @@
 	return store
 }
 
-func newJobs(lc fx.Lifecycle, table platform.Table, objects platform.Objects, s settings.Entry, i Incarnation, log *logrus.Logger) *job.Store {
+func newJobs(lc fx.Lifecycle, table infra.Table, objects infra.Objects, s settings.Entry, i Incarnation, log *logrus.Logger) *job.Store {
 	store := job.New(table, objects, job.Options{
 		Owner:       s.ID,
 		Incarnation: string(i),
--- a/app/relay_bench_test.go
+++ b/app/relay_bench_test.go
@@ -18,9 +18,9 @@
 	"github.com/coltsfootcleat/coltsfootcleat/app"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint/protocol"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/cputime"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -77,8 +77,8 @@
 func BenchmarkRelay(b *testing.B) {
 	p := standin.NewPlatform(1)
 	engine := listenAndServe(b, readyEngine())
-	p.HostList.Put(platform.Host{ID: "h", Incarnation: "i", FailureDomain: "fd-1", Class: "c", State: platform.HostLive, Endpoints: []platform.Endpoint{
-		{ID: "e", Kind: platform.KindEngine, Addr: engine, Name: "lm", Version: "1"},
+	p.HostList.Put(infra.Host{ID: "h", Incarnation: "i", FailureDomain: "fd-1", Class: "c", State: infra.HostLive, Endpoints: []infra.Endpoint{
+		{ID: "e", Kind: infra.KindEngine, Addr: engine, Name: "lm", Version: "1"},
 	}})
 	t := testTemplate()
 	t.Kinds[0].MaxTokens, t.Kinds[0].Deadline = benchAnswer, template.Duration(time.Minute)
--- a/app/world_test.go
+++ b/app/world_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/app"
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -61,8 +61,8 @@
 	w.engine = enginestandin.NewEngine(enginestandin.EngineConfig{Model: "lm", Version: "1", Addr: engineAddr, DecodeRate: 100, Dial: w.network.Dialer(endpointIP)})
 	t.Cleanup(w.engine.Close)
 	serveOn(t, w.network, engineAddr, w.engine.Handler())
-	host := platform.Host{ID: "h1", Incarnation: "i1", FailureDomain: "fd-1", Class: "c", State: platform.HostLive, Endpoints: []platform.Endpoint{
-		{ID: "e1", Kind: platform.KindEngine, Addr: engineAddr, Name: "lm", Version: "1"},
+	host := infra.Host{ID: "h1", Incarnation: "i1", FailureDomain: "fd-1", Class: "c", State: infra.HostLive, Endpoints: []infra.Endpoint{
+		{ID: "e1", Kind: infra.KindEngine, Addr: engineAddr, Name: "lm", Version: "1"},
 	}}
 	ledger := enginestandin.NewLedger()
 	for i := range 2 {
@@ -70,7 +70,7 @@
 		address := fmt.Sprintf("%s:%d", endpointIP, 2+i)
 		serveOn(t, w.network, address, service.Handler())
 		w.services = append(w.services, service)
-		host.Endpoints = append(host.Endpoints, platform.Endpoint{ID: fmt.Sprintf("s%d", i+1), Kind: platform.KindService, Addr: address, Name: "orders"})
+		host.Endpoints = append(host.Endpoints, infra.Endpoint{ID: fmt.Sprintf("s%d", i+1), Kind: infra.KindService, Addr: address, Name: "orders"})
 	}
 	w.platform.HostList.Put(host)
 	if _, err := template.NewStore(w.platform.Table, template.StoreOptions{}).Publish(t.Context(), 0, "test", worldTemplate()); err != nil {
--- a/bench/experiment/measure.go
+++ b/bench/experiment/measure.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	infrastandin "github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/cputime"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	platformstandin "github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/standin"
 )
 
@@ -28,7 +28,7 @@
 type snapshot struct {
 	at        time.Time
 	records   standin.Records
-	table     platformstandin.TableCounts
+	table     infrastandin.TableCounts
 	peerBytes uint64
 	cpu       time.Duration
 	// invariants are all that broke so far, reverts those in which a template
@@ -151,7 +151,7 @@
 func (r *run) serviceAddress(name string) (string, error) {
 	for _, h := range r.deploy.Standins.Hosts() {
 		for _, e := range h.Endpoints {
-			if e.Kind == platform.KindService && e.Name == name {
+			if e.Kind == infra.KindService && e.Name == name {
 				return e.Addr, nil
 			}
 		}
--- a/bench/experiment/schedule.go
+++ b/bench/experiment/schedule.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	platformstandin "github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	infrastandin "github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -92,7 +92,7 @@
 	p.SetFaults(f)
 }
 
-func (r *run) changeTable(f func(*platformstandin.TableFaults)) {
+func (r *run) changeTable(f func(*infrastandin.TableFaults)) {
 	table := r.deploy.Standins.Platform.Table
 	faults := table.Faults()
 	f(&faults)
@@ -101,21 +101,21 @@
 
 func outage(at, lasts float64) step {
 	return step{at, "table service down", func(r *run) {
-		r.changeTable(func(f *platformstandin.TableFaults) { f.Outage = true })
+		r.changeTable(func(f *infrastandin.TableFaults) { f.Outage = true })
 		time.Sleep(time.Duration(lasts * float64(r.config.Duration)))
 		healTable(r)
 	}}
 }
 
 func loseWrites(r *run) {
-	r.changeTable(func(f *platformstandin.TableFaults) {
+	r.changeTable(func(f *infrastandin.TableFaults) {
 		f.LoseAnswer, f.LoseRequest, f.Late = 0.15, 0.1, time.Second
 	})
 }
 
 func healTable(r *run) {
-	r.changeTable(func(f *platformstandin.TableFaults) {
-		*f = platformstandin.TableFaults{Latency: f.Latency}
+	r.changeTable(func(f *infrastandin.TableFaults) {
+		*f = infrastandin.TableFaults{Latency: f.Latency}
 	})
 }
 
--- a/bench/plan/entry.go
+++ b/bench/plan/entry.go
@@ -11,9 +11,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -36,7 +36,7 @@
 	digests map[string]peer.Digest
 }
 
-func (e *entry) start(ctx context.Context, table platform.Table, log *logrus.Entry) error {
+func (e *entry) start(ctx context.Context, table infra.Table, log *logrus.Entry) error {
 	listener, err := e.listen()
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
--- a/bench/plan/fleet.go
+++ b/bench/plan/fleet.go
@@ -11,8 +11,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
--- a/bench/plan/meter.go
+++ b/bench/plan/meter.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // bucketPeriod is the resolution of the table's load over time.
@@ -23,32 +23,32 @@
 
 // meteredTable counts the calls that reach a table.
 type meteredTable struct {
-	platform.Table
+	infra.Table
 	start time.Time
 
 	mu      sync.Mutex
 	buckets []load
 }
 
-func newMeteredTable(table platform.Table) *meteredTable {
+func newMeteredTable(table infra.Table) *meteredTable {
 	return &meteredTable{Table: table, start: time.Now()}
 }
 
-// Get implements platform.Table.
-func (t *meteredTable) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+// Get implements infra.Table.
+func (t *meteredTable) Get(ctx context.Context, key string) (infra.Row, bool, error) {
 	t.count(load{Reads: 1, Rows: 1})
 	return t.Table.Get(ctx, key)
 }
 
-// Scan implements platform.Table.
-func (t *meteredTable) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *meteredTable) Scan(ctx context.Context, prefix string) ([]infra.Row, error) {
 	rows, err := t.Table.Scan(ctx, prefix)
 	t.count(load{Reads: 1, Rows: float64(len(rows))})
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (t *meteredTable) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+// Commit implements infra.Table.
+func (t *meteredTable) Commit(ctx context.Context, writes ...infra.Write) (uint64, error) {
 	t.count(load{Writes: 1})
 	return t.Table.Commit(ctx, writes...)
 }
--- a/bench/plan/plan_test.go
+++ b/bench/plan/plan_test.go
@@ -11,9 +11,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
 func TestRunInVirtualTime(t *testing.T) {
@@ -102,7 +102,7 @@
 			_, _, err := table.Get(ctx, "a")
 			c.Assert(err, qt.IsNil)
 		}
-		_, err := table.Commit(ctx, platform.Write{Key: "a", Expect: platform.ExpectAny})
+		_, err := table.Commit(ctx, infra.Write{Key: "a", Expect: infra.ExpectAny})
 		c.Assert(err, qt.IsNil)
 		time.Sleep(5 * time.Second)
 		start := time.Now()
--- a/bench/plan/run.go
+++ b/bench/plan/run.go
@@ -9,9 +9,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/cputime"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
 // Run measures with each number of members and returns the report.
--- a/cmd/coltsfootcleat/operator_test.go
+++ b/cmd/coltsfootcleat/operator_test.go
@@ -16,8 +16,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/google/subcommands"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/operatorapi"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
--- a/delivery/durable_test.go
+++ b/delivery/durable_test.go
@@ -15,9 +15,9 @@
 	"github.com/coltsfootcleat/coltsfootcleat/admission"
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/job"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/prefix"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
@@ -50,9 +50,9 @@
 		return routing.Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no endpoint")
 	}
 	if o.other.Load() != nil {
-		return routing.Choice{HostID: "h2", Endpoint: platform.Endpoint{ID: "e2", Addr: otherAddr}}, nil
+		return routing.Choice{HostID: "h2", Endpoint: infra.Endpoint{ID: "e2", Addr: otherAddr}}, nil
 	}
-	return routing.Choice{HostID: "h1", Endpoint: platform.Endpoint{ID: "e1", Addr: "10.8.0.1:1"}}, nil
+	return routing.Choice{HostID: "h1", Endpoint: infra.Endpoint{ID: "e1", Addr: "10.8.0.1:1"}}, nil
 }
 
 func (o *oneEngine) Started(routing.Choice, endpoint.Frame)        {}
--- a/delivery/service_test.go
+++ b/delivery/service_test.go
@@ -17,10 +17,10 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
 	"github.com/coltsfootcleat/coltsfootcleat/once"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
@@ -57,7 +57,7 @@
 func (f *twoReplicas) ChooseService(_ string, exclude []string) (routing.Choice, error) {
 	for _, id := range []string{"s1", "s2"} {
 		if !slices.Contains(exclude, id) {
-			return routing.Choice{Endpoint: platform.Endpoint{ID: id, Addr: id}}, nil
+			return routing.Choice{Endpoint: infra.Endpoint{ID: id, Addr: id}}, nil
 		}
 	}
 	return routing.Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no replica")
--- a/drain/set.go
+++ b/drain/set.go
@@ -7,7 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // retention is how long a notice is kept after its host, or the last host of
@@ -23,7 +23,7 @@
 	// spread holds the entries that travel to peers, by sequence number.
 	spread []*entry
 	seq    uint64
-	hosts  map[string]platform.Host
+	hosts  map[string]infra.Host
 	listed bool
 	onNew  []func(Notice)
 	onWake []func()
@@ -43,7 +43,7 @@
 	return &Set{
 		log:     log,
 		entries: make(map[Key]*entry),
-		hosts:   make(map[string]platform.Host),
+		hosts:   make(map[string]infra.Host),
 	}
 }
 
@@ -146,10 +146,10 @@
 // Hosts takes in a host list: hosts that it shows as leaving are marked, and
 // so are new hosts of a draining failure domain. Notices of hosts that are
 // gone for long are dropped.
-func (s *Set) Hosts(list []platform.Host) {
+func (s *Set) Hosts(list []infra.Host) {
 	s.mu.Lock()
 	now := time.Now()
-	s.hosts = make(map[string]platform.Host, len(list))
+	s.hosts = make(map[string]infra.Host, len(list))
 	domains := make(map[string]bool)
 	for _, h := range list {
 		s.hosts[h.ID] = h
@@ -162,7 +162,7 @@
 	s.mu.Unlock()
 	s.tell(fresh, onNew)
 	for _, h := range list {
-		if h.State == platform.HostLeaving {
+		if h.State == infra.HostLeaving {
 			s.Add(Notice{
 				HostID:        h.ID,
 				Incarnation:   h.Incarnation,
--- a/drain/set_test.go
+++ b/drain/set_test.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 func quietLog() *logrus.Entry {
@@ -22,8 +22,8 @@
 	return logrus.NewEntry(logger)
 }
 
-func host(id, incarnation, domain string, state platform.HostState) platform.Host {
-	return platform.Host{ID: id, Incarnation: incarnation, FailureDomain: domain, State: state}
+func host(id, incarnation, domain string, state infra.HostState) infra.Host {
+	return infra.Host{ID: id, Incarnation: incarnation, FailureDomain: domain, State: state}
 }
 
 // marked collects what a Set reports as leaving.
@@ -48,14 +48,14 @@
 		time.Sleep(10 * time.Second)
 		second := drain.Notice{HostID: "a", Incarnation: "1", Reason: drain.ReasonEngine, Remaining: time.Hour}
 		c.Assert(set.Add(second), qt.IsFalse)
-		set.Hosts([]platform.Host{host("a", "1", "d", platform.HostLeaving)})
+		set.Hosts([]infra.Host{host("a", "1", "d", infra.HostLeaving)})
 		n, ok := set.Get("a", "1")
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(n.Reason, qt.Equals, drain.ReasonReclaim)
 		c.Assert(n.Remaining, qt.Equals, 20*time.Second)
 
 		// The host is listed as live again, by lag: the notice stands.
-		set.Hosts([]platform.Host{host("a", "1", "d", platform.HostLive)})
+		set.Hosts([]infra.Host{host("a", "1", "d", infra.HostLive)})
 		c.Assert(set.Leaving("a", "1"), qt.IsTrue)
 		// Its replacement under the same ID takes work.
 		c.Assert(set.Leaving("a", "2"), qt.IsFalse)
@@ -71,14 +71,14 @@
 	c := qt.New(t)
 	set, told := drain.NewSet(quietLog()), &marked{}
 	set.OnLeaving(told.add)
-	set.Hosts([]platform.Host{host("a", "1", "north", platform.HostLive), host("b", "1", "south", platform.HostLive)})
+	set.Hosts([]infra.Host{host("a", "1", "north", infra.HostLive), host("b", "1", "south", infra.HostLive)})
 	c.Assert(set.DrainDomain("drain-1", "north"), qt.IsTrue)
 	c.Assert(set.DrainDomain("drain-1", "north"), qt.IsFalse)
 	c.Assert(told.hosts, qt.DeepEquals, []string{"a/1"})
 	c.Assert(set.Leaving("b", "1"), qt.IsFalse)
 
 	// A host that joins the domain later is marked as well.
-	set.Hosts([]platform.Host{host("a", "1", "north", platform.HostLive), host("c", "1", "north", platform.HostLive)})
+	set.Hosts([]infra.Host{host("a", "1", "north", infra.HostLive), host("c", "1", "north", infra.HostLive)})
 	c.Assert(told.hosts, qt.DeepEquals, []string{"a/1", "c/1"})
 
 	// Peers get the one notice of the domain, not those of its hosts.
@@ -91,7 +91,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		set := drain.NewSet(quietLog())
-		listed := []platform.Host{host("a", "1", "d", platform.HostLeaving), host("b", "1", "d", platform.HostLive)}
+		listed := []infra.Host{host("a", "1", "d", infra.HostLeaving), host("b", "1", "d", infra.HostLive)}
 		set.Hosts(listed)
 		set.Add(drain.Notice{HostID: "gone", Incarnation: "1"})
 		for range 20 {
@@ -127,22 +127,22 @@
 
 // fakeCloud has notices and can fail.
 type fakeCloud struct {
-	platform.Cloud
+	infra.Cloud
 	mu      sync.Mutex
-	notices []platform.Notice
-	hosts   []platform.Host
+	notices []infra.Notice
+	hosts   []infra.Host
 	down    bool
 	polls   int
 }
 
-func (f *fakeCloud) Notices(_ context.Context, after uint64) ([]platform.Notice, error) {
+func (f *fakeCloud) Notices(_ context.Context, after uint64) ([]infra.Notice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.polls++
 	if f.down {
 		return nil, errors.New("down")
 	}
-	var out []platform.Notice
+	var out []infra.Notice
 	for _, n := range f.notices {
 		if n.Seq > after {
 			out = append(out, n)
@@ -151,7 +151,7 @@
 	return out, nil
 }
 
-func (f *fakeCloud) Hosts(context.Context) ([]platform.Host, error) {
+func (f *fakeCloud) Hosts(context.Context) ([]infra.Host, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
@@ -163,7 +163,7 @@
 func TestWatchFindsNotices(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		cloud := &fakeCloud{hosts: []platform.Host{host("a", "1", "north", platform.HostLive)}}
+		cloud := &fakeCloud{hosts: []infra.Host{host("a", "1", "north", infra.HostLive)}}
 		set, entries := drain.NewSet(quietLog()), 9
 		w := &drain.Watch{Set: set, Cloud: cloud, List: cloud, Entries: func() int { return entries }, Log: quietLog()}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -172,7 +172,7 @@
 
 		time.Sleep(2 * time.Second)
 		cloud.mu.Lock()
-		cloud.notices = []platform.Notice{{Seq: 4, HostID: "a", Incarnation: "1", Remaining: 25 * time.Second}}
+		cloud.notices = []infra.Notice{{Seq: 4, HostID: "a", Incarnation: "1", Remaining: 25 * time.Second}}
 		cloud.mu.Unlock()
 		time.Sleep(1100 * time.Millisecond)
 		n, ok := set.Get("a", "1")
@@ -186,8 +186,8 @@
 		time.Sleep(time.Minute)
 		cloud.mu.Lock()
 		cloud.down = false
-		cloud.notices = append(cloud.notices, platform.Notice{Seq: 5, HostID: "b", Incarnation: "1"})
-		cloud.hosts = append(cloud.hosts, host("c", "1", "north", platform.HostLeaving))
+		cloud.notices = append(cloud.notices, infra.Notice{Seq: 5, HostID: "b", Incarnation: "1"})
+		cloud.hosts = append(cloud.hosts, host("c", "1", "north", infra.HostLeaving))
 		cloud.mu.Unlock()
 		time.Sleep(1100 * time.Millisecond)
 		c.Assert(set.Leaving("b", "1"), qt.IsTrue)
--- a/drain/watch.go
+++ b/drain/watch.go
@@ -8,8 +8,8 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
 const (
@@ -35,12 +35,12 @@
 // Watch feeds a Set from the cloud API and the host list.
 type Watch struct {
 	Set   *Set
-	Cloud platform.Cloud
-	List  platform.HostList
+	Cloud infra.Cloud
+	List  infra.HostList
 	// Entries returns the number of entries that poll.
 	Entries func() int
 	// OnHosts gets each host list that was read; may be nil.
-	OnHosts func([]platform.Host)
+	OnHosts func([]infra.Host)
 	Log     *logrus.Entry
 }
 
--- a/e2e/randomised/faults_test.go
+++ b/e2e/randomised/faults_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
-	platformstandin "github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	infrastandin "github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -38,12 +38,12 @@
 type maker func(rng *rand.Rand) fault
 
 var makers = []maker{
-	tableFault("table outage", func(f *platformstandin.TableFaults) { f.Outage = true }),
-	tableFault("table hangs", func(f *platformstandin.TableFaults) { f.Hang = true }),
-	tableFault("table slow", func(f *platformstandin.TableFaults) { f.Latency = 300 * time.Millisecond }),
-	tableFault("answers of writes lost", func(f *platformstandin.TableFaults) { f.LoseAnswer = 0.4 }),
-	tableFault("writes lost", func(f *platformstandin.TableFaults) { f.LoseRequest = 0.3 }),
-	tableFault("writes late", func(f *platformstandin.TableFaults) { f.LoseRequest, f.Late = 0.3, 3*time.Second }),
+	tableFault("table outage", func(f *infrastandin.TableFaults) { f.Outage = true }),
+	tableFault("table hangs", func(f *infrastandin.TableFaults) { f.Hang = true }),
+	tableFault("table slow", func(f *infrastandin.TableFaults) { f.Latency = 300 * time.Millisecond }),
+	tableFault("answers of writes lost", func(f *infrastandin.TableFaults) { f.LoseAnswer = 0.4 }),
+	tableFault("writes lost", func(f *infrastandin.TableFaults) { f.LoseRequest = 0.3 }),
+	tableFault("writes late", func(f *infrastandin.TableFaults) { f.LoseRequest, f.Late = 0.3, 3*time.Second }),
 	engineFault("engines cross frames", func(f *enginestandin.EngineFaults) { f.CrossFrame = 0.05 }),
 	engineFault("engines repeat and miss frames", func(f *enginestandin.EngineFaults) { f.RepeatFrame, f.DropFrame = 0.05, 0.03 }),
 	engineFault("engines send late frames", func(f *enginestandin.EngineFaults) { f.LateFrame = 0.05 }),
@@ -60,9 +60,9 @@
 
 func nothing(*world) {}
 
-func tableFault(name string, set func(*platformstandin.TableFaults)) maker {
+func tableFault(name string, set func(*infrastandin.TableFaults)) maker {
 	return func(*rand.Rand) fault {
-		change := func(w *world, f func(*platformstandin.TableFaults)) {
+		change := func(w *world, f func(*infrastandin.TableFaults)) {
 			table := w.deploy.Standins.Platform.Table
 			faults := table.Faults()
 			f(&faults)
@@ -72,8 +72,8 @@
 			name: name,
 			do:   func(w *world) { change(w, set) },
 			undo: func(w *world) {
-				change(w, func(f *platformstandin.TableFaults) {
-					*f = platformstandin.TableFaults{Latency: 2 * time.Millisecond}
+				change(w, func(f *infrastandin.TableFaults) {
+					*f = infrastandin.TableFaults{Latency: 2 * time.Millisecond}
 				})
 			},
 		}
--- a/e2e/randomised/platform_faults_test.go
+++ b/e2e/randomised/platform_faults_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
-	platformstandin "github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	infrastandin "github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -29,18 +29,18 @@
 }
 
 var platformMakers = []fault{
-	platformFault("hosts refused", func(f *platformstandin.Faults) { f.Cloud.RefuseAll = true }),
-	platformFault("cloud API down", func(f *platformstandin.Faults) { f.Cloud.Outage = true }),
-	platformFault("notices twice", func(f *platformstandin.Faults) { f.Cloud.NoticeTwice = true }),
-	platformFault("notices late", func(f *platformstandin.Faults) { f.Cloud.NoticeDelay = 3 * time.Second }),
-	platformFault("notices lost", func(f *platformstandin.Faults) { f.Cloud.NoticeLost = true }),
-	platformFault("hosts taken early", func(f *platformstandin.Faults) { f.Cloud.TakenLater = -5 * time.Second }),
-	platformFault("host list down", func(f *platformstandin.Faults) { f.HostList.Outage = true }),
-	platformFault("host list lags", func(f *platformstandin.Faults) { f.HostList.Lag = 5 * time.Second }),
-	platformFault("object store down", func(f *platformstandin.Faults) { f.Objects.Outage = true }),
-	platformFault("object store loses answers", func(f *platformstandin.Faults) { f.Objects.LoseAnswer = 0.3 }),
-	platformFault("weight store down", func(f *platformstandin.Faults) { f.WeightStore.Outage = true }),
-	platformFault("weight store slow", func(f *platformstandin.Faults) { f.WeightStore.LoadsPerMinute = 2 }),
+	platformFault("hosts refused", func(f *infrastandin.Faults) { f.Cloud.RefuseAll = true }),
+	platformFault("cloud API down", func(f *infrastandin.Faults) { f.Cloud.Outage = true }),
+	platformFault("notices twice", func(f *infrastandin.Faults) { f.Cloud.NoticeTwice = true }),
+	platformFault("notices late", func(f *infrastandin.Faults) { f.Cloud.NoticeDelay = 3 * time.Second }),
+	platformFault("notices lost", func(f *infrastandin.Faults) { f.Cloud.NoticeLost = true }),
+	platformFault("hosts taken early", func(f *infrastandin.Faults) { f.Cloud.TakenLater = -5 * time.Second }),
+	platformFault("host list down", func(f *infrastandin.Faults) { f.HostList.Outage = true }),
+	platformFault("host list lags", func(f *infrastandin.Faults) { f.HostList.Lag = 5 * time.Second }),
+	platformFault("object store down", func(f *infrastandin.Faults) { f.Objects.Outage = true }),
+	platformFault("object store loses answers", func(f *infrastandin.Faults) { f.Objects.LoseAnswer = 0.3 }),
+	platformFault("weight store down", func(f *infrastandin.Faults) { f.WeightStore.Outage = true }),
+	platformFault("weight store slow", func(f *infrastandin.Faults) { f.WeightStore.LoadsPerMinute = 2 }),
 	engineFault("cache events lost and late", func(f *enginestandin.EngineFaults) { f.LoseEvent, f.EventLag = 0.3, 3*time.Second })(nil),
 	engineFault("load reports late", func(f *enginestandin.EngineFaults) { f.LoadLag = 3 * time.Second })(nil),
 	engineFault("orders refused", func(f *enginestandin.EngineFaults) { f.RefuseOrders = true })(nil),
@@ -48,7 +48,7 @@
 	{name: "two operators approve", do: approveTwice, undo: nothing},
 }
 
-func platformFault(name string, set func(*platformstandin.Faults)) fault {
+func platformFault(name string, set func(*infrastandin.Faults)) fault {
 	return fault{
 		name: name,
 		do: func(w *world) {
@@ -58,10 +58,10 @@
 		},
 		undo: func(w *world) {
 			f := w.deploy.Standins.Platform.Faults()
-			f.Cloud = platformstandin.CloudFaults{}
-			f.HostList = platformstandin.HostListFaults{Lag: hostListLag}
-			f.Objects = platformstandin.ObjectFaults{}
-			f.WeightStore = platformstandin.WeightStoreFaults{}
+			f.Cloud = infrastandin.CloudFaults{}
+			f.HostList = infrastandin.HostListFaults{Lag: hostListLag}
+			f.Objects = infrastandin.ObjectFaults{}
+			f.WeightStore = infrastandin.WeightStoreFaults{}
 			w.deploy.Standins.Platform.SetFaults(f)
 		},
 	}
--- a/platform/contract/contract.go
+++ b/infra/contract/contract.go
@@ -12,7 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -43,19 +43,19 @@
 
 // Fixture is a platform under test.
 type Fixture struct {
-	Table       platform.Table
-	Objects     platform.Objects
-	HostList    platform.HostList
-	Cloud       platform.Cloud
-	WeightStore platform.WeightStore
+	Table       infra.Table
+	Objects     infra.Objects
+	HostList    infra.HostList
+	Cloud       infra.Cloud
+	WeightStore infra.WeightStore
 	// SetFault puts one fault in force on all services.
 	SetFault func(Fault)
 	// SetHosts replaces what the host list and the cloud know.
-	SetHosts func(...platform.Host)
+	SetHosts func(...infra.Host)
 	// SetListLag sets how far the host list is behind.
 	SetListLag func(time.Duration)
 	// SetOffers replaces what the cloud sells.
-	SetOffers func(...platform.Offer)
+	SetOffers func(...infra.Offer)
 	// Refuse lets the cloud refuse hosts of a failure domain.
 	Refuse func(failureDomain string)
 	// Announce gives notice of a reclaim; delay holds it back.
--- a/platform/contract/contract_test.go
+++ b/infra/contract/contract_test.go
@@ -7,11 +7,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/contract"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/contract"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/rest"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
 // Faults of the stand-in that give each fault of the contract.
@@ -40,11 +40,11 @@
 	t.Cleanup(p.Close)
 	return p, contract.Fixture{
 		SetFault: func(f contract.Fault) { p.SetFaults(faults[f]) },
-		SetHosts: func(hosts ...platform.Host) { p.HostList.Put(hosts...) },
+		SetHosts: func(hosts ...infra.Host) { p.HostList.Put(hosts...) },
 		SetListLag: func(lag time.Duration) {
 			p.HostList.SetFaults(standin.HostListFaults{Lag: lag})
 		},
-		SetOffers: func(offers ...platform.Offer) { p.Cloud.SetOffers(offers) },
+		SetOffers: func(offers ...infra.Offer) { p.Cloud.SetOffers(offers) },
 		Refuse: func(domain string) {
 			p.Cloud.SetFaults(standin.CloudFaults{RefuseDomains: []string{domain}})
 		},
--- a/platform/contract/faults.go
+++ b/infra/contract/faults.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -42,7 +42,7 @@
 }
 
 func commit(ctx context.Context, f Fixture) error {
-	_, err := f.Table.Commit(ctx, platform.Write{Key: "k", Value: []byte("v")})
+	_, err := f.Table.Commit(ctx, infra.Write{Key: "k", Value: []byte("v")})
 	return err
 }
 
@@ -130,6 +130,6 @@
 	defer cancel()
 	err := commit(ctx, f)
 	checkVerdict(c, err, verdict.MayHaveRun)
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	c.Assert(errors.As(err, &conflict), qt.IsFalse)
 }
--- a/platform/contract/services.go
+++ b/infra/contract/services.go
@@ -7,14 +7,14 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // loadInterval is the time between two loads that New promises.
 const loadInterval = 10 * time.Second
 
-// RunObjects runs the tests of platform.Objects without faults.
+// RunObjects runs the tests of infra.Objects without faults.
 func RunObjects(t *testing.T, newFixture New) {
 	for _, test := range []struct {
 		name, key string
@@ -45,37 +45,37 @@
 	}
 }
 
-func exampleHost(id string) platform.Host {
-	return platform.Host{
+func exampleHost(id string) infra.Host {
+	return infra.Host{
 		ID: id, Incarnation: id + "-1", FailureDomain: "midrand", Region: "gauteng", Class: "gpu", Reclaimable: true,
-		State: platform.HostLive, PricePerHour: 0.25,
-		Endpoints: []platform.Endpoint{{ID: "e", Kind: platform.KindEngine, Addr: "10.0.0.9:80", Name: "m", Version: "1", ChecksFence: true}},
+		State: infra.HostLive, PricePerHour: 0.25,
+		Endpoints: []infra.Endpoint{{ID: "e", Kind: infra.KindEngine, Addr: "10.0.0.9:80", Name: "m", Version: "1", ChecksFence: true}},
 	}
 }
 
-// RunHostList runs the tests of platform.HostList without faults.
+// RunHostList runs the tests of infra.HostList without faults.
 func RunHostList(t *testing.T, newFixture New) {
 	bubble(t, "hosts keep all fields", newFixture, func(c *qt.C, f Fixture) {
 		f.SetHosts(exampleHost("h1"), exampleHost("h2"))
 		hosts, err := f.HostList.Hosts(c.TB.Context())
 		c.Assert(err, qt.IsNil)
-		c.Assert(hosts, qt.DeepEquals, []platform.Host{exampleHost("h1"), exampleHost("h2")})
+		c.Assert(hosts, qt.DeepEquals, []infra.Host{exampleHost("h1"), exampleHost("h2")})
 	})
 	bubble(t, "a change shows after the lag", newFixture, func(c *qt.C, f Fixture) {
 		f.SetListLag(5 * time.Second)
 		f.SetHosts(exampleHost("h1"))
 		time.Sleep(time.Minute)
 		leaving := exampleHost("h1")
-		leaving.State = platform.HostLeaving
+		leaving.State = infra.HostLeaving
 		f.SetHosts(leaving)
 		time.Sleep(4 * time.Second)
-		c.Assert(stateOf(c, f), qt.Equals, platform.HostLive)
+		c.Assert(stateOf(c, f), qt.Equals, infra.HostLive)
 		time.Sleep(2 * time.Second)
-		c.Assert(stateOf(c, f), qt.Equals, platform.HostLeaving)
+		c.Assert(stateOf(c, f), qt.Equals, infra.HostLeaving)
 	})
 }
 
-func stateOf(c *qt.C, f Fixture) platform.HostState {
+func stateOf(c *qt.C, f Fixture) infra.HostState {
 	hosts, err := f.HostList.Hosts(c.TB.Context())
 	c.Assert(err, qt.IsNil)
 	c.Assert(hosts, qt.HasLen, 1)
@@ -83,11 +83,11 @@
 }
 
 var (
-	exampleOffer   = platform.Offer{FailureDomain: "midrand", Region: "gauteng", Class: "gpu", Reclaimable: true, PricePerHour: 0.25, LossPerHour: 0.1}
-	exampleRequest = platform.HostRequest{RequestID: "r1", FailureDomain: "midrand", Class: "gpu", Reclaimable: true, Model: "m", Version: "1"}
+	exampleOffer   = infra.Offer{FailureDomain: "midrand", Region: "gauteng", Class: "gpu", Reclaimable: true, PricePerHour: 0.25, LossPerHour: 0.1}
+	exampleRequest = infra.HostRequest{RequestID: "r1", FailureDomain: "midrand", Class: "gpu", Reclaimable: true, Model: "m", Version: "1"}
 )
 
-// RunCloud runs the tests of platform.Cloud.
+// RunCloud runs the tests of infra.Cloud.
 func RunCloud(t *testing.T, newFixture New) {
 	bubble(t, "a request is idempotent", newFixture, idempotentRequest)
 	bubble(t, "what is not sold or refused is not run", newFixture, refusedRequest)
@@ -131,7 +131,7 @@
 	f.SetOffers(exampleOffer)
 	offers, err := f.Cloud.Offers(ctx)
 	c.Assert(err, qt.IsNil)
-	c.Assert(offers, qt.DeepEquals, []platform.Offer{exampleOffer})
+	c.Assert(offers, qt.DeepEquals, []infra.Offer{exampleOffer})
 	first, err := f.Cloud.Request(ctx, exampleRequest)
 	c.Assert(err, qt.IsNil)
 	c.Assert(first.FailureDomain, qt.Equals, "midrand")
@@ -172,7 +172,7 @@
 	c.Assert(err, qt.IsNil)
 }
 
-// RunWeightStore runs the tests of platform.WeightStore without faults.
+// RunWeightStore runs the tests of infra.WeightStore without faults.
 func RunWeightStore(t *testing.T, newFixture New) {
 	bubble(t, "loads are paced", newFixture, func(c *qt.C, f Fixture) {
 		f.Publish("m", "1")
--- a/platform/contract/table.go
+++ b/infra/contract/table.go
@@ -8,11 +8,11 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
-// RunTable runs the tests of platform.Table without faults.
+// RunTable runs the tests of infra.Table without faults.
 func RunTable(t *testing.T, newFixture New) {
 	runExpectations(t, newFixture)
 	bubble(t, "a commit is atomic", newFixture, atomicCommit)
@@ -33,26 +33,26 @@
 		remove  bool
 		ok      bool
 	}{
-		{name: "insert where absent", expect: platform.ExpectAbsent, ok: true},
-		{name: "insert over a row", exists: true, expect: platform.ExpectAbsent},
+		{name: "insert where absent", expect: infra.ExpectAbsent, ok: true},
+		{name: "insert over a row", exists: true, expect: infra.ExpectAbsent},
 		{name: "update of the current version", exists: true, current: true, ok: true},
 		{name: "update of another version", exists: true, expect: 1 << 40},
 		{name: "update of an absent row", expect: 1},
-		{name: "put over anything", exists: true, expect: platform.ExpectAny, ok: true},
-		{name: "put where absent", expect: platform.ExpectAny, ok: true},
+		{name: "put over anything", exists: true, expect: infra.ExpectAny, ok: true},
+		{name: "put where absent", expect: infra.ExpectAny, ok: true},
 		{name: "delete of the current version", exists: true, current: true, remove: true, ok: true},
 		{name: "delete of another version", exists: true, expect: 1 << 40, remove: true},
-		{name: "delete of an absent row, expected absent", expect: platform.ExpectAbsent, remove: true, ok: true},
+		{name: "delete of an absent row, expected absent", expect: infra.ExpectAbsent, remove: true, ok: true},
 	} {
 		bubble(t, test.name, newFixture, func(c *qt.C, f Fixture) {
 			ctx := c.TB.Context()
 			var before uint64
 			if test.exists {
-				version, err := f.Table.Commit(ctx, platform.Write{Key: "k", Value: []byte("old")})
+				version, err := f.Table.Commit(ctx, infra.Write{Key: "k", Value: []byte("old")})
 				c.Assert(err, qt.IsNil)
 				before = version
 			}
-			w := platform.Write{Key: "k", Value: []byte("new"), Expect: test.expect, Delete: test.remove}
+			w := infra.Write{Key: "k", Value: []byte("new"), Expect: test.expect, Delete: test.remove}
 			if test.current {
 				w.Expect = before
 			}
@@ -69,7 +69,7 @@
 			c.Assert(version > before, qt.IsTrue)
 			c.Assert(found, qt.Equals, !test.remove)
 			if found {
-				c.Assert(row, qt.DeepEquals, platform.Row{Key: "k", Value: []byte("new"), Version: version})
+				c.Assert(row, qt.DeepEquals, infra.Row{Key: "k", Value: []byte("new"), Version: version})
 			}
 		})
 	}
@@ -77,26 +77,26 @@
 
 func checkConflict(c *qt.C, err error, key string, expected, actual uint64) {
 	c.Helper()
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	c.Assert(errors.As(err, &conflict), qt.IsTrue, qt.Commentf("%v", err))
-	c.Assert(*conflict, qt.Equals, platform.ConflictError{Key: key, Expected: expected, Actual: actual})
+	c.Assert(*conflict, qt.Equals, infra.ConflictError{Key: key, Expected: expected, Actual: actual})
 	checkVerdict(c, err, verdict.NotRun)
 	c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeConflict)
 }
 
 func atomicCommit(c *qt.C, f Fixture) {
 	ctx := c.TB.Context()
-	first, err := f.Table.Commit(ctx, platform.Write{Key: "a", Value: []byte("1")}, platform.Write{Key: "b", Value: []byte("1")})
+	first, err := f.Table.Commit(ctx, infra.Write{Key: "a", Value: []byte("1")}, infra.Write{Key: "b", Value: []byte("1")})
 	c.Assert(err, qt.IsNil)
 	_, err = f.Table.Commit(ctx,
-		platform.Write{Key: "a", Value: []byte("2"), Expect: first},
-		platform.Write{Key: "c", Value: []byte("2")},
-		platform.Write{Key: "b", Delete: true, Expect: first + 1},
+		infra.Write{Key: "a", Value: []byte("2"), Expect: first},
+		infra.Write{Key: "c", Value: []byte("2")},
+		infra.Write{Key: "b", Delete: true, Expect: first + 1},
 	)
 	checkConflict(c, err, "b", first+1, first)
 	rows, err := f.Table.Scan(ctx, "")
 	c.Assert(err, qt.IsNil)
-	c.Assert(rows, qt.DeepEquals, []platform.Row{
+	c.Assert(rows, qt.DeepEquals, []infra.Row{
 		{Key: "a", Value: []byte("1"), Version: first},
 		{Key: "b", Value: []byte("1"), Version: first},
 	})
@@ -106,10 +106,10 @@
 	ctx := c.TB.Context()
 	var last uint64
 	for range 3 {
-		inserted, err := f.Table.Commit(ctx, platform.Write{Key: "k", Value: []byte("v")})
+		inserted, err := f.Table.Commit(ctx, infra.Write{Key: "k", Value: []byte("v")})
 		c.Assert(err, qt.IsNil)
 		c.Assert(inserted > last, qt.IsTrue)
-		_, err = f.Table.Commit(ctx, platform.Write{Key: "k", Delete: true, Expect: inserted})
+		_, err = f.Table.Commit(ctx, infra.Write{Key: "k", Delete: true, Expect: inserted})
 		c.Assert(err, qt.IsNil)
 		last = inserted
 	}
@@ -119,7 +119,7 @@
 	ctx := c.TB.Context()
 	keys := []string{"p", "p/ä", "p/a b", "p/a%2Fb", "p/a&b=c?d#e", "p/a+b", "q/1"}
 	for _, key := range keys {
-		_, err := f.Table.Commit(ctx, platform.Write{Key: key, Value: []byte{0, 0xff, '"'}})
+		_, err := f.Table.Commit(ctx, infra.Write{Key: key, Value: []byte{0, 0xff, '"'}})
 		c.Assert(err, qt.IsNil)
 	}
 	rows, err := f.Table.Scan(ctx, "p/a")
@@ -143,7 +143,7 @@
 func unsharedRows(c *qt.C, f Fixture) {
 	ctx := c.TB.Context()
 	value := []byte("kept")
-	_, err := f.Table.Commit(ctx, platform.Write{Key: "k", Value: value})
+	_, err := f.Table.Commit(ctx, infra.Write{Key: "k", Value: value})
 	c.Assert(err, qt.IsNil)
 	value[0] = 'X'
 	row, _, err := f.Table.Get(ctx, "k")
@@ -176,7 +176,7 @@
 	c.Assert(string(row.Value), qt.Equals, fmt.Sprint(workers*rounds))
 }
 
-func increment(c *qt.C, table platform.Table) error {
+func increment(c *qt.C, table infra.Table) error {
 	ctx := c.TB.Context()
 	for {
 		row, _, err := table.Get(ctx, "n")
@@ -185,8 +185,8 @@
 		}
 		n := 0
 		_, _ = fmt.Sscan(string(row.Value), &n)
-		_, err = table.Commit(ctx, platform.Write{Key: "n", Value: fmt.Append(nil, n+1), Expect: row.Version})
-		var conflict *platform.ConflictError
+		_, err = table.Commit(ctx, infra.Write{Key: "n", Value: fmt.Append(nil, n+1), Expect: row.Version})
+		var conflict *infra.ConflictError
 		if !errors.As(err, &conflict) {
 			return err
 		}
--- a/platform/guard/bench_test.go
+++ b/infra/guard/bench_test.go
@@ -3,21 +3,21 @@
 import (
 	"testing"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 )
 
 // BenchmarkCommit is the guard's own cost, over that of the table alone.
 func BenchmarkCommit(b *testing.B) {
 	for _, guarded := range []bool{false, true} {
 		name := "table"
-		var table platform.Table = standin.NewTable(1)
+		var table infra.Table = standin.NewTable(1)
 		if guarded {
 			name, table = "guarded", New(table, Options{WritesPerSecond: 1e9})
 		}
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
-				if err := put(b.Context(), table, platform.PriorityOnce); err != nil {
+				if err := put(b.Context(), table, infra.PriorityOnce); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/platform/guard/budget.go
+++ b/infra/guard/budget.go
@@ -8,19 +8,19 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // priorities is the number of priorities.
-const priorities = int(platform.PriorityCheckpoint) + 1
+const priorities = int(infra.PriorityCheckpoint) + 1
 
 // reserves are the parts of the burst that a priority leaves to those above.
 var reserves = [priorities]float64{
-	platform.PriorityOnce:       0,
-	platform.PriorityAccept:     0.1,
-	platform.PriorityLease:      0.2,
-	platform.PriorityCheckpoint: 0.5,
+	infra.PriorityOnce:       0,
+	infra.PriorityAccept:     0.1,
+	infra.PriorityLease:      0.2,
+	infra.PriorityCheckpoint: 0.5,
 }
 
 // waiter is a write that waits; granted is closed when it may go.
@@ -41,8 +41,8 @@
 }
 
 // take waits until the write may go, or refuses it as verdict.NotRun.
-func (b *budget) take(ctx context.Context, p platform.Priority) error {
-	p = min(max(p, platform.PriorityOnce), platform.PriorityCheckpoint)
+func (b *budget) take(ctx context.Context, p infra.Priority) error {
+	p = min(max(p, infra.PriorityOnce), infra.PriorityCheckpoint)
 	w, err := b.enter(p)
 	if w == nil {
 		return err
@@ -62,7 +62,7 @@
 }
 
 // enter takes at once, or queues a waiter, or refuses.
-func (b *budget) enter(p platform.Priority) (*waiter, error) {
+func (b *budget) enter(p infra.Priority) (*waiter, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.othersWait(p) && b.grant(p) {
@@ -78,7 +78,7 @@
 }
 
 // leave takes a waiter out; it returns true if it was granted after all.
-func (b *budget) leave(p platform.Priority, w *waiter) bool {
+func (b *budget) leave(p infra.Priority, w *waiter) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := slices.Index(b.waiting[p], w)
@@ -99,7 +99,7 @@
 }
 
 // othersWait says whether anyone of p or above waits already.
-func (b *budget) othersWait(p platform.Priority) bool {
+func (b *budget) othersWait(p infra.Priority) bool {
 	for _, queue := range b.waiting[:p+1] {
 		if len(queue) > 0 {
 			return true
@@ -109,13 +109,13 @@
 }
 
 // grant takes one write for p if the reserve of those above stays whole.
-func (b *budget) grant(p platform.Priority) bool {
+func (b *budget) grant(p infra.Priority) bool {
 	now := time.Now()
 	return b.limiter.TokensAt(now) >= b.needed(p) && b.limiter.AllowN(now, 1)
 }
 
 // needed is how much budget must be there for a write of p.
-func (b *budget) needed(p platform.Priority) float64 {
+func (b *budget) needed(p infra.Priority) float64 {
 	return 1 + reserves[p]*float64(b.opt.Burst-1)
 }
 
@@ -124,7 +124,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for p := range b.waiting {
-		for len(b.waiting[p]) > 0 && b.grant(platform.Priority(p)) {
+		for len(b.waiting[p]) > 0 && b.grant(infra.Priority(p)) {
 			close(b.waiting[p][0].granted)
 			b.waiting[p] = b.waiting[p][1:]
 		}
@@ -145,7 +145,7 @@
 		if len(queue) == 0 {
 			continue
 		}
-		missing := b.needed(platform.Priority(p)) - b.limiter.TokensAt(time.Now())
+		missing := b.needed(infra.Priority(p)) - b.limiter.TokensAt(time.Now())
 		wait := time.Duration(missing / b.opt.WritesPerSecond * float64(time.Second))
 		// The extra moment makes up for rounding.
 		b.timer = time.AfterFunc(max(wait, 0)+time.Microsecond, b.pump)
--- a/platform/guard/guard.go
+++ b/infra/guard/guard.go
@@ -10,8 +10,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sony/gobreaker/v2"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -85,10 +85,10 @@
 	Refused, FailedFast uint64
 }
 
-// Guard is a platform.Table in front of another. It is safe for concurrent
+// Guard is a infra.Table in front of another. It is safe for concurrent
 // use.
 type Guard struct {
-	table   platform.Table
+	table   infra.Table
 	opt     Options
 	budget  *budget
 	breaker *gobreaker.TwoStepCircuitBreaker[any]
@@ -97,7 +97,7 @@
 }
 
 // New returns a Guard in front of the table.
-func New(table platform.Table, options Options) *Guard {
+func New(table infra.Table, options Options) *Guard {
 	options = options.withDefaults()
 	g := &Guard{table: table, opt: options, budget: newBudget(options)}
 	g.breaker = gobreaker.NewTwoStepCircuitBreaker[any](gobreaker.Settings{
@@ -116,10 +116,10 @@
 // deployment don't probe together.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
-// Get implements platform.Table.
-func (g *Guard) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+// Get implements infra.Table.
+func (g *Guard) Get(ctx context.Context, key string) (infra.Row, bool, error) {
 	var (
-		row platform.Row
+		row infra.Row
 		ok  bool
 	)
 	err := g.call(ctx, &g.reads, func(ctx context.Context) (err error) {
@@ -129,9 +129,9 @@
 	return row, ok, err
 }
 
-// Scan implements platform.Table.
-func (g *Guard) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
-	var rows []platform.Row
+// Scan implements infra.Table.
+func (g *Guard) Scan(ctx context.Context, prefix string) ([]infra.Row, error) {
+	var rows []infra.Row
 	err := g.call(ctx, &g.reads, func(ctx context.Context) (err error) {
 		rows, err = g.table.Scan(ctx, prefix)
 		return err
@@ -139,13 +139,13 @@
 	return rows, err
 }
 
-// Commit implements platform.Table. One commit takes one unit of the write
+// Commit implements infra.Table. One commit takes one unit of the write
 // budget, whatever the number of its rows.
-func (g *Guard) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+func (g *Guard) Commit(ctx context.Context, writes ...infra.Write) (uint64, error) {
 	if g.breaker.State() == gobreaker.StateOpen {
 		return 0, g.failFast(gobreaker.ErrOpenState)
 	}
-	if err := g.budget.take(ctx, platform.PriorityOf(ctx)); err != nil {
+	if err := g.budget.take(ctx, infra.PriorityOf(ctx)); err != nil {
 		g.refused.Add(1)
 		return 0, err
 	}
--- a/platform/guard/guard_test.go
+++ b/infra/guard/guard_test.go
@@ -12,14 +12,14 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
-func put(ctx context.Context, t platform.Table, p platform.Priority) error {
-	write := platform.Write{Key: "k", Value: []byte("v"), Expect: platform.ExpectAny}
-	_, err := t.Commit(platform.WithPriority(ctx, p), write)
+func put(ctx context.Context, t infra.Table, p infra.Priority) error {
+	write := infra.Write{Key: "k", Value: []byte("v"), Expect: infra.ExpectAny}
+	_, err := t.Commit(infra.WithPriority(ctx, p), write)
 	return err
 }
 
@@ -44,16 +44,16 @@
 				g := New(table, Options{})
 				table.SetFaults(tc.faults)
 				began := time.Now()
-				err := put(t.Context(), g, platform.PriorityOnce)
+				err := put(t.Context(), g, infra.PriorityOnce)
 				c.Assert(verdict.Of(err), qt.Equals, tc.first)
 				c.Assert(time.Since(began) <= defaultTimeout, qt.IsTrue)
 				for range defaultOpenAfter - 1 {
-					_ = put(t.Context(), g, platform.PriorityOnce)
+					_ = put(t.Context(), g, infra.PriorityOnce)
 				}
 				c.Assert(g.Open(), qt.IsTrue)
 
 				began = time.Now()
-				err = put(t.Context(), g, platform.PriorityOnce)
+				err = put(t.Context(), g, infra.PriorityOnce)
 				c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
 				c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeUnavailable)
 				c.Assert(verdict.RetryAfterOf(err) > 0, qt.IsTrue)
@@ -63,7 +63,7 @@
 
 				table.SetFaults(standin.TableFaults{})
 				time.Sleep(2 * defaultOpenFor)
-				c.Assert(put(t.Context(), g, platform.PriorityOnce), qt.IsNil)
+				c.Assert(put(t.Context(), g, infra.PriorityOnce), qt.IsNil)
 				c.Assert(g.Open(), qt.IsFalse)
 			})
 		})
@@ -77,13 +77,13 @@
 		table := standin.NewTable(1)
 		g := New(table, Options{})
 		for range 3 * defaultOpenAfter {
-			_, err := g.Commit(t.Context(), platform.Write{Key: "none", Expect: 7})
+			_, err := g.Commit(t.Context(), infra.Write{Key: "none", Expect: 7})
 			c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeConflict)
 		}
 		table.SetFaults(standin.TableFaults{Latency: 20 * time.Millisecond})
 		for range 3 * defaultOpenAfter {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
-			c.Assert(put(ctx, g, platform.PriorityOnce), qt.IsNotNil)
+			c.Assert(put(ctx, g, infra.PriorityOnce), qt.IsNotNil)
 			cancel()
 		}
 		c.Assert(g.Open(), qt.IsFalse)
@@ -107,13 +107,13 @@
 		)
 		// Checkpoints alone are twice the budget; calls that may not be
 		// repeated are half of it.
-		offered := [priorities]int{platform.PriorityOnce: 50, platform.PriorityAccept: 30, platform.PriorityLease: 10, platform.PriorityCheckpoint: 200}
+		offered := [priorities]int{infra.PriorityOnce: 50, infra.PriorityAccept: 30, infra.PriorityLease: 10, infra.PriorityCheckpoint: 200}
 		for p, rate := range offered {
 			for i := range rate * seconds {
 				all.Go(func() {
 					time.Sleep(time.Duration(i) * time.Second / time.Duration(rate))
 					began := time.Now()
-					if put(t.Context(), g, platform.Priority(p)) != nil {
+					if put(t.Context(), g, infra.Priority(p)) != nil {
 						refused[p].Add(1)
 						return
 					}
@@ -124,16 +124,16 @@
 			}
 		}
 		all.Wait()
-		for _, p := range []platform.Priority{platform.PriorityOnce, platform.PriorityAccept, platform.PriorityLease} {
+		for _, p := range []infra.Priority{infra.PriorityOnce, infra.PriorityAccept, infra.PriorityLease} {
 			c.Assert(refused[p].Load(), qt.Equals, int64(0), qt.Commentf("priority %d", p))
 		}
-		c.Assert(time.Duration(worst[platform.PriorityOnce].Load()) <= 20*time.Millisecond, qt.IsTrue)
-		c.Assert(refused[platform.PriorityCheckpoint].Load() > 0, qt.IsTrue)
+		c.Assert(time.Duration(worst[infra.PriorityOnce].Load()) <= 20*time.Millisecond, qt.IsTrue)
+		c.Assert(refused[infra.PriorityCheckpoint].Load() > 0, qt.IsTrue)
 		counts := g.Counts()
 		c.Assert(counts.Writes <= perSecond*(seconds+2)+perSecond, qt.IsTrue)
 		c.Assert(counts.Writes >= perSecond*(seconds-1), qt.IsTrue)
-		c.Assert(int64(counts.Refused), qt.Equals, refused[platform.PriorityCheckpoint].Load())
-		t.Logf("worst waits: %v, refused checkpoints: %d of %d", time.Duration(worst[platform.PriorityOnce].Load()), refused[platform.PriorityCheckpoint].Load(), 200*seconds)
+		c.Assert(int64(counts.Refused), qt.Equals, refused[infra.PriorityCheckpoint].Load())
+		t.Logf("worst waits: %v, refused checkpoints: %d of %d", time.Duration(worst[infra.PriorityOnce].Load()), refused[infra.PriorityCheckpoint].Load(), 200*seconds)
 	})
 }
 
@@ -145,7 +145,7 @@
 		var order []string
 		var mu sync.Mutex
 		var all sync.WaitGroup
-		write := func(name string, p platform.Priority) {
+		write := func(name string, p infra.Priority) {
 			all.Go(func() {
 				c.Check(put(t.Context(), g, p), qt.IsNil)
 				mu.Lock()
@@ -154,14 +154,14 @@
 			})
 		}
 		for range 30 {
-			write("checkpoint", platform.PriorityCheckpoint)
+			write("checkpoint", infra.PriorityCheckpoint)
 		}
 		synctest.Wait()
 		mu.Lock()
 		done := len(order)
 		mu.Unlock()
 		for range 20 {
-			write("once", platform.PriorityOnce)
+			write("once", infra.PriorityOnce)
 		}
 		all.Wait()
 		for i := done; i < done+20; i++ {
@@ -175,16 +175,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		g := New(standin.NewTable(1), Options{WritesPerSecond: 1, MaxWait: time.Minute, MaxWaiting: 1})
-		c.Assert(put(t.Context(), g, platform.PriorityOnce), qt.IsNil)
+		c.Assert(put(t.Context(), g, infra.PriorityOnce), qt.IsNil)
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
-		c.Assert(verdict.Of(put(ctx, g, platform.PriorityOnce)), qt.Equals, verdict.NotRun)
+		c.Assert(verdict.Of(put(ctx, g, infra.PriorityOnce)), qt.Equals, verdict.NotRun)
 		began := time.Now()
-		c.Assert(put(t.Context(), g, platform.PriorityOnce), qt.IsNil)
+		c.Assert(put(t.Context(), g, infra.PriorityOnce), qt.IsNil)
 		c.Assert(time.Since(began) < time.Second, qt.IsTrue)
-		go func() { _ = put(t.Context(), g, platform.PriorityOnce) }()
+		go func() { _ = put(t.Context(), g, infra.PriorityOnce) }()
 		synctest.Wait()
-		c.Assert(verdict.CodeOf(put(t.Context(), g, platform.PriorityOnce)), qt.Equals, verdict.CodeOverloaded)
+		c.Assert(verdict.CodeOf(put(t.Context(), g, infra.PriorityOnce)), qt.Equals, verdict.CodeOverloaded)
 		time.Sleep(time.Second)
 	})
 }
@@ -209,7 +209,7 @@
 			for range 50 {
 				all.Go(func() {
 					for ctx.Err() == nil {
-						_ = put(ctx, g, platform.Priority(rand.N(priorities)))
+						_ = put(ctx, g, infra.Priority(rand.N(priorities)))
 						time.Sleep(rand.N(200 * time.Millisecond))
 					}
 				})
@@ -255,12 +255,12 @@
 		g := New(standin.NewTable(1), Options{WritesPerSecond: perSecond})
 		var all sync.WaitGroup
 		for range 5 * perSecond {
-			all.Go(func() { _ = put(t.Context(), g, platform.PriorityCheckpoint) })
+			all.Go(func() { _ = put(t.Context(), g, infra.PriorityCheckpoint) })
 		}
 		synctest.Wait()
 		began := time.Now()
 		for range perSecond / 2 {
-			c.Assert(put(t.Context(), g, platform.PriorityOnce), qt.IsNil)
+			c.Assert(put(t.Context(), g, infra.PriorityOnce), qt.IsNil)
 		}
 		c.Assert(time.Since(began), qt.Equals, time.Duration(0))
 		all.Wait()
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,11 +1,11 @@
-// Package platform defines what the system needs from the platform it runs
+// Package infra defines what the system needs from the platform it runs
 // on: a transactional table, an object store, a host list, a cloud API and a
 // weight store.
 //
 // Implementations are safe for concurrent use. Every error carries a verdict
 // (package verdict): a write whose answer was lost is verdict.MayHaveRun and
 // the caller must read back before it decides anything.
-package platform
+package infra
 
 import (
 	"context"
--- a/platform/priority.go
+++ b/infra/priority.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import "context"
 
--- a/platform/protocol/protocol.go
+++ b/infra/protocol/protocol.go
@@ -4,23 +4,23 @@
 import (
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // RowAnswer is the JSON answer to a read of one row.
 type RowAnswer struct {
-	Row   platform.Row `json:"row"`
-	Found bool         `json:"found"`
+	Row   infra.Row `json:"row"`
+	Found bool      `json:"found"`
 }
 
 // ScanAnswer is the JSON answer to a scan.
 type ScanAnswer struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []infra.Row `json:"rows"`
 }
 
 // CommitBody is the JSON body of a commit.
 type CommitBody struct {
-	Writes []platform.Write `json:"writes"`
+	Writes []infra.Write `json:"writes"`
 }
 
 // CommitAnswer is the JSON answer to a commit.
--- a/platform/rest/client.go
+++ b/infra/rest/client.go
@@ -11,9 +11,9 @@
 	"strings"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/httpjson"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/sendonce"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -46,19 +46,19 @@
 func (c *Client) Close() { c.transport.Close() }
 
 // Table returns the table service.
-func (c *Client) Table() platform.Table { return table{c} }
+func (c *Client) Table() infra.Table { return table{c} }
 
 // Objects returns the object store.
-func (c *Client) Objects() platform.Objects { return objects{c} }
+func (c *Client) Objects() infra.Objects { return objects{c} }
 
 // HostList returns the host list.
-func (c *Client) HostList() platform.HostList { return hostList{c} }
+func (c *Client) HostList() infra.HostList { return hostList{c} }
 
 // Cloud returns the cloud API.
-func (c *Client) Cloud() platform.Cloud { return cloud{c} }
+func (c *Client) Cloud() infra.Cloud { return cloud{c} }
 
 // WeightStore returns the weight store.
-func (c *Client) WeightStore() platform.WeightStore { return weightStore{c} }
+func (c *Client) WeightStore() infra.WeightStore { return weightStore{c} }
 
 // read sends a request that may be repeated and decodes its answer.
 func (c *Client) read(ctx context.Context, path string, answer any) error {
--- a/platform/rest/rest_test.go
+++ b/infra/rest/rest_test.go
@@ -12,10 +12,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/rest"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -33,8 +33,8 @@
 	c.Cleanup(func() { _ = s.Close() })
 }
 
-func commit(ctx context.Context, table platform.Table) error {
-	_, err := table.Commit(ctx, platform.Write{Key: "k", Value: []byte("v"), Expect: platform.ExpectAny})
+func commit(ctx context.Context, table infra.Table) error {
+	_, err := table.Commit(ctx, infra.Write{Key: "k", Value: []byte("v"), Expect: infra.ExpectAny})
 	return err
 }
 
--- a/platform/rest/services.go
+++ b/infra/rest/services.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/protocol"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/protocol"
 )
 
 // none is the answer of calls that return nothing.
@@ -16,19 +16,19 @@
 
 type table struct{ *Client }
 
-func (t table) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (t table) Get(ctx context.Context, key string) (infra.Row, bool, error) {
 	var answer protocol.RowAnswer
 	err := t.read(ctx, "/table/row?"+query("key", key), &answer)
 	return answer.Row, answer.Found, err
 }
 
-func (t table) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (t table) Scan(ctx context.Context, prefix string) ([]infra.Row, error) {
 	var answer protocol.ScanAnswer
 	err := t.read(ctx, "/table/rows?"+query("prefix", prefix), &answer)
 	return answer.Rows, err
 }
 
-func (t table) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+func (t table) Commit(ctx context.Context, writes ...infra.Write) (uint64, error) {
 	var answer protocol.CommitAnswer
 	err := t.writeJSON(ctx, http.MethodPost, "/table/commit", protocol.CommitBody{Writes: writes}, &answer)
 	return answer.Version, err
@@ -52,22 +52,22 @@
 
 type hostList struct{ *Client }
 
-func (l hostList) Hosts(ctx context.Context) ([]platform.Host, error) {
-	var hosts []platform.Host
+func (l hostList) Hosts(ctx context.Context) ([]infra.Host, error) {
+	var hosts []infra.Host
 	err := l.read(ctx, "/hosts", &hosts)
 	return hosts, err
 }
 
 type cloud struct{ *Client }
 
-func (c cloud) Offers(ctx context.Context) ([]platform.Offer, error) {
-	var offers []platform.Offer
+func (c cloud) Offers(ctx context.Context) ([]infra.Offer, error) {
+	var offers []infra.Offer
 	err := c.read(ctx, "/cloud/offers", &offers)
 	return offers, err
 }
 
-func (c cloud) Request(ctx context.Context, r platform.HostRequest) (platform.Host, error) {
-	var host platform.Host
+func (c cloud) Request(ctx context.Context, r infra.HostRequest) (infra.Host, error) {
+	var host infra.Host
 	err := c.writeJSON(ctx, http.MethodPost, "/cloud/hosts", r, &host)
 	return host, err
 }
@@ -76,8 +76,8 @@
 	return c.write(ctx, http.MethodDelete, "/cloud/hosts?"+query("id", hostID), nil, &none{})
 }
 
-func (c cloud) Notices(ctx context.Context, after uint64) ([]platform.Notice, error) {
-	var notices []platform.Notice
+func (c cloud) Notices(ctx context.Context, after uint64) ([]infra.Notice, error) {
+	var notices []infra.Notice
 	err := c.read(ctx, "/cloud/notices?"+query("after", strconv.FormatUint(after, 10)), &notices)
 	return notices, err
 }
--- a/platform/standin/cloud.go
+++ b/infra/standin/cloud.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -30,14 +30,14 @@
 	TakenLater time.Duration `json:"taken_later_ns"`
 }
 
-func (f CloudFaults) refuses(r platform.HostRequest) bool {
+func (f CloudFaults) refuses(r infra.HostRequest) bool {
 	return f.RefuseAll || slices.Contains(f.RefuseDomains, r.FailureDomain) || slices.Contains(f.RefuseClasses, r.Class)
 }
 
 // Provisioner starts and stops the machines behind hosts.
 type Provisioner interface {
 	// Provision starts a host and returns it with its endpoints.
-	Provision(platform.HostRequest, platform.Offer) (platform.Host, error)
+	Provision(infra.HostRequest, infra.Offer) (infra.Host, error)
 	// Release stops a host that was given back.
 	Release(hostID string)
 }
@@ -48,8 +48,8 @@
 	fleet *fleet
 
 	mu          sync.Mutex
-	offers      []platform.Offer
-	requests    map[string]platform.Host
+	offers      []infra.Offer
+	requests    map[string]infra.Host
 	notices     []notice
 	seq         uint64
 	created     int
@@ -59,16 +59,16 @@
 // notice is a notice with the time from which it is given, and the time at
 // which its host is taken.
 type notice struct {
-	platform.Notice
+	infra.Notice
 	from, taken time.Time
 }
 
 func newCloud(f *fleet) *Cloud {
-	return &Cloud{fleet: f, requests: make(map[string]platform.Host)}
+	return &Cloud{fleet: f, requests: make(map[string]infra.Host)}
 }
 
 // SetOffers replaces what the cloud sells.
-func (c *Cloud) SetOffers(offers []platform.Offer) {
+func (c *Cloud) SetOffers(offers []infra.Offer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.offers = slices.Clone(offers)
@@ -82,8 +82,8 @@
 	c.provisioner = p
 }
 
-// Offers implements platform.Cloud.
-func (c *Cloud) Offers(ctx context.Context) ([]platform.Offer, error) {
+// Offers implements infra.Cloud.
+func (c *Cloud) Offers(ctx context.Context) ([]infra.Offer, error) {
 	if err := c.Faults().enter(ctx, "cloud"); err != nil {
 		return nil, err
 	}
@@ -92,11 +92,11 @@
 	return slices.Clone(c.offers), nil
 }
 
-// Request implements platform.Cloud.
-func (c *Cloud) Request(ctx context.Context, r platform.HostRequest) (platform.Host, error) {
+// Request implements infra.Cloud.
+func (c *Cloud) Request(ctx context.Context, r infra.HostRequest) (infra.Host, error) {
 	faults := c.Faults()
 	if err := faults.enter(ctx, "cloud"); err != nil {
-		return platform.Host{}, err
+		return infra.Host{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -105,21 +105,21 @@
 	}
 	offer, sold := c.offerLocked(r)
 	if !sold {
-		return platform.Host{}, verdict.New(verdict.NotRun, verdict.CodeInvalid, "cloud: no offer for class %q in %q", r.Class, r.FailureDomain)
+		return infra.Host{}, verdict.New(verdict.NotRun, verdict.CodeInvalid, "cloud: no offer for class %q in %q", r.Class, r.FailureDomain)
 	}
 	if faults.refuses(r) {
-		return platform.Host{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cloud: no capacity for class %q in %q", r.Class, r.FailureDomain)
+		return infra.Host{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cloud: no capacity for class %q in %q", r.Class, r.FailureDomain)
 	}
 	h, err := c.provisionLocked(r, offer)
 	if err != nil {
-		return platform.Host{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cloud: %w", err)
+		return infra.Host{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cloud: %w", err)
 	}
 	c.requests[r.RequestID] = h
 	c.fleet.put(h)
 	return h, nil
 }
 
-// Release implements platform.Cloud.
+// Release implements infra.Cloud.
 func (c *Cloud) Release(ctx context.Context, hostID string) error {
 	if err := c.Faults().enter(ctx, "cloud"); err != nil {
 		return err
@@ -137,15 +137,15 @@
 	return nil
 }
 
-// Notices implements platform.Cloud.
-func (c *Cloud) Notices(ctx context.Context, after uint64) ([]platform.Notice, error) {
+// Notices implements infra.Cloud.
+func (c *Cloud) Notices(ctx context.Context, after uint64) ([]infra.Notice, error) {
 	if err := c.Faults().enter(ctx, "cloud"); err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	var out []platform.Notice
+	var out []infra.Notice
 	for _, n := range c.notices {
 		if n.from.After(now) {
 			// Sequence numbers only grow for a reader, so a notice that is
@@ -169,7 +169,7 @@
 	if !ok {
 		return
 	}
-	h.State = platform.HostLeaving
+	h.State = infra.HostLeaving
 	c.fleet.put(h)
 	faults := c.Faults()
 	if faults.NoticeLost {
@@ -183,33 +183,33 @@
 	}
 }
 
-func (c *Cloud) noticeLocked(h platform.Host, remaining, delay time.Duration) {
+func (c *Cloud) noticeLocked(h infra.Host, remaining, delay time.Duration) {
 	c.seq++
 	now := time.Now()
 	c.notices = append(c.notices, notice{
-		Notice: platform.Notice{Seq: c.seq, HostID: h.ID, Incarnation: h.Incarnation},
+		Notice: infra.Notice{Seq: c.seq, HostID: h.ID, Incarnation: h.Incarnation},
 		from:   now.Add(delay),
 		taken:  now.Add(remaining),
 	})
 }
 
-func (c *Cloud) offerLocked(r platform.HostRequest) (platform.Offer, bool) {
+func (c *Cloud) offerLocked(r infra.HostRequest) (infra.Offer, bool) {
 	for _, o := range c.offers {
 		if o.FailureDomain == r.FailureDomain && o.Class == r.Class && o.Reclaimable == r.Reclaimable {
 			return o, true
 		}
 	}
-	return platform.Offer{}, false
+	return infra.Offer{}, false
 }
 
-func (c *Cloud) provisionLocked(r platform.HostRequest, o platform.Offer) (platform.Host, error) {
+func (c *Cloud) provisionLocked(r infra.HostRequest, o infra.Offer) (infra.Host, error) {
 	if c.provisioner != nil {
 		return c.provisioner.Provision(r, o)
 	}
 	c.created++
 	id := fmt.Sprintf("%s-%s-%d", o.FailureDomain, o.Class, c.created)
-	return platform.Host{
+	return infra.Host{
 		ID: id, Incarnation: id + "-1", FailureDomain: o.FailureDomain, Region: o.Region, Class: o.Class,
-		Reclaimable: o.Reclaimable, State: platform.HostLive, PricePerHour: o.PricePerHour,
+		Reclaimable: o.Reclaimable, State: infra.HostLive, PricePerHour: o.PricePerHour,
 	}, nil
 }
--- a/platform/standin/faults_test.go
+++ b/infra/standin/faults_test.go
@@ -10,8 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -39,7 +39,7 @@
 			c.Assert(time.Since(start), qt.Equals, 5*time.Millisecond)
 		}},
 		{"refused class", `{"cloud":{"refuse_classes":["gpu"]}}`, func(c *qt.C, p *standin.Platform) {
-			_, err := p.Cloud.Request(c.TB.Context(), platform.HostRequest{RequestID: "r", FailureDomain: "d", Class: "gpu"})
+			_, err := p.Cloud.Request(c.TB.Context(), infra.HostRequest{RequestID: "r", FailureDomain: "d", Class: "gpu"})
 			c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeUnavailable)
 		}},
 		{"lost notices", `{"cloud":{"notice_lost":true}}`, func(c *qt.C, p *standin.Platform) {
@@ -65,8 +65,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				p := standin.NewPlatform(1)
-				p.HostList.Put(platform.Host{ID: "h"})
-				p.Cloud.SetOffers([]platform.Offer{{FailureDomain: "d", Class: "gpu"}})
+				p.HostList.Put(infra.Host{ID: "h"})
+				p.Cloud.SetOffers([]infra.Offer{{FailureDomain: "d", Class: "gpu"}})
 				p.WeightStore.Publish("m", "1")
 				p.HostList.SetFaults(standin.HostListFaults{Lag: time.Hour})
 				c.Assert(post(p, "{"), qt.Equals, http.StatusBadRequest)
--- a/platform/standin/fleet.go
+++ b/infra/standin/fleet.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // historyLimit bounds the states kept for lagging lists.
@@ -16,28 +16,28 @@
 // API.
 type fleet struct {
 	mu      sync.Mutex
-	hosts   map[string]platform.Host
+	hosts   map[string]infra.Host
 	history []snapshot
 }
 
 // snapshot is the fleet as it was from a time on.
 type snapshot struct {
 	since time.Time
-	hosts []platform.Host
+	hosts []infra.Host
 }
 
 func newFleet() *fleet {
-	return &fleet{hosts: make(map[string]platform.Host)}
+	return &fleet{hosts: make(map[string]infra.Host)}
 }
 
-func (f *fleet) get(id string) (platform.Host, bool) {
+func (f *fleet) get(id string) (infra.Host, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h, ok := f.hosts[id]
 	return h, ok
 }
 
-func (f *fleet) put(hosts ...platform.Host) {
+func (f *fleet) put(hosts ...infra.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range hosts {
@@ -54,11 +54,11 @@
 }
 
 func (f *fleet) recordLocked() {
-	hosts := make([]platform.Host, 0, len(f.hosts))
+	hosts := make([]infra.Host, 0, len(f.hosts))
 	for _, h := range f.hosts {
 		hosts = append(hosts, h)
 	}
-	slices.SortFunc(hosts, func(a, b platform.Host) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(hosts, func(a, b infra.Host) int { return strings.Compare(a.ID, b.ID) })
 	f.history = append(f.history, snapshot{since: time.Now(), hosts: hosts})
 	if len(f.history) > historyLimit {
 		f.history = slices.Delete(f.history, 0, len(f.history)-historyLimit)
@@ -67,7 +67,7 @@
 
 // asOf returns the hosts as they were lag ago, sorted by ID. Hosts that were
 // there from the start are always listed.
-func (f *fleet) asOf(lag time.Duration) []platform.Host {
+func (f *fleet) asOf(lag time.Duration) []infra.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.history) == 0 {
--- a/platform/standin/gate.go
+++ b/infra/standin/gate.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -12,7 +12,7 @@
 // calls of a paused process stand still before and after they take effect,
 // which is all that others can see of a pause. It is safe for concurrent use.
 type Gate struct {
-	table platform.Table
+	table infra.Table
 
 	mu   sync.Mutex
 	shut chan struct{} // non-nil while paused
@@ -20,7 +20,7 @@
 }
 
 // NewGate returns an open gate to the table.
-func NewGate(table platform.Table) *Gate { return &Gate{table: table} }
+func NewGate(table infra.Table) *Gate { return &Gate{table: table} }
 
 // Pause lets every call wait until Wake or Kill.
 func (g *Gate) Pause() {
@@ -70,20 +70,20 @@
 	return nil
 }
 
-// Get implements platform.Table.
-func (g *Gate) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+// Get implements infra.Table.
+func (g *Gate) Get(ctx context.Context, key string) (infra.Row, bool, error) {
 	if err := g.Pass(); err != nil {
-		return platform.Row{}, false, err
+		return infra.Row{}, false, err
 	}
 	row, ok, err := g.table.Get(ctx, key)
 	if killed := g.Pass(); killed != nil {
-		return platform.Row{}, false, killed
+		return infra.Row{}, false, killed
 	}
 	return row, ok, err
 }
 
-// Scan implements platform.Table.
-func (g *Gate) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (g *Gate) Scan(ctx context.Context, prefix string) ([]infra.Row, error) {
 	if err := g.Pass(); err != nil {
 		return nil, err
 	}
@@ -94,8 +94,8 @@
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (g *Gate) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+// Commit implements infra.Table.
+func (g *Gate) Commit(ctx context.Context, writes ...infra.Write) (uint64, error) {
 	if err := g.Pass(); err != nil {
 		return 0, err
 	}
--- a/platform/standin/hostlist.go
+++ b/infra/standin/hostlist.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // HostListFaults are the faults of a HostList. The zero value has none.
@@ -20,8 +20,8 @@
 	fleet *fleet
 }
 
-// Hosts implements platform.HostList.
-func (l *HostList) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements infra.HostList.
+func (l *HostList) Hosts(ctx context.Context) ([]infra.Host, error) {
 	faults := l.Faults()
 	if err := faults.enter(ctx, "host list"); err != nil {
 		return nil, err
@@ -30,7 +30,7 @@
 }
 
 // Put adds or replaces hosts, all at the same moment.
-func (l *HostList) Put(hosts ...platform.Host) { l.fleet.put(hosts...) }
+func (l *HostList) Put(hosts ...infra.Host) { l.fleet.put(hosts...) }
 
 // Remove takes a host from the list.
 func (l *HostList) Remove(id string) { l.fleet.remove(id) }
--- a/platform/standin/platform.go
+++ b/infra/standin/platform.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"strconv"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/protocol"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/httpjson"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/protocol"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -121,7 +121,7 @@
 }
 
 func (p *Platform) requestHost(r *http.Request) (any, error) {
-	var body platform.HostRequest
+	var body infra.HostRequest
 	if err := httpjson.Read(r, &body); err != nil {
 		return nil, err
 	}
--- a/platform/standin/table.go
+++ b/infra/standin/table.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -44,7 +44,7 @@
 // and works under testing/synctest.
 type Table struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]infra.Row
 	version uint64
 	faults  TableFaults
 	counts  TableCounts
@@ -55,7 +55,7 @@
 // NewTable returns an empty table whose random faults follow seed.
 func NewTable(seed uint64) *Table {
 	return &Table{
-		rows: make(map[string]platform.Row),
+		rows: make(map[string]infra.Row),
 		rng:  rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -84,10 +84,10 @@
 // Close waits for commits that are still to take effect late.
 func (t *Table) Close() { t.late.Wait() }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+// Get implements infra.Table.
+func (t *Table) Get(ctx context.Context, key string) (infra.Row, bool, error) {
 	if err := t.enter(ctx); err != nil {
-		return platform.Row{}, false, err
+		return infra.Row{}, false, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -96,15 +96,15 @@
 	return copyOf(row), ok, nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *Table) Scan(ctx context.Context, prefix string) ([]infra.Row, error) {
 	if err := t.enter(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Reads++
-	var rows []platform.Row
+	var rows []infra.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, copyOf(row))
@@ -114,8 +114,8 @@
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+// Commit implements infra.Table.
+func (t *Table) Commit(ctx context.Context, writes ...infra.Write) (uint64, error) {
 	if err := t.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -138,11 +138,11 @@
 	return CallFaults{Outage: f.Outage, Hang: f.Hang, Latency: f.Latency}.enter(ctx, "table")
 }
 
-func (t *Table) applyLocked(writes []platform.Write) (uint64, error) {
+func (t *Table) applyLocked(writes []infra.Write) (uint64, error) {
 	for _, w := range writes {
 		actual := t.rows[w.Key].Version
-		if w.Expect != platform.ExpectAny && w.Expect != actual {
-			return 0, platform.Conflict(w.Key, w.Expect, actual)
+		if w.Expect != infra.ExpectAny && w.Expect != actual {
+			return 0, infra.Conflict(w.Key, w.Expect, actual)
 		}
 	}
 	t.version++
@@ -152,14 +152,14 @@
 			continue
 		}
 		value := append([]byte(nil), w.Value...)
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: value, Version: t.version}
+		t.rows[w.Key] = infra.Row{Key: w.Key, Value: value, Version: t.version}
 	}
 	return t.version, nil
 }
 
 // applyLateLocked schedules the commit to take effect after its caller has
 // been told that it was lost.
-func (t *Table) applyLateLocked(writes []platform.Write) {
+func (t *Table) applyLateLocked(writes []infra.Write) {
 	if t.faults.Late <= 0 {
 		return
 	}
@@ -173,7 +173,7 @@
 }
 
 // copyOf keeps a reader from changing the table.
-func copyOf(row platform.Row) platform.Row {
+func copyOf(row infra.Row) infra.Row {
 	row.Value = bytes.Clone(row.Value)
 	return row
 }
--- a/platform/sweep/sweep.go
+++ b/infra/sweep/sweep.go
@@ -22,9 +22,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
 const (
@@ -41,7 +41,7 @@
 )
 
 // Expire says whether a row may go, and what is to be deleted with it.
-type Expire func(ctx context.Context, row platform.Row) (with []platform.Write, ok bool)
+type Expire func(ctx context.Context, row infra.Row) (with []infra.Write, ok bool)
 
 // Options are the settings of a Sweeper. Zero values take defaults.
 type Options struct {
@@ -61,7 +61,7 @@
 
 // Sweeper deletes old rows. It is used by one goroutine.
 type Sweeper struct {
-	table platform.Table
+	table infra.Table
 	opt   Options
 	row   string
 
@@ -77,7 +77,7 @@
 }
 
 // New returns a Sweeper.
-func New(table platform.Table, options Options) *Sweeper {
+func New(table infra.Table, options Options) *Sweeper {
 	if options.TTL <= 0 {
 		options.TTL = defaultTTL
 	}
@@ -85,7 +85,7 @@
 		options.TableTimeout = defaultTableTimeout
 	}
 	if options.Expire == nil {
-		options.Expire = func(context.Context, platform.Row) ([]platform.Write, bool) { return nil, true }
+		options.Expire = func(context.Context, infra.Row) ([]infra.Write, bool) { return nil, true }
 	}
 	options.Log = nolog.Or(options.Log)
 	return &Sweeper{table: table, opt: options, row: "sweep/" + options.Name}
@@ -109,7 +109,7 @@
 
 // Pass sets a mark if it is time, and deletes the rows that are old enough.
 func (s *Sweeper) Pass(ctx context.Context) error {
-	ctx = platform.WithPriority(ctx, platform.PriorityCheckpoint)
+	ctx = infra.WithPriority(ctx, infra.PriorityCheckpoint)
 	cutoff, err := s.mark(ctx)
 	if err != nil || cutoff == 0 {
 		return err
@@ -165,7 +165,7 @@
 // advance writes the next mark. A failure, or another sweeper that was
 // quicker, is seen at the next pass.
 func (s *Sweeper) advance(ctx context.Context, m marks, version uint64) {
-	if version != platform.ExpectAbsent {
+	if version != infra.ExpectAbsent {
 		m.Versions = append(slices.Clone(m.Versions), version)
 	}
 	if extra := len(m.Versions) - marksPerTTL; extra > 0 {
@@ -176,14 +176,14 @@
 		s.opt.Log.WithError(err).Error("sweep: mark not encoded.")
 		return
 	}
-	if _, err := s.table.Commit(ctx, platform.Write{Key: s.row, Value: value, Expect: version}); err != nil {
+	if _, err := s.table.Commit(ctx, infra.Write{Key: s.row, Value: value, Expect: version}); err != nil {
 		s.opt.Log.WithError(err).Debug("sweep: mark not set.")
 	}
 }
 
 // expired returns the deletes of each row that may go.
-func (s *Sweeper) expired(ctx context.Context, rows []platform.Row, cutoff uint64) [][]platform.Write {
-	var groups [][]platform.Write
+func (s *Sweeper) expired(ctx context.Context, rows []infra.Row, cutoff uint64) [][]infra.Write {
+	var groups [][]infra.Write
 	for _, row := range rows {
 		if row.Version > cutoff {
 			continue
@@ -192,7 +192,7 @@
 		if !ok {
 			continue
 		}
-		gone := platform.Write{Key: row.Key, Delete: true, Expect: row.Version}
+		gone := infra.Write{Key: row.Key, Delete: true, Expect: row.Version}
 		groups = append(groups, append(with, gone))
 	}
 	return groups
@@ -200,7 +200,7 @@
 
 // delete commits the groups, many at a time. Where one row changed meanwhile
 // the whole commit is left for the next pass.
-func (s *Sweeper) delete(ctx context.Context, groups [][]platform.Write) {
+func (s *Sweeper) delete(ctx context.Context, groups [][]infra.Write) {
 	deleted := 0
 	for batch := range slices.Chunk(groups, deletesPerCommit) {
 		bounded, cancel := context.WithTimeout(ctx, s.opt.TableTimeout)
--- a/platform/sweep/sweep_test.go
+++ b/infra/sweep/sweep_test.go
@@ -9,20 +9,20 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 )
 
 const testTTL = 8 * time.Hour
 
-func count(t *testing.T, table platform.Table) int {
+func count(t *testing.T, table infra.Table) int {
 	rows, err := table.Scan(t.Context(), "row/")
 	qt.Assert(t, err, qt.IsNil)
 	return len(rows)
 }
 
-func put(t *testing.T, table platform.Table, key string) {
-	_, err := table.Commit(t.Context(), platform.Write{Key: key, Value: []byte("v"), Expect: platform.ExpectAny})
+func put(t *testing.T, table infra.Table, key string) {
+	_, err := table.Commit(t.Context(), infra.Write{Key: key, Value: []byte("v"), Expect: infra.ExpectAny})
 	qt.Assert(t, err, qt.IsNil)
 }
 
@@ -95,9 +95,9 @@
 		for _, key := range []string{"row/keep", "row/go", "row-extra"} {
 			put(t, table, key)
 		}
-		s := New(table, Options{Name: "test", Prefixes: []string{"row/"}, TTL: testTTL, Expire: func(_ context.Context, row platform.Row) ([]platform.Write, bool) {
-			with := platform.Write{Key: "row-extra", Delete: true, Expect: platform.ExpectAny}
-			return []platform.Write{with}, row.Key == "row/go"
+		s := New(table, Options{Name: "test", Prefixes: []string{"row/"}, TTL: testTTL, Expire: func(_ context.Context, row infra.Row) ([]infra.Write, bool) {
+			with := infra.Write{Key: "row-extra", Delete: true, Expect: infra.ExpectAny}
+			return []infra.Write{with}, row.Key == "row/go"
 		}})
 		go s.Run(ctx)
 		time.Sleep(2 * testTTL)
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -30,7 +30,7 @@
 	Conflict     *Conflict `json:"conflict,omitempty"`
 }
 
-// Conflict is the JSON form of a platform.ConflictError.
+// Conflict is the JSON form of a infra.ConflictError.
 type Conflict struct {
 	Key      string `json:"key"`
 	Expected uint64 `json:"expected"`
@@ -92,7 +92,7 @@
 	if errors.As(err, &e) {
 		d.Message = e.Err.Error()
 	}
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	if errors.As(err, &conflict) {
 		d.Conflict = &Conflict{Key: conflict.Key, Expected: conflict.Expected, Actual: conflict.Actual}
 	}
@@ -102,7 +102,7 @@
 // Decode returns the error.
 func (d *Detail) Decode() error {
 	if d.Conflict != nil {
-		return platform.Conflict(d.Conflict.Key, d.Conflict.Expected, d.Conflict.Actual)
+		return infra.Conflict(d.Conflict.Key, d.Conflict.Expected, d.Conflict.Actual)
 	}
 	return &verdict.Error{
 		Verdict:    verdict.Parse(d.Verdict),
--- a/job/adopter.go
+++ b/job/adopter.go
@@ -14,9 +14,9 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -143,7 +143,7 @@
 }
 
 // adopt claims this process's part of what a dead owner left.
-func (a *Adopter) adopt(ctx context.Context, owner, incarnation string, mark platform.Row, seen map[string]time.Time) error {
+func (a *Adopter) adopt(ctx context.Context, owner, incarnation string, mark infra.Row, seen map[string]time.Time) error {
 	rows, err := a.store.scan(ctx, key(ownPrefix, owner, incarnation)+"/")
 	if err != nil {
 		return err
@@ -209,10 +209,10 @@
 // bury deletes the mark of a dead process that left nothing. It is conditional
 // on the mark's version: where the process was only paused and accepts
 // something after all, the mark has changed.
-func (a *Adopter) bury(ctx context.Context, mark platform.Row) {
-	ctx, cancel := context.WithTimeout(platform.WithPriority(ctx, platform.PriorityCheckpoint), a.store.opt.TableTimeout)
+func (a *Adopter) bury(ctx context.Context, mark infra.Row) {
+	ctx, cancel := context.WithTimeout(infra.WithPriority(ctx, infra.PriorityCheckpoint), a.store.opt.TableTimeout)
 	defer cancel()
-	gone := platform.Write{Key: mark.Key, Delete: true, Expect: mark.Version}
+	gone := infra.Write{Key: mark.Key, Delete: true, Expect: mark.Version}
 	if _, err := a.store.table.Commit(ctx, gone); err != nil {
 		a.log.WithError(err).Debug("adopt: mark of a dead owner not deleted.")
 	}
--- a/job/adopter_test.go
+++ b/job/adopter_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 )
 
 // TestAdoptionOfManyIsPaced kills the owner of a thousand requests.
--- a/job/batch.go
+++ b/job/batch.go
@@ -8,8 +8,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -17,10 +17,10 @@
 type op struct {
 	// rows are the keys it writes. Two ops on one row never share a commit.
 	rows     []string
-	priority platform.Priority
+	priority infra.Priority
 	// build returns the writes. It is called for each try, in the batcher's
 	// goroutine, and sees the versions that earlier ops left.
-	build func() ([]platform.Write, error)
+	build func() ([]infra.Write, error)
 	// applied is called in the batcher's goroutine once the op took effect,
 	// late when its caller no longer waits and was told that it may have run.
 	applied func(version uint64, late bool)
@@ -53,7 +53,7 @@
 
 // batcher commits ops in batches, one commit at a time.
 type batcher struct {
-	table platform.Table
+	table infra.Table
 	opt   Options
 	log   *logrus.Entry
 	row   string
@@ -71,7 +71,7 @@
 	commits uint64
 }
 
-func newBatcher(table platform.Table, opt Options) *batcher {
+func newBatcher(table infra.Table, opt Options) *batcher {
 	return &batcher{
 		table: table,
 		opt:   opt,
@@ -174,7 +174,7 @@
 func (b *batcher) onlyCheckpoints() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return highest(b.queue) == platform.PriorityCheckpoint
+	return highest(b.queue) == infra.PriorityCheckpoint
 }
 
 // take returns the ops of the next batch, in order and with distinct rows.
@@ -241,8 +241,8 @@
 	return left
 }
 
-func highest(ops []*op) platform.Priority {
-	p := platform.PriorityCheckpoint
+func highest(ops []*op) infra.Priority {
+	p := infra.PriorityCheckpoint
 	for _, o := range ops {
 		p = min(p, o.priority)
 	}
--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
--- a/job/claim.go
+++ b/job/claim.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -29,8 +29,8 @@
 	r.Fence = old.Fence + 1
 	o := &op{
 		rows:     []string{r.row()},
-		priority: platform.PriorityAccept,
-		build:    func() ([]platform.Write, error) { return claimWrites(&old, &r, version) },
+		priority: infra.PriorityAccept,
+		build:    func() ([]infra.Write, error) { return claimWrites(&old, &r, version) },
 		applied:  func(version uint64, late bool) { s.own(r, version, late) },
 	}
 	err = s.batch.do(ctx, o)
@@ -57,15 +57,15 @@
 }
 
 // claimWrites moves the request from one owner's list to another's.
-func claimWrites(old, r *Record, version uint64) ([]platform.Write, error) {
+func claimWrites(old, r *Record, version uint64) ([]infra.Write, error) {
 	value, err := encode(r)
 	if err != nil {
 		return nil, err
 	}
-	return []platform.Write{
+	return []infra.Write{
 		{Key: r.row(), Value: value, Expect: version},
-		{Key: old.ownRow(), Delete: true, Expect: platform.ExpectAny},
-		{Key: r.ownRow(), Expect: platform.ExpectAny},
+		{Key: old.ownRow(), Delete: true, Expect: infra.ExpectAny},
+		{Key: r.ownRow(), Expect: infra.ExpectAny},
 	}, nil
 }
 
--- a/job/commit.go
+++ b/job/commit.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -14,7 +14,7 @@
 // and the others go again; a commit whose answer is lost goes again until it
 // is decided or ResolveTimeout has passed.
 func (b *batcher) commitAll(ctx context.Context, ops []*op) {
-	ctx = platform.WithPriority(ctx, highest(ops))
+	ctx = infra.WithPriority(ctx, highest(ops))
 	deadline := time.Now().Add(b.opt.ResolveTimeout)
 	for {
 		if err := b.readMark(ctx); err != nil {
@@ -31,7 +31,7 @@
 		if err == nil {
 			return
 		}
-		if row, ok := platform.ConflictKey(err); ok {
+		if row, ok := infra.ConflictKey(err); ok {
 			b.conflicted(row, owners, err)
 			continue
 		}
@@ -45,8 +45,8 @@
 
 // build returns the writes of all ops, the mark first, and the op of each
 // row. Ops that can't be built are answered.
-func (b *batcher) build(ops []*op) ([]platform.Write, map[string]*op) {
-	writes := []platform.Write{{}}
+func (b *batcher) build(ops []*op) ([]infra.Write, map[string]*op) {
+	writes := []infra.Write{{}}
 	owners := make(map[string]*op)
 	for _, o := range ops {
 		built, err := o.build()
@@ -65,13 +65,13 @@
 
 // commit sends one try. The mark comes first in it, so that a conflict
 // elsewhere proves that the mark had not changed.
-func (b *batcher) commit(ctx context.Context, ops []*op, writes []platform.Write) error {
+func (b *batcher) commit(ctx context.Context, ops []*op, writes []infra.Write) error {
 	b.batch++
 	value, err := encode(mark{Batch: b.batch})
 	if err != nil {
 		return err
 	}
-	writes[0] = platform.Write{Key: b.row, Value: value, Expect: b.version}
+	writes[0] = infra.Write{Key: b.row, Value: value, Expect: b.version}
 	ctx, cancel := context.WithTimeout(ctx, b.opt.TableTimeout)
 	defer cancel()
 	b.commits++
@@ -106,7 +106,7 @@
 	}
 	before := b.version
 	b.known, b.version = true, row.Version
-	if !ok && before != platform.ExpectAbsent {
+	if !ok && before != infra.ExpectAbsent {
 		// Others took this process for dead and deleted the mark: what became
 		// of the open tries can't be known any more.
 		b.open = nil
--- a/job/fault_test.go
+++ b/job/fault_test.go
@@ -9,8 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -223,7 +223,7 @@
 		go func() { finished <- s.Finish(t.Context(), "r1", answer(whole), verdict.Ran) }()
 		time.Sleep(10 * time.Millisecond)
 		table.SetFaults(standin.TableFaults{})
-		_, err := table.Commit(t.Context(), platform.Write{Key: key(markPrefix, "e1", "1"), Delete: true, Expect: platform.ExpectAny})
+		_, err := table.Commit(t.Context(), infra.Write{Key: key(markPrefix, "e1", "1"), Delete: true, Expect: infra.ExpectAny})
 		c.Assert(err, qt.IsNil)
 		c.Assert(verdict.Of(<-finished), qt.Equals, verdict.MayHaveRun)
 		got, err := s.Get(t.Context(), "karoo", "r1")
--- a/job/record.go
+++ b/job/record.go
@@ -6,7 +6,7 @@
 	"net/url"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/sweep"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/sweep"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
--- a/job/store.go
+++ b/job/store.go
@@ -8,16 +8,16 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // Store keeps the durable requests of one entry process. It is safe for
 // concurrent use.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   infra.Table
+	objects infra.Objects
 	opt     Options
 	log     *logrus.Entry
 	batch   *batcher
@@ -54,7 +54,7 @@
 }
 
 // New returns a Store. Close must be called.
-func New(table platform.Table, objects platform.Objects, options Options) *Store {
+func New(table infra.Table, objects infra.Objects, options Options) *Store {
 	options = options.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Store{
@@ -95,8 +95,8 @@
 	accepted := *r
 	o := &op{
 		rows:     []string{accepted.row()},
-		priority: platform.PriorityAccept,
-		build:    func() ([]platform.Write, error) { return acceptWrites(&accepted, prompt) },
+		priority: infra.PriorityAccept,
+		build:    func() ([]infra.Write, error) { return acceptWrites(&accepted, prompt) },
 		applied: func(version uint64, late bool) {
 			s.own(accepted, version, late)
 		},
@@ -112,20 +112,20 @@
 	return err
 }
 
-func acceptWrites(r *Record, prompt []byte) ([]platform.Write, error) {
+func acceptWrites(r *Record, prompt []byte) ([]infra.Write, error) {
 	value, err := encode(r)
 	if err != nil {
 		return nil, err
 	}
-	writes := []platform.Write{
-		{Key: r.row(), Value: value, Expect: platform.ExpectAbsent},
-		{Key: r.ownRow(), Expect: platform.ExpectAbsent},
+	writes := []infra.Write{
+		{Key: r.row(), Value: value, Expect: infra.ExpectAbsent},
+		{Key: r.ownRow(), Expect: infra.ExpectAbsent},
 	}
 	if r.PromptObject == "" {
-		writes = append(writes, platform.Write{Key: r.requestRow(), Value: prompt, Expect: platform.ExpectAbsent})
+		writes = append(writes, infra.Write{Key: r.requestRow(), Value: prompt, Expect: infra.ExpectAbsent})
 	}
 	if r.IdempotencyKey != "" {
-		first := platform.Write{Key: r.keyRow(), Value: []byte(r.ID), Expect: platform.ExpectAbsent}
+		first := infra.Write{Key: r.keyRow(), Value: []byte(r.ID), Expect: infra.ExpectAbsent}
 		writes = append(writes, first)
 	}
 	return writes, nil
@@ -218,24 +218,24 @@
 	return r, row.Version, nil
 }
 
-func (s *Store) read(ctx context.Context, row string) (platform.Row, bool, error) {
+func (s *Store) read(ctx context.Context, row string) (infra.Row, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.opt.TableTimeout)
 	defer cancel()
 	got, ok, err := s.table.Get(ctx, row)
 	if err != nil {
 		// A read has no effect, but the request it is about may have run.
-		return platform.Row{}, false, verdict.Wrap(verdict.MayHaveRun, fmt.Errorf("job: read: %w", err))
+		return infra.Row{}, false, verdict.Wrap(verdict.MayHaveRun, fmt.Errorf("job: read: %w", err))
 	}
 	return got, ok, nil
 }
 
-func (s *Store) scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (s *Store) scan(ctx context.Context, prefix string) ([]infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.opt.TableTimeout)
 	defer cancel()
 	return s.table.Scan(ctx, prefix)
 }
 
 func conflictOn(err error, row string) bool {
-	changed, ok := platform.ConflictKey(err)
+	changed, ok := infra.ConflictKey(err)
 	return ok && changed == row
 }
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -12,9 +12,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -23,7 +23,7 @@
 	os.Exit(m.Run())
 }
 
-func newStore(table platform.Table, objects platform.Objects, owner string) *Store {
+func newStore(table infra.Table, objects infra.Objects, owner string) *Store {
 	return New(table, objects, Options{Owner: owner, Incarnation: "1"})
 }
 
--- a/job/sweep.go
+++ b/job/sweep.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/sweep"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/sweep"
 )
 
 // NewSweeper returns the sweeper of finished requests, which are kept for at
@@ -23,7 +23,7 @@
 
 // expire lets a finished request go with all that belongs to it. Its objects
 // go first: a row without them is swept again, objects without a row never.
-func (s *Store) expire(ctx context.Context, row platform.Row) ([]platform.Write, bool) {
+func (s *Store) expire(ctx context.Context, row infra.Row) ([]infra.Write, bool) {
 	var r Record
 	if err := decode(row.Value, &r); err != nil || !r.State.Finished() {
 		return nil, false
@@ -34,9 +34,9 @@
 			return nil, false
 		}
 	}
-	with := []platform.Write{{Key: r.requestRow(), Delete: true, Expect: platform.ExpectAny}}
+	with := []infra.Write{{Key: r.requestRow(), Delete: true, Expect: infra.ExpectAny}}
 	if r.IdempotencyKey != "" {
-		with = append(with, platform.Write{Key: r.keyRow(), Delete: true, Expect: platform.ExpectAny})
+		with = append(with, infra.Write{Key: r.keyRow(), Delete: true, Expect: infra.ExpectAny})
 	}
 	return with, true
 }
--- a/job/update.go
+++ b/job/update.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // Bind records the engine's stream that answers the request, so that an
 // adopter can attach to it.
 func (s *Store) Bind(ctx context.Context, id string, stream Stream) error {
-	return s.update(ctx, id, platform.PriorityAccept, func(r *Record) {
+	return s.update(ctx, id, infra.PriorityAccept, func(r *Record) {
 		r.State = StateRunning
 		r.Stream = stream
 	})
@@ -34,7 +34,7 @@
 		return err
 	}
 	var old Text
-	err = s.update(ctx, id, platform.PriorityCheckpoint, func(r *Record) {
+	err = s.update(ctx, id, infra.PriorityCheckpoint, func(r *Record) {
 		if old = stored; tokens > r.Checkpoint.Tokens {
 			old = r.Checkpoint.Text
 			r.Checkpoint = Checkpoint{Tokens: tokens, Text: stored}
@@ -61,7 +61,7 @@
 	}
 	answer.Verdict = v.String()
 	var old Text
-	err = s.update(ctx, id, platform.PriorityAccept, func(r *Record) {
+	err = s.update(ctx, id, infra.PriorityAccept, func(r *Record) {
 		r.State = StateDone
 		if answer.Code != "" {
 			r.State = StateFailed
@@ -96,7 +96,7 @@
 }
 
 // update changes an owned request's row, on the version last written.
-func (s *Store) update(ctx context.Context, id string, p platform.Priority, change func(*Record)) error {
+func (s *Store) update(ctx context.Context, id string, p infra.Priority, change func(*Record)) error {
 	h, err := s.handle(id)
 	if err != nil {
 		return err
@@ -106,7 +106,7 @@
 	o := &op{
 		rows:     []string{first.row()},
 		priority: p,
-		build: func() ([]platform.Write, error) {
+		build: func() ([]infra.Write, error) {
 			r, version := h.get()
 			if r.State.Finished() {
 				return nil, verdict.New(verdict.Ran, verdict.CodeConflict, "job: request is finished")
@@ -134,14 +134,14 @@
 
 // updateWrites writes the row, and takes a finished request off its owner's
 // list.
-func updateWrites(r *Record, version uint64) ([]platform.Write, error) {
+func updateWrites(r *Record, version uint64) ([]infra.Write, error) {
 	value, err := encode(r)
 	if err != nil {
 		return nil, err
 	}
-	writes := []platform.Write{{Key: r.row(), Value: value, Expect: version}}
+	writes := []infra.Write{{Key: r.row(), Value: value, Expect: version}}
 	if r.State.Finished() {
-		writes = append(writes, platform.Write{Key: r.ownRow(), Delete: true, Expect: platform.ExpectAny})
+		writes = append(writes, infra.Write{Key: r.ownRow(), Delete: true, Expect: infra.ExpectAny})
 	}
 	return writes, nil
 }
--- a/job/world_test.go
+++ b/job/world_test.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/guard"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/guard"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -161,7 +161,7 @@
 		cancel: cancel,
 		stopAt: func(string) {},
 	}
-	var table platform.Table = e.gate
+	var table infra.Table = e.gate
 	if f.guarded {
 		table = guard.New(e.gate, guard.Options{})
 	}
--- a/lease/contend.go
+++ b/lease/contend.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -47,7 +47,7 @@
 		l.held.sent, l.held.version = sent, version
 		return
 	}
-	_, conflict := platform.ConflictKey(err)
+	_, conflict := infra.ConflictKey(err)
 	if verdict.Of(err) == verdict.NotRun && !conflict {
 		l.log.WithError(err).Warn("lease: not renewed.")
 		return
@@ -81,7 +81,7 @@
 		return err
 	}
 	if r == nil {
-		return l.take(ctx, 1, platform.ExpectAbsent)
+		return l.take(ctx, 1, infra.ExpectAbsent)
 	}
 	if !l.free(row, *r) {
 		return nil
@@ -91,7 +91,7 @@
 
 // free says whether the row may be taken over: it was released, or it is our
 // own from before, or it has not changed for its duration and the margin.
-func (l *Lease) free(row platform.Row, r record) bool {
+func (l *Lease) free(row infra.Row, r record) bool {
 	if r.Owner == "" || l.ours(r) {
 		return true
 	}
@@ -159,7 +159,7 @@
 }
 
 // read returns the row; its record is nil when there is none.
-func (l *Lease) read(ctx context.Context) (platform.Row, *record, error) {
+func (l *Lease) read(ctx context.Context) (infra.Row, *record, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.opt.TableTimeout)
 	defer cancel()
 	row, ok, err := l.table.Get(ctx, l.row)
@@ -185,5 +185,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.opt.TableTimeout)
 	defer cancel()
-	return l.table.Commit(ctx, platform.Write{Key: l.row, Value: value, Expect: expect})
+	return l.table.Commit(ctx, infra.Write{Key: l.row, Value: value, Expect: expect})
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,9 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/elapsed"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
 // Defaults of Options.
@@ -60,7 +60,7 @@
 // Lease is one process's contention for a lease. Held, MayOrder and Fence are
 // safe for concurrent use with Run.
 type Lease struct {
-	table platform.Table
+	table infra.Table
 	opt   Options
 	log   *logrus.Entry
 	row   string
@@ -94,7 +94,7 @@
 }
 
 // New returns a contender. Nothing happens before Run.
-func New(table platform.Table, options Options) *Lease {
+func New(table infra.Table, options Options) *Lease {
 	options = options.withDefaults()
 	return &Lease{
 		table: table,
@@ -108,7 +108,7 @@
 // Run contends for the lease and renews it until ctx ends or Release is
 // called, and then gives it back. It logs failures and goes on.
 func (l *Lease) Run(ctx context.Context) {
-	ctx = platform.WithPriority(ctx, platform.PriorityLease)
+	ctx = infra.WithPriority(ctx, infra.PriorityLease)
 	for {
 		l.step(ctx)
 		if !l.rest(ctx) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -13,8 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
 var seeds = flag.Int("seeds", 300, "number of seeds of the randomised run")
--- a/member/member.go
+++ b/member/member.go
@@ -7,7 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // State is the state of a member as this entry sees it.
@@ -49,7 +49,7 @@
 
 // Registry knows the members. It is safe for concurrent use.
 type Registry struct {
-	table platform.Table
+	table infra.Table
 	log   *logrus.Entry
 
 	mu      sync.Mutex
@@ -77,7 +77,7 @@
 }
 
 // New returns a Registry that knows only its own member until Run.
-func New(table platform.Table, o Options) *Registry {
+func New(table infra.Table, o Options) *Registry {
 	return &Registry{
 		table: table,
 		log:   o.Log,
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -12,12 +12,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
-func newRegistry(table platform.Table, id, incarnation string) *member.Registry {
+func newRegistry(table infra.Table, id, incarnation string) *member.Registry {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	return member.New(table, member.Options{
--- a/member/scan.go
+++ b/member/scan.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
 // reapFactor is how many times GoneAfter a row must be unchanged before it is
@@ -70,7 +70,7 @@
 // takeIn reads a row of a scan. Only a row that changed since the last scan
 // is a sign of life. A member that was not known before gets the benefit of
 // the doubt.
-func (r *Registry) takeIn(found platform.Row, shown sign) {
+func (r *Registry) takeIn(found infra.Row, shown sign) {
 	var v row
 	if err := json.Unmarshal(found.Value, &v); err != nil || rowPrefix+v.ID != found.Key {
 		return
@@ -127,10 +127,10 @@
 func (r *Registry) reap(ctx context.Context) {
 	r.mu.Lock()
 	limit := reapFactor * GoneAfter(len(r.others)+1)
-	var victim platform.Write
+	var victim infra.Write
 	for id, rec := range r.others {
 		if rec.rowVersion != 0 && time.Since(rec.lastSign) > limit {
-			victim = platform.Write{Key: rowPrefix + id, Delete: true, Expect: rec.rowVersion}
+			victim = infra.Write{Key: rowPrefix + id, Delete: true, Expect: rec.rowVersion}
 			break
 		}
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
 const (
@@ -61,7 +61,7 @@
 // write commits the heartbeat row, conditional on the row as last seen. A
 // commit whose answer was lost is read back by the next heartbeat.
 func (r *Registry) write(ctx context.Context, m Member) error {
-	ctx, cancel := context.WithTimeout(platform.WithPriority(ctx, platform.PriorityLease), callTimeout)
+	ctx, cancel := context.WithTimeout(infra.WithPriority(ctx, infra.PriorityLease), callTimeout)
 	defer cancel()
 	expect, err := r.expected(ctx)
 	if err != nil {
@@ -71,7 +71,7 @@
 	if err != nil {
 		return fmt.Errorf("member row: %w", err)
 	}
-	write := platform.Write{Key: rowPrefix + m.ID, Value: value, Expect: expect}
+	write := infra.Write{Key: rowPrefix + m.ID, Value: value, Expect: expect}
 	version, err := r.table.Commit(ctx, write)
 	if err != nil {
 		r.forgetRow()
@@ -95,7 +95,7 @@
 		return 0, fmt.Errorf("read own row: %w", err)
 	}
 	if !ok {
-		return platform.ExpectAbsent, nil
+		return infra.ExpectAbsent, nil
 	}
 	var v row
 	if err := json.Unmarshal(found.Value, &v); err != nil {
@@ -187,14 +187,14 @@
 // returned.
 func (r *Registry) Leave(ctx context.Context) error {
 	r.SetLeaving()
-	ctx, cancel := context.WithTimeout(platform.WithPriority(ctx, platform.PriorityLease), callTimeout)
+	ctx, cancel := context.WithTimeout(infra.WithPriority(ctx, infra.PriorityLease), callTimeout)
 	defer cancel()
 	r.forgetRow()
 	expect, err := r.expected(ctx)
-	if err != nil || expect == platform.ExpectAbsent {
+	if err != nil || expect == infra.ExpectAbsent {
 		return err
 	}
-	_, err = r.table.Commit(ctx, platform.Write{Key: rowPrefix + r.Self().ID, Delete: true, Expect: expect})
+	_, err = r.table.Commit(ctx, infra.Write{Key: rowPrefix + r.Self().ID, Delete: true, Expect: expect})
 	if err != nil {
 		return fmt.Errorf("delete own row: %w", err)
 	}
--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 )
 
 // BenchmarkDo reports what one call costs the table, which answers in 2 ms.
--- a/once/claim.go
+++ b/once/claim.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -22,7 +22,7 @@
 		a.version = version
 		return nil, nil
 	}
-	if _, conflict := platform.ConflictKey(err); conflict {
+	if _, conflict := infra.ConflictKey(err); conflict {
 		return s.look(ctx, a)
 	}
 	if verdict.Of(err) == verdict.NotRun {
@@ -40,7 +40,7 @@
 	}
 	if !ok {
 		// The row was swept in between: the claim goes again from absence.
-		return &found{record: s.record(a, stateNotRun), version: platform.ExpectAbsent}, nil
+		return &found{record: s.record(a, stateNotRun), version: infra.ExpectAbsent}, nil
 	}
 	return decodeFound(row)
 }
@@ -67,7 +67,7 @@
 	return f, nil
 }
 
-func decodeFound(row platform.Row) (*found, error) {
+func decodeFound(row infra.Row) (*found, error) {
 	r, err := decode(row)
 	if err != nil {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "once: %w", err)
@@ -75,7 +75,7 @@
 	return &found{record: r, version: row.Version}, nil
 }
 
-func (s *Store) read(ctx context.Context, row string) (platform.Row, bool, error) {
+func (s *Store) read(ctx context.Context, row string) (infra.Row, bool, error) {
 	ctx, cancel := s.tableContext(ctx)
 	defer cancel()
 	return s.table.Get(ctx, row)
@@ -88,5 +88,5 @@
 	}
 	ctx, cancel := s.tableContext(ctx)
 	defer cancel()
-	return s.table.Commit(ctx, platform.Write{Key: row, Value: value, Expect: expect})
+	return s.table.Commit(ctx, infra.Write{Key: row, Value: value, Expect: expect})
 }
--- a/once/once.go
+++ b/once/once.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -23,7 +23,7 @@
 
 // Store runs calls at most once. It is safe for concurrent use.
 type Store struct {
-	table platform.Table
+	table infra.Table
 	opt   Options
 	log   *logrus.Entry
 
@@ -52,14 +52,14 @@
 }
 
 // New returns a Store on the table. Close must be called.
-func New(table platform.Table, options Options) *Store {
+func New(table infra.Table, options Options) *Store {
 	options = options.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Store{
 		table:  table,
 		opt:    options,
 		log:    options.Log,
-		ctx:    platform.WithPriority(ctx, platform.PriorityOnce),
+		ctx:    infra.WithPriority(ctx, infra.PriorityOnce),
 		cancel: cancel,
 		active: make(map[string]struct{}),
 	}
@@ -76,7 +76,7 @@
 		return endpoint.Reply{}, err
 	}
 	defer s.running.Done()
-	expect := platform.ExpectAbsent
+	expect := infra.ExpectAbsent
 	for range maxClaims {
 		if err := ctx.Err(); err != nil {
 			return endpoint.Reply{}, s.refused("caller gone before the claim: %w", err)
@@ -203,7 +203,7 @@
 // tableContext bounds one call of the table. It does not end with ctx: a
 // caller that goes away must not turn a write into an unknown one.
 func (s *Store) tableContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx = platform.WithPriority(context.WithoutCancel(ctx), platform.PriorityOnce)
+	ctx = infra.WithPriority(context.WithoutCancel(ctx), infra.PriorityOnce)
 	return context.WithTimeout(ctx, s.opt.TableTimeout)
 }
 
--- a/once/process_test.go
+++ b/once/process_test.go
@@ -5,8 +5,8 @@
 	"sync"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 )
 
 // step is a point of an attempt at which a process can stop.
@@ -26,7 +26,7 @@
 // first attempt.
 type process struct {
 	*standin.Gate
-	table platform.Table
+	table infra.Table
 
 	mu      sync.Mutex
 	stopAt  step
@@ -34,7 +34,7 @@
 	stopped chan struct{} // closed at the step
 }
 
-func newProcess(table platform.Table, stopAt step) *process {
+func newProcess(table infra.Table, stopAt step) *process {
 	return &process{
 		Gate:    standin.NewGate(table),
 		table:   table,
@@ -55,7 +55,7 @@
 	return p.Pass()
 }
 
-func (p *process) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+func (p *process) Commit(ctx context.Context, writes ...infra.Write) (uint64, error) {
 	p.mu.Lock()
 	p.commits++
 	before, after := never, never
--- a/once/random_test.go
+++ b/once/random_test.go
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
--- a/once/record.go
+++ b/once/record.go
@@ -7,8 +7,8 @@
 	"net/url"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/sweep"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/sweep"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -67,7 +67,7 @@
 	return value, nil
 }
 
-func decode(row platform.Row) (*record, error) {
+func decode(row infra.Row) (*record, error) {
 	var r record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return nil, fmt.Errorf("decode row %q: %w", row.Key, err)
--- a/once/settle.go
+++ b/once/settle.go
@@ -5,9 +5,9 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
 // Waits between tries to write an outcome.
@@ -72,10 +72,10 @@
 
 // openFor says whether the attempt's outcome still has to be written, and on
 // which version of the row.
-func openFor(a *attempt, row platform.Row, ok bool) (uint64, bool, error) {
+func openFor(a *attempt, row infra.Row, ok bool) (uint64, bool, error) {
 	if !ok {
 		// A claim from absence may still arrive. Any other row was swept.
-		return platform.ExpectAbsent, a.expect == platform.ExpectAbsent, nil
+		return infra.ExpectAbsent, a.expect == infra.ExpectAbsent, nil
 	}
 	r, err := decode(row)
 	if err != nil {
--- a/once/sweep.go
+++ b/once/sweep.go
@@ -5,13 +5,13 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/sweep"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/sweep"
 )
 
 // NewSweeper returns the sweeper of all rows of this package. Keys are kept
 // for at least ttl after their last change; 0 takes the default of a day. Run
 // it under a lease.
-func NewSweeper(table platform.Table, ttl time.Duration, log *logrus.Entry) *sweep.Sweeper {
+func NewSweeper(table infra.Table, ttl time.Duration, log *logrus.Entry) *sweep.Sweeper {
 	return sweep.New(table, sweep.Options{Name: "once", Prefixes: sweep.Shards(rowPrefix), TTL: ttl, Log: log})
 }
--- a/once/world_test.go
+++ b/once/world_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/guard"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/guard"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -65,7 +65,7 @@
 	if w.rng.IntN(2) == 0 {
 		options.Lookup = w.lookup
 	}
-	var table platform.Table = e.proc
+	var table infra.Table = e.proc
 	if w.rng.IntN(2) == 0 {
 		table = guard.New(e.proc, guard.Options{})
 	}
--- a/operatorapi/server_test.go
+++ b/operatorapi/server_test.go
@@ -15,8 +15,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/operatorapi"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -13,11 +13,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
 const deployment = "test"
@@ -94,7 +94,7 @@
 
 func (n *node) start() { n.startOn(n.cluster.table) }
 
-func (n *node) startOn(table platform.Table) {
+func (n *node) startOn(table infra.Table) {
 	n.starts++
 	addr := n.host + ":7000"
 	n.registry = member.New(table, member.Options{
--- a/peer/hostile_test.go
+++ b/peer/hostile_test.go
@@ -14,7 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 const (
@@ -33,8 +33,8 @@
 // member.
 func (cl *cluster) register(id, host string) {
 	value := fmt.Sprintf(`{"id":%q,"incarnation":"x","addr":"%s:7000","failure_domain":"domain-0","state":"live"}`, id, host)
-	_, err := cl.table.Commit(context.Background(), platform.Write{
-		Key: "member/" + id, Value: []byte(value), Expect: platform.ExpectAny,
+	_, err := cl.table.Commit(context.Background(), infra.Write{
+		Key: "member/" + id, Value: []byte(value), Expect: infra.ExpectAny,
 	})
 	cl.c.Assert(err, qt.IsNil)
 }
--- a/peer/membership_test.go
+++ b/peer/membership_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
 // goneWithin is the bound on the time until a dead member is known to be gone.
--- a/peer/notices_test.go
+++ b/peer/notices_test.go
@@ -8,8 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 )
 
 // knownWithin is the bound on the time until every entry knows of a notice.
@@ -44,7 +44,7 @@
 		}},
 		{"early reclaim", func(cl *cluster) []*node {
 			for _, n := range cl.nodes {
-				n.notices.Hosts([]platform.Host{{ID: "host-2", Incarnation: "1", State: platform.HostLive}})
+				n.notices.Hosts([]infra.Host{{ID: "host-2", Incarnation: "1", State: infra.HostLive}})
 			}
 			return nil
 		}},
@@ -79,7 +79,7 @@
 
 func TestDomainDrainIsKnownEverywhere(t *testing.T) {
 	inBubble(t, 9, func(cl *cluster) {
-		hosts := []platform.Host{
+		hosts := []infra.Host{
 			{ID: "a", Incarnation: "1", FailureDomain: "north"},
 			{ID: "b", Incarnation: "1", FailureDomain: "north"},
 			{ID: "c", Incarnation: "1", FailureDomain: "south"},
--- a/peer/random_test.go
+++ b/peer/random_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 )
 
 var (
--- a/peer/stream_test.go
+++ b/peer/stream_test.go
@@ -16,9 +16,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
 )
 
 func framed(body string) []byte {
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -23,38 +23,38 @@
 // once.
 type plannedFleet struct {
 	endpoint.Engine
-	hosts  []platform.Host
-	offers []platform.Offer
+	hosts  []infra.Host
+	offers []infra.Offer
 }
 
 func newPlannedFleet() *plannedFleet {
 	f := &plannedFleet{}
 	for i := range plannedReplicas {
 		id := fmt.Sprint("host-", i)
-		f.hosts = append(f.hosts, platform.Host{
+		f.hosts = append(f.hosts, infra.Host{
 			ID: id, Incarnation: id, FailureDomain: fmt.Sprint("fd-", i%plannedDomains), Class: "spot",
-			Reclaimable: true, State: platform.HostLive, PricePerHour: 1,
-			Endpoints: []platform.Endpoint{{ID: id, Kind: platform.KindEngine, Addr: id, Name: "lm", Version: "1"}},
+			Reclaimable: true, State: infra.HostLive, PricePerHour: 1,
+			Endpoints: []infra.Endpoint{{ID: id, Kind: infra.KindEngine, Addr: id, Name: "lm", Version: "1"}},
 		})
 	}
 	for i := range plannedDomains {
-		f.offers = append(f.offers, platform.Offer{FailureDomain: fmt.Sprint("fd-", i), Class: "spot", Reclaimable: true, PricePerHour: 1})
+		f.offers = append(f.offers, infra.Offer{FailureDomain: fmt.Sprint("fd-", i), Class: "spot", Reclaimable: true, PricePerHour: 1})
 	}
 	return f
 }
 
-func (f *plannedFleet) Hosts(context.Context) ([]platform.Host, error)     { return f.hosts, nil }
-func (f *plannedFleet) Offers(context.Context) ([]platform.Offer, error)   { return f.offers, nil }
+func (f *plannedFleet) Hosts(context.Context) ([]infra.Host, error)        { return f.hosts, nil }
+func (f *plannedFleet) Offers(context.Context) ([]infra.Offer, error)      { return f.offers, nil }
 func (f *plannedFleet) Release(context.Context, string) error              { return nil }
 func (f *plannedFleet) Fence() (uint64, bool)                              { return 1, true }
 func (f *plannedFleet) Order(context.Context, endpoint.Order) error        { return nil }
 func (f *plannedFleet) Versions(context.Context, string) ([]string, error) { return []string{"1"}, nil }
 
-func (f *plannedFleet) Request(context.Context, platform.HostRequest) (platform.Host, error) {
-	return platform.Host{}, nil
+func (f *plannedFleet) Request(context.Context, infra.HostRequest) (infra.Host, error) {
+	return infra.Host{}, nil
 }
 
-func (f *plannedFleet) Notices(context.Context, uint64) ([]platform.Notice, error) { return nil, nil }
+func (f *plannedFleet) Notices(context.Context, uint64) ([]infra.Notice, error) { return nil, nil }
 
 func (f *plannedFleet) State(context.Context) (endpoint.State, error) {
 	return endpoint.State{Models: []endpoint.LoadedModel{{Model: "lm", Version: "1"}}}, nil
--- a/placement/hosts.go
+++ b/placement/hosts.go
@@ -10,16 +10,16 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // request is a host that was asked for and is not listed yet.
 type request struct {
-	platform.HostRequest
-	offer platform.Offer
+	infra.HostRequest
+	offer infra.Offer
 	// host is the answer; its ID is empty while the answer is not known.
-	host  platform.Host
+	host  infra.Host
 	since time.Time
 }
 
@@ -94,7 +94,7 @@
 		if !ready {
 			return nil
 		}
-		q := &request{offer: p.units[i].offer, since: time.Now(), HostRequest: platform.HostRequest{
+		q := &request{offer: p.units[i].offer, since: time.Now(), HostRequest: infra.HostRequest{
 			RequestID:     uuid.NewString(),
 			FailureDomain: p.units[i].offer.FailureDomain, Class: p.units[i].offer.Class,
 			Reclaimable: p.units[i].offer.Reclaimable,
@@ -118,7 +118,7 @@
 	if err := c.holds(); err != nil {
 		return err
 	}
-	var host platform.Host
+	var host infra.Host
 	err := c.call(ctx, func(ctx context.Context) (err error) {
 		host, err = c.Cloud.Request(ctx, q.HostRequest)
 		return err
@@ -162,12 +162,12 @@
 }
 
 // runnerUp returns the cheapest open offer that the plan does not use.
-func (c *Controller) runnerUp(p *plan) (platform.Offer, bool) {
+func (c *Controller) runnerUp(p *plan) (infra.Offer, bool) {
 	used := make(map[kind]bool)
 	for _, u := range p.units {
 		used[kindOf(u.offer)] = true
 	}
-	var best platform.Offer
+	var best infra.Offer
 	found := false
 	for _, o := range c.offers {
 		if !used[kindOf(o)] && c.refusals.open(o, time.Now()) && (!found || c.price(o) < c.price(best)) {
@@ -226,7 +226,7 @@
 func (c *Controller) releaseDrained(ctx context.Context) error {
 	now := time.Now()
 	for _, r := range c.fleet.replicas {
-		if r.host.State != platform.HostLive || !r.state.Leaving {
+		if r.host.State != infra.HostLive || !r.state.Leaving {
 			continue
 		}
 		since, draining := c.drains[r.host.Incarnation]
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // pollConcurrency bounds the engines that are asked at the same time.
@@ -16,9 +16,9 @@
 
 // replica is one engine on a listed host.
 type replica struct {
-	host platform.Host
+	host infra.Host
 	// endpoint is the host's engine.
-	endpoint platform.Endpoint
+	endpoint infra.Endpoint
 	observation
 }
 
@@ -32,7 +32,7 @@
 
 // leaving reports whether the replica's host will go, by any source.
 func (r *replica) leaving() bool {
-	return r.host.State == platform.HostLeaving || r.state.Leaving
+	return r.host.State == infra.HostLeaving || r.state.Leaving
 }
 
 // idle reports whether an engine that answered has no streams.
@@ -55,7 +55,7 @@
 // observe reads the host list, the offers and the engines' reports. Offers
 // and reports that can't be had now stay as they were.
 func (c *Controller) observe(ctx context.Context) error {
-	var hosts []platform.Host
+	var hosts []infra.Host
 	err := c.call(ctx, func(ctx context.Context) (err error) {
 		hosts, err = c.HostList.Hosts(ctx)
 		return err
@@ -83,11 +83,11 @@
 }
 
 // list replaces the replicas by those of the listed hosts.
-func (f *fleet) list(hosts []platform.Host) {
+func (f *fleet) list(hosts []infra.Host) {
 	seen := make(map[string]observation, len(hosts))
 	f.replicas = f.replicas[:0]
 	for _, h := range hosts {
-		i := slices.IndexFunc(h.Endpoints, func(e platform.Endpoint) bool { return e.Kind == platform.KindEngine })
+		i := slices.IndexFunc(h.Endpoints, func(e infra.Endpoint) bool { return e.Kind == infra.KindEngine })
 		if i < 0 {
 			continue
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,7 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -109,9 +109,9 @@
 // Deps are what a Controller works with.
 type Deps struct {
 	Lease       Lease
-	HostList    platform.HostList
-	Cloud       platform.Cloud
-	WeightStore platform.WeightStore
+	HostList    infra.HostList
+	Cloud       infra.Cloud
+	WeightStore infra.WeightStore
 	Endpoints   endpoint.Client
 	// Template returns the template in force, Demand the demand now.
 	Template func() *template.Template
@@ -137,7 +137,7 @@
 	saving float64
 
 	fleet    fleet
-	offers   []platform.Offer
+	offers   []infra.Offer
 	refusals *refusals
 	slots    *slots
 	needs    map[string]*window
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	endpointrest "github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
 	"github.com/coltsfootcleat/coltsfootcleat/placement"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
@@ -57,20 +57,20 @@
 
 // cloud passes calls on and can lose the answers of requests.
 type cloud struct {
-	platform.Cloud
+	infra.Cloud
 	mu    sync.Mutex
 	lose  bool
 	calls int
 }
 
-func (c *cloud) Request(ctx context.Context, r platform.HostRequest) (platform.Host, error) {
+func (c *cloud) Request(ctx context.Context, r infra.HostRequest) (infra.Host, error) {
 	c.mu.Lock()
 	lose := c.lose
 	c.calls++
 	c.mu.Unlock()
 	h, err := c.Cloud.Request(ctx, r)
 	if lose {
-		return platform.Host{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "cloud: %w", errors.New("lost"))
+		return infra.Host{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "cloud: %w", errors.New("lost"))
 	}
 	return h, err
 }
@@ -177,11 +177,11 @@
 	return out
 }
 
-func (w *world) live() []platform.Host {
+func (w *world) live() []infra.Host {
 	hosts, err := w.deployment.Platform.HostList.Hosts(w.TB.Context())
 	w.Assert(err, qt.IsNil)
-	return slices.DeleteFunc(hosts, func(h platform.Host) bool {
-		return h.State != platform.HostLive || h.Endpoints[0].Kind != platform.KindEngine
+	return slices.DeleteFunc(hosts, func(h infra.Host) bool {
+		return h.State != infra.HostLive || h.Endpoints[0].Kind != infra.KindEngine
 	})
 }
 
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -162,13 +162,13 @@
 
 // price returns what a host of an offer costs per hour, with the expected
 // cost of losing it.
-func (c *Controller) price(o platform.Offer) float64 {
+func (c *Controller) price(o infra.Offer) float64 {
 	return o.PricePerHour + o.LossPerHour*c.cfg.LossCost
 }
 
 // kept returns the price of a host that runs already. It is lower, so that a
 // host is replaced only where that pays.
-func (c *Controller) kept(o platform.Offer) float64 {
+func (c *Controller) kept(o infra.Offer) float64 {
 	return c.price(o) * (1 - c.saving)
 }
 
@@ -183,8 +183,8 @@
 
 // running returns the price of a running host, by its own price and the loss
 // rate of its kind.
-func (c *Controller) running(h platform.Host) float64 {
-	o := platform.Offer{PricePerHour: h.PricePerHour}
+func (c *Controller) running(h infra.Host) float64 {
+	o := infra.Offer{PricePerHour: h.PricePerHour}
 	for _, other := range c.offers {
 		if other.FailureDomain == h.FailureDomain && other.Class == h.Class && other.Reclaimable == h.Reclaimable {
 			o.LossPerHour = other.LossPerHour
--- a/placement/refusals.go
+++ b/placement/refusals.go
@@ -5,7 +5,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // kind names what the cloud refuses: a class in a failure domain.
@@ -14,7 +14,7 @@
 	reclaimable   bool
 }
 
-func kindOf(o platform.Offer) kind {
+func kindOf(o infra.Offer) kind {
 	return kind{domain: o.FailureDomain, class: o.Class, reclaimable: o.Reclaimable}
 }
 
@@ -35,13 +35,13 @@
 }
 
 // open reports whether an offer may be tried.
-func (r *refusals) open(o platform.Offer, now time.Time) bool {
+func (r *refusals) open(o infra.Offer, now time.Time) bool {
 	refused := r.kinds[kindOf(o)]
 	return refused == nil || !now.Before(refused.until)
 }
 
 // refuse closes an offer and returns for how long.
-func (r *refusals) refuse(o platform.Offer, now time.Time) time.Duration {
+func (r *refusals) refuse(o infra.Offer, now time.Time) time.Duration {
 	k := kindOf(o)
 	refused := r.kinds[k]
 	if refused == nil {
@@ -56,4 +56,4 @@
 }
 
 // grant forgets the refusals of an offer.
-func (r *refusals) grant(o platform.Offer) { delete(r.kinds, kindOf(o)) }
+func (r *refusals) grant(o infra.Offer) { delete(r.kinds, kindOf(o)) }
--- a/placement/slots.go
+++ b/placement/slots.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // load is a model version on an endpoint; slots are not bound to one.
@@ -14,13 +14,13 @@
 // slots are reservations of the weight store. Those that are not due yet, or
 // were not used, wait for the next load of their version.
 type slots struct {
-	store platform.WeightStore
+	store infra.WeightStore
 	due   map[load][]time.Time
 	// wanted counts the loads that asked in this round.
 	wanted map[load]int
 }
 
-func newSlots(store platform.WeightStore) *slots {
+func newSlots(store infra.WeightStore) *slots {
 	return &slots{store: store, due: make(map[load][]time.Time), wanted: make(map[load]int)}
 }
 
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // option is a number of equal places for replicas in one failure domain.
@@ -16,7 +16,7 @@
 	// hosts are the running hosts that the option consists of; an option
 	// without any is what the cloud offers.
 	hosts []string
-	offer platform.Offer
+	offer infra.Offer
 }
 
 // unit is one place chosen of an option.
@@ -24,7 +24,7 @@
 	domain string
 	// host is the running host; empty for an offer.
 	host  string
-	offer platform.Offer
+	offer infra.Offer
 }
 
 // spread chooses the cheapest places such that there are at least need of
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,7 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/relay"
 	"github.com/coltsfootcleat/coltsfootcleat/routing"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
@@ -155,7 +155,7 @@
 		}
 		if !excluded {
 			f.held++
-			return routing.Choice{Endpoint: platform.Endpoint{ID: name, Addr: name}, HostID: "host-" + name}, nil
+			return routing.Choice{Endpoint: infra.Endpoint{ID: name, Addr: name}, HostID: "host-" + name}, nil
 		}
 	}
 	return routing.Choice{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no endpoint")
--- a/routing/decision_test.go
+++ b/routing/decision_test.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/prefix"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
@@ -36,7 +36,7 @@
 			hosts[0].PricePerHour = 0
 			hosts[1].PricePerHour = 0
 			f.SetHosts(hosts)
-			f.SetOffers([]platform.Offer{
+			f.SetOffers([]infra.Offer{
 				{FailureDomain: "recife", Class: "small", Reclaimable: true, PricePerHour: 1, LossPerHour: 60},
 				{FailureDomain: "fortaleza", Class: "small", Reclaimable: true, PricePerHour: 1.2, LossPerHour: 0.1},
 			})
--- a/routing/economics.go
+++ b/routing/economics.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 const (
@@ -27,13 +27,13 @@
 	reclaimable   bool
 }
 
-func offerOf(h *platform.Host) offerKey {
+func offerOf(h *infra.Host) offerKey {
 	return offerKey{h.FailureDomain, h.Class, h.Reclaimable}
 }
 
 // market knows prices and loss rates. It is guarded by Fleet.mu.
 type market struct {
-	offers   map[offerKey]platform.Offer
+	offers   map[offerKey]infra.Offer
 	observed map[offerKey]exposure
 	last     time.Time
 }
@@ -45,14 +45,14 @@
 }
 
 func newMarket() market {
-	return market{offers: make(map[offerKey]platform.Offer), observed: make(map[offerKey]exposure)}
+	return market{offers: make(map[offerKey]infra.Offer), observed: make(map[offerKey]exposure)}
 }
 
 // SetOffers takes over the prices and loss rates that the cloud states.
-func (f *Fleet) SetOffers(offers []platform.Offer) {
+func (f *Fleet) SetOffers(offers []infra.Offer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.market.offers = make(map[offerKey]platform.Offer, len(offers))
+	f.market.offers = make(map[offerKey]infra.Offer, len(offers))
 	for _, o := range offers {
 		f.market.offers[offerKey{o.FailureDomain, o.Class, o.Reclaimable}] = o
 	}
@@ -79,7 +79,7 @@
 }
 
 // lose counts the loss of a host.
-func (m *market) lose(h *platform.Host) {
+func (m *market) lose(h *infra.Host) {
 	e := m.observed[offerOf(h)]
 	e.losses++
 	m.observed[offerOf(h)] = e
@@ -87,7 +87,7 @@
 
 // of returns a host's price, as listed before as offered, and its loss rate,
 // the offer's mixed with own observation.
-func (m *market) of(h *platform.Host) *econ {
+func (m *market) of(h *infra.Host) *econ {
 	key := offerOf(h)
 	offer := m.offers[key]
 	price := h.PricePerHour
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -7,8 +7,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -34,7 +34,7 @@
 
 	// mu guards what builds the view.
 	mu       sync.Mutex
-	listed   []platform.Host
+	listed   []infra.Host
 	hosts    map[hostKey]*hostState
 	replicas map[replicaKey]*replica
 	left     map[hostKey]leavingMark
@@ -52,7 +52,7 @@
 // replicaKey names an endpoint on one incarnation of a host.
 type replicaKey struct {
 	host     hostKey
-	endpoint platform.Endpoint
+	endpoint infra.Endpoint
 }
 
 // NewFleet returns a Fleet without hosts.
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -7,7 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -17,20 +17,20 @@
 )
 
 // testHost returns a host with one engine "e<n>".
-func testHost(n int, domain string) platform.Host {
-	return platform.Host{
+func testHost(n int, domain string) infra.Host {
+	return infra.Host{
 		ID: fmt.Sprintf("h%d", n), Incarnation: "1", FailureDomain: domain, Class: "small",
-		Reclaimable: true, State: platform.HostLive, PricePerHour: 1,
-		Endpoints: []platform.Endpoint{{
-			ID: fmt.Sprintf("e%d", n), Kind: platform.KindEngine, Addr: fmt.Sprintf("10.0.0.%d:80", n),
+		Reclaimable: true, State: infra.HostLive, PricePerHour: 1,
+		Endpoints: []infra.Endpoint{{
+			ID: fmt.Sprintf("e%d", n), Kind: infra.KindEngine, Addr: fmt.Sprintf("10.0.0.%d:80", n),
 			Name: testModel, Version: testVersion,
 		}},
 	}
 }
 
-func testHosts(n int) []platform.Host {
+func testHosts(n int) []infra.Host {
 	domains := []string{"recife", "fortaleza", "salvador"}
-	hosts := make([]platform.Host, n)
+	hosts := make([]infra.Host, n)
 	for i := range hosts {
 		hosts[i] = testHost(i, domains[i%len(domains)])
 	}
@@ -114,10 +114,10 @@
 }
 
 // serviceHosts returns hosts with one endpoint of the service "market" each.
-func serviceHosts(n int) []platform.Host {
+func serviceHosts(n int) []infra.Host {
 	hosts := testHosts(n)
 	for i := range hosts {
-		hosts[i].Endpoints[0].Kind = platform.KindService
+		hosts[i].Endpoints[0].Kind = infra.KindService
 		hosts[i].Endpoints[0].Name = "market"
 	}
 	return hosts
--- a/routing/headroom.go
+++ b/routing/headroom.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // Headroom is the room that the endpoints of a model have for streams.
@@ -24,7 +24,7 @@
 	var h Headroom
 	known := false
 	for key, g := range f.view.Load().groups {
-		if key.kind != platform.KindEngine || key.name != model {
+		if key.kind != infra.KindEngine || key.name != model {
 			continue
 		}
 		known = true
--- a/routing/hosts.go
+++ b/routing/hosts.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // leavingRetention is how long a leaving incarnation is remembered after the
@@ -21,7 +21,7 @@
 
 // SetHosts takes over a host list. The list lags: an incarnation marked as
 // leaving stays so, whatever the list says.
-func (f *Fleet) SetHosts(hosts []platform.Host) {
+func (f *Fleet) SetHosts(hosts []infra.Host) {
 	var found []leavingHost
 	f.mu.Lock()
 	f.listed = hosts
@@ -29,7 +29,7 @@
 	for _, h := range hosts {
 		key := hostKey{h.ID, h.Incarnation}
 		mark, marked := f.left[key]
-		if !marked && h.State == platform.HostLeaving {
+		if !marked && h.State == infra.HostLeaving {
 			mark = leavingMark{reason: ReasonHostList}
 			found = append(found, leavingHost{key, mark.reason})
 			marked = true
@@ -146,7 +146,7 @@
 
 // hostOf returns the state of a listed host, with its leaving mark, price and
 // loss rate. f.mu is held.
-func (f *Fleet) hostOf(listed *platform.Host) *hostState {
+func (f *Fleet) hostOf(listed *infra.Host) *hostState {
 	key := hostKey{listed.ID, listed.Incarnation}
 	h := f.hosts[key]
 	if h == nil {
--- a/routing/leaving_test.go
+++ b/routing/leaving_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 )
 
 // TestNoNewWorkAfterMark chooses from many goroutines while hosts leave: what
@@ -78,7 +78,7 @@
 	told := 0
 	f := NewFleet(Options{OnLeaving: func(_, _, _ string) { told++ }})
 	hosts := testHosts(2)
-	hosts[0].State = platform.HostLeaving
+	hosts[0].State = infra.HostLeaving
 	f.SetHosts(hosts)
 	f.SetHosts(hosts)
 	c.Assert(told, qt.Equals, 1)
--- a/routing/loads.go
+++ b/routing/loads.go
@@ -1,10 +1,10 @@
 package routing
 
-import "github.com/coltsfootcleat/coltsfootcleat/platform"
+import "github.com/coltsfootcleat/coltsfootcleat/infra"
 
 // EndpointLoad is what is known of an endpoint's speed and room.
 type EndpointLoad struct {
-	Endpoint platform.Endpoint
+	Endpoint infra.Endpoint
 	HostID   string
 	Leaving  bool
 	// PrefillRate and DecodeRate are in tokens per second; DecodeRate is that
@@ -25,7 +25,7 @@
 	now := f.now()
 	var out []EndpointLoad
 	for _, r := range f.view.Load().all {
-		if r.endpoint.Kind != platform.KindEngine {
+		if r.endpoint.Kind != infra.KindEngine {
 			continue
 		}
 		r.mu.Lock()
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // pick applies the Fleet's policy, or the one policy for plain services.
 func (f *Fleet) pick(v *view, g *group, req *Request, now time.Time) pick {
-	if g.replicas[0].endpoint.Kind == platform.KindService {
+	if g.replicas[0].endpoint.Kind == infra.KindService {
 		return f.pickService(g, req, now)
 	}
 	switch f.opts.Policy {
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 const (
@@ -35,14 +35,14 @@
 // 2024): what a choice needs is fresh reports from the endpoints that it
 // samples. Load that comes with answers does most of it here, so that one
 // probe for four requests is enough.
-func (f *Fleet) NextProbe() (platform.Endpoint, bool) {
+func (f *Fleet) NextProbe() (infra.Endpoint, bool) {
 	now := f.now()
 	if !f.takeProbe(now) {
-		return platform.Endpoint{}, false
+		return infra.Endpoint{}, false
 	}
 	v := f.view.Load()
 	if len(v.probed) == 0 {
-		return platform.Endpoint{}, false
+		return infra.Endpoint{}, false
 	}
 	if r := f.dueEjected(now); r != nil {
 		return r.endpoint, true
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // hostState is what the Fleet knows of one incarnation of a host. The Host is
 // as first listed.
 type hostState struct {
-	platform.Host
+	infra.Host
 	// leavingSeq orders MarkLeaving against choices; 0 while the host stays.
 	leavingSeq atomic.Uint64
 	// reason is written once, before leavingSeq is set.
@@ -24,7 +24,7 @@
 
 // replica is the state of one endpoint.
 type replica struct {
-	endpoint platform.Endpoint
+	endpoint infra.Endpoint
 	host     *hostState
 	stats    *groupStats
 	// seed is the endpoint's part of the rendezvous hash.
--- a/routing/types.go
+++ b/routing/types.go
@@ -5,7 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
@@ -80,7 +80,7 @@
 // Choice is a reserved place on an endpoint. Every Choice must be given back
 // by Fleet.Done, once.
 type Choice struct {
-	Endpoint      platform.Endpoint
+	Endpoint      infra.Endpoint
 	HostID        string
 	Incarnation   string
 	FailureDomain string
@@ -107,15 +107,15 @@
 
 // EndpointStatus describes an endpoint for status pages.
 type EndpointStatus struct {
-	Endpoint      platform.Endpoint `json:"endpoint"`
-	HostID        string            `json:"host_id"`
-	Incarnation   string            `json:"incarnation"`
-	FailureDomain string            `json:"failure_domain"`
-	Class         string            `json:"class"`
-	Reclaimable   bool              `json:"reclaimable"`
-	Leaving       bool              `json:"leaving"`
-	LeavingReason string            `json:"leaving_reason,omitempty"`
-	Ejected       bool              `json:"ejected"`
+	Endpoint      infra.Endpoint `json:"endpoint"`
+	HostID        string         `json:"host_id"`
+	Incarnation   string         `json:"incarnation"`
+	FailureDomain string         `json:"failure_domain"`
+	Class         string         `json:"class"`
+	Reclaimable   bool           `json:"reclaimable"`
+	Leaving       bool           `json:"leaving"`
+	LeavingReason string         `json:"leaving_reason,omitempty"`
+	Ejected       bool           `json:"ejected"`
 	// InFlight counts this entry's own requests on the endpoint.
 	InFlight int `json:"in_flight"`
 	// Running and Waiting are as last reported; ReportAge says how long ago,
--- a/routing/view.go
+++ b/routing/view.go
@@ -1,6 +1,6 @@
 package routing
 
-import "github.com/coltsfootcleat/coltsfootcleat/platform"
+import "github.com/coltsfootcleat/coltsfootcleat/infra"
 
 // view is an immutable picture of the fleet, replaced as a whole, so that a
 // choice takes no lock on it.
@@ -18,21 +18,21 @@
 // groupKey names what a group of endpoints serves: a version of a model, or a
 // plain service.
 type groupKey struct {
-	kind    platform.EndpointKind
+	kind    infra.EndpointKind
 	name    string
 	version string
 }
 
 func engineKey(model, version string) groupKey {
-	return groupKey{platform.KindEngine, model, version}
+	return groupKey{infra.KindEngine, model, version}
 }
 
 func serviceKey(name string) groupKey {
-	return groupKey{platform.KindService, name, ""}
+	return groupKey{infra.KindService, name, ""}
 }
 
-func keyOf(e platform.Endpoint) groupKey {
-	if e.Kind == platform.KindService {
+func keyOf(e infra.Endpoint) groupKey {
+	if e.Kind == infra.KindService {
 		return serviceKey(e.Name)
 	}
 	return engineKey(e.Name, e.Version)
@@ -83,7 +83,7 @@
 	g.replicas = append(g.replicas, r)
 	g.seeds = append(g.seeds, r.seed)
 	g.meanPrice += (r.host.econ.Load().pricePerSecond - g.meanPrice) / float64(len(g.replicas))
-	if r.endpoint.Kind == platform.KindEngine {
+	if r.endpoint.Kind == infra.KindEngine {
 		v.probed = append(v.probed, r)
 	}
 }
--- a/standin/admin.go
+++ b/standin/admin.go
@@ -7,8 +7,8 @@
 	"time"
 
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/httpjson"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -45,7 +45,7 @@
 
 func (d *Deployment) adminHosts(*http.Request) (any, error) {
 	hosts := d.Hosts()
-	slices.SortFunc(hosts, func(a, b platform.Host) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(hosts, func(a, b infra.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return hosts, nil
 }
 
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -13,8 +13,8 @@
 	"github.com/sirupsen/logrus"
 
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	platformstandin "github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	infrastandin "github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 )
 
 // readHeaderTimeout bounds the time to read a request's headers.
@@ -29,7 +29,7 @@
 // Deployment is a platform and hosts with endpoints. It is safe for
 // concurrent use.
 type Deployment struct {
-	Platform *platformstandin.Platform
+	Platform *infrastandin.Platform
 
 	settings Settings
 	dial     Dial
@@ -54,7 +54,7 @@
 		return nil, fmt.Errorf("stand-in settings: %w", err)
 	}
 	d := &Deployment{
-		Platform: platformstandin.NewPlatform(s.Seed),
+		Platform: infrastandin.NewPlatform(s.Seed),
 		settings: s,
 		dial:     dial,
 		log:      log,
@@ -68,18 +68,18 @@
 
 func (d *Deployment) setUpPlatform() {
 	p := d.settings.Platform
-	d.Platform.Table.SetFaults(platformstandin.TableFaults{Latency: p.TableLatency.Std()})
-	d.Platform.HostList.SetFaults(platformstandin.HostListFaults{Lag: p.HostListLag.Std()})
-	d.Platform.WeightStore = platformstandin.NewWeightStore(p.WeightLoadsPerMinute, p.WeightBurst)
+	d.Platform.Table.SetFaults(infrastandin.TableFaults{Latency: p.TableLatency.Std()})
+	d.Platform.HostList.SetFaults(infrastandin.HostListFaults{Lag: p.HostListLag.Std()})
+	d.Platform.WeightStore = infrastandin.NewWeightStore(p.WeightLoadsPerMinute, p.WeightBurst)
 	for _, w := range p.Weights {
 		for _, version := range w.Versions {
 			d.Platform.WeightStore.Publish(w.Model, version)
 		}
 	}
-	var offers []platform.Offer
+	var offers []infra.Offer
 	for _, domain := range d.settings.FailureDomains {
 		for _, o := range domain.Offers {
-			offers = append(offers, platform.Offer{
+			offers = append(offers, infra.Offer{
 				FailureDomain: domain.Name, Region: domain.Region, Class: o.Class,
 				Reclaimable: o.Reclaimable, PricePerHour: o.PricePerHour, LossPerHour: o.LossPerHour,
 			})
@@ -109,7 +109,7 @@
 }
 
 func (d *Deployment) startHosts() error {
-	var hosts []platform.Host
+	var hosts []infra.Host
 	for _, domain := range d.settings.FailureDomains {
 		for _, g := range domain.Hosts {
 			for range g.Count {
@@ -143,29 +143,29 @@
 var errClosed = errors.New("deployment is closed")
 
 // startHost starts a host of a group on the next free address.
-func (d *Deployment) startHost(domain FailureDomain, g Group, cold bool) (platform.Host, error) {
+func (d *Deployment) startHost(domain FailureDomain, g Group, cold bool) (infra.Host, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed || d.listen == nil {
-		return platform.Host{}, errClosed
+		return infra.Host{}, errClosed
 	}
 	ip, err := d.addressLocked(domain)
 	if err != nil {
-		return platform.Host{}, err
+		return infra.Host{}, err
 	}
 	d.created++
 	id := fmt.Sprintf("%s-%d", domain.Name, d.created)
 	m := &machine{
 		since:   time.Now(),
 		service: make(map[string]*enginestandin.Service),
-		host: platform.Host{
+		host: infra.Host{
 			ID: id, Incarnation: id + "-" + ip.String(), FailureDomain: domain.Name, Region: domain.Region,
-			Class: g.Class, Reclaimable: g.Reclaimable, State: platform.HostLive, PricePerHour: g.PricePerHour,
+			Class: g.Class, Reclaimable: g.Reclaimable, State: infra.HostLive, PricePerHour: g.PricePerHour,
 		},
 	}
 	if err := d.startEndpointsLocked(m, ip, g, cold); err != nil {
 		m.stop()
-		return platform.Host{}, fmt.Errorf("host %s: %w", id, err)
+		return infra.Host{}, fmt.Errorf("host %s: %w", id, err)
 	}
 	d.machines[id] = m
 	d.used[ip] = true
@@ -199,8 +199,8 @@
 	cfg.Seed = d.settings.Seed + uint64(d.created)
 	m.engine = enginestandin.NewEngine(cfg)
 	m.serve(l, m.engine.Handler())
-	m.host.Endpoints = append(m.host.Endpoints, platform.Endpoint{
-		ID: m.host.ID + "/engine", Kind: platform.KindEngine, Addr: addr,
+	m.host.Endpoints = append(m.host.Endpoints, infra.Endpoint{
+		ID: m.host.ID + "/engine", Kind: infra.KindEngine, Addr: addr,
 		Name: g.Model, Version: g.Version, ChecksFence: cfg.ChecksFence,
 	})
 	d.Platform.WeightStore.Publish(g.Model, g.Version)
@@ -225,8 +225,8 @@
 	})
 	m.service[name] = service
 	m.serve(l, service.Handler())
-	m.host.Endpoints = append(m.host.Endpoints, platform.Endpoint{
-		ID: m.host.ID + "/" + name, Kind: platform.KindService, Addr: addr, Name: name, ChecksFence: s.ChecksFence,
+	m.host.Endpoints = append(m.host.Endpoints, infra.Endpoint{
+		ID: m.host.ID + "/" + name, Kind: infra.KindService, Addr: addr, Name: name, ChecksFence: s.ChecksFence,
 	})
 	return nil
 }
@@ -247,10 +247,10 @@
 
 // Provision implements platform/standin.Provisioner. A new host loads its
 // model first.
-func (p provisioner) Provision(r platform.HostRequest, o platform.Offer) (platform.Host, error) {
+func (p provisioner) Provision(r infra.HostRequest, o infra.Offer) (infra.Host, error) {
 	i := slices.IndexFunc(p.settings.FailureDomains, func(d FailureDomain) bool { return d.Name == r.FailureDomain })
 	if i < 0 {
-		return platform.Host{}, fmt.Errorf("no failure domain %q", r.FailureDomain)
+		return infra.Host{}, fmt.Errorf("no failure domain %q", r.FailureDomain)
 	}
 	g := Group{Class: o.Class, Reclaimable: o.Reclaimable, PricePerHour: o.PricePerHour, Model: r.Model, Version: r.Version}
 	return p.startHost(p.settings.FailureDomains[i], g, true)
--- a/standin/deployment_test.go
+++ b/standin/deployment_test.go
@@ -18,9 +18,9 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/endpoint"
 	endpointrest "github.com/coltsfootcleat/coltsfootcleat/endpoint/rest"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	infrarest "github.com/coltsfootcleat/coltsfootcleat/infra/rest"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	platformrest "github.com/coltsfootcleat/coltsfootcleat/platform/rest"
 	"github.com/coltsfootcleat/coltsfootcleat/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -31,7 +31,7 @@
 type world struct {
 	*qt.C
 	deployment *standin.Deployment
-	platform   *platformrest.Client
+	platform   *infrarest.Client
 	endpoints  *endpointrest.Client
 	http       *http.Client
 }
@@ -49,7 +49,7 @@
 			c.Assert(d.Start(network.Listen), qt.IsNil)
 			w := &world{
 				C: c, deployment: d,
-				platform:  platformrest.New(base, dial, 10*time.Second),
+				platform:  infrarest.New(base, dial, 10*time.Second),
 				endpoints: endpointrest.NewClient(dial),
 				http:      &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
 			}
@@ -68,7 +68,7 @@
 	return logrus.NewEntry(log)
 }
 
-func (w *world) hosts() []platform.Host {
+func (w *world) hosts() []infra.Host {
 	w.Helper()
 	hosts, err := w.platform.HostList().Hosts(w.TB.Context())
 	w.Assert(err, qt.IsNil)
@@ -76,11 +76,11 @@
 }
 
 // engines returns the engine hosts of a failure domain; "" means all.
-func (w *world) engines(domain string) []platform.Host {
+func (w *world) engines(domain string) []infra.Host {
 	w.Helper()
-	var out []platform.Host
+	var out []infra.Host
 	for _, h := range w.hosts() {
-		if h.Endpoints[0].Kind == platform.KindEngine && (domain == "" || h.FailureDomain == domain) {
+		if h.Endpoints[0].Kind == infra.KindEngine && (domain == "" || h.FailureDomain == domain) {
 			out = append(out, h)
 		}
 	}
@@ -131,14 +131,14 @@
 
 func everyEndpoint(w *world) {
 	seen := make(map[string]bool)
-	kinds := make(map[platform.EndpointKind]int)
+	kinds := make(map[infra.EndpointKind]int)
 	for _, h := range w.hosts() {
-		w.Assert(h.State, qt.Equals, platform.HostLive)
+		w.Assert(h.State, qt.Equals, infra.HostLive)
 		for _, e := range h.Endpoints {
 			w.Assert(seen[e.Addr], qt.IsFalse)
 			seen[e.Addr] = true
 			kinds[e.Kind]++
-			if e.Kind == platform.KindEngine {
+			if e.Kind == infra.KindEngine {
 				_, err := w.generate(e.Addr, e.ID)
 				w.Assert(err, qt.IsNil)
 				continue
@@ -147,7 +147,7 @@
 			w.Assert(err, qt.IsNil)
 		}
 	}
-	w.Assert(kinds, qt.DeepEquals, map[platform.EndpointKind]int{platform.KindEngine: 9, platform.KindService: 3})
+	w.Assert(kinds, qt.DeepEquals, map[infra.EndpointKind]int{infra.KindEngine: 9, infra.KindService: 3})
 	r := w.records()
 	w.Assert(r.Totals.Attempts, qt.Equals, int64(9))
 	// The replicas of a service count together.
@@ -168,7 +168,7 @@
 	w.Assert(notices[0].Remaining, qt.Equals, 8*time.Second)
 	time.Sleep(2 * time.Second)
 	for _, h := range w.hosts() {
-		leaving := h.State == platform.HostLeaving
+		leaving := h.State == infra.HostLeaving
 		w.Assert(leaving, qt.Equals, h.FailureDomain == "midrand")
 	}
 	load, err := w.endpoints.Engine(addr).Load(w.TB.Context())
@@ -222,7 +222,7 @@
 
 func requestHost(w *world) {
 	ctx := w.TB.Context()
-	r := platform.HostRequest{RequestID: "q", FailureDomain: "centurion", Class: "gpu", Reclaimable: true, Model: "assistant", Version: "v1"}
+	r := infra.HostRequest{RequestID: "q", FailureDomain: "centurion", Class: "gpu", Reclaimable: true, Model: "assistant", Version: "v1"}
 	h, err := w.platform.Cloud().Request(ctx, r)
 	w.Assert(err, qt.IsNil)
 	for _, other := range w.hosts() {
--- a/standin/host.go
+++ b/standin/host.go
@@ -6,12 +6,12 @@
 	"time"
 
 	enginestandin "github.com/coltsfootcleat/coltsfootcleat/endpoint/standin"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // machine is a running host with its servers.
 type machine struct {
-	host    platform.Host
+	host    infra.Host
 	engine  *enginestandin.Engine
 	service map[string]*enginestandin.Service
 	servers []*server
--- a/standin/reclaim.go
+++ b/standin/reclaim.go
@@ -5,7 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
 // Reclaim announces that a host will be taken after notice, and takes it
@@ -61,10 +61,10 @@
 }
 
 // Hosts returns the running hosts, without lag and in no order.
-func (d *Deployment) Hosts() []platform.Host {
+func (d *Deployment) Hosts() []infra.Host {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	hosts := make([]platform.Host, 0, len(d.machines))
+	hosts := make([]infra.Host, 0, len(d.machines))
 	for _, m := range d.machines {
 		hosts = append(hosts, m.host)
 	}
--- a/telemetry/table.go
+++ b/telemetry/table.go
@@ -7,37 +7,37 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // table counts the calls of a table.
 type table struct {
-	next platform.Table
+	next infra.Table
 	m    *Metrics
 }
 
 // Table returns next with its calls counted and timed.
-func (m *Metrics) Table(next platform.Table) platform.Table { return &table{next: next, m: m} }
+func (m *Metrics) Table(next infra.Table) infra.Table { return &table{next: next, m: m} }
 
-// Get implements platform.Table.
-func (t *table) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+// Get implements infra.Table.
+func (t *table) Get(ctx context.Context, key string) (infra.Row, bool, error) {
 	start := time.Now()
 	row, ok, err := t.next.Get(ctx, key)
 	t.m.tableCall(ctx, "get", start, err)
 	return row, ok, err
 }
 
-// Scan implements platform.Table.
-func (t *table) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *table) Scan(ctx context.Context, prefix string) ([]infra.Row, error) {
 	start := time.Now()
 	rows, err := t.next.Scan(ctx, prefix)
 	t.m.tableCall(ctx, "scan", start, err)
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (t *table) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+// Commit implements infra.Table.
+func (t *table) Commit(ctx context.Context, writes ...infra.Write) (uint64, error) {
 	start := time.Now()
 	version, err := t.next.Commit(ctx, writes...)
 	t.m.tableCall(ctx, "commit", start, err)
--- a/template/approve_test.go
+++ b/template/approve_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
--- a/template/edit.go
+++ b/template/edit.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -46,8 +46,8 @@
 	if err != nil {
 		return invalid("draft: %w", err)
 	}
-	w := platform.Write{Key: draftKey(d.Name, d.ID), Value: value, Expect: platform.ExpectAbsent}
-	return s.settle(ctx, []platform.Write{w}, func(ctx context.Context) (bool, error) {
+	w := infra.Write{Key: draftKey(d.Name, d.ID), Value: value, Expect: infra.ExpectAbsent}
+	return s.settle(ctx, []infra.Write{w}, func(ctx context.Context) (bool, error) {
 		_, ok, err := s.get(ctx, w.Key)
 		return ok, err
 	})
@@ -101,7 +101,7 @@
 // approval returns the writes that put a draft in force. The head row makes
 // the commit conditional on the base version, and the draft row on the draft
 // not having been approved.
-func (s *Store) approval(d Draft, author string, headRow, draftRow uint64) ([]platform.Write, error) {
+func (s *Store) approval(d Draft, author string, headRow, draftRow uint64) ([]infra.Write, error) {
 	version := d.Base + 1
 	body := *d.Template
 	body.Version = version
@@ -120,18 +120,18 @@
 		expect uint64
 	}{
 		{headKey(d.Name), head, headRow},
-		{bodyKey(d.Name, version), &body, platform.ExpectAbsent},
-		{entryKey(d.Name, version), entry, platform.ExpectAbsent},
+		{bodyKey(d.Name, version), &body, infra.ExpectAbsent},
+		{entryKey(d.Name, version), entry, infra.ExpectAbsent},
 	}
-	writes := make([]platform.Write, 0, len(rows)+1)
+	writes := make([]infra.Write, 0, len(rows)+1)
 	for _, r := range rows {
 		value, err := json.Marshal(r.value)
 		if err != nil {
 			return nil, invalid("template: %w", err)
 		}
-		writes = append(writes, platform.Write{Key: r.key, Value: value, Expect: r.expect})
+		writes = append(writes, infra.Write{Key: r.key, Value: value, Expect: r.expect})
 	}
-	return append(writes, platform.Write{Key: draftKey(d.Name, d.ID), Delete: true, Expect: draftRow}), nil
+	return append(writes, infra.Write{Key: draftKey(d.Name, d.ID), Delete: true, Expect: draftRow}), nil
 }
 
 // settle commits writes and finds out whether they took effect when the answer
@@ -139,7 +139,7 @@
 // of all tries at most one can take effect, a delayed one included; that makes
 // it safe to try again. Once one try was lost, no later refusal proves that
 // the first one had, or will have, no effect; only done and a conflict do.
-func (s *Store) settle(ctx context.Context, writes []platform.Write, done func(context.Context) (bool, error)) error {
+func (s *Store) settle(ctx context.Context, writes []infra.Write, done func(context.Context) (bool, error)) error {
 	unknown := false
 	var last error
 	for try := range s.opts.Tries {
@@ -173,10 +173,10 @@
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "template: write: %w", last)
 }
 
-func (s *Store) commit(ctx context.Context, writes []platform.Write) error {
+func (s *Store) commit(ctx context.Context, writes []infra.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
 	defer cancel()
-	_, err := s.table.Commit(platform.WithPriority(ctx, platform.PriorityAccept), writes...)
+	_, err := s.table.Commit(infra.WithPriority(ctx, infra.PriorityAccept), writes...)
 	return err
 }
 
@@ -243,6 +243,6 @@
 }
 
 func isRowConflict(err error) bool {
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	return errors.As(err, &conflict)
 }
--- a/template/fleet_test.go
+++ b/template/fleet_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
-	"github.com/coltsfootcleat/coltsfootcleat/platform/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -79,21 +79,21 @@
 	return f, nil
 }
 
-func (l *link) Get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (l *link) Get(ctx context.Context, key string) (infra.Row, bool, error) {
 	if _, err := l.enter(ctx); err != nil {
-		return platform.Row{}, false, err
+		return infra.Row{}, false, err
 	}
 	return l.to().Get(ctx, key)
 }
 
-func (l *link) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (l *link) Scan(ctx context.Context, prefix string) ([]infra.Row, error) {
 	if _, err := l.enter(ctx); err != nil {
 		return nil, err
 	}
 	return l.to().Scan(ctx, prefix)
 }
 
-func (l *link) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+func (l *link) Commit(ctx context.Context, writes ...infra.Write) (uint64, error) {
 	l.mu.Lock()
 	l.commits++
 	n := l.commits
--- a/template/store.go
+++ b/template/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/coltsfootcleat/coltsfootcleat/platform"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -37,12 +37,12 @@
 // Store keeps templates in the table. It is safe for concurrent use, also by
 // many hosts at once.
 type Store struct {
-	table platform.Table
+	table infra.Table
 	opts  StoreOptions
 }
 
 // NewStore returns a Store over table.
-func NewStore(table platform.Table, opts StoreOptions) *Store {
+func NewStore(table infra.Table, opts StoreOptions) *Store {
 	if opts.CallTimeout <= 0 {
 		opts.CallTimeout = defaultCallTimeout
 	}
@@ -72,7 +72,7 @@
 	head := Head{Name: name}
 	row, ok, err := s.get(ctx, headKey(name))
 	if err != nil || !ok {
-		return head, platform.ExpectAbsent, err
+		return head, infra.ExpectAbsent, err
 	}
 	if err := json.Unmarshal(row.Value, &head); err != nil {
 		return head, 0, corrupt(row.Key, err)
@@ -141,7 +141,7 @@
 
 // get reads a row within the call timeout. Reads change nothing, so that their
 // failures are verdict.NotRun.
-func (s *Store) get(ctx context.Context, key string) (platform.Row, bool, error) {
+func (s *Store) get(ctx context.Context, key string) (infra.Row, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
 	defer cancel()
 	row, ok, err := s.table.Get(ctx, key)
