--- a/admission/admit.go
+++ b/admission/admit.go
@@ -45,7 +45,7 @@
 	now := c.now()
 	tokens := float64(max(r.Tokens, 1))
 	if !r.Resumed {
-		cu.demand.add(now, tokens)
+		cu.demand.Add(now, tokens)
 	}
 	p := c.pool(r.Kind, now)
 	p.look(now, &c.opts, c.roomPart())
@@ -90,7 +90,7 @@
 	if wait := cu.overCeiling(now, c.peerSpend(r.Customer)); wait > 0 {
 		return verdict.New(verdict.NotRun, verdict.CodeLimited, "cost ceiling reached").WithRetryAfter(wait)
 	}
-	if wait := cu.bucket.take(now, tokens); wait > 0 {
+	if wait := cu.bucket.Take(now, tokens); wait > 0 {
 		return verdict.New(verdict.NotRun, verdict.CodeLimited, "token limit reached").
 			WithRetryAfter(max(wait, minRetryAfter))
 	}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -123,7 +123,7 @@
 	now := c.now()
 	out := make(map[string]float64, len(c.customers))
 	for name, cu := range c.customers {
-		cu.told = cu.demand.rate(now)
+		cu.told = cu.demand.Rate(now)
 		out[name] = cu.told
 	}
 	return out
--- a/admission/customer.go
+++ b/admission/customer.go
@@ -3,14 +3,15 @@
 import (
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 )
 
 // customer is the state of one customer. It is guarded by the Controller.
 type customer struct {
 	params template.Customer
-	bucket bucket
-	demand meter
+	bucket rate.Bucket
+	demand rate.Meter
 	// told is the demand in the last digest. Parts of limits are computed
 	// from it and not from the demand of now: the others compute theirs from
 	// the same figure, so that the parts add up to one also while the demand
@@ -22,14 +23,14 @@
 
 func newCustomer(now time.Time) *customer {
 	cu := &customer{retries: newRetryBudget()}
-	cu.demand.at = now
-	cu.bucket.at = now
+	cu.demand.At = now
+	cu.bucket.At = now
 	return cu
 }
 
 // setPart gives the customer's bucket this entry's part of the limit.
 func (cu *customer) setPart(now time.Time, part float64) {
-	cu.bucket.resize(now, cu.params.TokensPerSecond*part, cu.params.BurstTokens*part)
+	cu.bucket.Resize(now, cu.params.TokensPerSecond*part, cu.params.BurstTokens*part)
 }
 
 // overCeiling returns how long new work must wait for the cost ceiling, given
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 )
 
 const (
@@ -33,13 +35,13 @@
 	spare  [ranks]float64
 	seenAt time.Time
 	// started measures the tokens started.
-	started meter
+	started rate.Meter
 	// timer looks for new room while requests wait.
 	timer *time.Timer
 }
 
 func newPool(model string, now time.Time) *pool {
-	return &pool{model: model, queue: newFairQueue(), started: meter{at: now}}
+	return &pool{model: model, queue: newFairQueue(), started: rate.Meter{At: now}}
 }
 
 // look takes a new look at the headroom, unless the last one is still good.
@@ -92,7 +94,7 @@
 	for i := range p.spare {
 		p.spare[i]--
 	}
-	p.started.add(now, tokens)
+	p.started.Add(now, tokens)
 }
 
 // give counts an ended request. An entry beyond its quota may not use the
@@ -101,7 +103,7 @@
 func (p *pool) give() { p.inFlight-- }
 
 // rate returns the tokens started per second.
-func (p *pool) rate(now time.Time) float64 { return p.started.rate(now) }
+func (p *pool) rate(now time.Time) float64 { return p.started.Rate(now) }
 
 // credit returns creditTime in the virtual time of the queue: what one unit
 // of share gets meanwhile if everybody is busy.
@@ -113,11 +115,11 @@
 // its customer before it at the customer's part of the rate, but not longer
 // than for all work before it.
 func (p *pool) wait(now time.Time, rank int, customer string, share float64) time.Duration {
-	rate := p.rate(now)
-	if p.queue.waiting == 0 || rate <= 0 {
+	perSecond := p.rate(now)
+	if p.queue.waiting == 0 || perSecond <= 0 {
 		return 0
 	}
 	own := p.queue.flow(customer, share).backlog(rank)
 	part := share / p.queue.activeShare(customer, share)
-	return seconds(min(own/(rate*part), p.queue.backlog(rank)/rate))
+	return rate.Seconds(min(own/(perSecond*part), p.queue.backlog(rank)/perSecond))
 }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -71,8 +71,8 @@
 				c.Assert(verdict.CodeOf(err), qt.Equals, test.code)
 				c.Assert(time.Since(began), qt.Equals, test.waited)
 				after := ctl.customers["b"].bucket
-				c.Assert(after.debt, qt.Equals, before.debt)
-				c.Assert(after.tokens >= before.tokens, qt.IsTrue, qt.Commentf("tokens are given back"))
+				c.Assert(after.Debt(), qt.Equals, before.Debt())
+				c.Assert(after.Tokens() >= before.Tokens(), qt.IsTrue, qt.Commentf("tokens are given back"))
 				stop()
 				wg.Wait()
 				c.Assert(ctl.pools["m"].queue.waiting, qt.Equals, 0)
--- a/admission/share.go
+++ b/admission/share.go
@@ -1,9 +1,8 @@
 package admission
 
+import "github.com/coltsfootcleat/coltsfootcleat/internal/rate"
+
 const (
-	// floorShare is the part of a limit that is divided equally whatever the
-	// demand, so that an entry whose demand is new is not refused outright.
-	floorShare = 0.2
 	// minShare is the share of a customer that is gone from the template.
 	minShare = 1e-3
 )
@@ -42,18 +41,9 @@
 	return c.part(own, others)
 }
 
-// part divides by demand, and equally as far as the floor goes or where no
-// peer was heard. Members that were not heard count as the average of those
-// that were, so that a partition can't lift all parts at once.
+// part is this entry's part of what is divided by demand. c.mu is held.
 func (c *Controller) part(own, others float64) float64 {
-	members := float64(max(c.members, len(c.peers)+1))
-	if len(c.peers) > 0 {
-		others *= (members - 1) / float64(len(c.peers))
-	}
-	if len(c.peers) == 0 || own+others <= 0 {
-		return 1 / members
-	}
-	return floorShare/members + (1-floorShare)*own/(own+others)
+	return rate.Share(own, others, len(c.peers), c.members)
 }
 
 // peerSpend returns what the other entries spent for a customer. c.mu is
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -25,7 +25,7 @@
 	t.done = true
 	now := c.now()
 	if u.Tokens > 0 && t.charged > 0 {
-		t.customer.bucket.correct(now, t.charged, float64(u.Tokens))
+		t.customer.bucket.Correct(now, t.charged, float64(u.Tokens))
 	}
 	t.customer.spend.add(now, u.Cost)
 	t.pool.give()
@@ -35,6 +35,6 @@
 // refund gives back the tokens of a request that did not start. The
 // Controller's lock is held.
 func (t *Ticket) refund(now time.Time) {
-	t.customer.bucket.correct(now, t.charged, 0)
+	t.customer.bucket.Correct(now, t.charged, 0)
 	t.charged = 0
 }
--- /dev/null
+++ b/app/gateway.go
@@ -0,0 +1,330 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/guard"
+	"github.com/coltsfootcleat/coltsfootcleat/lease"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
+	"github.com/coltsfootcleat/coltsfootcleat/telemetry"
+)
+
+const (
+	// gatewayDeployment is what entries that forward by route call their
+	// deployment among peers.
+	gatewayDeployment = "gateway"
+	// dutyLease is the lease of the entry that reports usage and orders
+	// replicas.
+	dutyLease = "duties"
+	// tableTimeout bounds a call of the table.
+	tableTimeout = 1500 * time.Millisecond
+	// entryWrites is how many writes a second one entry may make; what an
+	// entry needs is two.
+	entryWrites = 10
+	// sweepPeriod is how often idle connections and old state are dropped.
+	sweepPeriod = time.Second
+	// callerHeaderTimeout bounds the header of a request.
+	callerHeaderTimeout = 5 * time.Second
+	// callerIdleTimeout is how long clients' connections may be idle.
+	callerIdleTimeout = 30 * time.Second
+	// callerHeaderBytes bounds the header of a request.
+	callerHeaderBytes = 32 << 10
+	// idleGrace is how long after a stop signal idle connections are left
+	// open: the balancer takes two checks, a second apart, to notice.
+	idleGrace = 3500 * time.Millisecond
+)
+
+// Orderer orders replicas.
+type Orderer interface {
+	Order(ctx context.Context, fence uint64, service, domain string, count int, reclaimable bool) error
+}
+
+// Surroundings are what an entry that forwards by route needs around it.
+type Surroundings struct {
+	Dialect  gateway.Dialect
+	Table    infra.Table
+	Config   infra.Feed
+	Registry infra.Feed
+	Reports  usage.Sender
+	Orders   Orderer
+	// IsConfig says whether a row of Config holds the configuration.
+	IsConfig func(key string) bool
+	// DecodeConfig and DecodeReplica read rows of the feeds.
+	DecodeConfig  func(value []byte) (*config.Configuration, error)
+	DecodeReplica func(id string, value []byte) (replica.Entry, error)
+}
+
+// GatewayConfig is what a Gateway is built from.
+type GatewayConfig struct {
+	Settings     gateway.Settings
+	Surroundings Surroundings
+	Network      Network
+	Log          *logrus.Logger
+}
+
+// Gateway is one entry host that forwards by route. Start and Stop are called
+// once each.
+type Gateway struct {
+	app      *fx.App
+	log      *logrus.Entry
+	settings gateway.Settings
+	handler  *gateway.Handler
+	server   *http.Server
+	registry *member.Registry
+	lease    *lease.Lease
+	ready    *readiness
+}
+
+// NewGateway builds an entry. Nothing runs before Start.
+func NewGateway(c GatewayConfig) (*Gateway, error) {
+	g := &Gateway{settings: c.Settings, log: c.Log.WithField("entry", c.Settings.ID)}
+	g.app = fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.Supply(c.Settings, c.Surroundings, c.Network, g.log, Incarnation(uuid.NewString())),
+		fx.Provide(
+			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
+			newBalancer, newPool, newRetries, newUsage, newDutyLease, newPeerView,
+			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newCallerServer,
+			quota.NewLimiter, usage.NewClock, newFollowers,
+		),
+		fx.Invoke(runGatewayMesh, runFollowers, runSweeps, runUsage, serveReady, serveMetrics, serveGateway),
+		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
+	)
+	if err := g.app.Err(); err != nil {
+		return nil, fmt.Errorf("build entry: %w", err)
+	}
+	return g, nil
+}
+
+// Start starts the entry's listeners and loops.
+func (g *Gateway) Start(ctx context.Context) error {
+	if err := g.app.Start(ctx); err != nil {
+		return fmt.Errorf("start entry: %w", err)
+	}
+	return nil
+}
+
+// Drain takes the entry out of rotation and waits until all requests have
+// ended. Connections that clients keep open are served until the balancer
+// has noticed.
+func (g *Gateway) Drain(ctx context.Context) {
+	g.ready.drain()
+	g.handler.Drain()
+	g.registry.SetLeaving()
+	g.lease.Release()
+	g.log.WithField("inside", g.handler.Inside()).Info("app: entry drains.")
+	select {
+	case <-time.After(idleGrace):
+	case <-ctx.Done():
+	}
+	if err := g.server.Shutdown(ctx); err != nil {
+		g.log.WithError(err).WithField("inside", g.handler.Inside()).Warn("app: drain was cut short.")
+	}
+}
+
+// Stop ends listeners and loops.
+func (g *Gateway) Stop(ctx context.Context) error {
+	if err := g.app.Stop(ctx); err != nil {
+		return fmt.Errorf("stop entry: %w", err)
+	}
+	return nil
+}
+
+func newGatewayTable(s Surroundings, m *telemetry.Metrics, log *logrus.Entry) infra.Table {
+	return guard.New(m.Table(s.Table), guard.Options{
+		Timeout: tableTimeout, WritesPerSecond: entryWrites, Log: log,
+	})
+}
+
+func newGatewayRegistry(table infra.Table, s gateway.Settings, i Incarnation, log *logrus.Entry) *member.Registry {
+	return member.New(table, member.Options{
+		ID: s.ID, Incarnation: string(i), Addr: s.Listen.Peers,
+		FailureDomain: s.FailureDomain, Region: s.Region, Log: log,
+	})
+}
+
+func newReplicas(log *logrus.Entry) *replica.Set { return replica.NewSet(log) }
+
+func newConfigHolder() *config.Holder { return &config.Holder{} }
+
+func newBalancer(set *replica.Set, s gateway.Settings) *balance.Balancer {
+	return balance.New(set, s.FailureDomain)
+}
+
+func newPool(lc fx.Lifecycle, n Network) *upstream.Pool {
+	p := upstream.NewPool(upstream.Dial(n.Dial))
+	lc.Append(fx.StopHook(p.Close))
+	return p
+}
+
+func newRetries(s gateway.Settings) *quota.Retries {
+	return quota.NewRetries(quota.RetryOptions(s.Retry))
+}
+
+func newUsage(s gateway.Settings, clock *usage.Clock) *usage.Meter {
+	return usage.NewMeter(s.Usage.Window, clock)
+}
+
+func newDutyLease(lc fx.Lifecycle, l *Loops, table infra.Table, s gateway.Settings, i Incarnation, log *logrus.Entry) *lease.Lease {
+	held := lease.New(table, lease.Options{
+		Name: dutyLease, Owner: s.ID, Incarnation: string(i),
+		Duration: s.LeaseLength + s.LeaseLength/3, Log: log,
+	})
+	l.Go(lc, held.Run)
+	return held
+}
+
+func newGatewayNotices(set *replica.Set, log *logrus.Entry) *drain.Set {
+	return drain.NewSet(log)
+}
+
+type handlerDeps struct {
+	fx.In
+
+	Surroundings Surroundings
+	Config       *config.Holder
+	Followers    *followers
+	Balancer     *balance.Balancer
+	Pool         *upstream.Pool
+	Limiter      *quota.Limiter
+	Retries      *quota.Retries
+	Usage        *usage.Meter
+	Metrics      *telemetry.Metrics
+	Log          *logrus.Entry
+}
+
+func newHandler(d handlerDeps) *gateway.Handler {
+	return gateway.New(gateway.Deps{
+		Dialect: d.Surroundings.Dialect, Config: d.Config, ConfigAge: d.Followers.config.Age,
+		Balancer: d.Balancer, Pool: d.Pool, Limiter: d.Limiter, Retries: d.Retries,
+		Usage: d.Usage, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
+	})
+}
+
+// gatewayRecorder counts in the process's metrics.
+type gatewayRecorder struct{ m *telemetry.Metrics }
+
+// Ended implements gateway.Recorder.
+func (r gatewayRecorder) Ended(route, outcome string, status int, took time.Duration) {
+	r.m.Ended(route, outcome, status, took)
+}
+
+// FirstToken implements gateway.Recorder.
+func (r gatewayRecorder) FirstToken(route string, took time.Duration) { r.m.FirstToken(route, took) }
+
+// Retried implements gateway.Recorder.
+func (r gatewayRecorder) Retried(reason string) { r.m.Retried(reason) }
+
+func runSweeps(lc fx.Lifecycle, l *Loops, pool *upstream.Pool, b *balance.Balancer) {
+	l.Every(lc, sweepPeriod, func(context.Context) {
+		pool.Sweep()
+		b.Forget()
+	})
+}
+
+func runUsage(lc fx.Lifecycle, l *Loops, s gateway.Settings, around Surroundings, table infra.Table, held *lease.Lease, view *peerView, clock *usage.Clock, log *logrus.Entry) {
+	if !s.ReportsUsage {
+		return
+	}
+	r := &usage.Reporter{
+		Lease: held, Table: table, Sender: around.Reports, Source: view.usage, Clock: clock,
+		Window: s.Usage.Window, Due: s.Usage.Due, Log: log,
+	}
+	l.Go(lc, r.Run)
+}
+
+// readiness says whether the balancer may send new connections.
+type readiness struct {
+	config   *config.Holder
+	replicas *followers
+	draining atomic.Bool
+}
+
+func newReadiness(c *config.Holder, f *followers) *readiness {
+	return &readiness{config: c, replicas: f}
+}
+
+func (r *readiness) drain() { r.draining.Store(true) }
+
+func (r *readiness) ready() bool {
+	_, known := r.replicas.registry.Age()
+	return !r.draining.Load() && r.config.Current() != nil && known
+}
+
+// serveReady answers the balancer's checks, whatever their path.
+func serveReady(lc fx.Lifecycle, n Network, s gateway.Settings, r *readiness, log *logrus.Entry) {
+	engine := gin.New()
+	engine.NoRoute(func(c *gin.Context) {
+		status := http.StatusOK
+		if !r.ready() {
+			status = http.StatusServiceUnavailable
+		}
+		c.Status(status)
+		c.Writer.WriteHeaderNow()
+	})
+	serveHTTP(lc, n, s.Listen.Ready, engine, log)
+}
+
+// serveMetrics serves the metrics where an address is set.
+func serveMetrics(lc fx.Lifecycle, n Network, s gateway.Settings, m *telemetry.Metrics, log *logrus.Entry) {
+	if s.Listen.Metrics == "" {
+		return
+	}
+	engine := gin.New()
+	engine.GET("/metrics", gin.WrapH(m.Handler()))
+	serveHTTP(lc, n, s.Listen.Metrics, engine, log)
+}
+
+func newCallerServer(h *gateway.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: callerHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    callerHeaderBytes,
+	}
+}
+
+// serveGateway runs the callers' listener.
+func serveGateway(lc fx.Lifecycle, n Network, s gateway.Settings, server *http.Server, log *logrus.Entry) {
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := n.Listen(s.Listen.Callers)
+			if err != nil {
+				return fmt.Errorf("listen on %s: %w", s.Listen.Callers, err)
+			}
+			go func() {
+				defer close(done)
+				if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					log.WithError(err).Error("app: callers' listener failed.")
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			err := server.Close()
+			<-done
+			return err
+		},
+	})
+}
--- /dev/null
+++ b/app/gateway_mesh.go
@@ -0,0 +1,228 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+)
+
+const (
+	// configName is what the configuration is called among peers.
+	configName = "configuration"
+	// sharePeriod is how often an entry tells its peers of its load.
+	sharePeriod = 250 * time.Millisecond
+	// loadHorizon is how old a peer's load may be to count.
+	loadHorizon = 4 * time.Second
+	// countsHorizon is how long the counts of an entry that is gone are kept,
+	// several windows.
+	countsHorizon = time.Minute
+)
+
+// peerView keeps what the other entries told.
+type peerView struct {
+	self     string
+	registry *member.Registry
+	meter    *usage.Meter
+
+	mu sync.Mutex
+	// heard is by entry and incarnation, so that counts of an incarnation
+	// that is gone are not lost.
+	heard map[heardKey]heardState
+}
+
+type heardKey struct{ id, incarnation string }
+
+type heardState struct {
+	digest peer.Digest
+	at     time.Time
+}
+
+func newPeerView(s gateway.Settings, r *member.Registry, m *usage.Meter) *peerView {
+	return &peerView{self: s.ID, registry: r, meter: m, heard: make(map[heardKey]heardState)}
+}
+
+func (p *peerView) take(from string, d peer.Digest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[heardKey{from, d.Incarnation}] = heardState{digest: d, at: time.Now()}
+}
+
+// live returns the newest digest of each live peer.
+func (p *peerView) live() map[string]peer.Digest {
+	live := make(map[string]bool)
+	for _, id := range p.registry.Live() {
+		live[id] = id != p.self
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	newest := make(map[string]heardState)
+	for key, state := range p.heard {
+		age := now.Sub(state.at)
+		if age > countsHorizon {
+			delete(p.heard, key)
+		}
+		if live[key.id] && age <= loadHorizon && state.at.After(newest[key.id].at) {
+			newest[key.id] = state
+		}
+	}
+	out := make(map[string]peer.Digest, len(newest))
+	for id, state := range newest {
+		out[id] = state.digest
+	}
+	return out
+}
+
+// usage is a usage.Source.
+func (p *peerView) usage(window int64, end time.Time) (usage.Counts, bool) {
+	sum := make(usage.Counts)
+	add := func(counts map[string]int) {
+		for customer, n := range counts {
+			sum[customer] += n
+		}
+	}
+	add(p.meter.All()[window])
+	missing := make(map[string]bool)
+	for _, id := range p.registry.Live() {
+		missing[id] = id != p.self
+	}
+	// Digests that arrived well after the end of the window have all of it.
+	since := time.Since(end) - countsTravel
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, state := range p.heard {
+		add(state.digest.Started[window])
+		if time.Since(state.at) < since {
+			missing[key.id] = false
+		}
+	}
+	for _, m := range missing {
+		if m {
+			return sum, false
+		}
+	}
+	return sum, true
+}
+
+// countsTravel is how old the counts of a digest may be on arrival.
+const countsTravel = 1500 * time.Millisecond
+
+// loads returns the load that all peers put on endpoints.
+func loadsOf(digests map[string]peer.Digest) map[string]peer.EndpointLoad {
+	out := make(map[string]peer.EndpointLoad)
+	for _, d := range digests {
+		for id, l := range d.Endpoints {
+			sum := out[id]
+			sum.InFlight += l.InFlight
+			sum.Tokens += l.Tokens
+			out[id] = sum
+		}
+	}
+	return out
+}
+
+type gatewayMeshDeps struct {
+	fx.In
+
+	Settings  gateway.Settings
+	Network   Network
+	Registry  *member.Registry
+	Notices   *drain.Set
+	Followers *followers
+	Config    *config.Holder
+	Replicas  *replica.Set
+	View      *peerView
+	Loops     *Loops
+	Log       *logrus.Entry
+}
+
+func newGatewayMesh(lc fx.Lifecycle, d gatewayMeshDeps) (*peer.Mesh, error) {
+	l, err := d.Network.Listen(d.Settings.Listen.Peers)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", d.Settings.Listen.Peers, err)
+	}
+	lc.Append(fx.StopHook(func() { closeQuietly(l) }))
+	var m *peer.Mesh
+	m = peer.New(peer.Options{
+		Deployment: gatewayDeployment, Registry: d.Registry, Notices: d.Notices,
+		Listener: l, Dial: d.Network.Dial, Log: d.Log,
+		Handlers: peer.Handlers{
+			Digest: d.View.take,
+			TemplateVersion: func(from, _ string, version uint64) {
+				d.Loops.Spawn(func(ctx context.Context) {
+					d.Followers.source.fromPeer(ctx, version, func(ctx context.Context) (json.RawMessage, bool, error) {
+						return m.FetchTemplate(ctx, from, configName, version)
+					})
+				})
+			},
+			TemplateFetch: func(_ string, version uint64) (json.RawMessage, bool) {
+				return d.Followers.source.fetch(version)
+			},
+		},
+	})
+	d.Config.OnChange(func(c *config.Configuration) { m.SetTemplateVersion(configName, c.Version) })
+	spreadDrains(d.Notices, d.Replicas, m)
+	return m, nil
+}
+
+// spreadDrains tells the peers of replicas that leave, and takes in what they
+// tell, so that an entry that the registry turns away knows as well.
+func spreadDrains(notices *drain.Set, set *replica.Set, m *peer.Mesh) {
+	set.OnDrain(func(r *replica.Replica) {
+		m.SpreadNotice(drain.Notice{
+			HostID: r.ID, Incarnation: strconv.FormatInt(r.Born, 10),
+			FailureDomain: r.FailureDomain, Reason: drain.ReasonHostList, Remaining: r.Leaves,
+		})
+	})
+	notices.OnLeaving(func(n drain.Notice) {
+		born, err := strconv.ParseInt(n.Incarnation, 10, 64)
+		if err == nil {
+			set.MarkLeaving(n.HostID, born, "peer")
+		}
+	})
+}
+
+func runGatewayMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, view *peerView, b *balance.Balancer, limiter *quota.Limiter, retries *quota.Retries, meter *usage.Meter, h *gateway.Handler, i Incarnation) {
+	l.Go(lc, func(ctx context.Context) { _ = r.Run(ctx) })
+	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
+	l.Every(lc, sharePeriod, func(context.Context) {
+		digests := view.live()
+		members := max(1, len(r.Live()))
+		b.SetPeers(loadsOf(digests))
+		demand := make(map[string]map[string]float64, len(digests))
+		for id, d := range digests {
+			demand[id] = demandOf(d)
+		}
+		limiter.SetPeers(members, demand)
+		retries.SetMembers(members)
+		m.Publish(gatewayDigest(b, limiter, meter, h, i))
+	})
+}
+
+func gatewayDigest(b *balance.Balancer, limiter *quota.Limiter, meter *usage.Meter, h *gateway.Handler, i Incarnation) peer.Digest {
+	demand := make(map[string]peer.Demand)
+	for customer, rate := range limiter.Demand() {
+		demand[customer] = peer.Demand{TokensPerSecond: rate}
+	}
+	return peer.Digest{
+		Incarnation: string(i), Demand: demand, InFlight: h.Inside(),
+		Endpoints: b.Own(), Started: maps.Clone(meter.All()),
+	}
+}
--- a/app/loops.go
+++ b/app/loops.go
@@ -56,6 +56,13 @@
 	}))
 }
 
+// Spawn runs f now, while the entry runs. f ends with its context.
+func (l *Loops) Spawn(f func(ctx context.Context)) {
+	if l.ctx.Err() == nil {
+		l.work.Go(func() { f(l.ctx) })
+	}
+}
+
 // Every runs f at once and then in each period.
 func (l *Loops) Every(lc fx.Lifecycle, period time.Duration, f func(ctx context.Context)) {
 	l.Go(lc, func(ctx context.Context) {
--- a/cmd/coltsfootcleat/serve.go
+++ b/cmd/coltsfootcleat/serve.go
@@ -11,50 +11,65 @@
 	"github.com/google/subcommands"
 
 	"github.com/coltsfootcleat/coltsfootcleat/app"
+	"github.com/coltsfootcleat/coltsfootcleat/platform"
 	"github.com/coltsfootcleat/coltsfootcleat/settings"
 	"github.com/coltsfootcleat/coltsfootcleat/telemetry"
 )
 
 // serveCommand runs one entry host.
 type serveCommand struct {
-	settings string
+	settings   string
+	onPlatform bool
 }
 
 func (*serveCommand) Name() string     { return "serve" }
 func (*serveCommand) Synopsis() string { return "run one entry host" }
 
 func (*serveCommand) Usage() string {
-	return `serve -settings FILE:
+	return `serve -settings FILE | serve -platform:
   Runs one entry host until SIGTERM or SIGINT. The first signal drains it: it
   takes no new requests and ends once those in progress have ended. A second
   signal stops it at once.
 
-  Example: coltsfootcleat serve -settings deployments/karoo-wick/entry-midrand.toml
+  With -platform the entry runs on the users' platform, with the settings file
+  that the variable ` + platform.SettingsVariable + ` names. SIGHUP, or a change of
+  that file, has it read again.
+
+  Examples:
+    coltsfootcleat serve -settings deployments/karoo-wick/entry-midrand.toml
+    coltsfootcleat serve -platform
 
 `
 }
 
 func (c *serveCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "settings `file` (TOML)")
+	f.BoolVar(&c.onPlatform, "platform", false, "run on the users' platform, with its settings file")
 }
 
 func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" || f.NArg() > 0 {
+	if (c.settings == "") != c.onPlatform || f.NArg() > 0 {
 		fmt.Fprint(os.Stderr, c.Usage())
 		return subcommands.ExitUsageError
 	}
-	s, err := settings.Load(c.settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	if err := runEntry(ctx, s); err != nil {
+	if err := c.run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
+func (c *serveCommand) run(ctx context.Context) error {
+	if c.onPlatform {
+		return runOnPlatform(ctx, os.Getenv(platform.SettingsVariable))
+	}
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		return err
+	}
+	return runEntry(ctx, s)
+}
+
 func runEntry(ctx context.Context, s settings.Entry) error {
 	log, err := telemetry.NewLogger(s.Log.Level, s.Log.Format, os.Stderr)
 	if err != nil {
--- /dev/null
+++ b/gateway/balance/balance.go
@@ -0,0 +1,235 @@
+package balance
+
+import (
+	"errors"
+	"math"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+)
+
+const (
+	// firstRate is the rate at which an engine reads prompts until it was
+	// measured, in tokens a second. Published figures of current engines lie
+	// between 20,000 and 100,000.
+	firstRate = 50_000
+	// baseDelay is the time to the first token of an empty prompt on an idle
+	// engine until it was measured.
+	baseDelay = 45 * time.Millisecond
+	// stepPerRunning is how much each running request delays the first token
+	// of another, as the decode step grows with the batch.
+	stepPerRunning = 500 * time.Microsecond
+	// meanRun is how long a request is expected to hold its slot where all
+	// slots are taken.
+	meanRun = 1500 * time.Millisecond
+	// homeShare is the part of a shared prompt part that is expected to be
+	// cached at the replica that all entries send it to, where this entry
+	// has not seen it there itself.
+	homeShare = 0.6
+	// cacheMemory is how long a part is expected to stay in a replica's cache
+	// after its last use there.
+	cacheMemory = 20 * time.Second
+	// cachedParts bounds the parts remembered.
+	cachedParts = 1 << 14
+	// coldFactor multiplies the prediction of a replica that is still slow
+	// after its start.
+	coldFactor = 1.5
+	// otherDomain is the cost of a replica in another failure domain.
+	otherDomain = 2 * time.Millisecond
+)
+
+// ErrNone says that a service has no replica that takes work.
+var ErrNone = errors.New("no replica takes work")
+
+// Part is one part of a prompt, in order.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Query describes a request.
+type Query struct {
+	Service string
+	// Slots is set for model engines: how many requests one replica runs.
+	Slots int
+	// Parts are the parts of the prompt that it shares with others.
+	Parts []Part
+	// PromptTokens is the length of the whole prompt.
+	PromptTokens int
+	// Exclude are replicas by ID that had the request before.
+	Exclude map[string]bool
+}
+
+// Choice is a replica with what was expected of it.
+type Choice struct {
+	Replica *replica.Replica
+	// FirstToken is the predicted time to the first token, 0 for services.
+	FirstToken time.Duration
+	// CachedTokens of the prompt are expected to be in its cache.
+	CachedTokens int
+	// InFlight is how many requests it was believed to have.
+	InFlight int
+	// RunnerUp is the second best replica, nil where there is none.
+	RunnerUp *replica.Replica
+	// Candidates is how many replicas were looked at.
+	Candidates int
+}
+
+// Balancer chooses replicas. It is safe for concurrent use.
+type Balancer struct {
+	set    *replica.Set
+	domain string
+
+	mu     sync.Mutex
+	states map[string]*state
+	// rate and base are learned by service.
+	rates map[string]*rate
+	peers map[string]peer.EndpointLoad
+	parts *lru.Cache[uint64, []sighting]
+}
+
+// state is what this entry knows of one replica.
+type state struct {
+	born     int64
+	own      peer.EndpointLoad
+	failures failures
+	// pace compares the replica's times to the first token with those
+	// predicted for it.
+	pace float64
+}
+
+// sighting is a replica that read a prompt part.
+type sighting struct {
+	replica string
+	at      time.Time
+}
+
+// New returns a Balancer over a set of replicas for an entry in a failure
+// domain.
+func New(set *replica.Set, domain string) *Balancer {
+	parts, err := lru.New[uint64, []sighting](cachedParts)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &Balancer{
+		set: set, domain: domain,
+		states: make(map[string]*state),
+		rates:  make(map[string]*rate),
+		peers:  make(map[string]peer.EndpointLoad),
+		parts:  parts,
+	}
+}
+
+// SetPeers replaces the load that the other entries put on replicas, by ID.
+func (b *Balancer) SetPeers(loads map[string]peer.EndpointLoad) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers = loads
+}
+
+// Own returns the load that this entry puts on replicas, by ID.
+func (b *Balancer) Own() map[string]peer.EndpointLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]peer.EndpointLoad)
+	for id, st := range b.states {
+		if st.own.InFlight > 0 {
+			out[id] = st.own
+		}
+	}
+	return out
+}
+
+// Choose returns the replica for a request, or ErrNone.
+func (b *Balancer) Choose(q Query) (Choice, error) {
+	ready := b.set.Current().Ready[q.Service]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	out := b.ejectedLocked(ready, now)
+	best, second := Choice{}, Choice{}
+	bestCost, secondCost := math.Inf(1), math.Inf(1)
+	for _, r := range ready {
+		if q.Exclude[r.ID] || out[r.ID] {
+			continue
+		}
+		c, cost := b.costLocked(q, r, ready, now)
+		c.Candidates = len(ready)
+		switch {
+		case cost < bestCost:
+			second, secondCost = best, bestCost
+			best, bestCost = c, cost
+		case cost < secondCost:
+			second, secondCost = c, cost
+		}
+	}
+	if best.Replica == nil {
+		return Choice{Candidates: len(ready)}, ErrNone
+	}
+	best.RunnerUp = second.Replica
+	return best, nil
+}
+
+// costLocked returns what a replica is expected to do with a request, and its
+// cost in seconds.
+func (b *Balancer) costLocked(q Query, r *replica.Replica, ready []*replica.Replica, now time.Time) (Choice, float64) {
+	st := b.stateLocked(r)
+	others := b.peers[r.ID]
+	inFlight := st.own.InFlight + others.InFlight
+	c := Choice{Replica: r, InFlight: inFlight}
+	slots := max(1, q.Slots, r.Slots)
+	if q.Slots == 0 {
+		cost := float64(inFlight+1) / float64(slots)
+		if r.FailureDomain != b.domain {
+			cost += otherDomain.Seconds()
+		}
+		return c, cost + st.failures.rate(now)
+	}
+	c.CachedTokens = b.cachedLocked(q, r, ready, now)
+	rate := b.rateLocked(q.Service)
+	tokens := st.own.Tokens + others.Tokens + max(0, q.PromptTokens-c.CachedTokens)
+	predicted := rate.base + float64(tokens)/rate.perSecond + float64(inFlight)*stepPerRunning.Seconds()
+	if full := inFlight + 1 - slots; full > 0 {
+		predicted += float64(full) / float64(slots) * meanRun.Seconds()
+	}
+	predicted *= st.pace
+	if r.Cold > now.Sub(r.Seen) {
+		predicted *= coldFactor
+	}
+	c.FirstToken = time.Duration(predicted * float64(time.Second))
+	cost := predicted * (1 + 2*st.failures.rate(now))
+	if r.FailureDomain != b.domain {
+		cost += otherDomain.Seconds()
+	}
+	return c, cost
+}
+
+func (b *Balancer) stateLocked(r *replica.Replica) *state {
+	st := b.states[r.ID]
+	if st == nil {
+		st = &state{born: r.Born, pace: 1}
+		b.states[r.ID] = st
+	}
+	if st.born != r.Born {
+		// Another incarnation: what is in flight ends by itself, and the rest
+		// is not known.
+		st.born, st.failures, st.pace = r.Born, failures{}, 1
+	}
+	return st
+}
+
+// Forget drops what is known of replicas that are gone.
+func (b *Balancer) Forget() {
+	all := b.set.Current().All
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, st := range b.states {
+		if all[id] == nil && st.own.InFlight == 0 {
+			delete(b.states, id)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/refuse.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// failureBody is the body of an answer of the system's own.
+type failureBody struct {
+	Error   string `json:"error"`
+	Code    string `json:"code"`
+	Verdict string `json:"verdict"`
+}
+
+// statusOf returns the status of a failure. Statuses that promise that a
+// request has not run are used for that verdict alone.
+func statusOf(err error) int {
+	code := verdict.CodeOf(err)
+	if verdict.Of(err) != verdict.NotRun {
+		if code == verdict.CodeDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch code {
+	case verdict.CodeInvalid:
+		return http.StatusBadRequest
+	case verdict.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case verdict.CodeNotFound:
+		return http.StatusNotFound
+	case verdict.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.CodeStalled:
+		return http.StatusRequestTimeout
+	case verdict.CodeLimited:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// fail answers with a failure.
+func fail(w http.ResponseWriter, err error) {
+	body, encodeErr := json.Marshal(failureBody{
+		Error:   err.Error(),
+		Code:    string(verdict.CodeOf(err)),
+		Verdict: verdict.Of(err).String(),
+	})
+	if encodeErr != nil {
+		body = nil // strings always encode
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if wait := verdict.RetryAfterOf(err); wait > 0 && verdict.Of(err) == verdict.NotRun {
+		h.Set("Retry-After", strconv.FormatFloat(wait.Round(time.Millisecond).Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(statusOf(err))
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/gateway/usage/meter.go
@@ -0,0 +1,61 @@
+package usage
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// windowsKept is how many windows an entry remembers.
+const windowsKept = 12
+
+// Counts are requests by customer.
+type Counts map[string]int
+
+// Meter counts the requests that began to run at one entry. It is safe for
+// concurrent use.
+type Meter struct {
+	window time.Duration
+	clock  *Clock
+
+	mu     sync.Mutex
+	counts map[int64]Counts
+}
+
+// NewMeter returns a Meter for windows of a length; window k begins k lengths
+// after the start of 1970.
+func NewMeter(window time.Duration, clock *Clock) *Meter {
+	return &Meter{window: window, clock: clock, counts: make(map[int64]Counts)}
+}
+
+// Started counts a request of a customer that began to run now.
+func (m *Meter) Started(customer string) {
+	k := m.Window(m.clock.Now())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counts := m.counts[k]
+	if counts == nil {
+		counts = make(Counts)
+		m.counts[k] = counts
+		for old := range m.counts {
+			if old < k-windowsKept {
+				delete(m.counts, old)
+			}
+		}
+	}
+	counts[customer]++
+}
+
+// Window returns the number of the window of a time.
+func (m *Meter) Window(t time.Time) int64 { return t.UnixNano() / int64(m.window) }
+
+// All returns a copy of what was counted.
+func (m *Meter) All() map[int64]map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[int64]map[string]int, len(m.counts))
+	for k, counts := range m.counts {
+		out[k] = maps.Clone(counts)
+	}
+	return out
+}
--- a/admission/bucket.go
+++ b/internal/rate/bucket.go
@@ -1,4 +1,4 @@
-package admission
+package rate
 
 import (
 	"time"
@@ -6,22 +6,23 @@
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
 )
 
-// bucket is a token bucket whose size can change. It differs from
+// Bucket is a token bucket whose size can change. It differs from
 // x/time/rate in that a request's true size is known only at its end: what
 // was taken too little becomes debt that is paid before anything else.
-type bucket struct {
+type Bucket struct {
 	// rate is in tokens per second.
 	rate  float64
 	burst float64
 	// tokens and debt are never negative.
 	tokens float64
 	debt   float64
-	at     time.Time
+	// At is up to when the bucket was filled.
+	At     time.Time
 	filled bool
 }
 
-// resize changes rate and burst. The first call fills the bucket.
-func (b *bucket) resize(now time.Time, rate, burst float64) {
+// Resize changes rate and burst. The first call fills the bucket.
+func (b *Bucket) Resize(now time.Time, rate, burst float64) {
 	b.refill(now)
 	b.rate = rate
 	b.burst = burst
@@ -32,13 +33,13 @@
 	b.tokens = min(b.tokens, burst)
 }
 
-// take takes n tokens, or returns how long to wait for them. A request larger
+// Take takes n tokens, or returns how long to wait for them. A request larger
 // than the bucket is taken from a full one and leaves the rest as debt.
-func (b *bucket) take(now time.Time, n float64) time.Duration {
+func (b *Bucket) Take(now time.Time, n float64) time.Duration {
 	b.refill(now)
 	need := min(n, b.burst)
 	if short := need + b.debt - b.tokens; short > 0 {
-		return seconds(short / b.rate)
+		return Seconds(short / b.rate)
 	}
 	b.tokens -= need
 	b.debt += n - need
@@ -46,8 +47,8 @@
 	return 0
 }
 
-// correct settles the difference between what was taken and what was used.
-func (b *bucket) correct(now time.Time, taken, used float64) {
+// Correct settles the difference between what was taken and what was used.
+func (b *Bucket) Correct(now time.Time, taken, used float64) {
 	b.refill(now)
 	if used > taken {
 		b.debt += used - taken
@@ -57,26 +58,32 @@
 	b.settle()
 }
 
-func (b *bucket) refill(now time.Time) {
-	if elapsed := now.Sub(b.at); elapsed > 0 {
+func (b *Bucket) refill(now time.Time) {
+	if elapsed := now.Sub(b.At); elapsed > 0 {
 		b.give(b.rate * elapsed.Seconds())
-		b.at = now
+		b.At = now
 	}
 }
 
-func (b *bucket) give(n float64) {
+func (b *Bucket) give(n float64) {
 	paid := min(n, b.debt)
 	b.debt -= paid
 	b.tokens = min(b.tokens+n-paid, b.burst)
 }
 
-func (b *bucket) settle() {
+func (b *Bucket) settle() {
 	paid := min(b.tokens, b.debt)
 	b.debt -= paid
 	b.tokens -= paid
 }
 
-// seconds returns s seconds, at most an hour.
-func seconds(s float64) time.Duration {
+// Seconds returns s seconds, at most an hour.
+func Seconds(s float64) time.Duration {
 	return time.Duration(min(s, 3600) * float64(time.Second))
 }
+
+// Tokens returns what the bucket held when it was last used.
+func (b *Bucket) Tokens() float64 { return b.tokens }
+
+// Debt returns what was used beyond the bucket's size and not yet paid.
+func (b *Bucket) Debt() float64 { return b.debt }
--- a/admission/meter.go
+++ b/internal/rate/meter.go
@@ -1,4 +1,4 @@
-package admission
+package rate
 
 import (
 	"math"
@@ -10,19 +10,19 @@
 // within seconds.
 const meterHorizon = 5 * time.Second
 
-// meter measures a rate as an exponentially decaying average.
-type meter struct {
+// Meter measures a rate as an exponentially decaying average.
+type Meter struct {
 	perSecond float64
-	at        time.Time
+	At        time.Time
 }
 
-func (m *meter) add(now time.Time, n float64) {
-	m.perSecond = m.rate(now) + n/meterHorizon.Seconds()
-	m.at = now
+func (m *Meter) Add(now time.Time, n float64) {
+	m.perSecond = m.Rate(now) + n/meterHorizon.Seconds()
+	m.At = now
 }
 
-func (m *meter) rate(now time.Time) float64 {
-	elapsed := now.Sub(m.at)
+func (m *Meter) Rate(now time.Time) float64 {
+	elapsed := now.Sub(m.At)
 	if elapsed <= 0 {
 		return m.perSecond
 	}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -61,6 +61,20 @@
 	Demand map[string]Demand `json:"d,omitempty"`
 	// InFlight is the number of requests in progress.
 	InFlight int `json:"f,omitempty"`
+	// Incarnation is the run of the entry that Started belongs to.
+	Incarnation string `json:"i,omitempty"`
+	// Endpoints is the load that the entry puts on endpoints, by ID.
+	Endpoints map[string]EndpointLoad `json:"e,omitempty"`
+	// Started counts the requests that began to run, by window and customer.
+	// Counts of a window only grow within one incarnation.
+	Started map[int64]map[string]int `json:"u,omitempty"`
+}
+
+// EndpointLoad is the load that one entry puts on an endpoint.
+type EndpointLoad struct {
+	InFlight int `json:"f,omitempty"`
+	// Tokens are prompt tokens that wait to be read.
+	Tokens int `json:"t,omitempty"`
 }
 
 // hello opens a connection, in both directions.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -33,13 +33,14 @@
 	registry *prometheus.Registry
 	meter    metric.Meter
 
-	requests   metric.Int64Counter
-	retries    metric.Int64Counter
-	resumed    metric.Int64Counter
-	recomputed metric.Int64Counter
-	firstToken metric.Float64Histogram
-	tableCalls metric.Int64Counter
-	tableTime  metric.Float64Histogram
+	requests    metric.Int64Counter
+	retries     metric.Int64Counter
+	resumed     metric.Int64Counter
+	recomputed  metric.Int64Counter
+	firstToken  metric.Float64Histogram
+	requestTime metric.Float64Histogram
+	tableCalls  metric.Int64Counter
+	tableTime   metric.Float64Histogram
 }
 
 // NewMetrics returns the instruments, with a registry of their own.
@@ -58,7 +59,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [7]error
+	var errs [8]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -75,6 +76,9 @@
 	m.tableTime, errs[6] = m.meter.Float64Histogram("coltsfootcleat.table_time", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(tableBounds...),
 		metric.WithDescription("Time of calls of the table service, by operation."))
+	m.requestTime, errs[7] = m.meter.Float64Histogram("coltsfootcleat.request_time", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(firstTokenBounds...),
+		metric.WithDescription("Time from a request's arrival to the end of its answer, by route, outcome and status."))
 	return errors.Join(errs[:]...)
 }
 
@@ -97,6 +101,12 @@
 		attribute.String("kind", kind), attribute.String("outcome", outcome)))
 }
 
+// Ended counts a forwarded request and the time that it took.
+func (m *Metrics) Ended(route, outcome string, status int, took time.Duration) {
+	m.requestTime.Record(context.Background(), took.Seconds(), metric.WithAttributes(
+		attribute.String("route", route), attribute.String("outcome", outcome), attribute.Int("status", status)))
+}
+
 // Retried counts an attempt after the first.
 func (m *Metrics) Retried(reason string) {
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
