Keep customers' limits over restarts and rising demand

Two causes: entries divided a limit by their own demand of now and the peers' of up to 1.5 s ago, so that demand that rises everywhere lifted the sum of the parts; and each new process started with a full bucket, so that a herd kill under a hot customer handed the burst out twice. Change: digests four times a second while members are few, own demand taken as it was told 400 ms ago, and empty buckets at start.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -105,7 +105,7 @@
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
 			newBalancer, newPool, newRetries, newUsage, newDutyLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newCallerServer,
-			quota.NewLimiter, usage.NewClock, newFollowers,
+			newLimiter, usage.NewClock, newFollowers,
 		),
 		fx.Invoke(runGatewayMesh, runFollowers, runSweeps, runUsage, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
@@ -181,6 +181,8 @@
 	return quota.NewRetries(quota.RetryOptions(s.Retry))
 }
 
+func newLimiter(s gateway.Settings) *quota.Limiter { return quota.NewLimiter(s.LimitTolerance) }
+
 func newUsage(s gateway.Settings, clock *usage.Clock) *usage.Meter {
 	return usage.NewMeter(s.Usage.Window, clock)
 }
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -26,7 +26,9 @@
 const (
 	// configName is what the configuration is called among peers.
 	configName = "configuration"
-	// sharePeriod is how often an entry tells its peers of its load.
+	// sharePeriod is how often an entry of a small deployment tells its peers
+	// of its load, and divides limits anew. Demand that moves meanwhile is
+	// what limits may be exceeded by.
 	sharePeriod = 250 * time.Millisecond
 	// loadHorizon is how old a peer's load may be to count.
 	loadHorizon = 4 * time.Second
@@ -162,7 +164,7 @@
 	var m *peer.Mesh
 	m = peer.New(peer.Options{
 		Deployment: gatewayDeployment, Registry: d.Registry, Notices: d.Notices,
-		Listener: l, Dial: d.Network.Dial, Log: d.Log,
+		Listener: l, Dial: d.Network.Dial, Log: d.Log, Pace: sharePeriod,
 		Handlers: peer.Handlers{
 			Digest: d.View.take,
 			TemplateVersion: func(from, _ string, version uint64) {
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -8,17 +8,33 @@
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 )
 
+// Tolerance is how far the requests of a customer may exceed its limit in any
+// span of a length, over all entries: by a part of the limit, and by a number
+// of units. Entries know each other's demand with a delay, so that without
+// using some of it they would refuse what is within the limit.
+type Tolerance struct {
+	Part  float64
+	Units float64
+}
+
 const (
-	// margin is the part of a limit that is handed out, for demand that moves
-	// between entries faster than they tell each other.
-	margin = 0.97
+	// toleranceUsed is the part of the tolerance that is handed out; the rest
+	// is for demand that moves between entries faster than they tell each
+	// other, and for entries that start with a full bucket.
+	toleranceUsed = 0.5
+	// peerLag is how old the demand is that peers told, on average: half a
+	// period at its origin, half on the way, half here.
+	peerLag = 400 * time.Millisecond
+	// toldKept is how many demands are kept, several times that lag.
+	toldKept = 8
 	// longestRetryAfter bounds what a refused client is told to wait.
 	longestRetryAfter = 5 * time.Second
 )
 
 // Limiter keeps customers within their limits. It is safe for concurrent use.
 type Limiter struct {
-	now func() time.Time
+	now       func() time.Time
+	tolerance Tolerance
 
 	mu        sync.Mutex
 	customers map[string]*customer
@@ -31,13 +47,33 @@
 	limit  config.Customer
 	bucket rate.Bucket
 	demand rate.Meter
-	// told is the demand that the peers were told last.
-	told float64
+	// told are the demands told to the peers of late, newest last.
+	told []toldDemand
+}
+
+type toldDemand struct {
+	at        time.Time
+	perSecond float64
+}
+
+// toldAt returns the demand that was told last before a time. Limits are
+// divided by demands of one moment at all entries, so that demand that grows
+// everywhere doesn't lift the sum of the parts.
+func (cu *customer) toldAt(at time.Time) float64 {
+	for i := len(cu.told) - 1; i > 0; i-- {
+		if !cu.told[i].at.After(at) {
+			return cu.told[i].perSecond
+		}
+	}
+	if len(cu.told) == 0 {
+		return 0
+	}
+	return cu.told[0].perSecond
 }
 
 // NewLimiter returns a Limiter that knows no customers.
-func NewLimiter() *Limiter {
-	return &Limiter{now: time.Now, customers: make(map[string]*customer), members: 1}
+func NewLimiter(t Tolerance) *Limiter {
+	return &Limiter{now: time.Now, tolerance: t, customers: make(map[string]*customer), members: 1}
 }
 
 // SetConfiguration takes over the customers' limits.
@@ -53,7 +89,7 @@
 	for _, limit := range c.Customers {
 		cu := l.customers[limit.Name]
 		if cu == nil {
-			cu = &customer{bucket: rate.Bucket{At: now}, demand: rate.Meter{At: now}}
+			cu = &customer{bucket: rate.Empty(now), demand: rate.Meter{At: now}}
 			l.customers[limit.Name] = cu
 		}
 		cu.limit = limit
@@ -81,9 +117,13 @@
 	now := l.now()
 	out := make(map[string]float64, len(l.customers))
 	for name, cu := range l.customers {
-		cu.told = cu.demand.Rate(now)
-		if cu.told > 0 {
-			out[name] = cu.told
+		perSecond := cu.demand.Rate(now)
+		cu.told = append(cu.told, toldDemand{now, perSecond})
+		if len(cu.told) > toldKept {
+			cu.told = cu.told[1:]
+		}
+		if perSecond > 0 {
+			out[name] = perSecond
 		}
 	}
 	return out
@@ -122,8 +162,13 @@
 	for _, demand := range l.peers {
 		others += demand[name]
 	}
-	part := margin * rate.Share(cu.told, others, len(l.peers), l.members)
-	cu.bucket.Resize(now, cu.limit.PerSecond*part, cu.limit.Burst*part)
+	part := rate.Share(cu.toldAt(now.Add(-peerLag)), others, len(l.peers), l.members)
+	perSecond := cu.limit.PerSecond * (1 + toleranceUsed*l.tolerance.Part)
+	burst := cu.limit.Burst
+	if cu.limit.CountTokens {
+		burst += toleranceUsed * l.tolerance.Units
+	}
+	cu.bucket.Resize(now, perSecond*part, burst*part)
 }
 
 // Units returns what a request counts against a customer's limit.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
+)
 
 // Settings are those of one entry that forwards by route.
 type Settings struct {
@@ -16,6 +20,9 @@
 	Grace time.Duration
 	// Retry bounds second tries over all entries.
 	Retry RetryBounds
+	// LimitTolerance is how far customers may exceed their limits, in part and
+	// in units.
+	LimitTolerance quota.Tolerance
 	// Usage is how usage is reported.
 	Usage UsageBounds
 	// LeaseLength is how long one holder of a duty is left alone.
--- a/internal/rate/bucket.go
+++ b/internal/rate/bucket.go
@@ -21,6 +21,10 @@
 	filled bool
 }
 
+// Empty returns a bucket that the first Resize does not fill, for a process
+// that can't know what others took before it started.
+func Empty(now time.Time) Bucket { return Bucket{At: now, filled: true} }
+
 // Resize changes rate and burst. The first call fills the bucket.
 func (b *Bucket) Resize(now time.Time, rate, burst float64) {
 	b.refill(now)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -27,6 +27,9 @@
 	strangersAtOnce = 64
 	// silentAfter is how long a neighbour may be silent before it is reported.
 	silentAfter = 5 * time.Second
+	// pacedMembers is up to how many members Pace is kept to, so that the
+	// updates of all members together stay bounded.
+	pacedMembers = 8
 	// banPeriod is how long a peer that broke the protocol is kept out.
 	banPeriod = 10 * time.Second
 )
@@ -52,6 +55,10 @@
 	Registry   *member.Registry
 	Notices    *drain.Set
 	Listener   net.Listener
+	// Pace is the time between two updates of an entry's state while members
+	// are few; 0 takes a second. It grows with their number beyond
+	// pacedMembers.
+	Pace time.Duration
 	Dial       func(ctx context.Context, network, addr string) (net.Conn, error)
 	Log        *logrus.Entry
 	Handlers   Handlers
@@ -222,6 +229,23 @@
 	return l, nil
 }
 
+// updatePeriod returns the time between two updates of this entry's state.
+func (m *Mesh) updatePeriod() time.Duration {
+	members := m.o.Registry.Count()
+	if m.o.Pace <= 0 {
+		return member.UpdatePeriod(members)
+	}
+	return m.o.Pace * time.Duration(max(members, pacedMembers)) / pacedMembers
+}
+
+// digestPeriod returns the time between two digests on a connection.
+func (m *Mesh) digestPeriod() time.Duration {
+	if m.o.Pace <= 0 {
+		return digestPeriod
+	}
+	return min(digestPeriod, m.updatePeriod())
+}
+
 func (m *Mesh) self() member.Member { return m.o.Registry.Self() }
 
 func (m *Mesh) linkTo(id string) *link {
--- a/peer/publish.go
+++ b/peer/publish.go
@@ -25,7 +25,7 @@
 	joined := m.o.Registry.Joined()
 	for {
 		m.publish()
-		period := member.UpdatePeriod(m.o.Registry.Count())
+		period := m.updatePeriod()
 		timer := time.NewTimer(phase(period))
 		select {
 		case <-timer.C:
@@ -36,7 +36,7 @@
 		case <-m.urgent:
 			timer.Stop()
 			// Urgent changes that come together go as one.
-			if !ctxtime.Sleep(ctx, digestPeriod) {
+			if !ctxtime.Sleep(ctx, m.digestPeriod()) {
 				return
 			}
 		case <-ctx.Done():
--- a/peer/send.go
+++ b/peer/send.go
@@ -35,7 +35,7 @@
 			}
 			continue
 		case <-timer.C:
-			timer.Reset(member.Jitter(digestPeriod))
+			timer.Reset(member.Jitter(l.mesh.digestPeriod()))
 		}
 		if err := l.sendUrgent(ctx); err != nil {
 			return err
