Order replicas by load, on-demand and reclaimable ones

Change: package gateway/scaling plans from how busy the engines are, with a firm on-demand part, reclaimable ones from the start, and on-demand ones instead while none are to be had. The rate at which prompts are read is fitted as a line, so that contention doesn't pass for slow engines.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/scaling"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
@@ -53,11 +54,6 @@
 	idleGrace = 3500 * time.Millisecond
 )
 
-// Orderer orders replicas.
-type Orderer interface {
-	Order(ctx context.Context, fence uint64, service, domain string, count int, reclaimable bool) error
-}
-
 // Surroundings are what an entry that forwards by route needs around it.
 type Surroundings struct {
 	Dialect  gateway.Dialect
@@ -65,7 +61,7 @@
 	Config   infra.Feed
 	Registry infra.Feed
 	Reports  usage.Sender
-	Orders   Orderer
+	Orders   scaling.Orderer
 	// IsConfig says whether a row of Config holds the configuration.
 	IsConfig func(key string) bool
 	// DecodeConfig and DecodeReplica read rows of the feeds.
@@ -107,7 +103,7 @@
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newCallerServer,
 			newLimiter, usage.NewClock, newFollowers,
 		),
-		fx.Invoke(runGatewayMesh, runFollowers, runSweeps, runUsage, serveReady, serveMetrics, serveGateway),
+		fx.Invoke(runGatewayMesh, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
 	)
 	if err := g.app.Err(); err != nil {
@@ -255,6 +251,17 @@
 	l.Go(lc, r.Run)
 }
 
+func runScaling(lc fx.Lifecycle, l *Loops, s gateway.Settings, around Surroundings, held *lease.Lease, c *config.Holder, set *replica.Set, view *peerView, b *balance.Balancer, log *logrus.Entry) {
+	if !s.OrdersReplicas {
+		return
+	}
+	control := &scaling.Controller{
+		Lease: held, Orders: around.Orders, Config: c, Replicas: set, Domains: s.FailureDomains,
+		Busy: func(service string) float64 { return view.busy(b.Work(), service) }, Log: log,
+	}
+	l.Go(lc, control.Run)
+}
+
 // readiness says whether the balancer may send new connections.
 type readiness struct {
 	config   *config.Holder
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -126,7 +126,19 @@
 // countsTravel is how old the counts of a digest may be on arrival.
 const countsTravel = 1500 * time.Millisecond
 
-// loads returns the load that all peers put on endpoints.
+// busy returns how many engines of a service all entries keep busy. Entries
+// that were not heard count as the average of those that were.
+func (p *peerView) busy(own map[string]float64, service string) float64 {
+	digests := p.live()
+	sum := own[service]
+	for _, d := range digests {
+		sum += d.Work[service]
+	}
+	heard := float64(len(digests) + 1)
+	return sum * max(1, float64(len(p.registry.Live()))/heard)
+}
+
+// loadsOf returns the load that all peers put on endpoints.
 func loadsOf(digests map[string]peer.Digest) map[string]peer.EndpointLoad {
 	out := make(map[string]peer.EndpointLoad)
 	for _, d := range digests {
@@ -225,6 +237,6 @@
 	}
 	return peer.Digest{
 		Incarnation: string(i), Demand: demand, InFlight: h.Inside(),
-		Endpoints: b.Own(), Started: maps.Clone(meter.All()),
+		Endpoints: b.Own(), Work: b.Work(), Started: maps.Clone(meter.All()),
 	}
 }
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -9,6 +9,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	meter "github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
@@ -88,6 +89,8 @@
 	states map[string]*state
 	// rate and base are learned by service.
 	rates map[string]*rate
+	// work is how busy this entry keeps the engines of a service.
+	work  map[string]*meter.Meter
 	peers map[string]peer.EndpointLoad
 	parts *lru.Cache[uint64, []sighting]
 }
@@ -119,6 +122,7 @@
 		set: set, domain: domain,
 		states: make(map[string]*state),
 		rates:  make(map[string]*rate),
+		work:   make(map[string]*meter.Meter),
 		peers:  make(map[string]peer.EndpointLoad),
 		parts:  parts,
 	}
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -3,22 +3,53 @@
 import (
 	"math"
 	"time"
+
+	meter "github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 )
 
 const (
-	// learning is the weight of one measurement in a learned rate.
-	learning = 0.05
+	// remembered is what a measurement still counts after the next one; two
+	// hundred count together.
+	remembered = 0.995
+	// leastMeasured is how many measurements a learned rate needs.
+	leastMeasured = 20
+	// leastBase and mostBase bound the learned time of an empty prompt, in
+	// seconds.
+	leastBase, mostBase = 0.005, 0.5
 	// paceLearning is the weight of one measurement in a replica's pace.
 	paceLearning = 0.1
 	// slowest and fastest bound the pace of a replica.
 	slowest, fastest = 8.0, 0.5
 )
 
-// rate is how fast the engines of a service read prompts.
+// rate is how fast the engines of a service read prompts: a line through the
+// times to the first token over the prompt tokens read until then, by least
+// squares with fading weights.
 type rate struct {
 	perSecond float64
 	// base is the time to the first token of an empty prompt, in seconds.
 	base float64
+	// Sums of the weights, of x, y, x*x and x*y; x in tokens, y in seconds.
+	n, x, y, xx, xy float64
+}
+
+// measured takes in a time to the first token.
+func (r *rate) measured(tokens, took float64) {
+	// One request that waited for something else must not turn the line.
+	took = min(took, 3*(r.base+tokens/r.perSecond)+r.base)
+	r.n = r.n*remembered + 1
+	r.x = r.x*remembered + tokens
+	r.y = r.y*remembered + took
+	r.xx = r.xx*remembered + tokens*tokens
+	r.xy = r.xy*remembered + tokens*took
+	spread := r.n*r.xx - r.x*r.x
+	if r.n < leastMeasured || spread <= 0 {
+		return
+	}
+	slope := (r.n*r.xy - r.x*r.y) / spread
+	slope = min(max(slope, 1.0/(20*firstRate)), 20.0/firstRate)
+	r.perSecond = 1 / slope
+	r.base = min(max((r.y-slope*r.x)/r.n, leastBase), mostBase)
 }
 
 func (b *Balancer) rateLocked(service string) *rate {
@@ -30,6 +61,19 @@
 	return r
 }
 
+// Work returns how many engines of each service this entry keeps busy with
+// reading prompts and with its running requests.
+func (b *Balancer) Work() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	out := make(map[string]float64, len(b.work))
+	for service, m := range b.work {
+		out[service] = m.Rate(now)
+	}
+	return out
+}
+
 // Outcome is how a request ended at a replica, as far as it tells something
 // of the replica.
 type Outcome int
@@ -50,13 +94,24 @@
 // Ticket is one request in flight at a replica. Its methods are called from
 // one goroutine.
 type Ticket struct {
-	b       *Balancer
-	q       Query
-	choice  Choice
-	sent    time.Time
-	tokens  int
-	started bool
-	ended   bool
+	b      *Balancer
+	q      Query
+	choice Choice
+	sent   time.Time
+	// tokens are those of the request that are not cached, ahead those that
+	// were to be read before them.
+	tokens, ahead int
+	started       bool
+	ended         bool
+}
+
+func (b *Balancer) workLocked(service string) *meter.Meter {
+	m := b.work[service]
+	if m == nil {
+		m = &meter.Meter{At: time.Now()}
+		b.work[service] = m
+	}
+	return m
 }
 
 // Begin counts a request as in flight at the replica chosen.
@@ -68,8 +123,12 @@
 		t.tokens = max(0, q.PromptTokens-c.CachedTokens)
 	}
 	st := b.stateLocked(c.Replica)
+	t.ahead = st.own.Tokens + b.peers[c.Replica.ID].Tokens
 	st.own.InFlight++
 	st.own.Tokens += t.tokens
+	if q.Slots > 0 {
+		b.workLocked(q.Service).Add(t.sent, float64(t.tokens)/b.rateLocked(q.Service).perSecond)
+	}
 	b.noteLocked(q.Parts, c.Replica.ID, t.sent)
 	return t
 }
@@ -89,19 +148,11 @@
 	if t.q.Slots == 0 || predicted <= 0 {
 		return
 	}
-	t.b.learnLocked(t.q.Service, took, predicted/st.pace)
+	t.b.rateLocked(t.q.Service).measured(float64(t.ahead+t.tokens), took)
 	ratio := min(max(took/predicted*st.pace, fastest), slowest)
 	st.pace = min(max(st.pace*math.Exp(paceLearning*math.Log(ratio/st.pace)), 1), slowest)
 }
 
-// learnLocked moves the rate of a service towards what was measured.
-func (b *Balancer) learnLocked(service string, took, predicted float64) {
-	r := b.rateLocked(service)
-	correction := min(max(predicted/took, 0.5), 2)
-	r.perSecond *= math.Exp(learning * math.Log(correction))
-	r.perSecond = min(max(r.perSecond, firstRate/20), firstRate*20)
-}
-
 // End records how the request ended.
 func (t *Ticket) End(o Outcome) {
 	if t.ended {
@@ -115,6 +166,11 @@
 	if !t.started {
 		st.own.Tokens -= t.tokens
 	}
+	if t.q.Slots > 0 && t.started {
+		// A running request takes its slot's part of the engine.
+		took := time.Since(t.sent).Seconds()
+		t.b.workLocked(t.q.Service).Add(time.Now(), took/float64(t.q.Slots))
+	}
 	if o != Neutral {
 		st.failures.add(time.Now(), o)
 	}
--- /dev/null
+++ b/gateway/scaling/control.go
@@ -0,0 +1,140 @@
+package scaling
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+// planPeriod is how often plans are made.
+const planPeriod = 400 * time.Millisecond
+
+// Lease says whether this entry may order, and with which fencing token.
+type Lease interface {
+	Held() (fence uint64, ok bool)
+}
+
+// Orderer gives orders. A refusal is verdict.NotRun with verdict.CodeConflict.
+type Orderer interface {
+	Order(ctx context.Context, fence uint64, service, domain string, count int, reclaimable bool) error
+}
+
+// Controller carries plans out while this entry holds the lease.
+type Controller struct {
+	Lease    Lease
+	Orders   Orderer
+	Config   *config.Holder
+	Replicas *replica.Set
+	// Domains are the failure domains of the deployment.
+	Domains []string
+	// Busy returns how many engines of a service all entries keep busy.
+	Busy func(service string) float64
+	Log  *logrus.Entry
+
+	planners map[string]*Planner
+}
+
+// Run plans until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	c.planners = make(map[string]*Planner)
+	ticker := time.NewTicker(planPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.step(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Controller) step(ctx context.Context) {
+	fence, held := c.Lease.Held()
+	current := c.Config.Current()
+	if !held || current == nil {
+		clear(c.planners)
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(current.Services)) {
+		if bounds := current.Services[name].Scaling; bounds != nil {
+			c.plan(ctx, fence, name, *bounds)
+		}
+	}
+}
+
+func (c *Controller) plan(ctx context.Context, fence uint64, service string, bounds config.Scaling) {
+	supply := c.supply(service)
+	if len(supply) == 0 {
+		return
+	}
+	p := c.planners[service]
+	if p == nil {
+		p = NewPlanner()
+		c.planners[service] = p
+	}
+	in := Input{Now: time.Now(), Busy: c.Busy(service), Supply: supply, Bounds: bounds}
+	for _, o := range p.Plan(in) {
+		c.order(ctx, fence, service, p, o, in)
+	}
+}
+
+func (c *Controller) order(ctx context.Context, fence uint64, service string, p *Planner, o Order, in Input) {
+	log := c.Log.WithFields(logrus.Fields{
+		"service": service, "domain": o.Domain, "reclaimable": o.Reclaimable, "count": o.Count,
+		"need": p.Need(), "busy": in.Busy, "on_demand": in.Supply[o.Domain].OnDemand,
+		"reclaimable_now": in.Supply[o.Domain].Reclaimable, "fence": fence,
+	})
+	err := c.Orders.Order(ctx, fence, service, o.Domain, o.Count, o.Reclaimable)
+	if err == nil {
+		log.Info("scaling: ordered.")
+		return
+	}
+	log.WithError(err).Warn("scaling: order failed.")
+	have := in.Supply[o.Domain].OnDemand
+	if o.Reclaimable {
+		have = in.Supply[o.Domain].Reclaimable
+	}
+	if verdict.Of(err) == verdict.NotRun || o.Count > have {
+		p.Refused(o, have, time.Now())
+	}
+}
+
+// supply counts the replicas of a service by domain. Domains that have none
+// count where the service may run there.
+func (c *Controller) supply(service string) map[string]Supply {
+	out := make(map[string]Supply)
+	snapshot := c.Replicas.Current()
+	for _, r := range snapshot.Ready[service] {
+		s := out[r.FailureDomain]
+		if r.Reclaimable {
+			s.Reclaimable++
+		} else {
+			s.OnDemand++
+		}
+		out[r.FailureDomain] = s
+	}
+	for _, r := range snapshot.All {
+		if r.Service == service && r.Draining && r.Reclaimable && r.Leaves > 0 {
+			s := out[r.FailureDomain]
+			s.Reclaimed++
+			out[r.FailureDomain] = s
+		}
+	}
+	if len(out) == 0 {
+		return out
+	}
+	for _, d := range c.Domains {
+		if _, known := out[d]; !known {
+			out[d] = Supply{}
+		}
+	}
+	return out
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -58,10 +58,10 @@
 	// Pace is the time between two updates of an entry's state while members
 	// are few; 0 takes a second. It grows with their number beyond
 	// pacedMembers.
-	Pace time.Duration
-	Dial       func(ctx context.Context, network, addr string) (net.Conn, error)
-	Log        *logrus.Entry
-	Handlers   Handlers
+	Pace     time.Duration
+	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
+	Log      *logrus.Entry
+	Handlers Handlers
 }
 
 // Mesh connects this entry with its peers. It is safe for concurrent use.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -65,6 +65,8 @@
 	Incarnation string `json:"i,omitempty"`
 	// Endpoints is the load that the entry puts on endpoints, by ID.
 	Endpoints map[string]EndpointLoad `json:"e,omitempty"`
+	// Work is how many endpoints of each service the entry keeps busy.
+	Work map[string]float64 `json:"k,omitempty"`
 	// Started counts the requests that began to run, by window and customer.
 	// Counts of a window only grow within one incarnation.
 	Started map[int64]map[string]int `json:"u,omitempty"`
