Keep long prompts to a part of the replicas

Change: prompts that take an engine longer than 0.3 of the tightest objective go to a part of the replicas that all entries derive from the replicas' names; the others avoid that part unless the rest is full.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -61,6 +61,8 @@
 	Parts []Part
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
+	// Tightest is the tightest latency objective of the service's requests.
+	Tightest time.Duration
 	// Exclude are replicas by ID that had the request before.
 	Exclude map[string]bool
 }
@@ -72,6 +74,8 @@
 	FirstToken time.Duration
 	// CachedTokens of the prompt are expected to be in its cache.
 	CachedTokens int
+	// Ahead are prompt tokens that were believed to be read before it.
+	Ahead int
 	// InFlight is how many requests it was believed to have.
 	InFlight int
 	// RunnerUp is the second best replica, nil where there is none.
@@ -91,6 +95,7 @@
 	rates map[string]*rate
 	// work is how busy this entry keeps the engines of a service.
 	work  map[string]*meter.Meter
+	mixes map[string]*mix
 	peers map[string]peer.EndpointLoad
 	parts *lru.Cache[uint64, []sighting]
 }
@@ -123,6 +128,7 @@
 		states: make(map[string]*state),
 		rates:  make(map[string]*rate),
 		work:   make(map[string]*meter.Meter),
+		mixes:  make(map[string]*mix),
 		peers:  make(map[string]peer.EndpointLoad),
 		parts:  parts,
 	}
@@ -155,6 +161,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	out := b.ejectedLocked(ready, now)
+	long := b.forLong(q, ready, now)
 	best, second := Choice{}, Choice{}
 	bestCost, secondCost := math.Inf(1), math.Inf(1)
 	for _, r := range ready {
@@ -162,6 +169,7 @@
 			continue
 		}
 		c, cost := b.costLocked(q, r, ready, now)
+		cost += b.strayCost(q, q.PromptTokens-c.CachedTokens, r.ID, long)
 		c.Candidates = len(ready)
 		switch {
 		case cost < bestCost:
@@ -195,7 +203,8 @@
 	}
 	c.CachedTokens = b.cachedLocked(q, r, ready, now)
 	rate := b.rateLocked(q.Service)
-	tokens := st.own.Tokens + others.Tokens + max(0, q.PromptTokens-c.CachedTokens)
+	c.Ahead = st.own.Tokens + others.Tokens
+	tokens := c.Ahead + max(0, q.PromptTokens-c.CachedTokens)
 	predicted := rate.base + float64(tokens)/rate.perSecond + float64(inFlight)*stepPerRunning.Seconds()
 	if full := inFlight + 1 - slots; full > 0 {
 		predicted += float64(full) / float64(slots) * meanRun.Seconds()
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -127,7 +127,13 @@
 	st.own.InFlight++
 	st.own.Tokens += t.tokens
 	if q.Slots > 0 {
-		b.workLocked(q.Service).Add(t.sent, float64(t.tokens)/b.rateLocked(q.Service).perSecond)
+		seconds := float64(t.tokens) / b.rateLocked(q.Service).perSecond
+		b.workLocked(q.Service).Add(t.sent, seconds)
+		m := b.mixLocked(q.Service)
+		m.all.Add(t.sent, seconds)
+		if b.isLong(q, t.tokens) {
+			m.long.Add(t.sent, seconds)
+		}
 	}
 	b.noteLocked(q.Parts, c.Replica.ID, t.sent)
 	return t
--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -130,6 +130,8 @@
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
 	byName map[string]*Customer
+	// tightest is by service.
+	tightest map[string]time.Duration
 }
 
 // Compile builds the indexes of the configuration and returns it.
@@ -137,9 +139,15 @@
 	c.byHost = make(map[string][]*Route)
 	c.byKey = make(map[string]*Customer)
 	c.byName = make(map[string]*Customer)
+	c.tightest = make(map[string]time.Duration)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+		for _, t := range r.Targets {
+			if old := c.tightest[t.Service]; r.Objective > 0 && (old == 0 || r.Objective < old) {
+				c.tightest[t.Service] = r.Objective
+			}
+		}
 	}
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int {
@@ -166,6 +174,10 @@
 	return nil
 }
 
+// Tightest returns the tightest latency objective of the routes to a service,
+// 0 where none is stated.
+func (c *Configuration) Tightest(service string) time.Duration { return c.tightest[service] }
+
 // Keyed says whether requests need a key.
 func (c *Configuration) Keyed() bool { return len(c.Customers) > 0 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -94,7 +94,6 @@
 	if err := x.hopeless(choice); err != nil && lastEvent == "" {
 		return err
 	}
-	x.logChoice(choice)
 	x.last, x.replica = choice, choice.Replica.ID
 	ticket := x.h.Balancer.Begin(q, choice)
 	outcome := balance.Neutral
@@ -132,7 +131,7 @@
 func (x *exchange) query() balance.Query {
 	q := balance.Query{Service: x.service, PromptTokens: x.req.PromptTokens, Exclude: x.tried}
 	if s := x.cfg.Services[x.service]; s.Engine != nil {
-		q.Slots = s.Engine.Slots
+		q.Slots, q.Tightest = s.Engine.Slots, x.cfg.Tightest(x.service)
 	}
 	if n := len(x.req.Parts); n > 1 {
 		q.Parts = x.req.Parts[:n-1]
@@ -188,16 +187,14 @@
 	return x.route.Urgency
 }
 
-func (x *exchange) logChoice(c balance.Choice) {
-	f := logrus.Fields{
-		"request": x.req.ID, "replica": c.Replica.ID, "address": c.Replica.Addr,
-		"candidates": c.Candidates, "in_flight": c.InFlight,
-	}
+// choiceFields adds to a log line what the last choice was made from.
+func (x *exchange) choiceFields(f logrus.Fields) {
+	c := x.last
+	f["candidates"], f["in_flight"] = c.Candidates, c.InFlight
 	if c.FirstToken > 0 {
-		f["predicted_ms"], f["cached"], f["prompt"] = c.FirstToken.Milliseconds(), c.CachedTokens, x.req.PromptTokens
+		f["predicted_ms"], f["cached"], f["prompt"], f["ahead"] = c.FirstToken.Milliseconds(), c.CachedTokens, x.req.PromptTokens, c.Ahead
 	}
 	if c.RunnerUp != nil {
 		f["runner_up"] = c.RunnerUp.ID
 	}
-	x.h.Log.WithFields(f).Debug("gateway: replica chosen.")
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -99,6 +99,8 @@
 	tried   map[string]bool
 	last    balance.Choice
 	replica string
+	// first is the time from arrival to the first event of a stream.
+	first time.Duration
 	// answered is set once the header went to the client.
 	answered bool
 	status   int
@@ -263,6 +265,10 @@
 	}
 	if x.replica != "" {
 		f["replica"], f["sends"] = x.replica, x.sends
+		x.choiceFields(f)
+	}
+	if x.first > 0 {
+		f["first_ms"] = x.first.Milliseconds()
 	}
 	entry := x.h.Log.WithFields(f)
 	if err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -191,7 +191,8 @@
 	s.x.header(s.a)
 	s.x.w.Header().Del("Content-Length")
 	s.x.begin(s.a.Status)
-	s.x.h.Recorder.FirstToken(s.x.route.Name, time.Since(s.x.arrived))
+	s.x.first = time.Since(s.x.arrived)
+	s.x.h.Recorder.FirstToken(s.x.route.Name, s.x.first)
 }
 
 // finish passes on what follows the last event, once the stream has ended as
