--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,388 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+)
+
+// dialect is a plain dialect for tests.
+type dialect struct{}
+
+func (dialect) Decode(r *http.Request) (gateway.Request, error) {
+	out := gateway.Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last")}
+	if ms := r.Header.Get("Patience"); ms != "" {
+		n, err := strconv.Atoi(ms)
+		if err != nil {
+			return out, err
+		}
+		out.Patience = time.Duration(n) * time.Millisecond
+	}
+	return out, nil
+}
+
+func (dialect) Forward(r *http.Request, f gateway.Forwarding) http.Header {
+	h := http.Header{"Id": {r.Header.Get("Id")}, "Replica": {f.ReplicaID}, "Customer": {f.Customer}}
+	h.Set("Remaining", strconv.FormatInt(f.Remaining.Milliseconds(), 10))
+	h.Set("Last", f.LastEventID)
+	return h
+}
+
+func (dialect) Reply(_ int, h http.Header) gateway.Reply {
+	return gateway.Reply{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+}
+
+func (dialect) Answer(h http.Header) http.Header { return h.Clone() }
+
+type recorder struct{}
+
+func (recorder) Ended(string, string, int, time.Duration) {}
+func (recorder) FirstToken(string, time.Duration)         {}
+func (recorder) Retried(string)                           {}
+
+// world is one entry with replicas that follow scripts, and a client.
+type world struct {
+	network *memnet.Network
+	set     *replica.Set
+	config  *config.Holder
+	handler *gateway.Handler
+	server  *http.Server
+	age     time.Duration
+	client  *http.Client
+
+	mu sync.Mutex
+	// got are the requests that replicas got, as "replica id last".
+	got []string
+}
+
+// script answers one request at a replica. A false result closes the
+// connection.
+type script func(nc net.Conn, req *http.Request) bool
+
+func newWorld(t *testing.T, c *config.Configuration, scripts ...script) *world {
+	w := &world{network: memnet.New(), set: replica.NewSet(nolog.Or(nil)), config: &config.Holder{}}
+	if c != nil {
+		w.config.Offer(c.Compile())
+	}
+	clock := usage.NewClock()
+	pool := upstream.NewPool(w.network.Dialer("10.0.0.1"))
+	limiter := quota.NewLimiter(quota.Tolerance{})
+	if c != nil {
+		limiter.SetConfiguration(c)
+	}
+	w.handler = gateway.New(gateway.Deps{
+		Dialect: dialect{}, Config: w.config, ConfigAge: func() (time.Duration, bool) { return w.age, true },
+		Balancer: balance.New(w.set, "d"), Pool: pool, Limiter: limiter,
+		Retries: quota.NewRetries(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
+		Usage:   usage.NewMeter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
+	})
+	for i, s := range scripts {
+		w.addReplica(t, fmt.Sprintf("r%d", i), s)
+	}
+	l, err := w.network.Listen("10.0.0.1:80")
+	qt.Assert(t, err, qt.IsNil)
+	w.server = &http.Server{Handler: w.handler}
+	go func() { _ = w.server.Serve(l) }()
+	transport := &http.Transport{DialContext: w.network.Dialer("10.0.0.2")}
+	w.client = &http.Client{Transport: transport}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		_ = w.server.Close()
+		pool.Close()
+	})
+	return w
+}
+
+func (w *world) addReplica(t *testing.T, id string, s script) {
+	address := fmt.Sprintf("10.0.1.%d:80", 1+len(w.set.Current().All))
+	l, err := w.network.Listen(address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go w.connection(nc, s)
+		}
+	}()
+	w.set.Put(replica.Entry{ID: id, Service: "s", Addr: address, FailureDomain: "d", Slots: 4})
+}
+
+func (w *world) connection(nc net.Conn, s script) {
+	defer nc.Close()
+	reader := bufio.NewReader(nc)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.got = append(w.got, strings.TrimSpace(req.Header.Get("Replica")+" "+req.Header.Get("Id")+" "+req.Header.Get("Last")))
+		w.mu.Unlock()
+		if !s(nc, req) {
+			return
+		}
+	}
+}
+
+func (w *world) runs() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.got)
+}
+
+// get sends a request and returns the status, the body and whether the body
+// was whole.
+func (w *world) get(t *testing.T, path string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://10.0.0.1:80"+path, strings.NewReader("body"))
+	qt.Assert(t, err, qt.IsNil)
+	req.Host = "h"
+	req.Header.Set("Id", "q1")
+	req.Header.Set("Patience", "3000")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func routes() *config.Configuration {
+	target := []config.Target{{Service: "s", Weight: 1}}
+	second := time.Second
+	return &config.Configuration{Version: 1, Routes: []config.Route{
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: config.Once, Timeout: second, Attempts: 2, Targets: target},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: config.Repeatable, Timeout: second, Attempts: 2, Targets: target},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: config.Stream, Timeout: second, Attempts: 2, Targets: target},
+		{Name: "resume", Host: "h", Prefix: "/resume/", Kind: config.Stream, Timeout: second, Attempts: 2, Targets: target, Resumable: true},
+	}, Services: map[string]config.Service{"s": {Name: "s"}}}
+}
+
+func ok(nc net.Conn, req *http.Request) bool {
+	_, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 4\r\n\r\ngood", req.Header.Get("Id"))
+	return err == nil
+}
+
+func status(code int, extra string) script {
+	return func(nc net.Conn, req *http.Request) bool {
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: 3\r\n\r\nbad", code, req.Header.Get("Id"), extra)
+		return err == nil
+	}
+}
+
+func dies(net.Conn, *http.Request) bool { return false }
+
+func silent(nc net.Conn, _ *http.Request) bool {
+	_, _ = nc.Read(make([]byte, 1))
+	return false
+}
+
+func cut(nc net.Conn, req *http.Request) bool {
+	_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 400\r\n\r\npart", req.Header.Get("Id"))
+	return false
+}
+
+// events sends events of a stream after that which the request has, up to a
+// last one, and ends it whole or breaks off within the next event.
+func events(last int, whole bool) script {
+	return func(nc net.Conn, req *http.Request) bool {
+		from, _ := strconv.Atoi(req.Header.Get("Last"))
+		var b strings.Builder
+		fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
+		for i := from + 1; i <= last; i++ {
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(event), event)
+		}
+		if whole {
+			b.WriteString("0\r\n\r\n")
+		} else {
+			b.WriteString("5\r\nid: 9\r\n")
+		}
+		_, _ = io.WriteString(nc, b.String())
+		return whole
+	}
+}
+
+func series(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
+
+// refused matches the statuses that promise that nothing has run.
+func refused(code int) bool {
+	return code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable || code == http.StatusRequestTimeout
+}
+
+func TestWhatCallersGetFromFaultyReplicas(t *testing.T) {
+	shed := status(503, "Not-Run: 1\r\n")
+	for _, test := range []struct {
+		name  string
+		path  string
+		first script
+		// second is the script of another replica, nil for none.
+		second script
+		status int
+		body   string
+		cut    bool
+		runs   int
+	}{
+		{"answer", "/once/x", ok, nil, 200, "good", false, 1},
+		{"own failure is passed on", "/once/x", status(500, ""), ok, 500, "bad", false, 1},
+		{"own failure of a repeatable request", "/safe/x", status(500, ""), status(500, ""), 500, "bad", false, 2},
+		{"no answer, may not be repeated", "/once/x", dies, dies, 502, "", false, 1},
+		{"no answer, may be repeated", "/safe/x", dies, dies, 502, "", false, 2},
+		{"full replicas", "/once/x", shed, shed, 503, "", false, 2},
+		{"cut answer, may not be repeated", "/once/x", cut, cut, 502, "", false, 1},
+		{"silence until the timeout", "/once/x", silent, silent, 504, "", false, 1},
+		{"stream", "/stream/x", events(3, true), nil, 200, series(1, 3), false, 1},
+		{"stream breaks off", "/stream/x", events(3, false), events(3, false), 200, series(1, 3), true, 1},
+		{"stream dies before its first event", "/stream/x", dies, dies, 502, "", false, 1},
+		{"resumable stream that both break off", "/resume/x", events(3, false), events(3, false), 200, series(1, 3), true, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				scripts := []script{test.first}
+				if test.second != nil {
+					scripts = append(scripts, test.second)
+				}
+				w := newWorld(t, routes(), scripts...)
+				resp, body, err := w.get(t, test.path)
+				qt.Assert(t, resp, qt.IsNotNil, qt.Commentf("%v", err))
+				qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+				qt.Check(t, err != nil, qt.Equals, test.cut)
+				if test.body != "" {
+					qt.Check(t, body, qt.Equals, test.body)
+				}
+				qt.Check(t, w.runs(), qt.Equals, test.runs)
+				if refused(resp.StatusCode) {
+					qt.Check(t, resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				}
+			})
+		})
+	}
+}
+
+func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Whichever replica is first breaks off after three events; the other
+		// has all five.
+		var mu sync.Mutex
+		sent := 0
+		both := func(nc net.Conn, req *http.Request) bool {
+			mu.Lock()
+			sent++
+			first := sent == 1
+			mu.Unlock()
+			if first {
+				return events(3, false)(nc, req)
+			}
+			return events(5, true)(nc, req)
+		}
+		w := newWorld(t, routes(), both, both)
+		resp, body, err := w.get(t, "/resume/x")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, resp.StatusCode, qt.Equals, 200)
+		qt.Assert(t, body, qt.Equals, series(1, 5))
+		qt.Assert(t, w.runs(), qt.Equals, 2)
+		qt.Assert(t, strings.HasSuffix(w.got[1], " q1 3"), qt.IsTrue, qt.Commentf("%v", w.got))
+	})
+}
+
+func TestClientThatLeavesEndsTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gone := make(chan struct{})
+		w := newWorld(t, routes(), func(nc net.Conn, _ *http.Request) bool {
+			_, _ = nc.Read(make([]byte, 1))
+			close(gone)
+			return false
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://10.0.0.1:80/once/x", strings.NewReader("b"))
+		qt.Assert(t, err, qt.IsNil)
+		req.Host = "h"
+		_, err = w.client.Do(req)
+		qt.Assert(t, err, qt.IsNotNil)
+		began := time.Now()
+		<-gone
+		qt.Assert(t, time.Since(began) < 100*time.Millisecond, qt.IsTrue)
+	})
+}
+
+func TestRequestsThatAreNotForwarded(t *testing.T) {
+	keyed := func() *config.Configuration {
+		c := routes()
+		c.Customers = []config.Customer{{Name: "a", Keys: []string{"k"}, PerSecond: 1, Burst: 1}}
+		return c
+	}
+	for _, test := range []struct {
+		name   string
+		config *config.Configuration
+		age    time.Duration
+		path   string
+		header []string
+		status int
+	}{
+		{"no configuration yet", nil, 0, "/once/x", nil, 503},
+		{"no route", routes(), 0, "/other/x", nil, 404},
+		{"no route by an old configuration", routes(), time.Minute, "/other/x", nil, 503},
+		{"unknown key", keyed(), 0, "/once/x", []string{"Key", "other"}, 401},
+		{"unknown key by an old configuration", keyed(), time.Minute, "/once/x", []string{"Key", "other"}, 503},
+		{"malformed deadline", routes(), 0, "/once/x", []string{"Patience", "soon"}, 400},
+		{"no replica", routes(), 0, "/once/x", nil, 503},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, test.config)
+				w.age = test.age
+				resp, _, err := w.get(t, test.path, test.header...)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, resp.StatusCode, qt.Equals, test.status)
+			})
+		})
+	}
+}
+
+func TestDrainingEntryAsksClientsToCloseTheirConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, routes(), ok)
+		w.handler.Drain()
+		resp, body, err := w.get(t, "/once/x")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, "good")
+		qt.Assert(t, resp.Close, qt.IsTrue)
+	})
+}
--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -160,7 +160,7 @@
 	fields := logrus.Fields{"replica": e.ID, "service": e.Service, "address": e.Addr, "domain": e.FailureDomain, "born": e.Born, "reclaimable": e.Reclaimable}
 	if e.Draining {
 		if s.leaveLocked(r) {
-			s.log.WithFields(fields).WithField("leaves_ms", e.Leaves.Milliseconds()).Info("replica: draining.")
+			s.log.WithFields(fields).WithField("remaining_ms", e.Leaves.Milliseconds()).Info("replica: draining.")
 			drained = append(drained, r)
 		}
 		return drained
