Bound the log of an entry, and test counts of replicas and choice under load

The log goes through a bounded queue to one writer; lines of one message are bounded a second, warnings less than others; what is left out is counted. The plan of replicas kept a domain's bound only per kind while one kind took the other's place: the new test found five of at most three.

--- a/cmd/coltsfootcleat/serve_platform.go
+++ b/cmd/coltsfootcleat/serve_platform.go
@@ -24,6 +24,8 @@
 	// stopSlack is the part of the grace that is left for the end of the
 	// process itself.
 	stopSlack = 300 * time.Millisecond
+	// logSlack is how long the last log lines may take at the end.
+	logSlack = 100 * time.Millisecond
 )
 
 // runOnPlatform runs one entry on the users' platform until SIGTERM.
@@ -36,10 +38,9 @@
 		return err
 	}
 	gin.SetMode(gin.ReleaseMode)
-	log, err := telemetry.NewLogger("info", "json", os.Stdout)
-	if err != nil {
-		return err
-	}
+	lines := telemetry.NewBoundedLog(os.Stdout)
+	defer lines.Close(logSlack)
+	log := lines.Logger(logrus.InfoLevel)
 	if limit := s.Gateway.MemoryBytes; limit > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(limit)))
 	}
--- /dev/null
+++ b/gateway/balance/balance_test.go
@@ -0,0 +1,213 @@
+package balance
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+)
+
+func replicas(n int) *replica.Set {
+	set := replica.NewSet(nolog.Or(nil))
+	for i := range n {
+		set.Put(replica.Entry{ID: fmt.Sprintf("r%d", i), Service: "s", Addr: fmt.Sprintf("10.0.0.%d:1", i), FailureDomain: "d", Slots: 64})
+	}
+	return set
+}
+
+// event is something that happens to a request in the played load.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// play plays a load of urgent short prompts and a few that are very long on
+// engines that read one prompt after the other, through several entries that
+// tell each other their load every 300 ms. It returns the times to the first
+// token of the short ones, sorted.
+func play(t *testing.T, split bool) []time.Duration {
+	const entries, engines, tokensPerSecond = 6, 8, 68_000.0
+	rng := rand.New(rand.NewPCG(1, 2))
+	set := replicas(engines)
+	var balancers []*Balancer
+	for range entries {
+		balancers = append(balancers, New(set, "d"))
+	}
+	free := make(map[string]time.Duration)
+	var short []time.Duration
+	var queue events
+	var now time.Duration
+	began := time.Now()
+	arrive := func(long bool) {
+		q := Query{Service: "s", Slots: 64, PromptTokens: 500 + rng.IntN(3000)}
+		if split {
+			q.Tightest = 500 * time.Millisecond
+		}
+		if long {
+			q.PromptTokens = 20_000 + rng.IntN(30_000)
+		}
+		b := balancers[rng.IntN(entries)]
+		c, err := b.Choose(q)
+		qt.Assert(t, err, qt.IsNil)
+		ticket := b.Begin(q, c)
+		at := max(now, free[c.Replica.ID]) + time.Duration(float64(q.PromptTokens)/tokensPerSecond*float64(time.Second))
+		free[c.Replica.ID] = at
+		first := at + 40*time.Millisecond
+		if !long {
+			short = append(short, first-now)
+		}
+		heap.Push(&queue, event{first, ticket.Started})
+		heap.Push(&queue, event{first + 500*time.Millisecond, func() { ticket.End(Fine) }})
+	}
+	var shortAt, longAt, shareAt time.Duration
+	for now < 60*time.Second {
+		heap.Push(&queue, event{shortAt, func() { arrive(false) }})
+		shortAt += time.Duration(rng.ExpFloat64() * float64(time.Second) / 60)
+		for longAt <= shortAt {
+			heap.Push(&queue, event{longAt, func() { arrive(true) }})
+			longAt += time.Duration(rng.ExpFloat64() * float64(time.Second) / 4)
+		}
+		for shareAt <= shortAt {
+			heap.Push(&queue, event{shareAt, func() { share(balancers) }})
+			shareAt += 300 * time.Millisecond
+		}
+		for len(queue) > 0 && queue[0].at <= shortAt {
+			e := heap.Pop(&queue).(event)
+			now = e.at
+			time.Sleep(time.Until(began.Add(now)))
+			e.do()
+		}
+	}
+	slices.Sort(short)
+	return short
+}
+
+func share(balancers []*Balancer) {
+	for i, b := range balancers {
+		sum := make(map[string]peer.EndpointLoad)
+		for j, other := range balancers {
+			if i == j {
+				continue
+			}
+			for id, l := range other.Own() {
+				s := sum[id]
+				s.InFlight += l.InFlight
+				s.Tokens += l.Tokens
+				sum[id] = s
+			}
+		}
+		b.SetPeers(sum)
+	}
+}
+
+// The load: a long prompt takes an engine for longer than the objective of the
+// others, and other entries know of it only later.
+func TestLongPromptsDontDelayTheOthers(t *testing.T) {
+	var with, without []time.Duration
+	synctest.Test(t, func(t *testing.T) { without = play(t, false) })
+	synctest.Test(t, func(t *testing.T) { with = play(t, true) })
+	late := func(times []time.Duration) float64 {
+		i, _ := slices.BinarySearch(times, 300*time.Millisecond)
+		return float64(len(times)-i) / float64(len(times))
+	}
+	t.Logf("short prompts later than 300 ms: %.3f with the split, %.3f without", late(with), late(without))
+	qt.Assert(t, late(with) < late(without)/2, qt.IsTrue)
+}
+
+func TestSharedPartsKeepToAReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := replicas(6)
+		one, two := New(set, "d"), New(set, "d")
+		q := Query{Service: "s", Slots: 64, PromptTokens: 9000, Parts: []Part{{ID: 7, Tokens: 500}, {ID: 9, Tokens: 5000}}}
+		var chosen []string
+		for _, b := range []*Balancer{one, two, one, two} {
+			c, err := b.Choose(q)
+			qt.Assert(t, err, qt.IsNil)
+			ticket := b.Begin(q, c)
+			time.Sleep(time.Second)
+			ticket.Started()
+			ticket.End(Fine)
+			chosen = append(chosen, c.Replica.ID)
+		}
+		qt.Assert(t, slices.Compact(chosen), qt.HasLen, 1)
+	})
+}
+
+func TestReplicaThatFailsIsLeftOutForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(replicas(6), "d")
+		counts := func() map[string]int {
+			n := make(map[string]int)
+			for range 300 {
+				q := Query{Service: "s"}
+				c, err := b.Choose(q)
+				qt.Assert(t, err, qt.IsNil)
+				ticket := b.Begin(q, c)
+				time.Sleep(10 * time.Millisecond)
+				if c.Replica.ID == "r0" {
+					ticket.End(Failed)
+				} else {
+					ticket.End(Fine)
+				}
+				n[c.Replica.ID]++
+			}
+			return n
+		}
+		got := counts()
+		qt.Assert(t, got["r0"] < 30, qt.IsTrue, qt.Commentf("%v", got))
+	})
+}
+
+func TestNoMoreThanAThirdIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := replicas(6)
+		b := New(set, "d")
+		for range 20 {
+			for _, r := range set.Current().Ready["s"] {
+				b.Begin(Query{Service: "s"}, Choice{Replica: r}).End(Failed)
+			}
+		}
+		out := b.ejectedLocked(set.Current().Ready["s"], time.Now())
+		qt.Assert(t, len(out) <= 2, qt.IsTrue, qt.Commentf("%d left out", len(out)))
+	})
+}
+
+func TestRateIsLearnedFromFirstTokens(t *testing.T) {
+	r := &rate{perSecond: firstRate, base: baseDelay.Seconds()}
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 300 {
+		tokens := 500 + rng.Float64()*20_000
+		r.measured(tokens, 0.06+tokens/90_000+0.01*rng.NormFloat64())
+	}
+	qt.Assert(t, math.Abs(r.perSecond-90_000) < 9_000, qt.IsTrue, qt.Commentf("%v", r.perSecond))
+	qt.Assert(t, math.Abs(r.base-0.06) < 0.02, qt.IsTrue, qt.Commentf("%v", r.base))
+}
+
+func TestServiceWithoutReplicas(t *testing.T) {
+	b := New(replicas(0), "d")
+	_, err := b.Choose(Query{Service: "s"})
+	qt.Assert(t, err, qt.ErrorIs, ErrNone)
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -27,9 +27,6 @@
 // rest returns the bytes behind the last whole event.
 func (s *eventSplitter) rest() []byte { return s.buf }
 
-// reset drops the bytes of an event that was broken off.
-func (s *eventSplitter) reset() { s.buf = nil }
-
 // eventEnd returns the length of the first whole event of b, or -1.
 func eventEnd(b []byte) int {
 	lf, crlf := bytes.Index(b, []byte("\n\n")), bytes.Index(b, []byte("\r\n\r\n"))
--- a/gateway/scaling/plan.go
+++ b/gateway/scaling/plan.go
@@ -228,6 +228,10 @@
 			at := slot{d, reclaimable}
 			s := p.standing(at, in.Supply[d])
 			count := want[at]
+			if other := p.standing(slot{d, !reclaimable}, in.Supply[d]).count; in.Bounds.Max > 0 {
+				// Both kinds count together, also while one takes the other's place.
+				count = max(min(count, in.Bounds.Max-other), min(count, s.count))
+			}
 			switch {
 			case count > s.count && in.Now.Sub(s.refused) < tryAgain:
 				continue
--- /dev/null
+++ b/gateway/scaling/plan_test.go
@@ -0,0 +1,194 @@
+package scaling
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+)
+
+var domains = []string{"a", "b", "c"}
+
+func bounds() config.Scaling {
+	return config.Scaling{
+		Min: 1, Max: 8, Boot: 4 * time.Second, SpotPrice: 0.2,
+		DomainPrices: map[string]float64{"a": 0.8, "b": 1, "c": 1.2},
+	}
+}
+
+// market plays replicas that start after a time, and reclaims.
+type market struct {
+	now    time.Time
+	boot   time.Duration
+	have   map[slot]int
+	coming []arrival
+	// dry is until when no reclaimable replica is to be had.
+	dry time.Time
+	// leaving is how many of a domain's reclaimable ones are being taken, and
+	// until when.
+	leaving map[string]arrival
+	planner *Planner
+	bounds  config.Scaling
+}
+
+type arrival struct {
+	at   slot
+	n    int
+	when time.Time
+}
+
+func newMarket(onDemand int) *market {
+	m := &market{
+		now: time.Unix(1000, 0), boot: 4 * time.Second, have: make(map[slot]int),
+		leaving: make(map[string]arrival), planner: NewPlanner(), bounds: bounds(),
+	}
+	for _, d := range domains {
+		m.have[slot{d, false}] = onDemand
+	}
+	return m
+}
+
+func (m *market) reclaim(domain string, dry time.Duration) {
+	at := slot{domain, true}
+	m.leaving[domain] = arrival{n: m.have[at], when: m.now.Add(2 * time.Second)}
+	m.have[at] = 0
+	m.dry = m.now.Add(dry)
+}
+
+// step plays a plan for the load and returns how many replicas serve.
+func (m *market) step(busy float64) int {
+	m.now = m.now.Add(planPeriod)
+	var still []arrival
+	for _, a := range m.coming {
+		if m.now.Before(a.when) {
+			still = append(still, a)
+			continue
+		}
+		m.have[a.at] += a.n
+	}
+	m.coming = still
+	supply := make(map[string]Supply)
+	serving := 0
+	for _, d := range domains {
+		s := Supply{OnDemand: m.have[slot{d, false}], Reclaimable: m.have[slot{d, true}]}
+		if l := m.leaving[d]; m.now.Before(l.when) {
+			s.Reclaimed = l.n
+		}
+		supply[d] = s
+		serving += s.OnDemand + s.Reclaimable
+	}
+	for _, o := range m.planner.Plan(Input{Now: m.now, Busy: busy, Supply: supply, Bounds: m.bounds}) {
+		m.carryOut(o)
+	}
+	return serving
+}
+
+func (m *market) carryOut(o Order) {
+	at := slot{o.Domain, o.Reclaimable}
+	expected := m.have[at]
+	for _, a := range m.coming {
+		if a.at == at {
+			expected += a.n
+		}
+	}
+	switch {
+	case o.Count < expected:
+		m.have[at] = min(m.have[at], o.Count)
+	case o.Count > expected && o.Reclaimable && m.now.Before(m.dry):
+		m.planner.Refused(o, m.have[at], m.now)
+	case o.Count > expected:
+		m.coming = append(m.coming, arrival{at, o.Count - expected, m.now.Add(m.boot)})
+	}
+}
+
+func (m *market) run(d time.Duration, busy float64) (least int) {
+	least = 1 << 30
+	for end := m.now.Add(d); m.now.Before(end); {
+		least = min(least, m.step(busy))
+	}
+	return least
+}
+
+func (m *market) price() float64 {
+	sum := 0.0
+	for at, n := range m.have {
+		price := m.bounds.DomainPrices[at.domain]
+		if at.reclaimable {
+			price *= m.bounds.SpotPrice
+		}
+		sum += price * float64(n)
+	}
+	return sum
+}
+
+func TestNothingIsLoweredBeforeTheLoadIsKnown(t *testing.T) {
+	m := newMarket(4)
+	qt.Assert(t, m.run(10*time.Second, 0) >= 12, qt.IsTrue)
+	qt.Assert(t, m.run(4*time.Second, 0.5) >= 12, qt.IsTrue)
+}
+
+func TestCountsFollowASteadyLoadDown(t *testing.T) {
+	m := newMarket(4)
+	m.run(10*time.Second, 0)
+	before := m.price()
+	m.run(40*time.Second, 3)
+	serving := m.step(3)
+	qt.Assert(t, serving >= 4, qt.IsTrue, qt.Commentf("%d serve", serving))
+	qt.Assert(t, m.price() < before/2, qt.IsTrue, qt.Commentf("price %v, before %v", m.price(), before))
+}
+
+// The load is a steady one that one domain's reclaim hits after another, with
+// none to be had meanwhile. What serves must stay near the load.
+func TestReclaimsOfDomainsLeaveEnough(t *testing.T) {
+	m := newMarket(4)
+	m.run(10*time.Second, 0)
+	const busy = 4.0
+	m.run(30*time.Second, busy)
+	for _, d := range domains {
+		m.reclaim(d, 13*time.Second)
+		least := m.run(6*time.Second, busy)
+		qt.Assert(t, float64(least) >= busy, qt.IsTrue, qt.Commentf("%d serve after the reclaim of %s", least, d))
+	}
+	m.run(5*time.Second, busy)
+	serving := m.step(busy)
+	qt.Assert(t, float64(serving) >= busy/targetUse, qt.IsTrue, qt.Commentf("%d serve", serving))
+}
+
+func TestBurstIsFollowedAtOnce(t *testing.T) {
+	m := newMarket(2)
+	m.run(10*time.Second, 0)
+	m.run(20*time.Second, 2)
+	m.run(m.boot+2*planPeriod, 6)
+	serving := m.step(6)
+	qt.Assert(t, float64(serving) >= 6/targetUse, qt.IsTrue, qt.Commentf("%d serve", serving))
+}
+
+func TestBoundsOfADomainAreKept(t *testing.T) {
+	m := newMarket(2)
+	m.bounds.Max = 3
+	m.run(10*time.Second, 0)
+	m.run(30*time.Second, 50)
+	for _, d := range domains {
+		total := m.have[slot{d, false}] + m.have[slot{d, true}]
+		qt.Assert(t, total <= 3, qt.IsTrue, qt.Commentf("%d in %s", total, d))
+	}
+	m.run(200*time.Second, 0.01)
+	for _, d := range domains {
+		total := m.have[slot{d, false}] + m.have[slot{d, true}]
+		qt.Assert(t, total >= 1, qt.IsTrue, qt.Commentf("%d in %s", total, d))
+	}
+}
+
+func TestDomainThatLosesItsReplicasGetsFewer(t *testing.T) {
+	m := newMarket(2)
+	m.run(10*time.Second, 0)
+	for range 3 {
+		m.run(15*time.Second, 3)
+		m.reclaim("a", time.Second)
+	}
+	m.run(15*time.Second, 3)
+	a, b := m.have[slot{"a", true}], m.have[slot{"b", true}]
+	qt.Assert(t, a <= b, qt.IsTrue, qt.Commentf("a has %d, b %d", a, b))
+}
