Let one entry keep each customer's limit, and the others ask it

Change: the limit is kept by the member that the customer's name hashes to; the others ask it for each request and fall back to their own part, which the keeper leaves to members that it doesn't hear.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/infra/guard"
 	"github.com/coltsfootcleat/coltsfootcleat/lease"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 	"github.com/coltsfootcleat/coltsfootcleat/telemetry"
 )
 
@@ -101,7 +102,7 @@
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
 			newBalancer, newPool, newRetries, newUsage, newDutyLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newCallerServer,
-			newLimiter, usage.NewClock, newFollowers,
+			newLimiter, newSharedLimits, usage.NewClock, newFollowers,
 		),
 		fx.Invoke(runGatewayMesh, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
@@ -179,6 +180,27 @@
 
 func newLimiter(s gateway.Settings) *quota.Limiter { return quota.NewLimiter(s.LimitTolerance) }
 
+// newSharedLimits provides the limits over all entries. The mesh, which needs
+// them itself, is filled in once it exists.
+func newSharedLimits(l *quota.Limiter, s gateway.Settings, r *member.Registry, log *logrus.Entry) (*quota.Shared, *limitPeers) {
+	peers := &limitPeers{registry: r}
+	return quota.NewShared(l, s.ID, peers, log), peers
+}
+
+// limitPeers implements quota.Peers.
+type limitPeers struct {
+	registry *member.Registry
+	mesh     *peer.Mesh
+}
+
+// Members implements quota.Peers.
+func (p *limitPeers) Members() []string { return p.registry.Live() }
+
+// Take implements quota.Peers.
+func (p *limitPeers) Take(ctx context.Context, id, customer string, units float64) (time.Duration, error) {
+	return p.mesh.Take(ctx, id, customer, units)
+}
+
 func newUsage(s gateway.Settings, clock *usage.Clock) *usage.Meter {
 	return usage.NewMeter(s.Usage.Window, clock)
 }
@@ -204,7 +226,7 @@
 	Followers    *followers
 	Balancer     *balance.Balancer
 	Pool         *upstream.Pool
-	Limiter      *quota.Limiter
+	Limiter      *quota.Shared
 	Retries      *quota.Retries
 	Usage        *usage.Meter
 	Metrics      *telemetry.Metrics
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -163,6 +163,8 @@
 	Config    *config.Holder
 	Replicas  *replica.Set
 	View      *peerView
+	Limits    *quota.Shared
+	LimitPeer *limitPeers
 	Loops     *Loops
 	Log       *logrus.Entry
 }
@@ -179,6 +181,7 @@
 		Listener: l, Dial: d.Network.Dial, Log: d.Log, Pace: sharePeriod,
 		Handlers: peer.Handlers{
 			Digest: d.View.take,
+			Take:   d.Limits.Asked,
 			TemplateVersion: func(from, _ string, version uint64) {
 				d.Loops.Spawn(func(ctx context.Context) {
 					d.Followers.source.fromPeer(ctx, version, func(ctx context.Context) (json.RawMessage, bool, error) {
@@ -191,6 +194,7 @@
 			},
 		},
 	})
+	d.LimitPeer.mesh = m
 	d.Config.OnChange(func(c *config.Configuration) { m.SetTemplateVersion(configName, c.Version) })
 	spreadDrains(d.Notices, d.Replicas, m)
 	return m, nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -55,6 +55,14 @@
 
 func (dialect) Answer(h http.Header) http.Header { return h.Clone() }
 
+// alone is an entry without peers.
+type alone struct{}
+
+func (alone) Members() []string { return []string{"e"} }
+func (alone) Take(context.Context, string, string, float64) (time.Duration, error) {
+	return 0, nil
+}
+
 type recorder struct{}
 
 func (recorder) Ended(string, string, int, time.Duration) {}
@@ -93,7 +101,8 @@
 	}
 	w.handler = gateway.New(gateway.Deps{
 		Dialect: dialect{}, Config: w.config, ConfigAge: func() (time.Duration, bool) { return w.age, true },
-		Balancer: balance.New(w.set, "d"), Pool: pool, Limiter: limiter,
+		Balancer: balance.New(w.set, "d"), Pool: pool,
+		Limiter: quota.NewShared(limiter, "e", alone{}, nolog.Or(nil)),
 		Retries: quota.NewRetries(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
 		Usage:   usage.NewMeter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
 	})
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -41,7 +41,7 @@
 	ConfigAge func() (time.Duration, bool)
 	Balancer  *balance.Balancer
 	Pool      *upstream.Pool
-	Limiter   *quota.Limiter
+	Limiter   *quota.Shared
 	Retries   *quota.Retries
 	Usage     *usage.Meter
 	Log       *logrus.Entry
@@ -89,7 +89,9 @@
 	// patience is when the client leaves, deadline when the route's timeout
 	// is over if that comes first.
 	patience, deadline time.Time
-	charged            float64
+	// asked is what the request counts against its customer's limit, charged
+	// what was taken for it of this entry's own part.
+	asked, charged float64
 	// counted says that the request was counted as started.
 	counted bool
 	// mayHaveRun is set once the request may have run anywhere.
@@ -196,11 +198,14 @@
 		return nil
 	}
 	tokens := x.req.PromptTokens + x.req.OutputTokens
-	x.charged = quota.Units(x.owner, x.req.TokensStated, tokens)
-	if wait := x.h.Limiter.Take(x.owner.Name, x.charged); wait > 0 {
-		x.charged = 0
+	x.asked = quota.Units(x.owner, x.req.TokensStated, tokens)
+	wait, part := x.h.Limiter.TakeShared(x.r.Context(), x.owner.Name, x.asked)
+	if wait > 0 {
 		return verdict.New(verdict.NotRun, verdict.CodeLimited, "customer %q is over its limit", x.owner.Name).WithRetryAfter(wait)
 	}
+	if part {
+		x.charged = x.asked
+	}
 	return nil
 }
 
@@ -261,7 +266,7 @@
 		f["route"], f["configuration"] = x.route.Name, x.cfg.Version
 	}
 	if x.owner != nil {
-		f["customer"] = x.owner.Name
+		f["customer"], f["units"] = x.owner.Name, x.asked
 	}
 	if x.replica != "" {
 		f["replica"], f["sends"] = x.replica, x.sends
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -35,6 +35,8 @@
 type Limiter struct {
 	now       func() time.Time
 	tolerance Tolerance
+	// keeper may be nil.
+	keeper func(customer string) bool
 
 	mu        sync.Mutex
 	customers map[string]*customer
@@ -44,9 +46,14 @@
 }
 
 type customer struct {
-	limit  config.Customer
+	limit config.Customer
+	// bucket holds this entry's part of the limit.
 	bucket rate.Bucket
 	demand rate.Meter
+	// whole holds what all entries take together while this one keeps the
+	// customer's limit for them; kept says whether it does.
+	whole rate.Bucket
+	kept  bool
 	// told are the demands told to the peers of late, newest last.
 	told []toldDemand
 }
@@ -129,8 +136,8 @@
 	return out
 }
 
-// Take counts a request against its customer's limit. It returns 0, or how
-// long until there is room.
+// Take takes units of this entry's part of a limit. It returns 0, or how long
+// until there is room.
 func (l *Limiter) Take(name string, units float64) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -138,12 +145,10 @@
 	if cu == nil || cu.limit.PerSecond <= 0 {
 		return 0
 	}
-	now := l.now()
-	cu.demand.Add(now, units)
-	return min(cu.bucket.Take(now, units), longestRetryAfter)
+	return min(cu.bucket.Take(l.now(), units), longestRetryAfter)
 }
 
-// Return gives back what a request took that was not run.
+// Return gives back what a request took of this entry's part and was not run.
 func (l *Limiter) Return(name string, units float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -169,6 +174,64 @@
 		burst += toleranceUsed * l.tolerance.Units
 	}
 	cu.bucket.Resize(now, perSecond*part, burst*part)
+	l.resizeWholeLocked(name, cu, now, perSecond, burst)
+}
+
+// resizeWholeLocked sets the size of the bucket for all entries. What members
+// that can't be reached take by their own parts is left out of it.
+func (l *Limiter) resizeWholeLocked(name string, cu *customer, now time.Time, perSecond, burst float64) {
+	kept := l.keeper != nil && l.keeper(name)
+	if kept && !cu.kept {
+		// Another entry may have handed out the burst until now.
+		cu.whole = rate.Empty(now)
+	}
+	cu.kept = kept
+	reached := min(1, float64(len(l.peers)+1)/float64(l.members))
+	cu.whole.Resize(now, perSecond*reached, burst*reached)
+}
+
+// SetKeeper sets who says for which customers this entry keeps the limit for
+// all. Set it before the first call of another method.
+func (l *Limiter) SetKeeper(f func(customer string) bool) { l.keeper = f }
+
+// TakeWhole takes units of a limit that this entry keeps for all, or returns
+// how long until there is room. The second result is false where it doesn't
+// keep it.
+func (l *Limiter) TakeWhole(name string, units float64) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cu := l.customers[name]
+	if cu == nil {
+		return 0, false
+	}
+	if cu.limit.PerSecond <= 0 {
+		return 0, true
+	}
+	if !cu.kept {
+		return 0, false
+	}
+	return min(cu.whole.Take(l.now(), units), longestRetryAfter), true
+}
+
+// ReturnWhole gives back what a request took of a limit kept for all.
+func (l *Limiter) ReturnWhole(name string, units float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cu := l.customers[name]; cu != nil && cu.kept && cu.limit.PerSecond > 0 {
+		cu.whole.Correct(l.now(), units, 0)
+	}
+}
+
+// Limited says whether a customer has a limit, and notes what it asked for.
+func (l *Limiter) Limited(name string, units float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cu := l.customers[name]
+	if cu == nil || cu.limit.PerSecond <= 0 {
+		return false
+	}
+	cu.demand.Add(l.now(), units)
+	return true
 }
 
 // Units returns what a request counts against a customer's limit.
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -94,7 +94,7 @@
 				break
 			}
 			for owed[i] += 6 * perSecond * step.Seconds() * weights[i]; owed[i] >= request; owed[i] -= request {
-				if l.Take("a", request) == 0 {
+				if l.Limited("a", request) && l.Take("a", request) == 0 {
 					sum += request
 				}
 			}
@@ -133,7 +133,7 @@
 			}
 			for owed[i] += 0.7 * perSecond * 0.025 * weights[i]; owed[i] >= 4000; owed[i] -= 4000 {
 				asked++
-				if l.Take("a", 4000) > 0 {
+				if l.Limited("a", 4000) && l.Take("a", 4000) > 0 {
 					refused++
 				}
 			}
--- /dev/null
+++ b/gateway/quota/shared.go
@@ -0,0 +1,104 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// askTimeout bounds a call to the keeper of a limit. One way between two
+	// failure domains takes a millisecond or two.
+	askTimeout = 60 * time.Millisecond
+	// askPause is how long a keeper that did not answer is not asked again.
+	askPause = time.Second
+)
+
+// Peers reaches the other entries.
+type Peers interface {
+	// Members returns the IDs of the live members, this one included.
+	Members() []string
+	// Take asks a peer for units of a limit that it keeps.
+	Take(ctx context.Context, peer, customer string, units float64) (time.Duration, error)
+}
+
+// Shared is a Limiter whose limits are kept by one entry each. It is safe for
+// concurrent use.
+type Shared struct {
+	*Limiter
+	self  string
+	peers Peers
+	log   *logrus.Entry
+
+	mu sync.Mutex
+	// silent is until when a keeper is not asked.
+	silent map[string]time.Time
+}
+
+// NewShared returns the limits over all entries, for the entry named self.
+func NewShared(l *Limiter, self string, peers Peers, log *logrus.Entry) *Shared {
+	s := &Shared{Limiter: l, self: self, peers: peers, log: log, silent: make(map[string]time.Time)}
+	l.SetKeeper(func(customer string) bool { return s.keeper(customer) == self })
+	return s
+}
+
+// keeper returns the member that keeps a customer's limit.
+func (s *Shared) keeper(customer string) string {
+	best, highest := "", uint64(0)
+	for _, id := range s.peers.Members() {
+		if h := xxhash.Sum64String(customer + "/" + id); best == "" || h > highest {
+			best, highest = id, h
+		}
+	}
+	return best
+}
+
+// TakeShared takes units of a customer's limit. It returns 0, or how long
+// until there is room. The second result says that they were taken of this
+// entry's own part.
+func (s *Shared) TakeShared(ctx context.Context, customer string, units float64) (wait time.Duration, part bool) {
+	if !s.Limited(customer, units) {
+		return 0, false
+	}
+	keeper := s.keeper(customer)
+	if keeper == s.self {
+		if wait, kept := s.TakeWhole(customer, units); kept {
+			return wait, false
+		}
+	} else if s.askable(keeper) {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		wait, err := s.peers.Take(ctx, keeper, customer, units)
+		if err == nil {
+			return wait, false
+		}
+		s.fellSilent(keeper, err)
+	}
+	return s.Take(customer, units), true
+}
+
+// Asked answers a peer that asks for units of a limit. A customer that is not
+// kept here is refused for a moment, until both know the same members.
+func (s *Shared) Asked(customer string, units float64) time.Duration {
+	wait, kept := s.TakeWhole(customer, units)
+	if !kept {
+		return askPause
+	}
+	return wait
+}
+
+func (s *Shared) askable(keeper string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !time.Now().Before(s.silent[keeper])
+}
+
+func (s *Shared) fellSilent(keeper string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[keeper] = time.Now().Add(askPause)
+	s.log.WithError(err).WithField("member", keeper).Warn("quota: keeper of limits not reached, own part is used.")
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -133,6 +133,8 @@
 		return l.handleTemplate(ctx, req)
 	case methodHandoff:
 		return l.handleHandoff(ctx, req)
+	case methodTake:
+		return l.handleTake(ctx, req)
 	default:
 		return fmt.Errorf("%w: method %q", errGarbage, req.Method)
 	}
@@ -186,6 +188,15 @@
 	return l.conn.Reply(ctx, req.ID, templateResult{Found: ok, Body: body})
 }
 
+func (l *link) handleTake(ctx context.Context, req *jsonrpc2.Request) error {
+	var p takeParams
+	if err := params(req, &p); err != nil {
+		return err
+	}
+	wait := l.mesh.o.Handlers.take(p.Customer, p.Units)
+	return l.conn.Reply(ctx, req.ID, takeResult{WaitMS: wait.Milliseconds()})
+}
+
 // handleHandoff runs the handoff beside the reading goroutine, because it may
 // wait for the table.
 func (l *link) handleHandoff(ctx context.Context, req *jsonrpc2.Request) error {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -44,6 +44,9 @@
 	TemplateVersion func(from, name string, version uint64)
 	// TemplateFetch returns a version of a template to a peer.
 	TemplateFetch func(name string, version uint64) (json.RawMessage, bool)
+	// Take takes units of a customer's limit for a peer, or returns how long
+	// until there is room.
+	Take func(customer string, units float64) time.Duration
 	// Handoff takes over a durable request from a peer.
 	Handoff func(ctx context.Context, jobID string) error
 }
@@ -73,8 +76,10 @@
 	// calls are the running handoffs.
 	calls sync.WaitGroup
 
-	mu        sync.Mutex
-	links     map[string]*link
+	mu    sync.Mutex
+	links map[string]*link
+	// kept are connections for calls with peers that are no neighbours.
+	kept      map[string]*link
 	wanted    map[string]bool
 	templates map[string]uint64
 	own       Digest
@@ -91,6 +96,7 @@
 		states:    newStates(),
 		quiet:     log.New(io.Discard, "", 0),
 		links:     make(map[string]*link),
+		kept:      make(map[string]*link),
 		wanted:    make(map[string]bool),
 		templates: make(map[string]uint64),
 		reported:  make(map[string]report),
@@ -116,6 +122,7 @@
 		return nil
 	})
 	err := g.Wait()
+	m.closeKept()
 	m.calls.Wait()
 	return err
 }
@@ -177,6 +184,75 @@
 	return m.call(ctx, peer, methodHandoff, handoffParams{JobID: jobID}, &ack{})
 }
 
+// Take takes units of a customer's limit at the peer that keeps it, or returns
+// how long until there is room. After an error they may have been taken.
+func (m *Mesh) Take(ctx context.Context, peer, customer string, units float64) (time.Duration, error) {
+	var result takeResult
+	err := m.callKept(ctx, peer, methodTake, takeParams{Customer: customer, Units: units}, &result)
+	return time.Duration(result.WaitMS) * time.Millisecond, err
+}
+
+// callKept calls a peer over the connection with it, or over one for calls
+// that is kept.
+func (m *Mesh) callKept(ctx context.Context, peer, method string, params, result any) error {
+	l := m.linkTo(peer)
+	if l == nil {
+		var err error
+		if l, err = m.keptLink(ctx, peer); err != nil {
+			return wrapCall(peer, err)
+		}
+	}
+	err := l.conn.Call(ctx, method, params, result)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		m.dropKept(peer, l)
+	}
+	return wrapCall(peer, err)
+}
+
+// keptLink returns the connection for calls with a peer that is no neighbour.
+func (m *Mesh) keptLink(ctx context.Context, peer string) (*link, error) {
+	m.mu.Lock()
+	l := m.kept[peer]
+	m.mu.Unlock()
+	if l != nil {
+		return l, nil
+	}
+	to, ok := m.o.Registry.Lookup(peer)
+	if !ok {
+		return nil, errors.New("peer is not known")
+	}
+	// The connection outlives the call that opens it.
+	l, err := m.dial(context.WithoutCancel(ctx), to, true)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if other := m.kept[peer]; other != nil {
+		go l.close()
+		return other, nil
+	}
+	m.kept[peer] = l
+	return l, nil
+}
+
+func (m *Mesh) closeKept() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for peer, l := range m.kept {
+		go l.close()
+		delete(m.kept, peer)
+	}
+}
+
+func (m *Mesh) dropKept(peer string, l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.kept[peer] == l {
+		delete(m.kept, peer)
+	}
+}
+
 // call calls a peer over the connection with it, or over one of its own.
 func (m *Mesh) call(ctx context.Context, peer, method string, params, result any) error {
 	if l := m.linkTo(peer); l != nil {
@@ -294,6 +370,13 @@
 	return h.TemplateFetch(name, version)
 }
 
+func (h Handlers) take(customer string, units float64) time.Duration {
+	if h.Take == nil {
+		return 0
+	}
+	return h.Take(customer, units)
+}
+
 func (h Handlers) handoff(ctx context.Context, jobID string) error {
 	if h.Handoff == nil {
 		return errors.New("handoff is not served here")
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -19,6 +19,7 @@
 	methodVersions = "versions"
 	methodTemplate = "template"
 	methodHandoff  = "handoff"
+	methodTake     = "take"
 )
 
 // Demand is the demand of one customer at one entry.
@@ -215,5 +216,16 @@
 	JobID string `json:"job_id"`
 }
 
+// takeParams asks for units of a customer's limit.
+type takeParams struct {
+	Customer string  `json:"c"`
+	Units    float64 `json:"n"`
+}
+
+// takeResult is the answer; WaitMS is 0 where they were taken.
+type takeResult struct {
+	WaitMS int64 `json:"w,omitempty"`
+}
+
 // ack is an empty answer.
 type ack struct{}
