Fewer calls of the store, requests that wait for a starting process, explain

Feeds pause after changes, and only three entries contend for the lease. Requests that reach a process before it knows its surroundings wait a moment instead of being refused. coltsfootcleat explain prints one request's story from several logs.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -37,6 +38,8 @@
 	// dutyLease is the lease of the entry that reports usage and orders
 	// replicas.
 	dutyLease = "duties"
+	// dutyCandidates is how many entries contend for the lease.
+	dutyCandidates = 3
 	// tableTimeout bounds a call of the table.
 	tableTimeout = 1500 * time.Millisecond
 	// entryWrites is how many writes a second one entry may make; what an
@@ -205,15 +208,28 @@
 	return usage.NewMeter(s.Usage.Window, clock)
 }
 
-func newDutyLease(lc fx.Lifecycle, l *Loops, table infra.Table, s gateway.Settings, i Incarnation, log *logrus.Entry) *lease.Lease {
+func newDutyLease(lc fx.Lifecycle, l *Loops, table infra.Table, r *member.Registry, s gateway.Settings, i Incarnation, log *logrus.Entry) *lease.Lease {
 	held := lease.New(table, lease.Options{
-		Name: dutyLease, Owner: s.ID, Incarnation: string(i),
+		Candidate: func() bool { return dutyCandidate(s.ID, r.Live()) },
+		Name:      dutyLease, Owner: s.ID, Incarnation: string(i),
 		Duration: s.LeaseLength + s.LeaseLength/3, Log: log,
 	})
 	l.Go(lc, held.Run)
 	return held
 }
 
+// dutyCandidate says whether a member is among the few that contend for the
+// duties, which all members derive alike from who is alive.
+func dutyCandidate(self string, live []string) bool {
+	before := 0
+	for _, id := range live {
+		if xxhash.Sum64String(id) < xxhash.Sum64String(self) {
+			before++
+		}
+	}
+	return before < dutyCandidates
+}
+
 func newGatewayNotices(set *replica.Set, log *logrus.Entry) *drain.Set {
 	return drain.NewSet(log)
 }
@@ -238,6 +254,7 @@
 		Dialect: d.Surroundings.Dialect, Config: d.Config, ConfigAge: d.Followers.config.Age,
 		Balancer: d.Balancer, Pool: d.Pool, Limiter: d.Limiter, Retries: d.Retries,
 		Usage: d.Usage, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
+		Loaded: []<-chan struct{}{d.Followers.config.Loaded(), d.Followers.registry.Loaded()},
 	})
 }
 
--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/infra/follow"
+	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
 const (
@@ -22,6 +23,11 @@
 	// feedWait is how long one call of a feed waits. Keep-alive finds dead
 	// connections sooner.
 	feedWait = 12 * time.Second
+	// feedPause is how long a reader waits after changes for each member there
+	// is, up to longestFeedPause: calls then don't grow with members times
+	// changes. Changes must be in force within two seconds.
+	feedPause        = 7 * time.Millisecond
+	longestFeedPause = 500 * time.Millisecond
 )
 
 // followers follow the feeds of configuration and registry.
@@ -43,14 +49,18 @@
 	version uint64
 }
 
-func newFollowers(s Surroundings, holder *config.Holder, set *replica.Set, limiter *quota.Limiter, log *logrus.Entry) *followers {
+func newFollowers(s Surroundings, r *member.Registry, holder *config.Holder, set *replica.Set, limiter *quota.Limiter, log *logrus.Entry) *followers {
 	source := &configSource{around: s, holder: holder, log: log}
 	holder.OnChange(limiter.SetConfiguration)
 	rows := &registryRows{around: s, set: set, log: log}
+	pause := func() time.Duration {
+		return min(longestFeedPause, time.Duration(r.Count())*feedPause)
+	}
 	return &followers{
-		config: follow.New(s.Config, source, follow.Options{Name: "configuration", Wait: feedWait, Spread: feedSpread, Log: log}),
+		config: follow.New(s.Config, source, follow.Options{Name: "configuration", Wait: feedWait, Spread: feedSpread, Pause: pause, Log: log}),
 		registry: follow.New(s.Registry, rows, follow.Options{
-			Name: "registry", Wait: feedWait, Spread: feedSpread, OnBack: set.RegistryBack, Log: log,
+			Name: "registry", Wait: feedWait, Spread: feedSpread, Pause: pause,
+			OnBack: set.RegistryBack, Log: log,
 		}),
 		source: source,
 	}
--- /dev/null
+++ b/cmd/coltsfootcleat/explain.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+)
+
+const (
+	// explainBefore and explainAfter are how far around a request lines about
+	// the state of its entry and its replica are shown.
+	explainBefore = 3 * time.Second
+	explainAfter  = time.Second
+	// longestLogLine bounds a line of a log, in bytes.
+	longestLogLine = 1 << 20
+)
+
+// explainCommand prints what logs say of one request.
+type explainCommand struct {
+	console console
+	all     bool
+}
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "print what logs say of one request, in order" }
+
+func (*explainCommand) Usage() string {
+	return `explain [-all] ID FILE...:
+  Reads the JSON logs of any number of processes, and prints the lines about a
+  request in order of time, with the changes of state around it at its entry
+  and its replica. -all shows the changes at all entries. A FILE of "-" is the
+  standard input. Text before a line's first brace is passed over.
+
+  Example: coltsfootcleat explain 66d356c1cad8e56b entry-1.log entry-2.log
+
+`
+}
+
+func (c *explainCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.all, "all", false, "show changes of state at all entries")
+}
+
+func (c *explainCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < 2 {
+		fmt.Fprint(c.console.err, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	var lines []logLine
+	for _, name := range f.Args()[1:] {
+		read, err := readLog(name)
+		if err != nil {
+			fmt.Fprintln(c.console.err, err)
+			return subcommands.ExitFailure
+		}
+		lines = append(lines, read...)
+	}
+	story := explain(lines, f.Arg(0), c.all)
+	if len(story) == 0 {
+		fmt.Fprintf(c.console.err, "no line about request %q\n", f.Arg(0))
+		return subcommands.ExitFailure
+	}
+	for _, l := range story {
+		fmt.Fprintln(c.console.out, l)
+	}
+	return subcommands.ExitSuccess
+}
+
+// logLine is one line of a log.
+type logLine struct {
+	at     time.Time
+	fields map[string]any
+}
+
+func (l logLine) text(field string) string {
+	s, _ := l.fields[field].(string)
+	return s
+}
+
+// String returns the line for people: time, entry, message and the other
+// fields by name.
+func (l logLine) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %-20s %s", l.at.Format("15:04:05.000"), l.text("entry"), l.text("msg"))
+	for _, name := range slices.Sorted(maps.Keys(l.fields)) {
+		switch name {
+		case "time", "entry", "msg", "level":
+		default:
+			fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+		}
+	}
+	return b.String()
+}
+
+func readLog(name string) ([]logLine, error) {
+	if name == "-" {
+		return parseLog(os.Stdin)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	lines, err := parseLog(file)
+	if err != nil {
+		return nil, fmt.Errorf("log %q: %w", name, err)
+	}
+	return lines, nil
+}
+
+// parseLog reads the JSON lines of a log and passes over all others.
+func parseLog(r io.Reader) ([]logLine, error) {
+	var out []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, longestLogLine)
+	for scanner.Scan() {
+		start := bytes.IndexByte(scanner.Bytes(), '{')
+		if start < 0 {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(scanner.Bytes()[start:], &l.fields) != nil {
+			continue
+		}
+		at, err := time.Parse(time.RFC3339Nano, l.text("time"))
+		if err != nil {
+			continue
+		}
+		l.at = at
+		out = append(out, l)
+	}
+	return out, scanner.Err()
+}
+
+// explain returns the lines about a request and the changes of state around
+// it, in order.
+func explain(lines []logLine, id string, all bool) []logLine {
+	entries, replicas := make(map[string]bool), make(map[string]bool)
+	var first, last time.Time
+	for _, l := range lines {
+		if l.text("request") != id {
+			continue
+		}
+		entries[l.text("entry")] = true
+		replicas[l.text("replica")] = true
+		began := l.at
+		if ms, ok := l.fields["ms"].(float64); ok {
+			began = l.at.Add(-time.Duration(ms) * time.Millisecond)
+		}
+		if first.IsZero() || began.Before(first) {
+			first = began
+		}
+		if l.at.After(last) {
+			last = l.at
+		}
+	}
+	if first.IsZero() {
+		return nil
+	}
+	var out []logLine
+	for _, l := range lines {
+		about := l.text("request") == id
+		_, other := l.fields["request"]
+		near := !l.at.Before(first.Add(-explainBefore)) && !l.at.After(last.Add(explainAfter))
+		here := all || entries[l.text("entry")] && (l.text("replica") == "" || replicas[l.text("replica")])
+		if about || !other && near && here {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(x, y logLine) int { return x.at.Compare(y.at) })
+	return out
+}
--- /dev/null
+++ b/cmd/coltsfootcleat/explain_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const explainLog = `
+ 12.1 e1 {"entry":"e1","msg":"replica: draining.","replica":"r1","time":"2026-01-01T00:00:09.5Z"}
+{"entry":"e1","msg":"replica: draining.","replica":"r2","time":"2026-01-01T00:00:09.6Z"}
+{"entry":"e2","msg":"follow: feed is lost.","time":"2026-01-01T00:00:09.7Z"}
+{"entry":"e1","msg":"gateway: request ended.","request":"a","replica":"r1","ms":500,"time":"2026-01-01T00:00:10Z"}
+{"entry":"e1","msg":"gateway: request ended.","request":"b","replica":"r1","ms":500,"time":"2026-01-01T00:00:10Z"}
+{"entry":"e1","msg":"gateway: stream resumes.","request":"a","time":"2026-01-01T00:00:09.9Z"}
+{"entry":"e1","msg":"app: configuration in force.","configuration":7,"time":"2026-01-01T00:00:05Z"}
+no JSON at all
+`
+
+func TestExplainTellsOneRequestsStory(t *testing.T) {
+	lines, err := parseLog(strings.NewReader(explainLog))
+	qt.Assert(t, err, qt.IsNil)
+	messages := func(all bool) string {
+		var out []string
+		for _, l := range explain(lines, "a", all) {
+			out = append(out, l.text("msg"))
+		}
+		return strings.Join(out, "|")
+	}
+	qt.Assert(t, messages(false), qt.Equals, "replica: draining.|gateway: stream resumes.|gateway: request ended.")
+	qt.Assert(t, messages(true), qt.Equals,
+		"replica: draining.|replica: draining.|follow: feed is lost.|gateway: stream resumes.|gateway: request ended.")
+	qt.Assert(t, explain(lines, "none", false), qt.HasLen, 0)
+}
--- a/cmd/coltsfootcleat/main.go
+++ b/cmd/coltsfootcleat/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(&standinCommand{console: terminal}, "")
 	subcommands.Register(&benchCommand{console: terminal}, "")
 	subcommands.Register(&demoCommand{console: terminal}, "")
+	subcommands.Register(&explainCommand{console: terminal}, "operators")
 	for _, c := range operatorCommands() {
 		subcommands.Register(c, "operators")
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -395,3 +395,31 @@
 		qt.Assert(t, resp.Close, qt.IsTrue)
 	})
 }
+
+func TestRequestWaitsForAProcessThatHasJustStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, nil, ok)
+		loaded := make(chan struct{})
+		w.handler.Loaded = []<-chan struct{}{loaded}
+		time.AfterFunc(150*time.Millisecond, func() {
+			w.config.Offer(routes().Compile())
+			close(loaded)
+		})
+		resp, body, err := w.get(t, "/once/x")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, resp.StatusCode, qt.Equals, 200)
+		qt.Assert(t, body, qt.Equals, "good")
+	})
+}
+
+func TestRequestDoesNotWaitLongForAProcessThatKnowsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, nil, ok)
+		w.handler.Loaded = []<-chan struct{}{make(chan struct{})}
+		began := time.Now()
+		resp, _, err := w.get(t, "/once/x", "Patience", "800")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, resp.StatusCode, qt.Equals, 503)
+		qt.Assert(t, time.Since(began), qt.Equals, 100*time.Millisecond)
+	})
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -27,6 +27,10 @@
 	// retrySoon is when a client may come back after a failure that is over
 	// quickly, such as a configuration that is not known yet.
 	retrySoon = 500 * time.Millisecond
+	// longestLoad bounds how long a request waits for a process that has just
+	// started, and loadPart which part of the client's patience that may take.
+	longestLoad = 700 * time.Millisecond
+	loadPart    = 8
 	// defaultBodyBytes bounds a body where the configuration does not.
 	defaultBodyBytes = 8 << 20
 	// writeSlack is how much longer than the request a client may take to
@@ -46,6 +50,9 @@
 	Usage     *usage.Meter
 	Log       *logrus.Entry
 	Recorder  Recorder
+	// Loaded are closed once what a request is decided by was read. A request
+	// that comes before waits for them.
+	Loaded []<-chan struct{}
 }
 
 // Recorder counts what became of requests. Implementations must not block.
@@ -129,6 +136,7 @@
 	if x.req, err = x.h.Dialect.Decode(x.r); err != nil {
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "request: %w", err)
 	}
+	x.awaitLoaded()
 	if x.cfg = x.h.Config.Current(); x.cfg == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no configuration yet").WithRetryAfter(retrySoon)
 	}
@@ -154,6 +162,26 @@
 	return x.charge()
 }
 
+// awaitLoaded waits for a process that has just started to know its
+// surroundings, which takes it a few calls of the store.
+func (x *exchange) awaitLoaded() {
+	most := longestLoad
+	if x.req.Patience > 0 {
+		most = min(most, x.req.Patience/loadPart)
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	for _, loaded := range x.h.Loaded {
+		select {
+		case <-loaded:
+		case <-timer.C:
+			return
+		case <-x.r.Context().Done():
+			return
+		}
+	}
+}
+
 // identify finds the customer that the request's key belongs to.
 func (x *exchange) identify() error {
 	if !x.cfg.Keyed() {
--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -46,6 +46,9 @@
 	// Spread is the longest random delay of the first read, so that entries
 	// that start together don't read at the same moment.
 	Spread time.Duration
+	// Pause is how long to wait after changes before asking for more, so that
+	// changes that come together cost one call; nil doesn't wait.
+	Pause func() time.Duration
 	// OnBack is called when the service answers again after a failure, before
 	// the handler gets what was read. It may be nil.
 	OnBack func()
@@ -62,6 +65,8 @@
 	confirmed atomic.Int64
 	start     time.Time
 	lost      bool
+	// loaded is closed after the first read.
+	loaded chan struct{}
 }
 
 // New returns a Follower. Nothing happens before Run.
@@ -69,7 +74,7 @@
 	if o.Wait <= 0 {
 		o.Wait = defaultWait
 	}
-	return &Follower{feed: feed, handler: handler, opt: o, start: time.Now()}
+	return &Follower{feed: feed, handler: handler, opt: o, start: time.Now(), loaded: make(chan struct{})}
 }
 
 // Age returns how long ago the copy was known to be complete, and false
@@ -82,6 +87,9 @@
 	return time.Since(f.start) - time.Duration(at), true
 }
 
+// Loaded is closed after the first read.
+func (f *Follower) Loaded() <-chan struct{} { return f.loaded }
+
 // Run follows the feed until ctx ends. Failures are logged and tried again.
 func (f *Follower) Run(ctx context.Context) {
 	if f.opt.Spread > 0 && !ctxtime.Sleep(ctx, rand.N(f.opt.Spread)) {
@@ -129,6 +137,9 @@
 	}
 	*version = next
 	f.confirm(time.Now())
+	if len(changes) > 0 && f.opt.Pause != nil {
+		ctxtime.Sleep(ctx, f.opt.Pause())
+	}
 	return nil
 }
 
@@ -143,6 +154,9 @@
 	f.regained()
 	f.handler.Replace(rows)
 	*version, *known = at, true
+	if f.confirmed.Load() == 0 {
+		close(f.loaded)
+	}
 	f.confirm(sent)
 	return nil
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -20,6 +20,9 @@
 	defaultTableTimeout = time.Second
 	// renewalsPerLease is how many renewals fit into one duration.
 	renewalsPerLease = 4
+	// bystanderPauses is how many times longer a process that is no candidate
+	// waits between two looks.
+	bystanderPauses = 8
 )
 
 // Options are the settings of a Lease. Zero values take defaults.
@@ -37,6 +40,9 @@
 	// SuccessorWait is the longest timeout of an order to an endpoint that
 	// does not check fencing numbers.
 	SuccessorWait time.Duration
+	// Candidate says whether this process contends as often as it can; nil
+	// always does. Others look rarely, so that many contenders cost few calls.
+	Candidate func() bool
 	// TableTimeout bounds each call of the table.
 	TableTimeout time.Duration
 	Log          *logrus.Entry
@@ -173,6 +179,9 @@
 func (l *Lease) rest(ctx context.Context) bool {
 	pause := l.opt.Duration / renewalsPerLease
 	pause -= rand.N(pause/renewalsPerLease + 1)
+	if _, held := l.Held(); !held && l.opt.Candidate != nil && !l.opt.Candidate() {
+		pause *= bystanderPauses
+	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
