Order again what was taken away or never came

The planner took what it had ordered for what there was, and steps down wait until what serves is enough. Change: an order that is overdue, or whose replicas are being taken away, counts as what is there. The test plays a peak and a reclaim of all domains and fails without the change.

--- a/gateway/scaling/plan.go
+++ b/gateway/scaling/plan.go
@@ -39,6 +39,9 @@
 	// scarceFor is how long after a refusal or a reclaim reclaimable replicas
 	// are not counted on.
 	scarceFor = 3 * time.Second
+	// overdueSlack is how much longer than its start a replica may take to
+	// appear until it counts as missing.
+	overdueSlack = 3 * time.Second
 	// tryAgain is the time between two orders for what was refused.
 	tryAgain = 2 * time.Second
 )
@@ -226,9 +229,9 @@
 	for _, reclaimable := range []bool{true, false} {
 		for _, d := range domains {
 			at := slot{d, reclaimable}
-			s := p.standing(at, in.Supply[d])
+			s := p.standing(at, in)
 			count := want[at]
-			if other := p.standing(slot{d, !reclaimable}, in.Supply[d]).count; in.Bounds.Max > 0 {
+			if other := p.standing(slot{d, !reclaimable}, in).count; in.Bounds.Max > 0 {
 				// Both kinds count together, also while one takes the other's place.
 				count = max(min(count, in.Bounds.Max-other), min(count, s.count))
 			}
@@ -250,18 +253,23 @@
 }
 
 // standing returns the order that stands for a slot. Before the first it is
-// what was found.
-func (p *Planner) standing(at slot, found Supply) *standing {
+// what was found, and so it is once what was ordered is overdue or was taken
+// away.
+func (p *Planner) standing(at slot, in Input) *standing {
 	s := p.orders[at]
 	if s == nil {
 		s = &standing{}
 		p.orders[at] = s
 	}
-	if s.at.IsZero() {
-		s.count = found.OnDemand
-		if at.reclaimable {
-			s.count = found.Reclaimable
-		}
+	supply := in.Supply[at.domain]
+	found := supply.OnDemand
+	if at.reclaimable {
+		found = supply.Reclaimable
+	}
+	overdue := in.Now.Sub(s.at) > in.Bounds.Boot+overdueSlack
+	taken := at.reclaimable && supply.Reclaimed > 0
+	if s.at.IsZero() || found < s.count && (overdue || taken) {
+		s.count = found
 	}
 	return s
 }
--- a/gateway/scaling/plan_test.go
+++ b/gateway/scaling/plan_test.go
@@ -156,6 +156,26 @@
 	qt.Assert(t, float64(serving) >= busy/targetUse, qt.IsTrue, qt.Commentf("%d serve", serving))
 }
 
+// All reclaimable replicas are taken away after a peak, and none can be had for
+// long. What was ordered at the peak must not be taken for what is there.
+func TestReplicasThatWereTakenAreOrderedAgain(t *testing.T) {
+	m := newMarket(4)
+	m.run(10*time.Second, 0)
+	m.run(20*time.Second, 7)
+	for _, d := range domains {
+		m.reclaim(d, 40*time.Second)
+	}
+	m.run(20*time.Second, 5)
+	serving := m.step(5)
+	qt.Assert(t, float64(serving) >= 5/targetUse, qt.IsTrue, qt.Commentf("%d serve while none can be had", serving))
+	m.run(60*time.Second, 5)
+	back := 0
+	for _, d := range domains {
+		back += m.have[slot{d, true}]
+	}
+	qt.Assert(t, back >= 3, qt.IsTrue, qt.Commentf("%d reclaimable ones are back", back))
+}
+
 func TestBurstIsFollowedAtOnce(t *testing.T) {
 	m := newMarket(2)
 	m.run(10*time.Second, 0)
