--- a/app/gateway.go
+++ b/app/gateway.go
@@ -201,7 +201,11 @@
 
 // Take implements quota.Peers.
 func (p *limitPeers) Take(ctx context.Context, id, customer string, units float64) (time.Duration, error) {
-	return p.mesh.Take(ctx, id, customer, units)
+	wait, kept, err := p.mesh.Take(ctx, id, customer, units)
+	if err == nil && !kept {
+		return 0, quota.ErrKeptElsewhere
+	}
+	return wait, err
 }
 
 func newUsage(s gateway.Settings, clock *usage.Clock) *usage.Meter {
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -181,7 +181,7 @@
 		Listener: l, Dial: d.Network.Dial, Log: d.Log, Pace: sharePeriod,
 		Handlers: peer.Handlers{
 			Digest: d.View.take,
-			Take:   d.Limits.Asked,
+			Take:   d.Limits.TakeWhole,
 			TemplateVersion: func(from, _ string, version uint64) {
 				d.Loops.Spawn(func(ctx context.Context) {
 					d.Followers.source.fromPeer(ctx, version, func(ctx context.Context) (json.RawMessage, bool, error) {
--- a/cmd/coltsfootcleat/serve_platform.go
+++ b/cmd/coltsfootcleat/serve_platform.go
@@ -22,8 +22,9 @@
 	// collector lets the heap grow.
 	memoryPart = 0.6
 	// stopSlack is the part of the grace that is left for the end of the
-	// process itself.
-	stopSlack = 300 * time.Millisecond
+	// process itself, and stopTimeout what of it the loops may take.
+	stopSlack   = time.Second
+	stopTimeout = 600 * time.Millisecond
 	// logSlack is how long the last log lines may take at the end.
 	logSlack = 100 * time.Millisecond
 )
@@ -63,7 +64,9 @@
 	drainCtx, cancel := context.WithTimeout(ctx, s.Gateway.Grace-stopSlack)
 	defer cancel()
 	entry.Drain(drainCtx)
-	err = entry.Stop(context.WithoutCancel(ctx))
+	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancelStop()
+	err = entry.Stop(stopCtx)
 	log.WithField("entry", s.Gateway.ID).Info("serve: stopped.")
 	return err
 }
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -22,6 +22,9 @@
 	// is for demand that moves between entries faster than they tell each
 	// other, and for entries that start with a full bucket.
 	toleranceUsed = 0.5
+	// firstFill is how full the buckets of a new process are. Full ones would
+	// hand the burst out again at each restart of all entries.
+	firstFill = 0.2
 	// peerLag is how old the demand is that peers told, on average: half a
 	// period at its origin, half on the way, half here.
 	peerLag = 400 * time.Millisecond
@@ -96,7 +99,7 @@
 	for _, limit := range c.Customers {
 		cu := l.customers[limit.Name]
 		if cu == nil {
-			cu = &customer{bucket: rate.Empty(now), demand: rate.Meter{At: now}}
+			cu = &customer{bucket: rate.Partly(now, firstFill), demand: rate.Meter{At: now}}
 			l.customers[limit.Name] = cu
 		}
 		cu.limit = limit
@@ -183,7 +186,7 @@
 	kept := l.keeper != nil && l.keeper(name)
 	if kept && !cu.kept {
 		// Another entry may have handed out the burst until now.
-		cu.whole = rate.Empty(now)
+		cu.whole = rate.Partly(now, firstFill)
 	}
 	cu.kept = kept
 	reached := min(1, float64(len(l.peers)+1)/float64(l.members))
--- a/gateway/quota/shared.go
+++ b/gateway/quota/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -17,11 +18,16 @@
 	askPause = time.Second
 )
 
+// ErrKeptElsewhere says that the entry asked doesn't keep the limit, by the
+// members that it knows.
+var ErrKeptElsewhere = errors.New("limit is kept elsewhere")
+
 // Peers reaches the other entries.
 type Peers interface {
 	// Members returns the IDs of the live members, this one included.
 	Members() []string
-	// Take asks a peer for units of a limit that it keeps.
+	// Take asks a peer for units of a limit that it keeps, or fails with
+	// ErrKeptElsewhere.
 	Take(ctx context.Context, peer, customer string, units float64) (time.Duration, error)
 }
 
@@ -72,24 +78,18 @@
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
 		wait, err := s.peers.Take(ctx, keeper, customer, units)
-		if err == nil {
+		switch {
+		case err == nil:
 			return wait, false
+		case errors.Is(err, ErrKeptElsewhere):
+			// Both will know the same members in a moment.
+		default:
+			s.fellSilent(keeper, err)
 		}
-		s.fellSilent(keeper, err)
 	}
 	return s.Take(customer, units), true
 }
 
-// Asked answers a peer that asks for units of a limit. A customer that is not
-// kept here is refused for a moment, until both know the same members.
-func (s *Shared) Asked(customer string, units float64) time.Duration {
-	wait, kept := s.TakeWhole(customer, units)
-	if !kept {
-		return askPause
-	}
-	return wait
-}
-
 func (s *Shared) askable(keeper string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/scaling/plan.go
+++ b/gateway/scaling/plan.go
@@ -16,9 +16,9 @@
 	targetUse = 0.7
 	// firmPart is the part of the need that runs on demand, to hold through a
 	// reclaim with late answers rather than none.
-	firmPart = 0.4
+	firmPart = 0.55
 	// leastFirm is the least number of on-demand replicas of a service.
-	leastFirm = 2
+	leastFirm = 3
 	// holdTime is the time constant with which a peak of the need fades.
 	holdTime = 12 * time.Second
 	// warmUp is how long after the first load counts are not lowered: how much
@@ -34,8 +34,10 @@
 	// riskTime is the time constant with which a domain's reclaims are
 	// forgotten.
 	riskTime = 90 * time.Second
-	// releasePause is the shortest time between two steps down of a domain.
+	// releasePause is the shortest time between two steps down of one kind in a
+	// domain, and firmPause that between two of on-demand replicas anywhere.
 	releasePause = 3 * time.Second
+	firmPause    = time.Second
 	// scarceFor is how long after a refusal or a reclaim reclaimable replicas
 	// are not counted on.
 	scarceFor = 3 * time.Second
@@ -95,6 +97,8 @@
 	need   float64
 	at     time.Time
 	orders map[slot]*standing
+	// lowered is when on-demand replicas were last given back.
+	lowered time.Time
 	// scarce is until when reclaimable replicas can't be counted on.
 	scarce time.Time
 }
@@ -240,8 +244,13 @@
 				continue
 			case count < s.count && (p.warming(in.Now) || in.Now.Sub(s.at) < releasePause || !p.covered(in)):
 				continue
+			case count < s.count && !reclaimable && in.Now.Sub(p.lowered) < firmPause:
+				continue
 			case count < s.count:
 				count = s.count - 1
+				if !reclaimable {
+					p.lowered = in.Now
+				}
 			case count == s.count:
 				continue
 			}
--- a/internal/rate/bucket.go
+++ b/internal/rate/bucket.go
@@ -19,11 +19,13 @@
 	// At is up to when the bucket was filled.
 	At     time.Time
 	filled bool
+	// lacking is the part that the first Resize doesn't fill.
+	lacking float64
 }
 
-// Empty returns a bucket that the first Resize does not fill, for a process
-// that can't know what others took before it started.
-func Empty(now time.Time) Bucket { return Bucket{At: now, filled: true} }
+// Partly returns a bucket that the first Resize fills only in part, for a
+// process that can't know what others took before it started.
+func Partly(now time.Time, part float64) Bucket { return Bucket{At: now, lacking: 1 - part} }
 
 // Resize changes rate and burst. The first call fills the bucket.
 func (b *Bucket) Resize(now time.Time, rate, burst float64) {
@@ -32,7 +34,7 @@
 	b.burst = burst
 	if !b.filled {
 		b.filled = true
-		b.tokens = burst
+		b.tokens = burst * (1 - b.lacking)
 	}
 	b.tokens = min(b.tokens, burst)
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -193,8 +193,8 @@
 	if err := params(req, &p); err != nil {
 		return err
 	}
-	wait := l.mesh.o.Handlers.take(p.Customer, p.Units)
-	return l.conn.Reply(ctx, req.ID, takeResult{WaitMS: wait.Milliseconds()})
+	wait, kept := l.mesh.o.Handlers.take(p.Customer, p.Units)
+	return l.conn.Reply(ctx, req.ID, takeResult{WaitMS: wait.Milliseconds(), Elsewhere: !kept})
 }
 
 // handleHandoff runs the handoff beside the reading goroutine, because it may
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -45,8 +45,9 @@
 	// TemplateFetch returns a version of a template to a peer.
 	TemplateFetch func(name string, version uint64) (json.RawMessage, bool)
 	// Take takes units of a customer's limit for a peer, or returns how long
-	// until there is room.
-	Take func(customer string, units float64) time.Duration
+	// until there is room. The second result is false where the limit isn't
+	// kept here.
+	Take func(customer string, units float64) (time.Duration, bool)
 	// Handoff takes over a durable request from a peer.
 	Handoff func(ctx context.Context, jobID string) error
 }
@@ -185,11 +186,12 @@
 }
 
 // Take takes units of a customer's limit at the peer that keeps it, or returns
-// how long until there is room. After an error they may have been taken.
-func (m *Mesh) Take(ctx context.Context, peer, customer string, units float64) (time.Duration, error) {
+// how long until there is room. The second result is false where the peer
+// doesn't keep it. After an error they may have been taken.
+func (m *Mesh) Take(ctx context.Context, peer, customer string, units float64) (time.Duration, bool, error) {
 	var result takeResult
 	err := m.callKept(ctx, peer, methodTake, takeParams{Customer: customer, Units: units}, &result)
-	return time.Duration(result.WaitMS) * time.Millisecond, err
+	return time.Duration(result.WaitMS) * time.Millisecond, !result.Elsewhere, err
 }
 
 // callKept calls a peer over the connection with it, or over one for calls
@@ -370,9 +372,9 @@
 	return h.TemplateFetch(name, version)
 }
 
-func (h Handlers) take(customer string, units float64) time.Duration {
+func (h Handlers) take(customer string, units float64) (time.Duration, bool) {
 	if h.Take == nil {
-		return 0
+		return 0, false
 	}
 	return h.Take(customer, units)
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -225,6 +225,8 @@
 // takeResult is the answer; WaitMS is 0 where they were taken.
 type takeResult struct {
 	WaitMS int64 `json:"w,omitempty"`
+	// Elsewhere says that the limit isn't kept at the peer.
+	Elsewhere bool `json:"e,omitempty"`
 }
 
 // ack is an empty answer.
