Never let a request wait for a connection to the keeper of its limit

Change: connections for calls are set up beside the request, which falls back to the entry's own part; limits are kept among members heard just now rather than those not yet known to be gone.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -185,19 +185,19 @@
 
 // newSharedLimits provides the limits over all entries. The mesh, which needs
 // them itself, is filled in once it exists.
-func newSharedLimits(l *quota.Limiter, s gateway.Settings, r *member.Registry, log *logrus.Entry) (*quota.Shared, *limitPeers) {
-	peers := &limitPeers{registry: r}
+func newSharedLimits(l *quota.Limiter, s gateway.Settings, view *peerView, log *logrus.Entry) (*quota.Shared, *limitPeers) {
+	peers := &limitPeers{view: view}
 	return quota.NewShared(l, s.ID, peers, log), peers
 }
 
 // limitPeers implements quota.Peers.
 type limitPeers struct {
-	registry *member.Registry
-	mesh     *peer.Mesh
+	view *peerView
+	mesh *peer.Mesh
 }
 
 // Members implements quota.Peers.
-func (p *limitPeers) Members() []string { return p.registry.Live() }
+func (p *limitPeers) Members() []string { return p.view.present(p.mesh.UpdatePeriod()) }
 
 // Take implements quota.Peers.
 func (p *limitPeers) Take(ctx context.Context, id, customer string, units float64) (time.Duration, error) {
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -32,6 +33,10 @@
 	sharePeriod = 250 * time.Millisecond
 	// loadHorizon is how old a peer's load may be to count.
 	loadHorizon = 4 * time.Second
+	// keeperHorizon is how old the last digest of a peer that keeps limits may
+	// be, in update periods; shortestKeeperHorizon is the least.
+	keeperHorizon         = 4
+	shortestKeeperHorizon = 1200 * time.Millisecond
 	// countsHorizon is how long the counts of an entry that is gone are kept,
 	// several windows.
 	countsHorizon = time.Minute
@@ -66,6 +71,21 @@
 	p.heard[heardKey{from, d.Incarnation}] = heardState{digest: d, at: time.Now()}
 }
 
+// present returns the IDs of this entry and of the peers that were heard just
+// now, which may keep limits.
+func (p *peerView) present(period time.Duration) []string {
+	horizon := max(shortestKeeperHorizon, keeperHorizon*period)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []string{p.self}
+	for key, state := range p.heard {
+		if time.Since(state.at) <= horizon && !slices.Contains(out, key.id) {
+			out = append(out, key.id)
+		}
+	}
+	return out
+}
+
 // live returns the newest digest of each live peer.
 func (p *peerView) live() map[string]peer.Digest {
 	live := make(map[string]bool)
--- a/gateway/quota/shared.go
+++ b/gateway/quota/shared.go
@@ -24,7 +24,8 @@
 
 // Peers reaches the other entries.
 type Peers interface {
-	// Members returns the IDs of the live members, this one included.
+	// Members returns the IDs of the members that are heard now, this one
+	// included.
 	Members() []string
 	// Take asks a peer for units of a limit that it keeps, or fails with
 	// ErrKeptElsewhere.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -211,40 +211,53 @@
 	return wrapCall(peer, err)
 }
 
+// errConnecting says that there is no connection for calls yet.
+var errConnecting = errors.New("connection is being set up")
+
 // keptLink returns the connection for calls with a peer that is no neighbour.
+// Where there is none it has one set up and fails, so that no caller waits
+// for a peer that may be gone.
 func (m *Mesh) keptLink(ctx context.Context, peer string) (*link, error) {
 	m.mu.Lock()
-	l := m.kept[peer]
-	m.mu.Unlock()
-	if l != nil {
+	defer m.mu.Unlock()
+	if l, known := m.kept[peer]; known {
+		if l == nil {
+			return nil, errConnecting
+		}
 		return l, nil
 	}
 	to, ok := m.o.Registry.Lookup(peer)
 	if !ok {
 		return nil, errors.New("peer is not known")
 	}
-	// The connection outlives the call that opens it.
-	l, err := m.dial(context.WithoutCancel(ctx), to, true)
-	if err != nil {
-		return nil, err
-	}
+	m.kept[peer] = nil
+	// The connection outlives the call that has it set up.
+	ctx = context.WithoutCancel(ctx)
+	m.calls.Go(func() { m.setUpKept(ctx, to) })
+	return nil, errConnecting
+}
+
+func (m *Mesh) setUpKept(ctx context.Context, to member.Member) {
+	l, err := m.dial(ctx, to, true)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if other := m.kept[peer]; other != nil {
-		go l.close()
-		return other, nil
+	if err != nil {
+		delete(m.kept, to.ID)
+		m.o.Log.WithField("member", to.ID).WithError(err).Info("peer: no connection for calls.")
+		return
 	}
-	m.kept[peer] = l
-	return l, nil
+	m.kept[to.ID] = l
 }
 
 func (m *Mesh) closeKept() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for peer, l := range m.kept {
-		go l.close()
-		delete(m.kept, peer)
+	for _, l := range m.kept {
+		if l != nil {
+			go l.close()
+		}
 	}
+	clear(m.kept)
 }
 
 func (m *Mesh) dropKept(peer string, l *link) {
@@ -307,8 +320,8 @@
 	return l, nil
 }
 
-// updatePeriod returns the time between two updates of this entry's state.
-func (m *Mesh) updatePeriod() time.Duration {
+// UpdatePeriod returns the time between two updates of this entry's state.
+func (m *Mesh) UpdatePeriod() time.Duration {
 	members := m.o.Registry.Count()
 	if m.o.Pace <= 0 {
 		return member.UpdatePeriod(members)
@@ -321,7 +334,7 @@
 	if m.o.Pace <= 0 {
 		return digestPeriod
 	}
-	return min(digestPeriod, m.updatePeriod())
+	return min(digestPeriod, m.UpdatePeriod())
 }
 
 func (m *Mesh) self() member.Member { return m.o.Registry.Self() }
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -111,3 +111,35 @@
 		}
 	})
 }
+
+// Requests ask a peer on their way. None may wait for a peer that is gone, not
+// even for the connection to it.
+func TestTakeNeverWaitsForAConnection(t *testing.T) {
+	inBubble(t, 20, func(cl *cluster) {
+		c, first := cl.c, cl.nodes[0]
+		take := func(n *node, units float64) (bool, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), 60*time.Millisecond)
+			defer cancel()
+			began := time.Now()
+			_, kept, err := first.mesh.Take(ctx, n.id, "a", units)
+			c.Assert(time.Since(began) <= 60*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+			return kept, err
+		}
+		for _, n := range cl.nodes[1:] {
+			cl.within(time.Second, "answer of "+n.id, func() bool {
+				kept, err := take(n, 5)
+				return kept && err == nil
+			})
+			kept, err := take(n, 0)
+			c.Assert(err, qt.IsNil)
+			c.Assert(kept, qt.IsFalse)
+		}
+		gone := cl.nodes[7]
+		cl.network.Cut(first.host, gone.host, true)
+		for range 50 {
+			_, err := take(gone, 5)
+			c.Assert(err, qt.IsNotNil)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
--- a/peer/publish.go
+++ b/peer/publish.go
@@ -25,7 +25,7 @@
 	joined := m.o.Registry.Joined()
 	for {
 		m.publish()
-		period := m.updatePeriod()
+		period := m.UpdatePeriod()
 		timer := time.NewTimer(phase(period))
 		select {
 		case <-timer.C:
