--- a/gateway/scaling/plan.go
+++ b/gateway/scaling/plan.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// targetUse is the part of its time that an engine should be busy. Beyond
-	// it the wait behind long prompts grows past the latency objectives.
-	targetUse = 0.7
+	// burstReserve is how many times the square root of the load is kept free:
+	// the fewer engines there are, the larger a part of the load a burst is.
+	burstReserve = 1.4
+	// mostUse is the part of its time that an engine may be busy on average.
+	// Beyond it the wait behind long prompts grows past latency objectives.
+	mostUse = 0.82
 	// firmPart is the part of the need that runs on demand, to hold through a
 	// reclaim with late answers rather than none.
 	firmPart = 0.55
@@ -142,7 +145,7 @@
 		since, p.begun = 0, in.Now
 	}
 	p.at = in.Now
-	p.need = max(in.Busy/targetUse, p.need*math.Exp(-since/holdTime.Seconds()))
+	p.need = max(needOf(in.Busy), p.need*math.Exp(-since/holdTime.Seconds()))
 	if p.loaded.IsZero() && in.Busy > 0 {
 		p.loaded = in.Now
 	}
@@ -158,6 +161,11 @@
 	}
 }
 
+// needOf returns how many replicas a load needs that keeps so many busy.
+func needOf(busy float64) float64 {
+	return max(busy/mostUse, busy+burstReserve*math.Sqrt(max(0, busy)))
+}
+
 // byRisk orders domains by how often they lost their reclaimable replicas of
 // late.
 func (p *Planner) byRisk(domains []string) []string {
