Spread equal choices, log the ages of what decides, and test the adapter

Entries that knew the same chose the same replica among equals; a random part below what a choice should turn on spreads them.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -168,7 +169,7 @@
 func newConfigHolder() *config.Holder { return &config.Holder{} }
 
 func newBalancer(set *replica.Set, s gateway.Settings) *balance.Balancer {
-	return balance.New(set, s.FailureDomain)
+	return balance.New(set, s.FailureDomain, rand.Uint64())
 }
 
 func newPool(lc fx.Lifecycle, n Network) *upstream.Pool {
@@ -256,7 +257,8 @@
 func newHandler(d handlerDeps) *gateway.Handler {
 	return gateway.New(gateway.Deps{
 		Dialect: d.Surroundings.Dialect, Config: d.Config, ConfigAge: d.Followers.config.Age,
-		Balancer: d.Balancer, Pool: d.Pool, Limiter: d.Limiter, Retries: d.Retries,
+		RegistryAge: d.Followers.registry.Age,
+		Balancer:    d.Balancer, Pool: d.Pool, Limiter: d.Limiter, Retries: d.Retries,
 		Usage: d.Usage, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
 		Loaded: []<-chan struct{}{d.Followers.config.Loaded(), d.Followers.registry.Loaded()},
 	})
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -31,11 +32,19 @@
 	// cached at the replica that all entries send it to, where this entry
 	// has not seen it there itself.
 	homeShare = 0.6
+	// serviceJitter and engineJitter bound the random part of a cost, in
+	// requests and in time. It is below what a choice should turn on, and keeps
+	// entries that know the same from choosing the same replica.
+	serviceJitter = 0.5
+	engineJitter  = 4 * time.Millisecond
 	// cacheMemory is how long a part is expected to stay in a replica's cache
 	// after its last use there.
 	cacheMemory = 20 * time.Second
 	// cachedParts bounds the parts remembered.
 	cachedParts = 1 << 14
+	// failureCost is how many times its predicted time a replica costs more
+	// where all its requests fail.
+	failureCost = 2
 	// coldFactor multiplies the prediction of a replica that is still slow
 	// after its start.
 	coldFactor = 1.5
@@ -88,6 +97,8 @@
 type Balancer struct {
 	set    *replica.Set
 	domain string
+	// random is guarded by mu.
+	random *rand.Rand
 
 	mu     sync.Mutex
 	states map[string]*state
@@ -117,14 +128,14 @@
 }
 
 // New returns a Balancer over a set of replicas for an entry in a failure
-// domain.
-func New(set *replica.Set, domain string) *Balancer {
+// domain. Entries should have different seeds.
+func New(set *replica.Set, domain string, seed uint64) *Balancer {
 	parts, err := lru.New[uint64, []sighting](cachedParts)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
 	return &Balancer{
-		set: set, domain: domain,
+		set: set, domain: domain, random: rand.New(rand.NewPCG(seed, 0)),
 		states: make(map[string]*state),
 		rates:  make(map[string]*rate),
 		work:   make(map[string]*meter.Meter),
@@ -195,17 +206,17 @@
 	c := Choice{Replica: r, InFlight: inFlight}
 	slots := max(1, q.Slots, r.Slots)
 	if q.Slots == 0 {
-		cost := float64(inFlight+1) / float64(slots)
+		cost := (float64(inFlight+1) + serviceJitter*b.random.Float64()) / float64(slots)
 		if r.FailureDomain != b.domain {
 			cost += otherDomain.Seconds()
 		}
 		return c, cost + st.failures.rate(now)
 	}
 	c.CachedTokens = b.cachedLocked(q, r, ready, now)
-	rate := b.rateLocked(q.Service)
+	speed := b.rateLocked(q.Service)
 	c.Ahead = st.own.Tokens + others.Tokens
 	tokens := c.Ahead + max(0, q.PromptTokens-c.CachedTokens)
-	predicted := rate.base + float64(tokens)/rate.perSecond + float64(inFlight)*stepPerRunning.Seconds()
+	predicted := speed.base + float64(tokens)/speed.perSecond + float64(inFlight)*stepPerRunning.Seconds()
 	if full := inFlight + 1 - slots; full > 0 {
 		predicted += float64(full) / float64(slots) * meanRun.Seconds()
 	}
@@ -214,7 +225,7 @@
 		predicted *= coldFactor
 	}
 	c.FirstToken = time.Duration(predicted * float64(time.Second))
-	cost := predicted * (1 + 2*st.failures.rate(now))
+	cost := predicted*(1+failureCost*st.failures.rate(now)) + engineJitter.Seconds()*b.random.Float64()
 	if r.FailureDomain != b.domain {
 		cost += otherDomain.Seconds()
 	}
--- a/gateway/balance/split.go
+++ b/gateway/balance/split.go
@@ -32,7 +32,7 @@
 	leastSplit = 3
 	// strayLong is the cost of a long prompt on a replica that isn't meant for
 	// them, as a part of its own time to be read: what others wait there.
-	strayLong = 0.7
+	strayLong = 1.5
 	// strayShort is the cost of another prompt on a replica for long ones, as
 	// a part of the tightest objective: what it is likely to wait there.
 	strayShort = 0.35
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -191,6 +191,7 @@
 func (x *exchange) choiceFields(f logrus.Fields) {
 	c := x.last
 	f["candidates"], f["in_flight"] = c.Candidates, c.InFlight
+	ageField(f, "registry_age_ms", x.h.RegistryAge)
 	if c.FirstToken > 0 {
 		f["predicted_ms"], f["cached"], f["prompt"], f["ahead"] = c.FirstToken.Milliseconds(), c.CachedTokens, x.req.PromptTokens, c.Ahead
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -40,16 +40,19 @@
 
 // Deps are what a Handler works with.
 type Deps struct {
-	Dialect   Dialect
-	Config    *config.Holder
-	ConfigAge func() (time.Duration, bool)
-	Balancer  *balance.Balancer
-	Pool      *upstream.Pool
-	Limiter   *quota.Shared
-	Retries   *quota.Retries
-	Usage     *usage.Meter
-	Log       *logrus.Entry
-	Recorder  Recorder
+	Dialect Dialect
+	Config  *config.Holder
+	// ConfigAge and RegistryAge tell how long ago what is known was known to
+	// be complete, and false before the first read.
+	ConfigAge   func() (time.Duration, bool)
+	RegistryAge func() (time.Duration, bool)
+	Balancer    *balance.Balancer
+	Pool        *upstream.Pool
+	Limiter     *quota.Shared
+	Retries     *quota.Retries
+	Usage       *usage.Meter
+	Log         *logrus.Entry
+	Recorder    Recorder
 	// Loaded are closed once what a request is decided by was read. A request
 	// that comes before waits for them.
 	Loaded []<-chan struct{}
@@ -303,10 +306,20 @@
 	if x.first > 0 {
 		f["first_ms"] = x.first.Milliseconds()
 	}
-	entry := x.h.Log.WithFields(f)
 	if err != nil {
-		entry.WithError(err).WithField("verdict", verdict.Of(err).String()).Warn("gateway: request ended.")
+		ageField(f, "configuration_age_ms", x.h.ConfigAge)
+		if wait := verdict.RetryAfterOf(err); wait > 0 {
+			f["retry_after_ms"] = wait.Milliseconds()
+		}
+		x.h.Log.WithFields(f).WithError(err).WithField("verdict", verdict.Of(err).String()).Warn("gateway: request ended.")
 		return
 	}
-	entry.Info("gateway: request ended.")
+	x.h.Log.WithFields(f).Info("gateway: request ended.")
+}
+
+// ageField adds the age of what a decision was made from.
+func ageField(f logrus.Fields, name string, age func() (time.Duration, bool)) {
+	if d, known := age(); known {
+		f[name] = d.Milliseconds()
+	}
 }
--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +40,7 @@
 
 // Snapshot holds the replicas at one moment. It must not be changed.
 type Snapshot struct {
-	// Ready are the replicas that take new work, by service.
+	// Ready are the replicas that take new work, by service, in order of ID.
 	Ready map[string][]*Replica
 	// All are all replicas in the registry by ID, draining ones included.
 	All map[string]*Replica
@@ -225,6 +227,9 @@
 			next.Ready[r.Service] = append(next.Ready[r.Service], r)
 		}
 	}
+	for _, list := range next.Ready {
+		slices.SortFunc(list, func(x, y *Replica) int { return cmp.Compare(x.ID, y.ID) })
+	}
 	s.snapshot.Store(next)
 }
 
--- /dev/null
+++ b/gateway/usage/usage_test.go
@@ -0,0 +1,127 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
+)
+
+type holder struct{ held bool }
+
+func (h *holder) Held() (uint64, bool) { return 7, h.held }
+
+// sender keeps what was reported, and fails while it is told to.
+type sender struct {
+	fail    bool
+	reports map[int64][]map[string]int
+}
+
+func (s *sender) Report(_ context.Context, _ uint64, window int64, counts map[string]int) error {
+	if s.fail {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "lost: %w", errors.New("no answer"))
+	}
+	if s.reports == nil {
+		s.reports = make(map[int64][]map[string]int)
+	}
+	s.reports[window] = append(s.reports[window], counts)
+	return nil
+}
+
+// clock is a Clock whose two times are set by a test.
+type hands struct {
+	wall   time.Time
+	steady time.Duration
+}
+
+func (h *hands) clock() *Clock {
+	return &Clock{wall: func() time.Time { return h.wall }, steady: func() time.Duration { return h.steady }}
+}
+
+func (h *hands) pass(d time.Duration) {
+	h.wall = h.wall.Add(d)
+	h.steady += d
+}
+
+func TestClockKeepsItsCourseOverSteps(t *testing.T) {
+	h := &hands{wall: time.Unix(1000, 0), steady: time.Hour}
+	c := h.clock()
+	qt.Assert(t, c.Now().Equal(time.Unix(1000, 0)), qt.IsTrue)
+	h.pass(10 * time.Second)
+	h.wall = h.wall.Add(-3 * time.Second)
+	qt.Assert(t, c.Now().Equal(time.Unix(1010, 0)), qt.IsTrue)
+	h.pass(10 * time.Second)
+	h.wall = h.wall.Add(3 * time.Second)
+	qt.Assert(t, c.Now().Equal(time.Unix(1020, 0)), qt.IsTrue)
+	// Slewing is followed.
+	h.wall = h.wall.Add(100 * time.Millisecond)
+	qt.Assert(t, c.Now().Equal(h.wall), qt.IsTrue)
+}
+
+func reporter(table *standin.Table, h *hands, l *holder, s *sender, source Source) *Reporter {
+	return &Reporter{
+		Lease: l, Table: table, Sender: s, Source: source, Clock: h.clock(),
+		Window: 5 * time.Second, Due: 10 * time.Second, Log: nolog.Or(nil), done: make(map[int64]bool),
+	}
+}
+
+func TestWindowIsReportedOnceWithTheSameCountsByWhomeverRepeatsIt(t *testing.T) {
+	table := standin.NewTable(1)
+	defer table.Close()
+	h := &hands{wall: time.Unix(1000, 0)}
+	lost := &sender{fail: true}
+	first := reporter(table, h, &holder{true}, lost, func(int64, time.Time) (Counts, bool) { return Counts{"a": 3}, true })
+	h.pass(8 * time.Second)
+	first.check(context.Background())
+	qt.Assert(t, lost.reports, qt.HasLen, 0)
+	// The successor has heard of more since, and repeats what was sealed.
+	got := &sender{}
+	second := reporter(table, h, &holder{true}, got, func(int64, time.Time) (Counts, bool) { return Counts{"a": 5}, true })
+	second.check(context.Background())
+	second.check(context.Background())
+	qt.Assert(t, got.reports[200], qt.DeepEquals, []map[string]int{{"a": 3}})
+}
+
+func TestWindowWaitsForEntriesThatWereNotHeard(t *testing.T) {
+	table := standin.NewTable(1)
+	defer table.Close()
+	h := &hands{wall: time.Unix(1000, 0)}
+	s := &sender{}
+	complete := false
+	r := reporter(table, h, &holder{true}, s, func(int64, time.Time) (Counts, bool) { return Counts{"a": 1}, complete })
+	h.pass(8 * time.Second)
+	r.check(context.Background())
+	qt.Assert(t, s.reports[200], qt.HasLen, 0)
+	h.pass(4 * time.Second)
+	r.check(context.Background())
+	qt.Assert(t, s.reports[200], qt.HasLen, 1)
+}
+
+func TestOnlyTheHolderReports(t *testing.T) {
+	table := standin.NewTable(1)
+	defer table.Close()
+	h := &hands{wall: time.Unix(1008, 0)}
+	s := &sender{}
+	r := reporter(table, h, &holder{}, s, func(int64, time.Time) (Counts, bool) { return Counts{"a": 1}, true })
+	r.check(context.Background())
+	qt.Assert(t, s.reports, qt.HasLen, 0)
+}
+
+func TestMeterCountsByWindow(t *testing.T) {
+	h := &hands{wall: time.Unix(1003, 0)}
+	m := NewMeter(5*time.Second, h.clock())
+	m.Started("a")
+	m.Started("a")
+	h.pass(2 * time.Second)
+	m.Started("a")
+	qt.Assert(t, m.All(), qt.DeepEquals, map[int64]map[string]int{200: {"a": 2}, 201: {"a": 1}})
+	h.pass(10 * time.Minute)
+	m.Started("b")
+	qt.Assert(t, m.All(), qt.HasLen, 1)
+}
