See reclaims by leaving replicas, whether or not they say what time is left

Rows of leaving replicas hold no remaining time, so that the planner never saw a reclaim and found out by overdue orders, seconds later. A reclaimable replica that leaves without having been given back counts as reclaimed.

--- a/gateway/scaling/control.go
+++ b/gateway/scaling/control.go
@@ -122,9 +122,9 @@
 		out[r.FailureDomain] = s
 	}
 	for _, r := range snapshot.All {
-		if r.Service == service && r.Draining && r.Reclaimable && r.Leaves > 0 {
+		if r.Service == service && r.Draining && r.Reclaimable {
 			s := out[r.FailureDomain]
-			s.Reclaimed++
+			s.Leaving++
 			out[r.FailureDomain] = s
 		}
 	}
--- /dev/null
+++ b/gateway/scaling/control_test.go
@@ -0,0 +1,55 @@
+package scaling
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+)
+
+type always struct{ held bool }
+
+func (a always) Held() (uint64, bool) { return 3, a.held }
+
+type orders struct{ given []Order }
+
+func (o *orders) Order(_ context.Context, _ uint64, _, domain string, count int, reclaimable bool) error {
+	o.given = append(o.given, Order{domain, reclaimable, count})
+	return nil
+}
+
+func controller(held bool) (*Controller, *orders, *replica.Set) {
+	set := replica.NewSet(nolog.Or(nil))
+	given := &orders{}
+	holder := &config.Holder{}
+	b := bounds()
+	holder.Offer((&config.Configuration{Version: 1, Services: map[string]config.Service{"s": {Name: "s", Scaling: &b}}}).Compile())
+	return &Controller{
+		Lease: always{held}, Orders: given, Config: holder, Replicas: set, Domains: domains,
+		Busy: func(string) float64 { return 1 }, Log: nolog.Or(nil), planners: make(map[string]*Planner),
+	}, given, set
+}
+
+// Rows of leaving replicas don't say how much time they have left.
+func TestReclaimShowsInTheSupply(t *testing.T) {
+	c, _, set := controller(true)
+	e := replica.Entry{ID: "r1", Service: "s", Addr: "10.0.0.1:1", FailureDomain: "a", Reclaimable: true}
+	set.Put(e)
+	set.Put(replica.Entry{ID: "r2", Service: "s", Addr: "10.0.0.2:1", FailureDomain: "b"})
+	qt.Assert(t, c.supply("s"), qt.DeepEquals, map[string]Supply{"a": {Reclaimable: 1}, "b": {OnDemand: 1}, "c": {}})
+	e.Draining = true
+	set.Put(e)
+	qt.Assert(t, c.supply("s"), qt.DeepEquals, map[string]Supply{"a": {Leaving: 1}, "b": {OnDemand: 1}, "c": {}})
+}
+
+func TestOnlyTheHolderOrders(t *testing.T) {
+	c, given, set := controller(false)
+	set.Put(replica.Entry{ID: "r1", Service: "s", Addr: "10.0.0.1:1", FailureDomain: "a"})
+	c.step(context.Background())
+	qt.Assert(t, given.given, qt.HasLen, 0)
+	qt.Assert(t, c.planners, qt.HasLen, 0)
+}
--- a/gateway/scaling/plan.go
+++ b/gateway/scaling/plan.go
@@ -44,6 +44,8 @@
 	// scarceFor is how long after a refusal or a reclaim reclaimable replicas
 	// are not counted on.
 	scarceFor = 3 * time.Second
+	// leavingFor is how long a replica that was given back may take to leave.
+	leavingFor = 8 * time.Second
 	// overdueSlack is how much longer than its start a replica may take to
 	// appear until it counts as missing.
 	overdueSlack = 3 * time.Second
@@ -54,8 +56,9 @@
 // Supply is what a failure domain has of a service, without what is leaving.
 type Supply struct {
 	OnDemand, Reclaimable int
-	// Reclaimed is how many reclaimable replicas are being taken away.
-	Reclaimed int
+	// Leaving is how many reclaimable replicas are leaving, because they are
+	// taken away or were given back.
+	Leaving int
 }
 
 // Input is what a plan is made from.
@@ -85,6 +88,8 @@
 	count   int
 	at      time.Time
 	refused time.Time
+	// lowered is when the count was last lowered.
+	lowered time.Time
 }
 
 // Planner plans the replicas of one service. It is used by one goroutine.
@@ -149,16 +154,27 @@
 	if p.loaded.IsZero() && in.Busy > 0 {
 		p.loaded = in.Now
 	}
-	for domain, s := range in.Supply {
+	for domain := range in.Supply {
 		p.risks[domain] *= math.Exp(-since / riskTime.Seconds())
-		if s.Reclaimed > 0 {
+		reclaimed := p.reclaimed(in, domain)
+		if reclaimed {
 			p.scarce = in.Now.Add(scarceFor)
 			if !p.hit[domain] {
 				p.risks[domain]++
 			}
 		}
-		p.hit[domain] = s.Reclaimed > 0
+		p.hit[domain] = reclaimed
+	}
+}
+
+// reclaimed says whether a domain's reclaimable replicas are being taken away:
+// some are leaving, and none was given back of late.
+func (p *Planner) reclaimed(in Input, domain string) bool {
+	if in.Supply[domain].Leaving == 0 {
+		return false
 	}
+	s := p.orders[slot{domain, true}]
+	return s == nil || in.Now.Sub(s.lowered) > leavingFor
 }
 
 // needOf returns how many replicas a load needs that keeps so many busy.
@@ -256,6 +272,7 @@
 				continue
 			case count < s.count:
 				count = s.count - 1
+				s.lowered = in.Now
 				if !reclaimable {
 					p.lowered = in.Now
 				}
@@ -284,7 +301,7 @@
 		found = supply.Reclaimable
 	}
 	overdue := in.Now.Sub(s.at) > in.Bounds.Boot+overdueSlack
-	taken := at.reclaimable && supply.Reclaimed > 0
+	taken := at.reclaimable && p.reclaimed(in, at.domain)
 	if s.at.IsZero() || found < s.count && (overdue || taken) {
 		s.count = found
 	}
--- a/gateway/scaling/plan_test.go
+++ b/gateway/scaling/plan_test.go
@@ -74,7 +74,7 @@
 	for _, d := range domains {
 		s := Supply{OnDemand: m.have[slot{d, false}], Reclaimable: m.have[slot{d, true}]}
 		if l := m.leaving[d]; m.now.Before(l.when) {
-			s.Reclaimed = l.n
+			s.Leaving = l.n
 		}
 		supply[d] = s
 		serving += s.OnDemand + s.Reclaimable
@@ -176,6 +176,26 @@
 	qt.Assert(t, back >= 3, qt.IsTrue, qt.Commentf("%d reclaimable ones are back", back))
 }
 
+// A domain's reclaimable replicas begin to leave. On-demand ones must be on
+// their way at once, not when the others are overdue.
+func TestReclaimIsMadeUpForAtOnce(t *testing.T) {
+	m := newMarket(4)
+	m.run(10*time.Second, 0)
+	m.run(60*time.Second, 6)
+	before := 0
+	for _, d := range domains {
+		before += m.have[slot{d, false}]
+	}
+	m.reclaim("b", 30*time.Second)
+	m.run(m.boot+3*planPeriod, 6)
+	after := 0
+	for _, d := range domains {
+		after += m.have[slot{d, false}]
+	}
+	serving := m.step(6)
+	qt.Assert(t, float64(serving) >= needOf(6), qt.IsTrue, qt.Commentf("%d serve, on demand %d before and %d after", serving, before, after))
+}
+
 func TestBurstIsFollowedAtOnce(t *testing.T) {
 	m := newMarket(2)
 	m.run(10*time.Second, 0)
