Keep shared prompt parts to two replicas that all entries agree on

An entry sees a part too rarely to know where it is, and what the one agreed replica had no room for went anywhere. Change: a second agreed replica, and cached tokens count beyond the time that they save the request itself.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -28,15 +28,20 @@
 	// meanRun is how long a request is expected to hold its slot where all
 	// slots are taken.
 	meanRun = 1500 * time.Millisecond
-	// homeShare is the part of a shared prompt part that is expected to be
-	// cached at the replica that all entries send it to, where this entry
-	// has not seen it there itself.
-	homeShare = 0.6
+	// homeShare and secondHomeShare are the parts of a shared prompt part that
+	// are expected to be cached at the replicas that all entries send it to,
+	// where this entry has not seen it there itself.
+	homeShare       = 0.9
+	secondHomeShare = 0.5
 	// serviceJitter and engineJitter bound the random part of a cost, in
 	// requests and in time. It is below what a choice should turn on, and keeps
 	// entries that know the same from choosing the same replica.
 	serviceJitter = 0.5
 	engineJitter  = 4 * time.Millisecond
+	// affinity is how much more a cached token counts than the time that it
+	// saves this request: reading it anew delays the others there as well, and
+	// takes memory from what they share.
+	affinity = 1.5
 	// cacheMemory is how long a part is expected to stay in a replica's cache
 	// after its last use there.
 	cacheMemory = 20 * time.Second
@@ -76,6 +81,15 @@
 	Exclude map[string]bool
 }
 
+// shared returns how many tokens of the prompt are in shared parts.
+func (q Query) shared() int {
+	sum := 0
+	for _, p := range q.Parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
 // Choice is a replica with what was expected of it.
 type Choice struct {
 	Replica *replica.Replica
@@ -226,6 +240,7 @@
 	}
 	c.FirstToken = time.Duration(predicted * float64(time.Second))
 	cost := predicted*(1+failureCost*st.failures.rate(now)) + engineJitter.Seconds()*b.random.Float64()
+	cost += affinity * float64(max(0, q.shared()-c.CachedTokens)) / speed.perSecond
 	if r.FailureDomain != b.domain {
 		cost += otherDomain.Seconds()
 	}
--- a/gateway/balance/cache.go
+++ b/gateway/balance/cache.go
@@ -25,14 +25,14 @@
 	if sum > 0 || len(q.Parts) == 0 {
 		return sum
 	}
-	last := q.Parts[len(q.Parts)-1]
-	if home(last.ID, ready) != r {
-		return 0
+	share := 0.0
+	switch first, second := homes(q.Parts[len(q.Parts)-1].ID, ready); r {
+	case first:
+		share = homeShare
+	case second:
+		share = secondHomeShare
 	}
-	for _, p := range q.Parts {
-		sum += p.Tokens
-	}
-	return int(homeShare * float64(sum))
+	return int(share * float64(q.shared()))
 }
 
 func (b *Balancer) sawLocked(part uint64, id string, now time.Time) bool {
@@ -62,17 +62,21 @@
 	}
 }
 
-// home returns the replica that all entries agree on for a part, by the
-// highest hash of both.
-func home(part uint64, ready []*replica.Replica) *replica.Replica {
-	var best *replica.Replica
-	highest := uint64(0)
+// homes returns the two replicas that all entries agree on for a part, by the
+// highest hashes of both. The second takes what the first has no room for.
+func homes(part uint64, ready []*replica.Replica) (first, second *replica.Replica) {
+	highest, next := uint64(0), uint64(0)
 	for _, r := range ready {
-		if h := pairHash(part, r.ID); best == nil || h > highest {
-			best, highest = r, h
+		h := pairHash(part, r.ID)
+		switch {
+		case first == nil || h > highest:
+			second, next = first, highest
+			first, highest = r, h
+		case second == nil || h > next:
+			second, next = r, h
 		}
 	}
-	return best
+	return first, second
 }
 
 func pairHash(part uint64, id string) uint64 {
