Refuse what comes late in a stop, and start own parts of a limit low

Requests later than 2.5 s are refused now, as not run. An own part starts a fifth full whenever it begins to be used, and 0.4 of the tolerance is used instead of 0.5.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -56,7 +56,7 @@
 	callerHeaderBytes = 32 << 10
 	// idleGrace is how long after a stop signal idle connections are left
 	// open: the balancer takes two checks, a second apart, to notice.
-	idleGrace = 3500 * time.Millisecond
+	idleGrace = 3200 * time.Millisecond
 )
 
 // Surroundings are what an entry that forwards by route needs around it.
--- a/cmd/coltsfootcleat/serve_platform.go
+++ b/cmd/coltsfootcleat/serve_platform.go
@@ -23,8 +23,8 @@
 	memoryPart = 0.6
 	// stopSlack is the part of the grace that is left for the end of the
 	// process itself, and stopTimeout what of it the loops may take.
-	stopSlack   = time.Second
-	stopTimeout = 600 * time.Millisecond
+	stopSlack   = 500 * time.Millisecond
+	stopTimeout = 300 * time.Millisecond
 	// logSlack is how long the last log lines may take at the end.
 	logSlack = 100 * time.Millisecond
 )
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -425,3 +425,18 @@
 		qt.Assert(t, time.Since(began), qt.Equals, 100*time.Millisecond)
 	})
 }
+
+// A request that comes late in a stop may last longer than the process.
+func TestRequestLateInAStopIsRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, routes(), ok)
+		w.handler.Drain()
+		time.Sleep(2900 * time.Millisecond)
+		resp, _, err := w.get(t, "/once/x")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, resp.StatusCode, qt.Equals, 503)
+		qt.Assert(t, resp.Header.Get("Retry-After"), qt.Equals, "0.020")
+		qt.Assert(t, resp.Close, qt.IsTrue)
+		qt.Assert(t, w.runs(), qt.Equals, 0)
+	})
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -27,6 +27,13 @@
 	// retrySoon is when a client may come back after a failure that is over
 	// quickly, such as a configuration that is not known yet.
 	retrySoon = 500 * time.Millisecond
+	// acceptStopping is how long after a stop signal requests on connections
+	// that clients keep open are served. Streams take seconds, and the process
+	// is killed eight seconds after the signal.
+	acceptStopping = 2500 * time.Millisecond
+	// retryElsewhere is when a client may come back that other entries can
+	// serve.
+	retryElsewhere = 20 * time.Millisecond
 	// longestLoad bounds how long a request waits for a process that has just
 	// started, and loadPart which part of the client's patience that may take.
 	longestLoad = 700 * time.Millisecond
@@ -71,15 +78,30 @@
 // Handler forwards requests. It is safe for concurrent use.
 type Handler struct {
 	Deps
-	draining atomic.Bool
+	// draining is when a drain began, nil before.
+	draining atomic.Pointer[time.Time]
 	inside   atomic.Int64
 }
 
 // New returns a Handler.
 func New(d Deps) *Handler { return &Handler{Deps: d} }
 
-// Drain asks clients from now on to close their connections.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// Drain asks clients from now on to close their connections. Requests that
+// come on them for a while are still served; later ones are refused, as there
+// may not be time enough left for them.
+func (h *Handler) Drain() {
+	now := time.Now()
+	h.draining.Store(&now)
+}
+
+// stopping says for how long a drain has gone on, and false before it.
+func (h *Handler) stopping() (time.Duration, bool) {
+	began := h.draining.Load()
+	if began == nil {
+		return 0, false
+	}
+	return time.Since(*began), true
+}
 
 // Inside returns the number of requests in progress.
 func (h *Handler) Inside() int { return int(h.inside.Load()) }
@@ -122,7 +144,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inside.Add(1)
 	defer h.inside.Add(-1)
-	if h.draining.Load() {
+	if _, stopping := h.stopping(); stopping {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now()}
@@ -139,6 +161,9 @@
 	if x.req, err = x.h.Dialect.Decode(x.r); err != nil {
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "request: %w", err)
 	}
+	if since, _ := x.h.stopping(); since > acceptStopping {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "entry stops").WithRetryAfter(retryElsewhere)
+	}
 	x.awaitLoaded()
 	if x.cfg = x.h.Config.Current(); x.cfg == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no configuration yet").WithRetryAfter(retrySoon)
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -21,7 +21,7 @@
 	// toleranceUsed is the part of the tolerance that is handed out; the rest
 	// is for demand that moves between entries faster than they tell each
 	// other, and for entries that start with a full bucket.
-	toleranceUsed = 0.5
+	toleranceUsed = 0.4
 	// firstFill is how full the buckets of a new process are. Full ones would
 	// hand the burst out again at each restart of all entries.
 	firstFill = 0.2
@@ -225,6 +225,15 @@
 	}
 }
 
+// lowerPart leaves an entry's own part no fuller than that of a new process.
+func (l *Limiter) lowerPart(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cu := l.customers[name]; cu != nil {
+		cu.bucket.Lower(l.now(), firstFill)
+	}
+}
+
 // Limited says whether a customer has a limit, and notes what it asked for.
 func (l *Limiter) Limited(name string, units float64) bool {
 	l.mu.Lock()
--- a/gateway/quota/shared.go
+++ b/gateway/quota/shared.go
@@ -16,6 +16,9 @@
 	askTimeout = 60 * time.Millisecond
 	// askPause is how long a keeper that did not answer is not asked again.
 	askPause = time.Second
+	// fallBackGap is how long an entry's own part must not have been used for
+	// its next use to be a new start.
+	fallBackGap = 500 * time.Millisecond
 )
 
 // ErrKeptElsewhere says that the entry asked doesn't keep the limit, by the
@@ -43,11 +46,13 @@
 	mu sync.Mutex
 	// silent is until when a keeper is not asked.
 	silent map[string]time.Time
+	// fellBack is when the own part of a customer's limit was last used.
+	fellBack map[string]time.Time
 }
 
 // NewShared returns the limits over all entries, for the entry named self.
 func NewShared(l *Limiter, self string, peers Peers, log *logrus.Entry) *Shared {
-	s := &Shared{Limiter: l, self: self, peers: peers, log: log, silent: make(map[string]time.Time)}
+	s := &Shared{Limiter: l, self: self, peers: peers, log: log, silent: make(map[string]time.Time), fellBack: make(map[string]time.Time)}
 	l.SetKeeper(func(customer string) bool { return s.keeper(customer) == self })
 	return s
 }
@@ -88,9 +93,23 @@
 			s.fellSilent(keeper, err)
 		}
 	}
+	s.fallBack(customer)
 	return s.Take(customer, units), true
 }
 
+// fallBack lowers this entry's part when it begins to be used: the keeper has
+// handed out the burst until now.
+func (s *Shared) fallBack(customer string) {
+	now := s.now()
+	s.mu.Lock()
+	last := s.fellBack[customer]
+	s.fellBack[customer] = now
+	s.mu.Unlock()
+	if now.Sub(last) > fallBackGap {
+		s.lowerPart(customer)
+	}
+}
+
 func (s *Shared) askable(keeper string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/quota/shared_test.go
+++ b/gateway/quota/shared_test.go
@@ -106,3 +106,34 @@
 	qt.Assert(t, taken <= allowed, qt.IsTrue, qt.Commentf("%v taken, %v allowed", taken, allowed))
 	qt.Assert(t, taken >= 0.7*100_000*span.Seconds(), qt.IsTrue, qt.Commentf("%v taken", taken))
 }
+
+// The load is a customer at many times its limit, and the entry that keeps the
+// limit falls silent again and again. What the others hold of their own parts
+// must not add up to another burst.
+func TestLimitHoldsWhileItsKeeperComesAndGoes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tolerance := Tolerance{Part: 0.1, Units: 140_000}
+	r := newRoom(9, func() time.Time { return now }, tolerance)
+	keeper := r.entries["e0"].keeper("a")
+	const step, steps, request = 20 * time.Millisecond, 400, 5_000.0
+	now = now.Add(20 * time.Second)
+	r.tell()
+	taken := 0.0
+	for i := range steps {
+		now = now.Add(step)
+		if i%50 == 0 {
+			r.cut[keeper] = i%100 == 50
+			r.tell()
+			for _, e := range r.entries {
+				clear(e.silent)
+			}
+		}
+		for j := range 9 {
+			if wait, _ := r.entries[r.ids[(i+j)%9]].TakeShared(context.Background(), "a", request); wait == 0 {
+				taken += request
+			}
+		}
+	}
+	allowed := (100_000*(step*steps).Seconds()+100_000)*(1+tolerance.Part) + tolerance.Units
+	qt.Assert(t, taken <= allowed, qt.IsTrue, qt.Commentf("%v taken, %v allowed", taken, allowed))
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -86,7 +86,7 @@
 	for name, values := range x.h.Dialect.Answer(a.Header) {
 		h[name] = values
 	}
-	if x.h.draining.Load() {
+	if _, stopping := x.h.stopping(); stopping {
 		h.Set("Connection", "close")
 	}
 }
--- a/internal/rate/bucket.go
+++ b/internal/rate/bucket.go
@@ -39,6 +39,12 @@
 	b.tokens = min(b.tokens, burst)
 }
 
+// Lower leaves the bucket at most so full, as a part of its size.
+func (b *Bucket) Lower(now time.Time, part float64) {
+	b.refill(now)
+	b.tokens = min(b.tokens, b.burst*part)
+}
+
 // Take takes n tokens, or returns how long to wait for them. A request larger
 // than the bucket is taken from a full one and leaves the rest as debt.
 func (b *Bucket) Take(now time.Time, n float64) time.Duration {
