--- a/cmd/coltsfootcleat/explain_test.go
+++ b/cmd/coltsfootcleat/explain_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -33,3 +34,25 @@
 		"replica: draining.|replica: draining.|follow: feed is lost.|gateway: stream resumes.|gateway: request ended.")
 	qt.Assert(t, explain(lines, "none", false), qt.HasLen, 0)
 }
+
+// The requests that docs/OPERATIONS.md follows are in the log beside it.
+func TestExamplesOfTheOperationsPage(t *testing.T) {
+	lines, err := readLog("../../docs/examples/trouble-1.log")
+	qt.Assert(t, err, qt.IsNil)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	qt.Assert(t, err, qt.IsNil)
+	for id, outcome := range map[string]string{
+		"254dfb5369053b6c": "refused", "2829bc9be246a0aa": "cut", "11e72638733a1b61": "answered",
+	} {
+		qt.Assert(t, strings.Contains(string(page), "explain "+id), qt.IsTrue)
+		story := explain(lines, id, false)
+		qt.Assert(t, len(story) > 1, qt.IsTrue)
+		var outcomes []string
+		for _, l := range story {
+			if o := l.text("outcome"); o != "" {
+				outcomes = append(outcomes, o)
+			}
+		}
+		qt.Assert(t, outcomes, qt.DeepEquals, []string{outcome})
+	}
+}
