Drop what nothing reads, and know soon after an outage that a feed is complete

Decoded fields without a user are gone from the configuration. The first call of a feed after a failure waits 50 ms instead of twelve seconds: until it returned, the age of the configuration went on growing, and keys that are not known were refused for a moment instead of for good. Tests of the follower.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -38,9 +38,6 @@
 	Timeout time.Duration
 	// Objective is the latency objective, for streams that of the first event.
 	Objective time.Duration
-	// GapObjective is the longest pause between two events of a stream that
-	// is in time.
-	GapObjective time.Duration
 	// Urgency is the rank; 0 is the most urgent.
 	Urgency int
 	// Attempts bounds the replicas that one request is sent to.
@@ -48,8 +45,6 @@
 	Targets  []Target
 	// Public routes need no key.
 	Public bool
-	// Affinity marks requests that say which parts their prompts share.
-	Affinity bool
 	// Resumable streams may go on at another replica after the last event.
 	Resumable bool
 }
@@ -75,19 +70,11 @@
 type Engine struct {
 	// Slots is how many requests one replica runs at once.
 	Slots int
-	// MemoryTokens is how many tokens the running requests and the cache of a
-	// replica can hold.
-	MemoryTokens int
-	// EventTokens is how many tokens one event of a stream holds.
-	EventTokens int
 }
 
 // Service is a group of replicas of one program.
 type Service struct {
 	Name string
-	// Connections bounds the open connections of one replica over all
-	// clients; 0 is no bound.
-	Connections int
 	// Engine is nil for plain services.
 	Engine *Engine
 	// Scaling is nil where the number of replicas is not ours to order.
@@ -109,13 +96,9 @@
 	PlainTokens float64
 }
 
-// Limits bound what clients may send and how long they may be idle. A zero
-// value is no limit.
+// Limits bound what clients may send. A zero value is no limit.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Configuration is one version of all that an operator sets. It must not be
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -50,8 +50,6 @@
 	RequestID string
 	// NotRun is the replica's promise that the request has not run.
 	NotRun bool
-	// Sealed says that the answer bears the replica's mark.
-	Sealed bool
 }
 
 // Dialect knows the headers of clients and replicas. Implementations are safe
--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -18,6 +18,8 @@
 	// defaultWait is how long one call waits for a change. Longer waits cost
 	// fewer calls; a connection that went silent is found out after it.
 	defaultWait = 5 * time.Second
+	// waitAfterLoss is how long the first call after a failure waits.
+	waitAfterLoss = 50 * time.Millisecond
 	// answerSlack is added to the wait to bound a call.
 	answerSlack = 1500 * time.Millisecond
 	// snapshotTimeout bounds a full read.
@@ -125,9 +127,14 @@
 	if !*known {
 		return f.readAll(ctx, version, known)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, f.opt.Wait+answerSlack)
+	wait := f.opt.Wait
+	if f.lost {
+		// An answer is wanted soon, to know that the copy is complete again.
+		wait = waitAfterLoss
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	changes, next, err := f.feed.Changes(callCtx, *version, f.opt.Wait)
+	changes, next, err := f.feed.Changes(callCtx, *version, wait)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/infra/follow/follow_test.go
@@ -0,0 +1,139 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/follow"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+)
+
+// feed answers from a list of rows, and fails while it is told to.
+type feed struct {
+	version uint64
+	changes []infra.Change
+	down    bool
+	// gone is up to which version changes are no longer kept.
+	gone  uint64
+	calls int
+}
+
+func (f *feed) put(key string) {
+	f.version++
+	f.changes = append(f.changes, infra.Change{Row: infra.Row{Key: key, Version: f.version}})
+}
+
+func (f *feed) Snapshot(context.Context) ([]infra.Row, uint64, error) {
+	f.calls++
+	if f.down {
+		return nil, 0, errors.New("down")
+	}
+	var rows []infra.Row
+	for _, c := range f.changes {
+		rows = append(rows, c.Row)
+	}
+	return rows, f.version, nil
+}
+
+func (f *feed) Changes(ctx context.Context, after uint64, wait time.Duration) ([]infra.Change, uint64, error) {
+	f.calls++
+	for until := time.Now().Add(wait); ; {
+		switch {
+		case f.down:
+			return nil, 0, errors.New("down")
+		case after < f.gone:
+			return nil, 0, infra.ErrHistoryGone
+		case f.version > after:
+			return f.changes[after:], f.version, nil
+		case !time.Now().Before(until) || !ctxtime.Sleep(ctx, 10*time.Millisecond):
+			return nil, f.version, ctx.Err()
+		}
+	}
+}
+
+// story records what a handler was given.
+type story struct{ told []string }
+
+func (s *story) Replace(rows []infra.Row) {
+	keys := make([]string, len(rows))
+	for i, r := range rows {
+		keys[i] = r.Key
+	}
+	s.told = append(s.told, "all "+strings.Join(keys, ","))
+}
+
+func (s *story) Change(c infra.Change) { s.told = append(s.told, c.Key) }
+
+func run(t *testing.T, f *feed, o follow.Options) (*follow.Follower, *story) {
+	s := &story{}
+	o.Log = nolog.Or(nil)
+	follower := follow.New(f, s, o)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go follower.Run(ctx)
+	time.Sleep(time.Second)
+	return follower, s
+}
+
+func TestEverythingIsReadAgainOnlyWhereHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &feed{}
+		f.put("a")
+		_, s := run(t, f, follow.Options{})
+		f.put("b")
+		time.Sleep(time.Second)
+		f.down = true
+		time.Sleep(10 * time.Second)
+		f.put("c")
+		f.down = false
+		time.Sleep(2 * time.Second)
+		f.down = true
+		time.Sleep(2 * time.Second)
+		f.put("d")
+		f.gone, f.down = f.version, false
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, s.told, qt.DeepEquals, []string{"all a", "b", "c", "all a,b,c,d"})
+	})
+}
+
+func TestAgeIsKnownSoonAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &feed{}
+		back := 0
+		follower, _ := run(t, f, follow.Options{Wait: 12 * time.Second, OnBack: func() { back++ }})
+		time.Sleep(12 * time.Second)
+		f.down = true
+		time.Sleep(20 * time.Second)
+		age, known := follower.Age()
+		qt.Assert(t, known, qt.IsTrue)
+		qt.Assert(t, age >= 19*time.Second, qt.IsTrue, qt.Commentf("%v", age))
+		f.down = false
+		time.Sleep(time.Second)
+		age, _ = follower.Age()
+		qt.Assert(t, age <= time.Second, qt.IsTrue, qt.Commentf("%v", age))
+		qt.Assert(t, back, qt.Equals, 1)
+	})
+}
+
+func TestChangesThatComeTogetherCostOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &feed{}
+		_, s := run(t, f, follow.Options{Pause: func() time.Duration { return 500 * time.Millisecond }})
+		before := f.calls
+		for range 40 {
+			f.put("x")
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, s.told, qt.HasLen, 41)
+		qt.Assert(t, f.calls-before <= 3, qt.IsTrue, qt.Commentf("%d calls", f.calls-before))
+	})
+}
