--- a/cmd/coltsfootcleat/demo.go
+++ b/cmd/coltsfootcleat/demo.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"sync"
@@ -21,8 +22,13 @@
 const (
 	// demoDuration is how long the demonstration's requests arrive.
 	demoDuration = 20 * time.Second
-	// demoNetwork is the loopback network of the first deployment.
-	demoNetwork = 60
+	// demoNetwork is the loopback network of the first deployment of a
+	// demonstration, demoNetworks how many demonstrations may run beside each
+	// other. Each takes a network for each deployment.
+	demoNetwork  = 60
+	demoNetworks = 16
+	// demoClaim is the end of the address that claims a network.
+	demoClaim = "255.254:7000"
 	// barSteps is the length of the progress bar.
 	barSteps = 100
 )
@@ -34,6 +40,8 @@
 	json     bool
 	seed     uint64
 	duration time.Duration
+	// network is the loopback network of the first deployment.
+	network int
 }
 
 // Name implements subcommands.Command.
@@ -77,12 +85,31 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	release, err := c.claimNetworks()
+	if err != nil {
+		return c.exit(err)
+	}
+	defer release()
 	if c.hold {
 		return c.exit(c.holdAll(ctx))
 	}
 	return c.exit(c.drive(ctx))
 }
 
+// claimNetworks takes loopback networks that no other demonstration on this
+// machine uses, until they are released.
+func (c *demoCommand) claimNetworks() (release func(), err error) {
+	for n := range demoNetworks {
+		c.network = demoNetwork + n*len(deployments.Names())
+		var claim net.Listener
+		claim, err = net.Listen("tcp", fmt.Sprintf("127.%d.%s", c.network, demoClaim))
+		if err == nil {
+			return func() { _ = claim.Close() }, nil
+		}
+	}
+	return nil, fmt.Errorf("demo: no loopback network is free: %w", err)
+}
+
 func (c *demoCommand) config(i int) experiment.Config {
 	return experiment.Config{
 		Deployment: deployments.Names()[i],
@@ -91,7 +118,7 @@
 		Seed:       c.seed,
 		Duration:   c.duration,
 		Load:       1,
-		Network:    demoNetwork + i,
+		Network:    c.network + i,
 	}
 }
 
