Deliver a replica's own failure where no other replica does better

A repeatable request whose replica answered with a failure of its own gave that answer up before the retry budget was asked. Where the budget was used up, or the second replica was full or died, the client got the entry's 502 in place of the answer that was ready. The answer is now kept until another one is there. The test fails with 502 in three of its five cases before the change.

Also: one function for the verdict of a request that may have been written, no second copy of the usage counts, no unused methods of the pool, no timer for requests that come after the first reads.

--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -261,6 +260,6 @@
 	}
 	return peer.Digest{
 		Incarnation: string(i), Demand: demand, InFlight: h.Inside(),
-		Endpoints: b.Own(), Work: b.Work(), Started: maps.Clone(meter.All()),
+		Endpoints: b.Own(), Work: b.Work(), Started: meter.All(),
 	}
 }
--- a/endpoint/rest/client.go
+++ b/endpoint/rest/client.go
@@ -96,9 +96,5 @@
 }
 
 func unreachable(written bool, req *http.Request, err error) error {
-	v := verdict.NotRun
-	if written {
-		v = verdict.MayHaveRun
-	}
-	return verdict.New(v, verdict.CodeUnavailable, "%s %s: %w", req.Method, req.URL.Path, err)
+	return verdict.New(sendonce.Verdict(written), verdict.CodeUnavailable, "%s %s: %w", req.Method, req.URL.Path, err)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -306,6 +306,48 @@
 	}
 }
 
+func TestAnswerOfAFailedReplicaIsDeliveredWhereNoBetterOneComes(t *testing.T) {
+	failed := status(500, "")
+	for _, test := range []struct {
+		name   string
+		second script
+		extra  float64
+		status int
+		runs   int
+	}{
+		{"no second try left", ok, 0, 500, 1},
+		{"second replica dies", dies, 20, 500, 2},
+		{"second replica is full", status(503, "Not-Run: 1\r\n"), 20, 500, 2},
+		{"no second replica", nil, 20, 500, 1},
+		{"second replica answers", ok, 20, 200, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, routes(), failed)
+				w.handler.Retries = quota.NewRetries(quota.RetryOptions{Extra: test.extra, Window: 10 * time.Second})
+				if test.second != nil {
+					w.addReplica(t, "r1", test.second)
+				}
+				// Both replicas may be the first: a request that the second one
+				// answers at once tells nothing.
+				for i := 0; ; i++ {
+					qt.Assert(t, i < 20, qt.IsTrue)
+					before := w.runs()
+					resp, body, err := w.get(t, "/safe/x")
+					qt.Assert(t, err, qt.IsNil)
+					if !strings.HasPrefix(w.got[before], "r0") {
+						continue
+					}
+					qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+					qt.Check(t, body, qt.Equals, map[int]string{200: "good", 500: "bad"}[test.status])
+					qt.Check(t, w.runs()-before, qt.Equals, test.runs)
+					return
+				}
+			})
+		})
+	}
+}
+
 func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// Whichever replica is first breaks off after three events; the other
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -133,6 +133,8 @@
 	tried   map[string]bool
 	last    balance.Choice
 	replica string
+	// spare is nil until a replica failed with an answer of its own.
+	spare *spareAnswer
 	// first is the time from arrival to the first event of a stream.
 	first time.Duration
 	// answered is set once the header went to the client.
@@ -152,6 +154,9 @@
 	if err == nil {
 		err = x.forward()
 	}
+	if err != nil && x.spare != nil && !x.answered && r.Context().Err() == nil {
+		err = x.deliverSpare()
+	}
 	x.end(err)
 }
 
@@ -193,6 +198,9 @@
 // awaitLoaded waits for a process that has just started to know its
 // surroundings, which takes it a few calls of the store.
 func (x *exchange) awaitLoaded() {
+	if x.loaded() {
+		return
+	}
 	most := longestLoad
 	if x.req.Patience > 0 {
 		most = min(most, x.req.Patience/loadPart)
@@ -210,6 +218,17 @@
 	}
 }
 
+func (x *exchange) loaded() bool {
+	for _, loaded := range x.h.Loaded {
+		select {
+		case <-loaded:
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 // identify finds the customer that the request's key belongs to.
 func (x *exchange) identify() error {
 	if !x.cfg.Keyed() {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -49,28 +49,51 @@
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer of replica %s: %w", x.replica, err)
 	}
 	t.Started()
-	if outcome == balance.Failed && x.mayTryAnother() {
+	if outcome == balance.Failed && len(body) <= heldBody && x.mayTryAnother() {
+		x.spare = &spareAnswer{replica: x.replica, answer: a, body: body}
 		return outcome, verdict.New(verdict.Ran, verdict.CodeUnavailable, "replica %s failed with status %d", x.replica, a.Status)
 	}
-	x.header(a)
 	if len(body) <= heldBody {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	} else if a.Length >= 0 {
+		return outcome, x.deliver(a, body)
+	}
+	x.header(a)
+	if a.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	x.begin(a.Status)
 	if _, err := x.w.Write(body); err != nil {
 		return balance.Neutral, err
 	}
-	if len(body) <= heldBody {
-		return outcome, nil
-	}
 	if _, err := io.CopyBuffer(writerOnly{x.w}, a, make([]byte, copyBuffer)); err != nil {
 		return balance.Neutral, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "rest of the answer of replica %s: %w", x.replica, err)
 	}
 	return outcome, nil
 }
 
+// spareAnswer is a failure of a replica's own, which the client gets if no
+// other replica has a better answer.
+type spareAnswer struct {
+	replica string
+	answer  *upstream.Answer
+	body    []byte
+}
+
+// deliver passes on an answer that was read whole.
+func (x *exchange) deliver(a *upstream.Answer, body []byte) error {
+	x.header(a)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.begin(a.Status)
+	_, err := x.w.Write(body)
+	return err
+}
+
+// deliverSpare passes on the failure that was kept when another replica was
+// tried in vain.
+func (x *exchange) deliverSpare() error {
+	x.replica = x.spare.replica
+	return x.deliver(x.spare.answer, x.spare.body)
+}
+
 // writerOnly hides other methods, so that bytes are passed on as they come.
 type writerOnly struct{ io.Writer }
 
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -39,7 +39,6 @@
 	mu     sync.Mutex
 	closed bool
 	idle   map[string][]*conn
-	opened uint64
 }
 
 // NewPool returns a Pool that opens connections with dial.
@@ -67,20 +66,6 @@
 	}
 }
 
-// Forget closes the idle connections to an address, whose replica is gone.
-func (p *Pool) Forget(addr string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dropLocked(addr)
-}
-
-// Opened returns how many connections were opened so far.
-func (p *Pool) Opened() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // Sweep closes connections that were idle too long.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
@@ -129,9 +114,6 @@
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connect to %s: %w", addr, err)
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return &conn{Conn: nc, addr: addr, reader: bufio.NewReaderSize(nc, readBuffer), keep: defaultIdle}, nil
 }
 
--- a/infra/rest/client.go
+++ b/infra/rest/client.go
@@ -70,7 +70,7 @@
 	}
 	resp, written, err := c.transport.Repeatable(req)
 	if err != nil {
-		return unreachable(verdictOf(written), req, err)
+		return unreachable(written, req, err)
 	}
 	return decode(resp, answer)
 }
@@ -85,7 +85,7 @@
 	}
 	resp, written, err := c.transport.Once(req)
 	if err != nil {
-		return unreachable(verdictOf(written), req, err)
+		return unreachable(written, req, err)
 	}
 	return decode(resp, answer)
 }
@@ -98,15 +98,8 @@
 	return c.write(ctx, method, path, body, answer)
 }
 
-func verdictOf(written bool) verdict.Verdict {
-	if written {
-		return verdict.MayHaveRun
-	}
-	return verdict.NotRun
-}
-
-func unreachable(v verdict.Verdict, req *http.Request, err error) error {
-	return verdict.New(v, verdict.CodeUnavailable, "%s %s: %w", req.Method, req.URL.Path, err)
+func unreachable(written bool, req *http.Request, err error) error {
+	return verdict.New(sendonce.Verdict(written), verdict.CodeUnavailable, "%s %s: %w", req.Method, req.URL.Path, err)
 }
 
 // decode reads an answer. One that breaks off is verdict.MayHaveRun.
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
 // Limits of idle connections.
@@ -84,6 +86,15 @@
 	return nil, used.seal(), err
 }
 
+// Verdict returns what a failed request's caller may assume, by whether any
+// byte of it may have been written.
+func Verdict(written bool) verdict.Verdict {
+	if written {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
 // Repeatable sends a request that net/http may repeat. When it fails, the
 // second result says whether any byte may have been written.
 func (t *Transport) Repeatable(req *http.Request) (*http.Response, bool, error) {
