Trust what other entries told of a replica only while their requests last

Entries send to the replica that was the least busy when their peers last told, up to seconds ago. Requests of a plain service take 30 ms: the figures are of requests that have long ended, and all entries gather at the same replica until the next digest. What is expected to have ended is now spread over the replicas of its service; how long requests and waiting prompt tokens last is measured.

Played without a network: 300 requests a second of 30 ms at three replicas of six slots, entries that tell each other every 2 s.

--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -85,8 +85,8 @@
 	return out
 }
 
-// live returns the newest digest of each live peer.
-func (p *peerView) live() map[string]peer.Digest {
+// live returns what was heard last of each live peer.
+func (p *peerView) live() map[string]heardState {
 	live := make(map[string]bool)
 	for _, id := range p.registry.Live() {
 		live[id] = id != p.self
@@ -104,11 +104,7 @@
 			newest[key.id] = state
 		}
 	}
-	out := make(map[string]peer.Digest, len(newest))
-	for id, state := range newest {
-		out[id] = state.digest
-	}
-	return out
+	return newest
 }
 
 // usage is a usage.Source.
@@ -148,25 +144,21 @@
 // busy returns how many engines of a service all entries keep busy. Entries
 // that were not heard count as the average of those that were.
 func (p *peerView) busy(own map[string]float64, service string) float64 {
-	digests := p.live()
+	states := p.live()
 	sum := own[service]
-	for _, d := range digests {
-		sum += d.Work[service]
+	for _, s := range states {
+		sum += s.digest.Work[service]
 	}
-	heard := float64(len(digests) + 1)
+	heard := float64(len(states) + 1)
 	return sum * max(1, float64(len(p.registry.Live()))/heard)
 }
 
-// loadsOf returns the load that all peers put on endpoints.
-func loadsOf(digests map[string]peer.Digest) map[string]peer.EndpointLoad {
-	out := make(map[string]peer.EndpointLoad)
-	for _, d := range digests {
-		for id, l := range d.Endpoints {
-			sum := out[id]
-			sum.InFlight += l.InFlight
-			sum.Tokens += l.Tokens
-			out[id] = sum
-		}
+// loadsOf returns the load that each peer puts on endpoints, which is older by
+// delay than the last digest heard.
+func loadsOf(states map[string]heardState, delay time.Duration) []balance.PeerLoad {
+	out := make([]balance.PeerLoad, 0, len(states))
+	for _, s := range states {
+		out = append(out, balance.PeerLoad{Age: time.Since(s.at) + delay, Endpoints: s.digest.Endpoints})
 	}
 	return out
 }
@@ -240,12 +232,12 @@
 	l.Go(lc, func(ctx context.Context) { _ = r.Run(ctx) })
 	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
 	l.Every(lc, sharePeriod, func(context.Context) {
-		digests := view.live()
+		states := view.live()
 		members := max(1, len(r.Live()))
-		b.SetPeers(loadsOf(digests))
-		demand := make(map[string]map[string]float64, len(digests))
-		for id, d := range digests {
-			demand[id] = demandOf(d)
+		b.SetPeers(loadsOf(states, m.TravelTime()+sharePeriod/2))
+		demand := make(map[string]map[string]float64, len(states))
+		for id, s := range states {
+			demand[id] = demandOf(s.digest)
 		}
 		limiter.SetPeers(members, demand)
 		retries.SetMembers(members)
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -121,8 +121,10 @@
 	// work is how busy this entry keeps the engines of a service.
 	work  map[string]*meter.Meter
 	mixes map[string]*mix
-	peers map[string]peer.EndpointLoad
-	parts *lru.Cache[uint64, []sighting]
+	lives map[string]*lives
+	// others is by replica ID.
+	others map[string]othersLoad
+	parts  *lru.Cache[uint64, []sighting]
 }
 
 // state is what this entry knows of one replica.
@@ -154,18 +156,12 @@
 		rates:  make(map[string]*rate),
 		work:   make(map[string]*meter.Meter),
 		mixes:  make(map[string]*mix),
-		peers:  make(map[string]peer.EndpointLoad),
+		lives:  make(map[string]*lives),
+		others: make(map[string]othersLoad),
 		parts:  parts,
 	}
 }
 
-// SetPeers replaces the load that the other entries put on replicas, by ID.
-func (b *Balancer) SetPeers(loads map[string]peer.EndpointLoad) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.peers = loads
-}
-
 // Own returns the load that this entry puts on replicas, by ID.
 func (b *Balancer) Own() map[string]peer.EndpointLoad {
 	b.mu.Lock()
@@ -215,12 +211,12 @@
 // cost in seconds.
 func (b *Balancer) costLocked(q Query, r *replica.Replica, ready []*replica.Replica, now time.Time) (Choice, float64) {
 	st := b.stateLocked(r)
-	others := b.peers[r.ID]
-	inFlight := st.own.InFlight + others.InFlight
-	c := Choice{Replica: r, InFlight: inFlight}
-	slots := max(1, q.Slots, r.Slots)
+	others := b.others[r.ID]
+	inFlight := float64(st.own.InFlight) + others.inFlight
+	c := Choice{Replica: r, InFlight: int(math.Round(inFlight))}
+	slots := float64(max(1, q.Slots, r.Slots))
 	if q.Slots == 0 {
-		cost := (float64(inFlight+1) + serviceJitter*b.random.Float64()) / float64(slots)
+		cost := (inFlight + 1 + serviceJitter*b.random.Float64()) / slots
 		if r.FailureDomain != b.domain {
 			cost += otherDomain.Seconds()
 		}
@@ -228,11 +224,11 @@
 	}
 	c.CachedTokens = b.cachedLocked(q, r, ready, now)
 	speed := b.rateLocked(q.Service)
-	c.Ahead = st.own.Tokens + others.Tokens
+	c.Ahead = st.own.Tokens + int(others.tokens)
 	tokens := c.Ahead + max(0, q.PromptTokens-c.CachedTokens)
-	predicted := speed.base + float64(tokens)/speed.perSecond + float64(inFlight)*stepPerRunning.Seconds()
+	predicted := speed.base + float64(tokens)/speed.perSecond + inFlight*stepPerRunning.Seconds()
 	if full := inFlight + 1 - slots; full > 0 {
-		predicted += float64(full) / float64(slots) * meanRun.Seconds()
+		predicted += full / slots * meanRun.Seconds()
 	}
 	predicted *= st.pace
 	if r.Cold > now.Sub(r.Seen) {
--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
-	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 func replicas(n int) *replica.Set {
@@ -107,19 +106,13 @@
 
 func share(balancers []*Balancer) {
 	for i, b := range balancers {
-		sum := make(map[string]peer.EndpointLoad)
+		var loads []PeerLoad
 		for j, other := range balancers {
-			if i == j {
-				continue
-			}
-			for id, l := range other.Own() {
-				s := sum[id]
-				s.InFlight += l.InFlight
-				s.Tokens += l.Tokens
-				sum[id] = s
+			if i != j {
+				loads = append(loads, PeerLoad{Endpoints: other.Own()})
 			}
 		}
-		b.SetPeers(sum)
+		b.SetPeers(loads)
 	}
 }
 
@@ -211,3 +204,84 @@
 	_, err := b.Choose(Query{Service: "s"})
 	qt.Assert(t, err, qt.ErrorIs, ErrNone)
 }
+
+// playService plays short requests of a service with few replicas through
+// many entries that tell each other their load only now and then. It returns
+// the part of the requests that are answered later than a time, with the
+// entries' choices and with random ones.
+func playService(entries int, period, late time.Duration) (chosen, random float64) {
+	const replicasN, slots, perSecond = 3, 6, 300
+	const work = 30 * time.Millisecond
+	count := func(rng *rand.Rand, choose func(entry int) (string, *Ticket)) float64 {
+		free := make(map[string][]time.Duration)
+		began := time.Now()
+		var queue events
+		total, tooLate := 0, 0
+		for now := time.Duration(0); now < 120*time.Second; now += time.Duration(rng.ExpFloat64() * float64(time.Second) / perSecond) {
+			for len(queue) > 0 && queue[0].at <= now {
+				e := heap.Pop(&queue).(event)
+				time.Sleep(time.Until(began.Add(e.at)))
+				e.do()
+			}
+			time.Sleep(time.Until(began.Add(now)))
+			id, ticket := choose(rng.IntN(entries))
+			if free[id] == nil {
+				free[id] = make([]time.Duration, slots)
+			}
+			slices.Sort(free[id])
+			end := max(now, free[id][0]) + time.Duration(float64(work)*(0.5+rng.Float64()))
+			free[id][0] = end
+			if total++; end-now > late {
+				tooLate++
+			}
+			if ticket != nil {
+				heap.Push(&queue, event{end, func() { ticket.Started(); ticket.End(Fine) }})
+			}
+		}
+		return float64(tooLate) / float64(total)
+	}
+	set := replicas(replicasN)
+	var balancers []*Balancer
+	told := make([]PeerLoad, entries)
+	for i := range entries {
+		balancers = append(balancers, New(set, "d", uint64(i)))
+	}
+	const looks = 250 * time.Millisecond
+	next, look, rng := 0, 0, rand.New(rand.NewPCG(5, 6))
+	at, began := make([]time.Time, entries), time.Now()
+	chosen = count(rng, func(entry int) (string, *Ticket) {
+		// Entries tell their load one after the other.
+		for since := time.Since(began); since > time.Duration(next)*period/time.Duration(entries); next++ {
+			i := next % entries
+			told[i], at[i] = PeerLoad{Endpoints: balancers[i].Own()}, time.Now()
+		}
+		for ; time.Since(began) > time.Duration(look)*looks; look++ {
+			for i := range told {
+				told[i].Age = time.Since(at[i]) + looks/2
+			}
+			for i, b := range balancers {
+				b.SetPeers(append(slices.Clone(told[:i]), told[i+1:]...))
+			}
+		}
+		q := Query{Service: "s"}
+		c, err := balancers[entry].Choose(q)
+		if err != nil {
+			panic(err)
+		}
+		return c.Replica.ID, balancers[entry].Begin(q, c)
+	})
+	random = count(rng, func(int) (string, *Ticket) { return fmt.Sprintf("r%d", rng.IntN(replicasN)), nil })
+	return chosen, random
+}
+
+// The load: entries are so many that each knows next to nothing of a service
+// with few replicas, which are half busy.
+func TestOldFiguresOfOthersDontGatherRequests(t *testing.T) {
+	for _, entries := range []int{8, 74} {
+		synctest.Test(t, func(t *testing.T) {
+			chosen, random := playService(entries, 2*time.Second, 50*time.Millisecond)
+			t.Logf("%d entries: later than 50 ms: %.4f, at random %.4f", entries, chosen, random)
+			qt.Assert(t, chosen < random*1.2, qt.IsTrue)
+		})
+	}
+}
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -123,7 +123,7 @@
 		t.tokens = max(0, q.PromptTokens-c.CachedTokens)
 	}
 	st := b.stateLocked(c.Replica)
-	t.ahead = st.own.Tokens + b.peers[c.Replica.ID].Tokens
+	t.ahead = st.own.Tokens + int(b.others[c.Replica.ID].tokens)
 	st.own.InFlight++
 	st.own.Tokens += t.tokens
 	if q.Slots > 0 {
@@ -150,6 +150,7 @@
 	defer t.b.mu.Unlock()
 	st := t.b.stateLocked(t.choice.Replica)
 	st.own.Tokens -= t.tokens
+	t.b.livesLocked(t.q.Service).waiting.ended(took, float64(t.tokens))
 	predicted := t.choice.FirstToken.Seconds()
 	if t.q.Slots == 0 || predicted <= 0 {
 		return
@@ -169,12 +170,13 @@
 	defer t.b.mu.Unlock()
 	st := t.b.stateLocked(t.choice.Replica)
 	st.own.InFlight--
+	took := time.Since(t.sent).Seconds()
+	t.b.livesLocked(t.q.Service).running.ended(took, took)
 	if !t.started {
 		st.own.Tokens -= t.tokens
 	}
 	if t.q.Slots > 0 && t.started {
 		// A running request takes its slot's part of the engine.
-		took := time.Since(t.sent).Seconds()
 		t.b.workLocked(t.q.Service).Add(time.Now(), took/float64(t.q.Slots))
 	}
 	if o != Neutral {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -8,6 +8,7 @@
 	"io"
 	"log"
 	"maps"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -337,6 +338,16 @@
 	return min(digestPeriod, m.UpdatePeriod())
 }
 
+// TravelTime returns how old the state of another member is on arrival, on
+// average: each connection on its way holds it for half a period.
+func (m *Mesh) TravelTime() time.Duration {
+	hops := 1.0
+	if members := m.o.Registry.Count(); members > fullMeshMembers {
+		hops = math.Ceil(math.Log(float64(members)) / math.Log(2*relayNeighbours))
+	}
+	return time.Duration(hops * float64(m.digestPeriod()) / 2)
+}
+
 func (m *Mesh) self() member.Member { return m.o.Registry.Self() }
 
 func (m *Mesh) linkTo(id string) *link {
