Read the feeds through two entries of each failure domain

Each entry read the feeds of configuration and registry itself. Beyond 16 members two entries a failure domain, agreed on by hash, now read the feeds; the others ask one of them, over a kept connection, from the version that they have. Versions are those of the service, so that an entry changes between peers and the service at any time: it asks the service itself when its peers are silent, and a reader whose own feed is lost says so. What an entry knows carries its age.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -168,8 +168,8 @@
 
 func newConfigHolder() *config.Holder { return &config.Holder{} }
 
-func newBalancer(set *replica.Set, s gateway.Settings) *balance.Balancer {
-	return balance.New(set, s.FailureDomain, rand.Uint64())
+func newBalancer(set *replica.Set, s gateway.Settings, log *logrus.Entry) *balance.Balancer {
+	return balance.New(set, balance.Options{FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Log: log})
 }
 
 func newPool(lc fx.Lifecycle, n Network) *upstream.Pool {
--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -1,11 +1,15 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
@@ -15,19 +19,31 @@
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/infra/follow"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 const (
 	// feedSpread spreads the first reads of entries that start together.
 	feedSpread = 100 * time.Millisecond
 	// feedWait is how long one call of a feed waits. Keep-alive finds dead
-	// connections sooner.
-	feedWait = 12 * time.Second
-	// feedPause is how long a reader waits after changes for each member there
-	// is, up to longestFeedPause: calls then don't grow with members times
-	// changes. Changes must be in force within two seconds.
-	feedPause        = 7 * time.Millisecond
-	longestFeedPause = 500 * time.Millisecond
+	// connections sooner. With askWait it is below freshFor, so that entries
+	// that follow through a peer know their configuration to be fresh.
+	feedWait = 9 * time.Second
+	// feedPause is how long an entry waits after changes before it asks for
+	// more, for each entry that reads the feed. Changes must be in force within
+	// two seconds.
+	feedPause = 7 * time.Millisecond
+	// readersPerDomain is how many entries of a failure domain read the feeds
+	// for the others in it: one may fail.
+	readersPerDomain = 2
+	// readAlone is up to how many members each reads by itself.
+	readAlone = 16
+)
+
+// Names of the feeds among peers.
+const (
+	configFeed   = "configuration"
+	registryFeed = "registry"
 )
 
 // followers follow the feeds of configuration and registry.
@@ -35,6 +51,11 @@
 	config   *follow.Follower
 	registry *follow.Follower
 	source   *configSource
+	// histories are by feed.
+	histories map[string]*follow.History
+	registrar *member.Registry
+	// mesh is filled in once it exists.
+	mesh *peer.Mesh
 }
 
 // configSource takes in configurations from the feed and from peers, and keeps
@@ -53,17 +74,86 @@
 	source := &configSource{around: s, holder: holder, log: log}
 	holder.OnChange(limiter.SetConfiguration)
 	rows := &registryRows{around: s, set: set, log: log}
-	pause := func() time.Duration {
-		return min(longestFeedPause, time.Duration(r.Count())*feedPause)
+	f := &followers{source: source, registrar: r, histories: map[string]*follow.History{
+		configFeed: follow.NewHistory(), registryFeed: follow.NewHistory(),
+	}}
+	f.config = follow.New(f.shared(configFeed, s.Config, log), source, f.options(configFeed, log))
+	o := f.options(registryFeed, log)
+	o.OnBack = set.RegistryBack
+	f.registry = follow.New(f.shared(registryFeed, s.Registry, log), rows, o)
+	return f
+}
+
+func (f *followers) options(feed string, log *logrus.Entry) follow.Options {
+	return follow.Options{
+		Name: feed, Wait: feedWait, Spread: feedSpread, History: f.histories[feed], Log: log,
+		Pause: func() time.Duration {
+			return time.Duration(readersAmong(f.registrar.Members())) * feedPause
+		},
 	}
-	return &followers{
-		config: follow.New(s.Config, source, follow.Options{Name: "configuration", Wait: feedWait, Spread: feedSpread, Pause: pause, Log: log}),
-		registry: follow.New(s.Registry, rows, follow.Options{
-			Name: "registry", Wait: feedWait, Spread: feedSpread, Pause: pause,
-			OnBack: set.RegistryBack, Log: log,
-		}),
-		source: source,
+}
+
+// shared returns a feed that is read through the peers that read it for this
+// entry.
+func (f *followers) shared(feed string, direct infra.Feed, log *logrus.Entry) infra.Feed {
+	return follow.NewShared(direct, follow.SharedOptions{
+		Name:    feed,
+		Readers: func() []string { return readersFor(f.registrar.Self(), f.registrar.Members()) },
+		Ask: func(ctx context.Context, id string, after uint64, wait time.Duration) (infra.Update, error) {
+			return f.mesh.Changes(ctx, id, feed, after, wait)
+		},
+		Log: log,
+	})
+}
+
+// since answers a peer that follows a feed through this entry.
+func (f *followers) since(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error) {
+	h := f.histories[feed]
+	if h == nil {
+		return infra.Update{}, fmt.Errorf("feed %q is not followed here", feed)
 	}
+	return h.Since(ctx, after, wait)
+}
+
+// readersFor returns the members that read the feeds for one, the first to be
+// asked first, or none where it reads them by itself. Members that know the
+// same others agree on the readers.
+func readersFor(self member.Member, members []member.Member) []string {
+	if len(members) <= readAlone {
+		return nil
+	}
+	var near []string
+	for _, m := range members {
+		if m.FailureDomain == self.FailureDomain && (m.State == member.Live || m.ID == self.ID) {
+			near = append(near, m.ID)
+		}
+	}
+	byHash(near, "")
+	readers := near[:min(len(near), readersPerDomain)]
+	if slices.Contains(readers, self.ID) {
+		return nil
+	}
+	byHash(readers, self.ID)
+	return readers
+}
+
+// readersAmong returns about how many members read the feeds.
+func readersAmong(members []member.Member) int {
+	if len(members) <= readAlone {
+		return len(members)
+	}
+	domains := make(map[string]bool)
+	for _, m := range members {
+		domains[m.FailureDomain] = true
+	}
+	return readersPerDomain * len(domains)
+}
+
+// byHash sorts IDs in an order that differs with the salt.
+func byHash(ids []string, salt string) {
+	slices.SortFunc(ids, func(x, y string) int {
+		return cmp.Compare(xxhash.Sum64String(salt+"/"+x), xxhash.Sum64String(salt+"/"+y))
+	})
 }
 
 func runFollowers(lc fx.Lifecycle, l *Loops, f *followers) {
--- /dev/null
+++ b/app/gateway_feeds_test.go
@@ -0,0 +1,55 @@
+package app
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/member"
+)
+
+func someMembers(n int) []member.Member {
+	out := make([]member.Member, n)
+	for i := range out {
+		out[i] = member.Member{ID: fmt.Sprintf("e%d", i), FailureDomain: fmt.Sprintf("d%d", i%3), State: member.Live}
+	}
+	return out
+}
+
+func TestReadersOfFeedsPerFailureDomain(t *testing.T) {
+	for _, test := range []struct{ members, alone int }{
+		{1, 1}, {9, 9}, {16, 16}, {17, 6}, {74, 6}, {300, 6},
+	} {
+		members := someMembers(test.members)
+		alone := 0
+		for _, m := range members {
+			readers := readersFor(m, members)
+			if len(readers) == 0 {
+				alone++
+			}
+			for _, id := range readers {
+				reader := members[slices.IndexFunc(members, func(x member.Member) bool { return x.ID == id })]
+				qt.Check(t, reader.FailureDomain, qt.Equals, m.FailureDomain)
+				qt.Check(t, readersFor(reader, members), qt.HasLen, 0)
+			}
+		}
+		qt.Check(t, alone, qt.Equals, test.alone, qt.Commentf("%d members", test.members))
+		qt.Check(t, readersAmong(members), qt.Equals, test.alone)
+	}
+}
+
+// Members that disagree on who is alive never follow each other in a circle.
+func TestReadersOfFeedsAreNoCircle(t *testing.T) {
+	members := someMembers(60)
+	for gone := range 60 {
+		here := slices.Delete(slices.Clone(members), gone, gone+1)
+		for _, m := range here {
+			for _, id := range readersFor(m, here) {
+				i := slices.IndexFunc(members, func(x member.Member) bool { return x.ID == id })
+				qt.Assert(t, slices.Contains(readersFor(members[i], members), m.ID), qt.IsFalse)
+			}
+		}
+	}
+}
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -115,7 +115,7 @@
 			sum[customer] += n
 		}
 	}
-	add(p.meter.All()[window])
+	add(p.meter.Recent(countsHorizon)[window])
 	missing := make(map[string]bool)
 	for _, id := range p.registry.Live() {
 		missing[id] = id != p.self
@@ -191,8 +191,9 @@
 		Deployment: gatewayDeployment, Registry: d.Registry, Notices: d.Notices,
 		Listener: l, Dial: d.Network.Dial, Log: d.Log, Pace: sharePeriod,
 		Handlers: peer.Handlers{
-			Digest: d.View.take,
-			Take:   d.Limits.TakeWhole,
+			Digest:  d.View.take,
+			Take:    d.Limits.TakeWhole,
+			Changes: d.Followers.since,
 			TemplateVersion: func(from, _ string, version uint64) {
 				d.Loops.Spawn(func(ctx context.Context) {
 					d.Followers.source.fromPeer(ctx, version, func(ctx context.Context) (json.RawMessage, bool, error) {
@@ -206,6 +207,7 @@
 		},
 	})
 	d.LimitPeer.mesh = m
+	d.Followers.mesh = m
 	d.Config.OnChange(func(c *config.Configuration) { m.SetTemplateVersion(configName, c.Version) })
 	spreadDrains(d.Notices, d.Replicas, m)
 	return m, nil
@@ -228,7 +230,7 @@
 	})
 }
 
-func runGatewayMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, view *peerView, b *balance.Balancer, limiter *quota.Limiter, retries *quota.Retries, meter *usage.Meter, h *gateway.Handler, i Incarnation) {
+func runGatewayMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, view *peerView, b *balance.Balancer, limiter *quota.Limiter, retries *quota.Retries, meter *usage.Meter, h *gateway.Handler, i Incarnation, s gateway.Settings) {
 	l.Go(lc, func(ctx context.Context) { _ = r.Run(ctx) })
 	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
 	l.Every(lc, sharePeriod, func(context.Context) {
@@ -241,17 +243,19 @@
 		}
 		limiter.SetPeers(members, demand)
 		retries.SetMembers(members)
-		m.Publish(gatewayDigest(b, limiter, meter, h, i))
+		// Older windows are not reported any more.
+		started := meter.Recent(s.Usage.Due + countsTravel)
+		m.Publish(gatewayDigest(b, limiter, started, h, i))
 	})
 }
 
-func gatewayDigest(b *balance.Balancer, limiter *quota.Limiter, meter *usage.Meter, h *gateway.Handler, i Incarnation) peer.Digest {
+func gatewayDigest(b *balance.Balancer, limiter *quota.Limiter, started map[int64]map[string]int, h *gateway.Handler, i Incarnation) peer.Digest {
 	demand := make(map[string]peer.Demand)
 	for customer, rate := range limiter.Demand() {
 		demand[customer] = peer.Demand{TokensPerSecond: rate}
 	}
 	return peer.Digest{
 		Incarnation: string(i), Demand: demand, InFlight: h.Inside(),
-		Endpoints: b.Own(), Work: b.Work(), Started: meter.All(),
+		Endpoints: b.Own(), Work: b.Work(), Started: started,
 	}
 }
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	meter "github.com/coltsfootcleat/coltsfootcleat/internal/rate"
@@ -109,8 +110,8 @@
 
 // Balancer chooses replicas. It is safe for concurrent use.
 type Balancer struct {
-	set    *replica.Set
-	domain string
+	set *replica.Set
+	opt Options
 	// random is guarded by mu.
 	random *rand.Rand
 
@@ -132,6 +133,8 @@
 	born     int64
 	own      peer.EndpointLoad
 	failures failures
+	// ejected says whether it was left out of the last choice.
+	ejected bool
 	// pace compares the replica's times to the first token with those
 	// predicted for it.
 	pace float64
@@ -143,15 +146,23 @@
 	at      time.Time
 }
 
-// New returns a Balancer over a set of replicas for an entry in a failure
-// domain. Entries should have different seeds.
-func New(set *replica.Set, domain string, seed uint64) *Balancer {
+// Options set up a Balancer.
+type Options struct {
+	// FailureDomain is that of the entry.
+	FailureDomain string
+	// Seed should differ between entries.
+	Seed uint64
+	Log  *logrus.Entry
+}
+
+// New returns a Balancer over a set of replicas.
+func New(set *replica.Set, o Options) *Balancer {
 	parts, err := lru.New[uint64, []sighting](cachedParts)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
 	return &Balancer{
-		set: set, domain: domain, random: rand.New(rand.NewPCG(seed, 0)),
+		set: set, opt: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
 		states: make(map[string]*state),
 		rates:  make(map[string]*rate),
 		work:   make(map[string]*meter.Meter),
@@ -217,7 +228,7 @@
 	slots := float64(max(1, q.Slots, r.Slots))
 	if q.Slots == 0 {
 		cost := (inFlight + 1 + serviceJitter*b.random.Float64()) / slots
-		if r.FailureDomain != b.domain {
+		if r.FailureDomain != b.opt.FailureDomain {
 			cost += otherDomain.Seconds()
 		}
 		return c, cost + st.failures.rate(now)
@@ -237,7 +248,7 @@
 	c.FirstToken = time.Duration(predicted * float64(time.Second))
 	cost := predicted*(1+failureCost*st.failures.rate(now)) + engineJitter.Seconds()*b.random.Float64()
 	cost += affinity * float64(max(0, q.shared()-c.CachedTokens)) / speed.perSecond
-	if r.FailureDomain != b.domain {
+	if r.FailureDomain != b.opt.FailureDomain {
 		cost += otherDomain.Seconds()
 	}
 	return c, cost
--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
@@ -24,6 +25,10 @@
 	return set
 }
 
+func balancer(set *replica.Set, seed uint64) *Balancer {
+	return New(set, Options{FailureDomain: "d", Seed: seed, Log: nolog.Or(nil)})
+}
+
 // event is something that happens to a request in the played load.
 type event struct {
 	at time.Duration
@@ -53,7 +58,7 @@
 	set := replicas(engines)
 	var balancers []*Balancer
 	for i := range entries {
-		balancers = append(balancers, New(set, "d", uint64(i)))
+		balancers = append(balancers, balancer(set, uint64(i)))
 	}
 	free := make(map[string]time.Duration)
 	var short []time.Duration
@@ -133,7 +138,7 @@
 func TestSharedPartsKeepToAReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		set := replicas(6)
-		one, two := New(set, "d", 1), New(set, "d", 2)
+		one, two := balancer(set, 1), balancer(set, 2)
 		q := Query{Service: "s", Slots: 64, PromptTokens: 9000, Parts: []Part{{ID: 7, Tokens: 500}, {ID: 9, Tokens: 5000}}}
 		var chosen []string
 		for _, b := range []*Balancer{one, two, one, two} {
@@ -151,7 +156,7 @@
 
 func TestReplicaThatFailsIsLeftOutForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := New(replicas(6), "d", 1)
+		b := balancer(replicas(6), 1)
 		counts := func() map[string]int {
 			n := make(map[string]int)
 			for range 300 {
@@ -174,10 +179,37 @@
 	})
 }
 
+func TestReplicasLeftOutAndUsedAgainAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, lines := test.NewNullLogger()
+		set := replicas(6)
+		b := New(set, Options{FailureDomain: "d", Log: log.WithField("entry", "e")})
+		choose := func() {
+			_, err := b.Choose(Query{Service: "s"})
+			qt.Assert(t, err, qt.IsNil)
+		}
+		r := set.Current().Ready["s"][0]
+		for range 4 {
+			b.Begin(Query{Service: "s"}, Choice{Replica: r}).End(Failed)
+		}
+		choose()
+		choose()
+		time.Sleep(20 * time.Second)
+		choose()
+		choose()
+		var told []string
+		for _, e := range lines.AllEntries() {
+			qt.Assert(t, e.Data["replica"], qt.Equals, "r0")
+			told = append(told, e.Message)
+		}
+		qt.Assert(t, told, qt.DeepEquals, []string{"balance: replica is left out.", "balance: replica is used again."})
+	})
+}
+
 func TestNoMoreThanAThirdIsLeftOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		set := replicas(6)
-		b := New(set, "d", 1)
+		b := balancer(set, 1)
 		for range 20 {
 			for _, r := range set.Current().Ready["s"] {
 				b.Begin(Query{Service: "s"}, Choice{Replica: r}).End(Failed)
@@ -200,7 +232,7 @@
 }
 
 func TestServiceWithoutReplicas(t *testing.T) {
-	b := New(replicas(0), "d", 1)
+	b := balancer(replicas(0), 1)
 	_, err := b.Choose(Query{Service: "s"})
 	qt.Assert(t, err, qt.ErrorIs, ErrNone)
 }
@@ -244,7 +276,7 @@
 	var balancers []*Balancer
 	told := make([]PeerLoad, entries)
 	for i := range entries {
-		balancers = append(balancers, New(set, "d", uint64(i)))
+		balancers = append(balancers, balancer(set, uint64(i)))
 	}
 	const looks = 250 * time.Millisecond
 	next, look, rng := 0, 0, rand.New(rand.NewPCG(5, 6))
--- a/gateway/balance/eject.go
+++ b/gateway/balance/eject.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 )
 
@@ -105,5 +107,31 @@
 		}
 		out[r.ID] = true
 	}
+	b.noteEjectedLocked(ready, out, mean, now)
 	return out
 }
+
+// noteEjectedLocked logs which replicas are left out from now on, and which
+// are used again.
+func (b *Balancer) noteEjectedLocked(ready []*replica.Replica, out map[string]bool, mean float64, now time.Time) {
+	for _, r := range ready {
+		st := b.states[r.ID]
+		if st == nil || st.ejected == out[r.ID] {
+			continue
+		}
+		st.ejected = out[r.ID]
+		log := b.opt.Log.WithFields(logrus.Fields{
+			"replica": r.ID, "born": r.Born, "service": r.Service,
+			"failed_part": round(st.failures.rate(now)), "service_mean": round(mean),
+			"failures_in_a_row": st.failures.row,
+		})
+		if st.ejected {
+			log.WithField("until_ms", max(0, st.failures.until.Sub(now).Milliseconds())).Warn("balance: replica is left out.")
+		} else {
+			log.Info("balance: replica is used again.")
+		}
+	}
+}
+
+// round returns a part with three digits, for log lines.
+func round(part float64) float64 { return math.Round(part*1000) / 1000 }
--- a/gateway/usage/meter.go
+++ b/gateway/usage/meter.go
@@ -49,13 +49,17 @@
 // Window returns the number of the window of a time.
 func (m *Meter) Window(t time.Time) int64 { return t.UnixNano() / int64(m.window) }
 
-// All returns a copy of what was counted.
-func (m *Meter) All() map[int64]map[string]int {
+// Recent returns a copy of the windows that ended less than age ago or have
+// not ended.
+func (m *Meter) Recent(age time.Duration) map[int64]map[string]int {
+	oldest := m.Window(m.clock.Now().Add(-age))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make(map[int64]map[string]int, len(m.counts))
 	for k, counts := range m.counts {
-		out[k] = maps.Clone(counts)
+		if k >= oldest {
+			out[k] = maps.Clone(counts)
+		}
 	}
 	return out
 }
--- a/gateway/usage/usage_test.go
+++ b/gateway/usage/usage_test.go
@@ -49,6 +49,19 @@
 	h.steady += d
 }
 
+func TestOnlyWindowsThatMayStillBeReportedAreTold(t *testing.T) {
+	h := &hands{wall: time.Unix(1000, 0)}
+	m := NewMeter(5*time.Second, h.clock())
+	for range 8 {
+		m.Started("a")
+		h.pass(5 * time.Second)
+	}
+	// It is 1040 now: the windows end at 1005, 1010, ... 1040.
+	qt.Assert(t, m.Recent(time.Minute), qt.HasLen, 8)
+	got := m.Recent(11 * time.Second)
+	qt.Assert(t, got, qt.DeepEquals, map[int64]map[string]int{205: {"a": 1}, 206: {"a": 1}, 207: {"a": 1}})
+}
+
 func TestClockKeepsItsCourseOverSteps(t *testing.T) {
 	h := &hands{wall: time.Unix(1000, 0), steady: time.Hour}
 	c := h.clock()
@@ -120,8 +133,8 @@
 	m.Started("a")
 	h.pass(2 * time.Second)
 	m.Started("a")
-	qt.Assert(t, m.All(), qt.DeepEquals, map[int64]map[string]int{200: {"a": 2}, 201: {"a": 1}})
+	qt.Assert(t, m.Recent(time.Hour), qt.DeepEquals, map[int64]map[string]int{200: {"a": 2}, 201: {"a": 1}})
 	h.pass(10 * time.Minute)
 	m.Started("b")
-	qt.Assert(t, m.All(), qt.HasLen, 1)
+	qt.Assert(t, m.Recent(time.Hour), qt.HasLen, 1)
 }
--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -51,6 +51,9 @@
 	// Pause is how long to wait after changes before asking for more, so that
 	// changes that come together cost one call; nil doesn't wait.
 	Pause func() time.Duration
+	// History gets what was read, for others that follow through this process;
+	// it may be nil.
+	History *History
 	// OnBack is called when the service answers again after a failure, before
 	// the handler gets what was read. It may be nil.
 	OnBack func()
@@ -134,17 +137,19 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	changes, next, err := f.feed.Changes(callCtx, *version, wait)
+	update, err := f.feed.Changes(callCtx, *version, wait)
 	if err != nil {
 		return err
 	}
 	f.regained()
-	for _, c := range changes {
+	for _, c := range update.Changes {
 		f.handler.Change(c)
 	}
-	*version = next
-	f.confirm(time.Now())
-	if len(changes) > 0 && f.opt.Pause != nil {
+	*version = update.Version
+	at := time.Now().Add(-update.Age)
+	f.opt.History.add(update, at)
+	f.confirm(at)
+	if len(update.Changes) > 0 && f.opt.Pause != nil {
 		ctxtime.Sleep(ctx, f.opt.Pause())
 	}
 	return nil
@@ -160,6 +165,7 @@
 	}
 	f.regained()
 	f.handler.Replace(rows)
+	f.opt.History.replace(rows, at, sent)
 	*version, *known = at, true
 	if f.confirmed.Load() == 0 {
 		close(f.loaded)
@@ -177,6 +183,7 @@
 		return
 	}
 	f.lost = true
+	f.opt.History.lose()
 	f.opt.Log.WithField("feed", f.opt.Name).WithError(err).Warn("follow: feed is lost.")
 }
 
--- a/infra/follow/follow_test.go
+++ b/infra/follow/follow_test.go
@@ -43,18 +43,18 @@
 	return rows, f.version, nil
 }
 
-func (f *feed) Changes(ctx context.Context, after uint64, wait time.Duration) ([]infra.Change, uint64, error) {
+func (f *feed) Changes(ctx context.Context, after uint64, wait time.Duration) (infra.Update, error) {
 	f.calls++
 	for until := time.Now().Add(wait); ; {
 		switch {
 		case f.down:
-			return nil, 0, errors.New("down")
+			return infra.Update{}, errors.New("down")
 		case after < f.gone:
-			return nil, 0, infra.ErrHistoryGone
+			return infra.Update{}, infra.ErrHistoryGone
 		case f.version > after:
-			return f.changes[after:], f.version, nil
+			return infra.Update{Changes: f.changes[after:], Version: f.version}, nil
 		case !time.Now().Before(until) || !ctxtime.Sleep(ctx, 10*time.Millisecond):
-			return nil, f.version, ctx.Err()
+			return infra.Update{Version: f.version}, ctx.Err()
 		}
 	}
 }
--- /dev/null
+++ b/peer/changes_test.go
@@ -0,0 +1,72 @@
+package peer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/follow"
+)
+
+// Versions that a node of a cluster has no changes after.
+const (
+	versionGone = 1
+	versionLost = 2
+	versionSlow = 3
+)
+
+var someUpdate = infra.Update{
+	Changes: []infra.Change{
+		{Row: infra.Row{Key: "a", Value: []byte("x"), Version: 8}},
+		{Row: infra.Row{Key: "b", Version: 9}, Deleted: true},
+	},
+	Version: 9, Age: 70 * time.Millisecond,
+}
+
+func (n *node) onChanges(ctx context.Context, _ string, after uint64, wait time.Duration) (infra.Update, error) {
+	switch after {
+	case versionGone:
+		return infra.Update{}, infra.ErrHistoryGone
+	case versionLost:
+		return infra.Update{}, follow.ErrLost
+	case versionSlow:
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		return infra.Update{Version: versionSlow}, ctx.Err()
+	default:
+		return someUpdate, nil
+	}
+}
+
+func TestChangesOfAFeedFromAPeer(t *testing.T) {
+	inBubble(t, 3, func(cl *cluster) {
+		c, ctx, mesh, id := cl.c, context.Background(), cl.nodes[0].mesh, cl.nodes[1].id
+		cl.within(4*time.Second, "answer", func() bool {
+			_, err := mesh.Changes(ctx, id, "f", 7, time.Second)
+			return err == nil
+		})
+		u, err := mesh.Changes(ctx, id, "f", 7, time.Second)
+		c.Assert(err, qt.IsNil)
+		c.Assert(u, qt.DeepEquals, someUpdate)
+		_, err = mesh.Changes(ctx, id, "f", versionGone, time.Second)
+		c.Assert(err, qt.ErrorIs, infra.ErrHistoryGone)
+		_, err = mesh.Changes(ctx, id, "f", versionLost, time.Second)
+		c.Assert(err, qt.ErrorIs, follow.ErrLost)
+		// A call that waits doesn't keep others waiting.
+		slow := make(chan error, 1)
+		go func() {
+			_, err := mesh.Changes(ctx, id, "f", versionSlow, time.Second)
+			slow <- err
+		}()
+		began := time.Now()
+		_, err = mesh.Changes(ctx, id, "f", 7, time.Second)
+		c.Assert(err, qt.IsNil)
+		c.Assert(time.Since(began) < 100*time.Millisecond, qt.IsTrue)
+		c.Assert(<-slow, qt.IsNil)
+	})
+}
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -123,6 +123,7 @@
 			TemplateVersion: n.onVersion,
 			TemplateFetch:   n.onFetch,
 			Handoff:         n.onHandoff,
+			Changes:         n.onChanges,
 			Take:            func(_ string, units float64) (time.Duration, bool) { return 0, units > 0 },
 		},
 	})
--- a/peer/link.go
+++ b/peer/link.go
@@ -12,6 +12,8 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/follow"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
@@ -21,6 +23,11 @@
 	// noticeBatch and stateBatch bound what one message carries.
 	noticeBatch = 256
 	stateBatch  = 64
+	// waitsAtOnce bounds the calls of one peer that wait for changes: two
+	// feeds, and calls that were given up there and still wait here.
+	waitsAtOnce = 8
+	// longestWait bounds how long such a call waits.
+	longestWait = 5 * time.Second
 	// handoffsAtOnce bounds the handoffs of one peer that run at a time.
 	handoffsAtOnce = 4
 )
@@ -31,7 +38,7 @@
 	errOutdated = errors.New("member is not the registered incarnation")
 	errImpostor = errors.New("message claims to be another member")
 	errStranger = errors.New("peer belongs to another deployment")
-	errBusy     = errors.New("too many handoffs at once")
+	errBusy     = errors.New("too many calls at once")
 )
 
 // link is a connection with one peer. One goroutine writes; the reader of
@@ -52,6 +59,7 @@
 	once  bool
 
 	handoffs chan struct{}
+	waits    chan struct{}
 
 	mu sync.Mutex
 	// has is what the peer has of each origin.
@@ -81,6 +89,7 @@
 		begun:         make(chan struct{}),
 		ready:         make(chan struct{}),
 		handoffs:      make(chan struct{}, handoffsAtOnce),
+		waits:         make(chan struct{}, waitsAtOnce),
 		has:           make(map[string]stamp),
 		got:           make(map[drain.Key]bool),
 		sentTemplates: make(map[string]uint64),
@@ -135,6 +144,8 @@
 		return l.handleHandoff(ctx, req)
 	case methodTake:
 		return l.handleTake(ctx, req)
+	case methodChanges:
+		return l.handleChanges(ctx, req)
 	default:
 		return fmt.Errorf("%w: method %q", errGarbage, req.Method)
 	}
@@ -197,6 +208,35 @@
 	return l.conn.Reply(ctx, req.ID, takeResult{WaitMS: wait.Milliseconds(), Elsewhere: !kept})
 }
 
+// handleChanges waits for changes beside the reading goroutine.
+func (l *link) handleChanges(ctx context.Context, req *jsonrpc2.Request) error {
+	var p changesParams
+	if err := params(req, &p); err != nil {
+		return err
+	}
+	select {
+	case l.waits <- struct{}{}:
+	default:
+		return l.replyError(ctx, req.ID, errBusy)
+	}
+	wait := min(time.Duration(p.WaitMS)*time.Millisecond, longestWait)
+	l.mesh.calls.Go(func() {
+		defer func() { <-l.waits }()
+		update, err := l.mesh.o.Handlers.changes(ctx, p.Feed, p.After, wait)
+		switch {
+		case errors.Is(err, infra.ErrHistoryGone):
+			_ = l.conn.Reply(ctx, req.ID, changesResult{Gone: true})
+		case errors.Is(err, follow.ErrLost):
+			_ = l.conn.Reply(ctx, req.ID, changesResult{Lost: true})
+		case err != nil:
+			_ = l.replyError(ctx, req.ID, err)
+		default:
+			_ = l.conn.Reply(ctx, req.ID, changesOf(update))
+		}
+	})
+	return nil
+}
+
 // handleHandoff runs the handoff beside the reading goroutine, because it may
 // wait for the table.
 func (l *link) handleHandoff(ctx context.Context, req *jsonrpc2.Request) error {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -18,6 +18,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/follow"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
@@ -36,7 +38,8 @@
 )
 
 // Handlers are called for what arrives from peers. Each may be nil. They run
-// on the goroutine of a connection and, but for Handoff, must not block.
+// on the goroutine of a connection and, but for Changes and Handoff, must not
+// block.
 type Handlers struct {
 	// Digest gets each new state of another member, its neighbour or not.
 	Digest func(from string, d Digest)
@@ -49,6 +52,9 @@
 	// until there is room. The second result is false where the limit isn't
 	// kept here.
 	Take func(customer string, units float64) (time.Duration, bool)
+	// Changes returns the changes of a feed that this entry follows, or
+	// follow.ErrLost. It may block.
+	Changes func(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error)
 	// Handoff takes over a durable request from a peer.
 	Handoff func(ctx context.Context, jobID string) error
 }
@@ -195,6 +201,23 @@
 	return time.Duration(result.WaitMS) * time.Millisecond, !result.Elsewhere, err
 }
 
+// Changes asks a peer for the changes of a feed that it follows. It fails with
+// infra.ErrHistoryGone or follow.ErrLost where the peer says so.
+func (m *Mesh) Changes(ctx context.Context, peer, feed string, after uint64, wait time.Duration) (infra.Update, error) {
+	var result changesResult
+	err := m.callKept(ctx, peer, methodChanges, changesParams{Feed: feed, After: after, WaitMS: wait.Milliseconds()}, &result)
+	switch {
+	case err != nil:
+		return infra.Update{}, err
+	case result.Gone:
+		return infra.Update{}, infra.ErrHistoryGone
+	case result.Lost:
+		return infra.Update{}, follow.ErrLost
+	default:
+		return result.update(), nil
+	}
+}
+
 // callKept calls a peer over the connection with it, or over one for calls
 // that is kept.
 func (m *Mesh) callKept(ctx context.Context, peer, method string, params, result any) error {
@@ -403,6 +426,13 @@
 	return h.Take(customer, units)
 }
 
+func (h Handlers) changes(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error) {
+	if h.Changes == nil {
+		return infra.Update{}, errors.New("feeds are not served here")
+	}
+	return h.Changes(ctx, feed, after, wait)
+}
+
 func (h Handlers) handoff(ctx context.Context, jobID string) error {
 	if h.Handoff == nil {
 		return errors.New("handoff is not served here")
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
@@ -20,6 +21,7 @@
 	methodTemplate = "template"
 	methodHandoff  = "handoff"
 	methodTake     = "take"
+	methodChanges  = "changes"
 )
 
 // Demand is the demand of one customer at one entry.
@@ -229,5 +231,46 @@
 	Elsewhere bool `json:"e,omitempty"`
 }
 
+// changesParams asks for the changes of a feed after a version.
+type changesParams struct {
+	Feed   string `json:"f"`
+	After  uint64 `json:"v"`
+	WaitMS int64  `json:"w,omitempty"`
+}
+
+// changesResult is the answer.
+type changesResult struct {
+	Changes []changeRecord `json:"c,omitempty"`
+	Version uint64         `json:"v,omitempty"`
+	AgeMS   int64          `json:"a,omitempty"`
+	// Gone and Lost say why there is no answer.
+	Gone bool `json:"g,omitempty"`
+	Lost bool `json:"l,omitempty"`
+}
+
+// changeRecord is an infra.Change on the wire.
+type changeRecord struct {
+	Key     string `json:"k"`
+	Value   []byte `json:"b,omitempty"`
+	Version uint64 `json:"v"`
+	Deleted bool   `json:"d,omitempty"`
+}
+
+func changesOf(u infra.Update) changesResult {
+	out := changesResult{Version: u.Version, AgeMS: u.Age.Milliseconds()}
+	for _, c := range u.Changes {
+		out.Changes = append(out.Changes, changeRecord{Key: c.Key, Value: c.Value, Version: c.Version, Deleted: c.Deleted})
+	}
+	return out
+}
+
+func (r changesResult) update() infra.Update {
+	u := infra.Update{Version: r.Version, Age: time.Duration(r.AgeMS) * time.Millisecond}
+	for _, c := range r.Changes {
+		u.Changes = append(u.Changes, infra.Change{Row: infra.Row{Key: c.Key, Value: c.Value, Version: c.Version}, Deleted: c.Deleted})
+	}
+	return u
+}
+
 // ack is an empty answer.
 type ack struct{}
