Hand out little of one's own part of a limit beside its keeper

Ruled out: two keepers at a time.

An entry that hears the keeper and can't ask it hands out between 0.05 and 0.5 of its part, the less the more the customer asks for. Calls wait for their connection within their time, which is 120 ms now. An entry that takes over a limit takes its bucket to be the fuller the less the customer asked for, and one that has just started assumes six members until it knows them.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -124,6 +125,8 @@
 	// asked is what the request counts against its customer's limit, charged
 	// what was taken for it of this entry's own part.
 	asked, charged float64
+	// taken says who decided about the limit.
+	taken quota.Taken
 	// counted says that the request was counted as started.
 	counted bool
 	// mayHaveRun is set once the request may have run anywhere.
@@ -274,11 +277,11 @@
 	}
 	tokens := x.req.PromptTokens + x.req.OutputTokens
 	x.asked = quota.Units(x.owner, x.req.TokensStated, tokens)
-	wait, part := x.h.Limiter.TakeShared(x.r.Context(), x.owner.Name, x.asked)
-	if wait > 0 {
-		return verdict.New(verdict.NotRun, verdict.CodeLimited, "customer %q is over its limit", x.owner.Name).WithRetryAfter(wait)
+	x.taken = x.h.Limiter.TakeShared(x.r.Context(), x.owner.Name, x.asked)
+	if x.taken.Wait > 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeLimited, "customer %q is over its limit", x.owner.Name).WithRetryAfter(x.taken.Wait)
 	}
-	if part {
+	if x.taken.Part {
 		x.charged = x.asked
 	}
 	return nil
@@ -342,6 +345,9 @@
 	}
 	if x.owner != nil {
 		f["customer"], f["units"] = x.owner.Name, x.asked
+		if x.taken.Part || x.taken.Keeper != "" {
+			f["limit_kept_by"] = cmp.Or(x.taken.Keeper, "own part")
+		}
 	}
 	if x.replica != "" {
 		f["replica"], f["sends"] = x.replica, x.sends
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -25,6 +25,20 @@
 	// firstFill is how full the buckets of a new process are. Full ones would
 	// hand the burst out again at each restart of all entries.
 	firstFill = 0.2
+	// fullest is how full a bucket is taken to be at most that another entry
+	// kept, for a customer that asked for nothing in the last seconds.
+	fullest = 0.8
+	// leastPart and mostPart bound how much of its part an entry hands out
+	// while it hears the member that keeps the limit and can't ask it. The
+	// keeper hands out the whole limit to those that reach it, and the
+	// tolerance has room for little beside it.
+	leastPart, mostPart = 0.05, 0.5
+	// partSlope is how much of the part goes with each part of the limit that
+	// the customer asks for: one far below its limit can't exceed it.
+	partSlope = 1.5
+	// assumedMembers is how many entries there are believed to be until the
+	// first are known. The smallest deployments have six.
+	assumedMembers = 6
 	// peerLag is how old the demand is that peers told, on average: half a
 	// period at its origin, half on the way, half here.
 	peerLag = 400 * time.Millisecond
@@ -83,7 +97,7 @@
 
 // NewLimiter returns a Limiter that knows no customers.
 func NewLimiter(t Tolerance) *Limiter {
-	return &Limiter{now: time.Now, tolerance: t, customers: make(map[string]*customer), members: 1}
+	return &Limiter{now: time.Now, tolerance: t, customers: make(map[string]*customer), members: assumedMembers}
 }
 
 // SetConfiguration takes over the customers' limits.
@@ -176,23 +190,52 @@
 	if cu.limit.CountTokens {
 		burst += toleranceUsed * l.tolerance.Units
 	}
+	if l.keeper != nil && len(l.peers) > 0 {
+		part *= besideKeeper(cu.expected(others, now) / perSecond)
+	}
 	cu.bucket.Resize(now, perSecond*part, burst*part)
-	l.resizeWholeLocked(name, cu, now, perSecond, burst)
+	l.resizeWholeLocked(name, cu, others, now, perSecond, burst)
+}
+
+// besideKeeper returns how much of its part an entry hands out beside the
+// member that keeps the limit, for a customer that asks for a part of it.
+func besideKeeper(asked float64) float64 {
+	return min(max(1-partSlope*asked, leastPart), mostPart)
+}
+
+// expected returns what a customer asks for at all entries by now. What the
+// others told is old: demand that has grown here has grown there as well.
+func (cu *customer) expected(others float64, now time.Time) float64 {
+	own, told := cu.demand.Rate(now), cu.toldAt(now.Add(-peerLag))
+	growth := 1.0
+	if told > 0 {
+		growth = max(1, own/told)
+	}
+	return own + others*growth
 }
 
 // resizeWholeLocked sets the size of the bucket for all entries. What members
 // that can't be reached take by their own parts is left out of it.
-func (l *Limiter) resizeWholeLocked(name string, cu *customer, now time.Time, perSecond, burst float64) {
+func (l *Limiter) resizeWholeLocked(name string, cu *customer, others float64, now time.Time, perSecond, burst float64) {
 	kept := l.keeper != nil && l.keeper(name)
 	if kept && !cu.kept {
-		// Another entry may have handed out the burst until now.
-		cu.whole = rate.Partly(now, firstFill)
+		cu.whole = rate.Partly(now, l.fillLocked(cu, others, perSecond, now))
 	}
 	cu.kept = kept
 	reached := min(1, float64(len(l.peers)+1)/float64(l.members))
 	cu.whole.Resize(now, perSecond*reached, burst*reached)
 }
 
+// fillLocked returns how full the bucket of a limit is taken to be that another
+// entry kept until now: the less the customer asked for of late, the fuller.
+// Where nobody was heard that isn't known.
+func (l *Limiter) fillLocked(cu *customer, others, perSecond float64, now time.Time) float64 {
+	if len(l.peers) == 0 || perSecond <= 0 {
+		return firstFill
+	}
+	return fullest * max(0, 1-(cu.demand.Rate(now)+others)/perSecond)
+}
+
 // SetKeeper sets who says for which customers this entry keeps the limit for
 // all. Set it before the first call of another method.
 func (l *Limiter) SetKeeper(f func(customer string) bool) { l.keeper = f }
--- a/gateway/quota/shared.go
+++ b/gateway/quota/shared.go
@@ -12,8 +12,9 @@
 
 const (
 	// askTimeout bounds a call to the keeper of a limit. One way between two
-	// failure domains takes a millisecond or two.
-	askTimeout = 60 * time.Millisecond
+	// failure domains takes a millisecond or two, and a host with a fifth of a
+	// processor some more.
+	askTimeout = 120 * time.Millisecond
 	// askPause is how long a keeper that did not answer is not asked again.
 	askPause = time.Second
 	// fallBackGap is how long an entry's own part must not have been used for
@@ -68,17 +69,26 @@
 	return best
 }
 
-// TakeShared takes units of a customer's limit. It returns 0, or how long
-// until there is room. The second result says that they were taken of this
-// entry's own part.
-func (s *Shared) TakeShared(ctx context.Context, customer string, units float64) (wait time.Duration, part bool) {
+// Taken says what became of taking units of a limit.
+type Taken struct {
+	// Wait is how long until there is room; 0 where they were taken.
+	Wait time.Duration
+	// Keeper is the member that decided for all; empty where there is no limit
+	// or this entry's own part decided.
+	Keeper string
+	// Part says that this entry's own part decided.
+	Part bool
+}
+
+// TakeShared takes units of a customer's limit.
+func (s *Shared) TakeShared(ctx context.Context, customer string, units float64) Taken {
 	if !s.Limited(customer, units) {
-		return 0, false
+		return Taken{}
 	}
 	keeper := s.keeper(customer)
 	if keeper == s.self {
 		if wait, kept := s.TakeWhole(customer, units); kept {
-			return wait, false
+			return Taken{Wait: wait, Keeper: keeper}
 		}
 	} else if s.askable(keeper) {
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -86,7 +96,7 @@
 		wait, err := s.peers.Take(ctx, keeper, customer, units)
 		switch {
 		case err == nil:
-			return wait, false
+			return Taken{Wait: wait, Keeper: keeper}
 		case errors.Is(err, ErrKeptElsewhere):
 			// Both will know the same members in a moment.
 		default:
@@ -94,7 +104,7 @@
 		}
 	}
 	s.fallBack(customer)
-	return s.Take(customer, units), true
+	return Taken{Wait: s.Take(customer, units), Part: true}
 }
 
 // fallBack lowers this entry's part when it begins to be used: the keeper has
--- a/gateway/quota/shared_test.go
+++ b/gateway/quota/shared_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
 )
 
@@ -18,6 +19,11 @@
 	entries map[string]*Shared
 	// cut are entries that can't be reached and reach nobody.
 	cut map[string]bool
+	// busy are entries that are heard and answer no calls of some others, those
+	// in unreached.
+	busy, unreached map[string]bool
+	// alone are entries that have just started and have heard nobody.
+	alone map[string]bool
 }
 
 type seat struct {
@@ -25,10 +31,21 @@
 	id   string
 }
 
-func (s seat) Members() []string { return s.room.ids }
+func (s seat) Members() []string {
+	if s.room.alone[s.id] {
+		return []string{s.id}
+	}
+	var out []string
+	for _, id := range s.room.ids {
+		if !s.room.alone[id] && !s.room.cut[id] || id == s.id {
+			out = append(out, id)
+		}
+	}
+	return out
+}
 
 func (s seat) Take(_ context.Context, peer, customer string, units float64) (time.Duration, error) {
-	if s.room.cut[s.id] || s.room.cut[peer] {
+	if s.room.cut[s.id] || s.room.cut[peer] || s.room.busy[peer] && s.room.unreached[s.id] {
 		return 0, errors.New("not reached")
 	}
 	wait, kept := s.room.entries[peer].TakeWhole(customer, units)
@@ -39,7 +56,7 @@
 }
 
 func newRoom(entries int, now func() time.Time, t Tolerance) *room {
-	r := &room{entries: make(map[string]*Shared), cut: make(map[string]bool)}
+	r := &room{entries: make(map[string]*Shared), cut: make(map[string]bool), alone: make(map[string]bool)}
 	for i := range entries {
 		r.ids = append(r.ids, fmt.Sprintf("e%d", i))
 	}
@@ -75,7 +92,7 @@
 	refused := 0
 	for i := range 100 {
 		now = now.Add(500 * time.Millisecond)
-		if wait, _ := r.entries[r.ids[i%6]].TakeShared(context.Background(), "a", 40_000); wait > 0 {
+		if r.entries[r.ids[i%6]].TakeShared(context.Background(), "a", 40_000).Wait > 0 {
 			refused++
 		}
 	}
@@ -96,7 +113,7 @@
 	for i := range steps {
 		now = now.Add(step)
 		for j := range 6 {
-			if wait, _ := r.entries[r.ids[(i+j)%6]].TakeShared(context.Background(), "a", request); wait == 0 {
+			if r.entries[r.ids[(i+j)%6]].TakeShared(context.Background(), "a", request).Wait == 0 {
 				taken += request
 			}
 		}
@@ -129,7 +146,7 @@
 			}
 		}
 		for j := range 9 {
-			if wait, _ := r.entries[r.ids[(i+j)%9]].TakeShared(context.Background(), "a", request); wait == 0 {
+			if r.entries[r.ids[(i+j)%9]].TakeShared(context.Background(), "a", request).Wait == 0 {
 				taken += request
 			}
 		}
@@ -137,3 +154,127 @@
 	allowed := (100_000*(step*steps).Seconds()+100_000)*(1+tolerance.Part) + tolerance.Units
 	qt.Assert(t, taken <= allowed, qt.IsTrue, qt.Commentf("%v taken, %v allowed", taken, allowed))
 }
+
+// The load is a customer at several times its limit while entries are stopped
+// and started again, one after the other. Neither those that start nor those
+// that take over their customers may hand out the burst anew.
+func TestLimitHoldsWhileEntriesAreStartedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	tolerance := Tolerance{Part: 0.1}
+	const perSecond, burst = 30, 30
+	c := (&config.Configuration{Customers: []config.Customer{{Name: "a", PerSecond: perSecond, Burst: burst}}}).Compile()
+	r := newRoom(4, clock, tolerance)
+	for _, e := range r.entries {
+		e.SetConfiguration(c)
+	}
+	r.tell()
+	now = now.Add(20 * time.Second)
+	const step, steps = 20 * time.Millisecond, 400
+	taken := 0
+	for i := range steps {
+		now = now.Add(step)
+		id := r.ids[i/30%4]
+		switch i % 30 {
+		case 0:
+			r.cut[id] = true
+		case 10:
+			// The new process knows its configuration, and nobody else.
+			delete(r.cut, id)
+			r.alone[id] = true
+			l := NewLimiter(tolerance)
+			l.now = clock
+			r.entries[id] = NewShared(l, id, seat{r, id}, nolog.Or(nil))
+			l.SetConfiguration(c)
+		case 22:
+			delete(r.alone, id)
+		}
+		if i%12 == 0 {
+			r.tellDemand()
+		}
+		for j := range 4 {
+			id := r.ids[(i+j)%4]
+			if r.cut[id] {
+				continue
+			}
+			if r.entries[id].TakeShared(context.Background(), "a", 1).Wait == 0 {
+				taken++
+			}
+		}
+	}
+	allowed := (perSecond*(step*steps).Seconds() + burst) * (1 + tolerance.Part)
+	qt.Assert(t, float64(taken) <= allowed, qt.IsTrue, qt.Commentf("%v taken, %v allowed", taken, allowed))
+	qt.Assert(t, float64(taken) >= 0.8*perSecond*(step*steps).Seconds(), qt.IsTrue, qt.Commentf("%v taken", taken))
+}
+
+// tellDemand lets entries that reach each other hear each other's demand.
+func (r *room) tellDemand() {
+	demands := make(map[string]map[string]float64)
+	for id, e := range r.entries {
+		demands[id] = e.Demand()
+	}
+	for _, id := range r.ids {
+		heard := make(map[string]map[string]float64)
+		for _, other := range r.ids {
+			if other != id && !r.alone[id] && !r.alone[other] && !r.cut[other] {
+				heard[other] = demands[other]
+			}
+		}
+		r.entries[id].SetPeers(len(r.ids), heard)
+	}
+}
+
+// The load is a customer that begins to ask for many times its limit while its
+// keeper, which all entries hear, answers only two thirds of them. What the
+// keeper hands out and what the others have of their own must stay within the
+// limit together.
+func TestLimitHoldsBesideAKeeperThatSomeCannotAsk(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tolerance := Tolerance{Part: 0.1, Units: 140_000}
+	const perSecond, burst, request = 1_000_000, 1_000_000, 5_000.0
+	c := limited(perSecond, burst)
+	r := newRoom(24, func() time.Time { return now }, tolerance)
+	r.unreached = make(map[string]bool)
+	for i, id := range r.ids {
+		r.entries[id].SetConfiguration(c)
+		r.unreached[id] = i%3 == 0
+	}
+	r.tell()
+	const step, steps, calm = 20 * time.Millisecond, 600, 200
+	owed := 0.0
+	var taken []float64
+	for i := range steps {
+		now = now.Add(step)
+		if i%12 == 0 {
+			r.tellDemand()
+			r.busy = map[string]bool{r.entries["e0"].keeper("a"): i >= calm}
+			for _, e := range r.entries {
+				clear(e.silent)
+			}
+		}
+		load := 0.4
+		if i >= calm {
+			load = 5
+		}
+		sum := 0.0
+		for owed += load * perSecond * step.Seconds(); owed >= request; owed -= request {
+			id := r.ids[int(owed/request+float64(i))%24]
+			if r.entries[id].TakeShared(context.Background(), "a", request).Wait == 0 {
+				sum += request
+			}
+		}
+		taken = append(taken, sum)
+	}
+	spans := int(8 * time.Second / step)
+	worst, got := 0.0, 0.0
+	for i := range taken {
+		got += taken[i]
+		if i >= spans {
+			got -= taken[i-spans]
+		}
+		worst = max(worst, got)
+	}
+	allowed := (perSecond*8.0+burst)*(1+tolerance.Part) + tolerance.Units
+	qt.Assert(t, worst <= allowed, qt.IsTrue, qt.Commentf("%v taken in a span, %v allowed", worst, allowed))
+	qt.Assert(t, worst >= 0.8*perSecond*8, qt.IsTrue, qt.Commentf("only %v taken in a span", worst))
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -87,7 +87,7 @@
 	mu    sync.Mutex
 	links map[string]*link
 	// kept are connections for calls with peers that are no neighbours.
-	kept      map[string]*link
+	kept      map[string]*keptLink
 	wanted    map[string]bool
 	templates map[string]uint64
 	own       Digest
@@ -104,7 +104,7 @@
 		states:    newStates(),
 		quiet:     log.New(io.Discard, "", 0),
 		links:     make(map[string]*link),
-		kept:      make(map[string]*link),
+		kept:      make(map[string]*keptLink),
 		wanted:    make(map[string]bool),
 		templates: make(map[string]uint64),
 		reported:  make(map[string]report),
@@ -238,47 +238,74 @@
 // errConnecting says that there is no connection for calls yet.
 var errConnecting = errors.New("connection is being set up")
 
-// keptLink returns the connection for calls with a peer that is no neighbour.
-// Where there is none it has one set up and fails, so that no caller waits
-// for a peer that may be gone.
+// keptLink is a connection for calls with a peer that is no neighbour.
+type keptLink struct {
+	// done is closed once link or err is set.
+	done chan struct{}
+	link *link
+	err  error
+}
+
+// keptLink returns the connection for calls with a peer. Where there is none
+// it has one set up, which goes on when the caller has given up.
 func (m *Mesh) keptLink(ctx context.Context, peer string) (*link, error) {
+	k, err := m.keptOrSetUp(ctx, peer)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-k.done:
+		return k.link, k.err
+	case <-ctx.Done():
+		return nil, errConnecting
+	}
+}
+
+func (m *Mesh) keptOrSetUp(ctx context.Context, peer string) (*keptLink, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if l, known := m.kept[peer]; known {
-		if l == nil {
-			return nil, errConnecting
-		}
-		return l, nil
+	if k := m.kept[peer]; k != nil {
+		return k, nil
 	}
 	to, ok := m.o.Registry.Lookup(peer)
 	if !ok {
 		return nil, errors.New("peer is not known")
 	}
-	m.kept[peer] = nil
+	k := &keptLink{done: make(chan struct{})}
+	m.kept[peer] = k
 	// The connection outlives the call that has it set up.
 	ctx = context.WithoutCancel(ctx)
-	m.calls.Go(func() { m.setUpKept(ctx, to) })
-	return nil, errConnecting
+	m.calls.Go(func() { m.setUpKept(ctx, to, k) })
+	return k, nil
 }
 
-func (m *Mesh) setUpKept(ctx context.Context, to member.Member) {
-	l, err := m.dial(ctx, to, true)
+func (m *Mesh) setUpKept(ctx context.Context, to member.Member, k *keptLink) {
+	k.link, k.err = m.dial(ctx, to, true)
+	close(k.done)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err != nil {
-		delete(m.kept, to.ID)
-		m.o.Log.WithField("member", to.ID).WithError(err).Info("peer: no connection for calls.")
-		return
+	switch {
+	case k.err != nil:
+		m.o.Log.WithField("member", to.ID).WithError(k.err).Info("peer: no connection for calls.")
+		if m.kept[to.ID] == k {
+			delete(m.kept, to.ID)
+		}
+	case m.kept[to.ID] != k:
+		// The mesh was closed meanwhile.
+		go k.link.close()
 	}
-	m.kept[to.ID] = l
 }
 
 func (m *Mesh) closeKept() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, l := range m.kept {
-		if l != nil {
-			go l.close()
+	for _, k := range m.kept {
+		select {
+		case <-k.done:
+			if k.link != nil {
+				go k.link.close()
+			}
+		default: // setUpKept closes it
 		}
 	}
 	clear(m.kept)
@@ -287,7 +314,7 @@
 func (m *Mesh) dropKept(peer string, l *link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.kept[peer] == l {
+	if k := m.kept[peer]; k != nil && k.link == l {
 		delete(m.kept, peer)
 	}
 }
