--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -33,6 +33,9 @@
 	// more, for each entry that reads the feed. Changes must be in force within
 	// two seconds.
 	feedPause = 7 * time.Millisecond
+	// sharedPause takes its place where few entries read for many: replicas
+	// come and go several times a second there.
+	sharedPause = 200 * time.Millisecond
 	// readersPerDomain is how many entries of a failure domain read the feeds
 	// for the others in it: one may fail.
 	readersPerDomain = 2
@@ -88,7 +91,11 @@
 	return follow.Options{
 		Name: feed, Wait: feedWait, Spread: feedSpread, History: f.histories[feed], Log: log,
 		Pause: func() time.Duration {
-			return time.Duration(readersAmong(f.registrar.Members())) * feedPause
+			members := f.registrar.Members()
+			if len(members) > readAlone {
+				return sharedPause
+			}
+			return time.Duration(len(members)) * feedPause
 		},
 	}
 }
@@ -137,18 +144,6 @@
 	return readers
 }
 
-// readersAmong returns about how many members read the feeds.
-func readersAmong(members []member.Member) int {
-	if len(members) <= readAlone {
-		return len(members)
-	}
-	domains := make(map[string]bool)
-	for _, m := range members {
-		domains[m.FailureDomain] = true
-	}
-	return readersPerDomain * len(domains)
-}
-
 // byHash sorts IDs in an order that differs with the salt.
 func byHash(ids []string, salt string) {
 	slices.SortFunc(ids, func(x, y string) int {
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -21,7 +21,7 @@
 	// toleranceUsed is the part of the tolerance that is handed out; the rest
 	// is for demand that moves between entries faster than they tell each
 	// other, and for entries that start with a full bucket.
-	toleranceUsed = 0.4
+	toleranceUsed = 0.3
 	// firstFill is how full the buckets of a new process are. Full ones would
 	// hand the burst out again at each restart of all entries.
 	firstFill = 0.2
@@ -32,7 +32,7 @@
 	// while it hears the member that keeps the limit and can't ask it. The
 	// keeper hands out the whole limit to those that reach it, and the
 	// tolerance has room for little beside it.
-	leastPart, mostPart = 0.05, 0.5
+	leastPart, mostPart = 0.03, 0.3
 	// partSlope is how much of the part goes with each part of the limit that
 	// the customer asks for: one far below its limit can't exceed it.
 	partSlope = 1.5
--- a/gateway/scaling/plan.go
+++ b/gateway/scaling/plan.go
@@ -41,6 +41,11 @@
 	// domain, and firmPause that between two of on-demand replicas anywhere.
 	releasePause = 3 * time.Second
 	firmPause    = time.Second
+	// stepPart is the part of a domain's replicas that a step down may give
+	// back, and surplusPart that of what is too much in all domains: one by one
+	// a large surplus would be paid for as long as the day lasts.
+	stepPart    = 5
+	surplusPart = 3
 	// scarceFor is how long after a refusal or a reclaim reclaimable replicas
 	// are not counted on.
 	scarceFor = 3 * time.Second
@@ -271,7 +276,7 @@
 			case count < s.count && !reclaimable && in.Now.Sub(p.lowered) < firmPause:
 				continue
 			case count < s.count:
-				count = s.count - 1
+				count = max(count, s.count-p.stepDown(in, s.count))
 				s.lowered = in.Now
 				if !reclaimable {
 					p.lowered = in.Now
@@ -308,14 +313,22 @@
 	return s
 }
 
-// covered says whether what serves now is enough for a step down: replicas
-// that were ordered and are still starting don't count.
-func (p *Planner) covered(in Input) bool {
+// covered says whether what serves now is enough for a step down.
+func (p *Planner) covered(in Input) bool { return p.surplus(in) > 0 }
+
+// surplus returns how many more replicas serve now than are needed: those that
+// were ordered and are still starting don't count.
+func (p *Planner) surplus(in Input) int {
 	have := 0
 	for _, s := range in.Supply {
 		have += s.OnDemand + s.Reclaimable
 	}
-	return have > int(math.Ceil(p.need))
+	return have - int(math.Ceil(p.need))
+}
+
+// stepDown returns how many replicas a step down gives back of so many.
+func (p *Planner) stepDown(in Input, count int) int {
+	return max(1, min(count/stepPart, p.surplus(in)/surplusPart))
 }
 
 // Refused records that an order was not carried out. The domain's count is
--- a/gateway/scaling/plan_test.go
+++ b/gateway/scaling/plan_test.go
@@ -111,6 +111,22 @@
 	return least
 }
 
+// The load is that of a large deployment which starts with twice what it
+// needs. What is too much is given back within seconds, and never what serves.
+func TestLargeSurplusIsGivenBackSoon(t *testing.T) {
+	m := newMarket(30)
+	m.bounds.Max = 46
+	m.run(14*time.Second, 0)
+	before := m.price()
+	need := int(needOf(38))
+	least := m.run(8*time.Second, 38)
+	qt.Assert(t, least >= need, qt.IsTrue, qt.Commentf("%d served, %d needed", least, need))
+	least = m.run(8*time.Second, 38)
+	qt.Assert(t, least >= need, qt.IsTrue, qt.Commentf("%d served, %d needed", least, need))
+	t.Logf("price %v at first, %v after", before, m.price())
+	qt.Assert(t, m.price() <= before*0.55, qt.IsTrue, qt.Commentf("price %v at first, %v after", before, m.price()))
+}
+
 func (m *market) price() float64 {
 	sum := 0.0
 	for at, n := range m.have {
