Round the wait for a limit up on its way between entries

The answer to an entry that asks carried the wait in whole milliseconds, rounded down: at such a rate a request that lacks less than 1,400 tokens waits less than a millisecond, and 0 means that they were taken. Found from the log lines, which name the keeper; ruled out: own parts (none were used), two keepers, buckets that start anew. The test fails before the change.

--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -124,7 +124,7 @@
 			TemplateFetch:   n.onFetch,
 			Handoff:         n.onHandoff,
 			Changes:         n.onChanges,
-			Take:            func(_ string, units float64) (time.Duration, bool) { return 0, units > 0 },
+			Take:            takeForTest,
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/peer/link.go
+++ b/peer/link.go
@@ -205,7 +205,12 @@
 		return err
 	}
 	wait, kept := l.mesh.o.Handlers.take(p.Customer, p.Units)
-	return l.conn.Reply(ctx, req.ID, takeResult{WaitMS: wait.Milliseconds(), Elsewhere: !kept})
+	return l.conn.Reply(ctx, req.ID, takeResult{WaitMS: wholeMilliseconds(wait), Elsewhere: !kept})
+}
+
+// wholeMilliseconds rounds up: 0 would say that there is room.
+func wholeMilliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
 }
 
 // handleChanges waits for changes beside the reading goroutine.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -143,3 +143,29 @@
 		}
 	})
 }
+
+// shortWait is what a node of a cluster answers for units of shortUnits.
+const (
+	shortWait  = 300 * time.Microsecond
+	shortUnits = 7
+)
+
+func takeForTest(_ string, units float64) (time.Duration, bool) {
+	if units == shortUnits {
+		return shortWait, true
+	}
+	return 0, units > 0
+}
+
+// A wait that is rounded away would hand out what was refused.
+func TestShortWaitOfATakeIsNotLost(t *testing.T) {
+	inBubble(t, 3, func(cl *cluster) {
+		var wait time.Duration
+		cl.within(4*time.Second, "answer", func() bool {
+			var err error
+			wait, _, err = cl.nodes[0].mesh.Take(context.Background(), cl.nodes[1].id, "a", shortUnits)
+			return err == nil
+		})
+		cl.c.Assert(wait >= shortWait, qt.IsTrue, qt.Commentf("%v", wait))
+	})
+}
