--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -237,73 +237,90 @@
 	qt.Assert(t, err, qt.ErrorIs, ErrNone)
 }
 
-// playService plays short requests of a service with few replicas through
-// many entries that tell each other their load only now and then. It returns
-// the part of the requests that are answered later than a time, with the
-// entries' choices and with random ones.
-func playService(entries int, period, late time.Duration) (chosen, random float64) {
-	const replicasN, slots, perSecond = 3, 6, 300
-	const work = 30 * time.Millisecond
-	count := func(rng *rand.Rand, choose func(entry int) (string, *Ticket)) float64 {
-		free := make(map[string][]time.Duration)
-		began := time.Now()
-		var queue events
-		total, tooLate := 0, 0
-		for now := time.Duration(0); now < 120*time.Second; now += time.Duration(rng.ExpFloat64() * float64(time.Second) / perSecond) {
-			for len(queue) > 0 && queue[0].at <= now {
-				e := heap.Pop(&queue).(event)
-				time.Sleep(time.Until(began.Add(e.at)))
-				e.do()
-			}
-			time.Sleep(time.Until(began.Add(now)))
-			id, ticket := choose(rng.IntN(entries))
-			if free[id] == nil {
-				free[id] = make([]time.Duration, slots)
-			}
-			slices.Sort(free[id])
-			end := max(now, free[id][0]) + time.Duration(float64(work)*(0.5+rng.Float64()))
-			free[id][0] = end
-			if total++; end-now > late {
-				tooLate++
-			}
-			if ticket != nil {
-				heap.Push(&queue, event{end, func() { ticket.Started(); ticket.End(Fine) }})
-			}
+const (
+	serviceReplicas, serviceSlots, servicePerSecond = 3, 6, 300
+	serviceWork                                     = 30 * time.Millisecond
+	// serviceLooks is how often entries take in what the others told.
+	serviceLooks = 250 * time.Millisecond
+)
+
+// playService plays short requests of a service with few replicas. choose
+// returns the replica of each, and a ticket that may be nil. It returns the
+// part of the requests that are answered later than a time.
+func playService(rng *rand.Rand, late time.Duration, choose func() (string, *Ticket)) float64 {
+	free := make(map[string][]time.Duration)
+	began := time.Now()
+	var queue events
+	total, tooLate := 0, 0
+	for now := time.Duration(0); now < 120*time.Second; now += time.Duration(rng.ExpFloat64() * float64(time.Second) / servicePerSecond) {
+		for len(queue) > 0 && queue[0].at <= now {
+			e := heap.Pop(&queue).(event)
+			time.Sleep(time.Until(began.Add(e.at)))
+			e.do()
+		}
+		time.Sleep(time.Until(began.Add(now)))
+		id, ticket := choose()
+		if free[id] == nil {
+			free[id] = make([]time.Duration, serviceSlots)
+		}
+		slices.Sort(free[id])
+		end := max(now, free[id][0]) + time.Duration(float64(serviceWork)*(0.5+rng.Float64()))
+		free[id][0] = end
+		if total++; end-now > late {
+			tooLate++
+		}
+		if ticket != nil {
+			heap.Push(&queue, event{end, func() { ticket.Started(); ticket.End(Fine) }})
 		}
-		return float64(tooLate) / float64(total)
 	}
-	set := replicas(replicasN)
-	var balancers []*Balancer
-	told := make([]PeerLoad, entries)
+	return float64(tooLate) / float64(total)
+}
+
+// crowd is many entries that tell each other their load one after the other,
+// each once in a period.
+type crowd struct {
+	balancers  []*Balancer
+	period     time.Duration
+	began      time.Time
+	told       []PeerLoad
+	at         []time.Time
+	next, look int
+}
+
+func newCrowd(entries int, period time.Duration) *crowd {
+	c := &crowd{period: period, began: time.Now(), told: make([]PeerLoad, entries), at: make([]time.Time, entries)}
+	set := replicas(serviceReplicas)
 	for i := range entries {
-		balancers = append(balancers, balancer(set, uint64(i)))
+		c.balancers = append(c.balancers, balancer(set, uint64(i)))
 	}
-	const looks = 250 * time.Millisecond
-	next, look, rng := 0, 0, rand.New(rand.NewPCG(5, 6))
-	at, began := make([]time.Time, entries), time.Now()
-	chosen = count(rng, func(entry int) (string, *Ticket) {
-		// Entries tell their load one after the other.
-		for since := time.Since(began); since > time.Duration(next)*period/time.Duration(entries); next++ {
-			i := next % entries
-			told[i], at[i] = PeerLoad{Endpoints: balancers[i].Own()}, time.Now()
-		}
-		for ; time.Since(began) > time.Duration(look)*looks; look++ {
-			for i := range told {
-				told[i].Age = time.Since(at[i]) + looks/2
-			}
-			for i, b := range balancers {
-				b.SetPeers(append(slices.Clone(told[:i]), told[i+1:]...))
-			}
+	return c
+}
+
+// tell lets entries tell and take in what is due by now.
+func (c *crowd) tell() {
+	for n := len(c.balancers); time.Since(c.began) > time.Duration(c.next)*c.period/time.Duration(n); c.next++ {
+		i := c.next % n
+		c.told[i], c.at[i] = PeerLoad{Endpoints: c.balancers[i].Own()}, time.Now()
+	}
+	for ; time.Since(c.began) > time.Duration(c.look)*serviceLooks; c.look++ {
+		for i := range c.told {
+			c.told[i].Age = time.Since(c.at[i]) + serviceLooks/2
 		}
-		q := Query{Service: "s"}
-		c, err := balancers[entry].Choose(q)
-		if err != nil {
-			panic(err)
+		for i, b := range c.balancers {
+			b.SetPeers(append(slices.Clone(c.told[:i]), c.told[i+1:]...))
 		}
-		return c.Replica.ID, balancers[entry].Begin(q, c)
-	})
-	random = count(rng, func(int) (string, *Ticket) { return fmt.Sprintf("r%d", rng.IntN(replicasN)), nil })
-	return chosen, random
+	}
+}
+
+// choose lets one of the entries choose.
+func (c *crowd) choose(entry int) (string, *Ticket) {
+	c.tell()
+	q := Query{Service: "s"}
+	choice, err := c.balancers[entry].Choose(q)
+	if err != nil {
+		panic(err)
+	}
+	return choice.Replica.ID, c.balancers[entry].Begin(q, choice)
 }
 
 // The load: entries are so many that each knows next to nothing of a service
@@ -311,7 +328,12 @@
 func TestOldFiguresOfOthersDontGatherRequests(t *testing.T) {
 	for _, entries := range []int{8, 74} {
 		synctest.Test(t, func(t *testing.T) {
-			chosen, random := playService(entries, 2*time.Second, 50*time.Millisecond)
+			const late = 50 * time.Millisecond
+			c, rng := newCrowd(entries, 2*time.Second), rand.New(rand.NewPCG(5, 6))
+			chosen := playService(rng, late, func() (string, *Ticket) { return c.choose(rng.IntN(entries)) })
+			random := playService(rng, late, func() (string, *Ticket) {
+				return fmt.Sprintf("r%d", rng.IntN(serviceReplicas)), nil
+			})
 			t.Logf("%d entries: later than 50 ms: %.4f, at random %.4f", entries, chosen, random)
 			qt.Assert(t, chosen < random*1.2, qt.IsTrue)
 		})
