Hand out next to nothing of a limit until an entry knows its peers

The replay's lines show each of the 74 new processes as the keeper of the limit in its own view for its first moments, as it knows nobody: with six members assumed, and one member in place of them at the first look before the rows of the others were read, together many times the limit. Until the rows were read once an entry now assumes a hundred members, and looks at once when they are; a process that hears nobody starts its buckets empty, and one that has known a customer for less than 10 s doesn't take its demand as known.

--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -233,22 +233,44 @@
 func runGatewayMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, view *peerView, b *balance.Balancer, limiter *quota.Limiter, retries *quota.Retries, meter *usage.Meter, h *gateway.Handler, i Incarnation, s gateway.Settings) {
 	l.Go(lc, func(ctx context.Context) { _ = r.Run(ctx) })
 	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
-	l.Every(lc, sharePeriod, func(context.Context) {
+	share := func() {
 		states := view.live()
-		members := max(1, len(r.Live()))
+		members := len(r.Live())
+		if members == 1 && !closed(r.Scanned()) {
+			members = 0 // not known yet
+		}
 		b.SetPeers(loadsOf(states, m.TravelTime()+sharePeriod/2))
 		demand := make(map[string]map[string]float64, len(states))
 		for id, s := range states {
 			demand[id] = demandOf(s.digest)
 		}
-		limiter.SetPeers(members, demand)
-		retries.SetMembers(members)
+		if members > 0 {
+			limiter.SetPeers(members, demand)
+			retries.SetMembers(members)
+		}
 		// Older windows are not reported any more.
 		started := meter.Recent(s.Usage.Due + countsTravel)
 		m.Publish(gatewayDigest(b, limiter, started, h, i))
+	}
+	l.Every(lc, sharePeriod, func(context.Context) { share() })
+	l.Go(lc, func(ctx context.Context) {
+		select {
+		case <-r.Scanned():
+			share()
+		case <-ctx.Done():
+		}
 	})
 }
 
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func gatewayDigest(b *balance.Balancer, limiter *quota.Limiter, started map[int64]map[string]int, h *gateway.Handler, i Incarnation) peer.Digest {
 	demand := make(map[string]peer.Demand)
 	for customer, rate := range limiter.Demand() {
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -36,9 +36,13 @@
 	// partSlope is how much of the part goes with each part of the limit that
 	// the customer asks for: one far below its limit can't exceed it.
 	partSlope = 1.5
-	// assumedMembers is how many entries there are believed to be until the
-	// first are known. The smallest deployments have six.
-	assumedMembers = 6
+	// knownAfter is how long a process must have known a customer for its
+	// demand to be known: two time constants of its measure.
+	knownAfter = 10 * time.Second
+	// assumedMembers is how many entries there are believed to be until they
+	// are known, a moment after the start. The largest deployments have
+	// hundreds; all of their entries may start at once.
+	assumedMembers = 100
 	// peerLag is how old the demand is that peers told, on average: half a
 	// period at its origin, half on the way, half here.
 	peerLag = 400 * time.Millisecond
@@ -64,6 +68,8 @@
 
 type customer struct {
 	limit config.Customer
+	// since is when this process first knew of the customer.
+	since time.Time
 	// bucket holds this entry's part of the limit.
 	bucket rate.Bucket
 	demand rate.Meter
@@ -113,7 +119,7 @@
 	for _, limit := range c.Customers {
 		cu := l.customers[limit.Name]
 		if cu == nil {
-			cu = &customer{bucket: rate.Partly(now, firstFill), demand: rate.Meter{At: now}}
+			cu = &customer{since: now, bucket: rate.Partly(now, firstFill), demand: rate.Meter{At: now}}
 			l.customers[limit.Name] = cu
 		}
 		cu.limit = limit
@@ -228,12 +234,18 @@
 
 // fillLocked returns how full the bucket of a limit is taken to be that another
 // entry kept until now: the less the customer asked for of late, the fuller.
-// Where nobody was heard that isn't known.
+// A process that hears nobody has just started or is cut off: all of them
+// together must not hand out a burst. One that has just started doesn't know
+// the demand well.
 func (l *Limiter) fillLocked(cu *customer, others, perSecond float64, now time.Time) float64 {
 	if len(l.peers) == 0 || perSecond <= 0 {
-		return firstFill
+		return 0
+	}
+	most := firstFill
+	if now.Sub(cu.since) > knownAfter {
+		most = fullest
 	}
-	return fullest * max(0, 1-(cu.demand.Rate(now)+others)/perSecond)
+	return most * max(0, 1-(cu.demand.Rate(now)+others)/perSecond)
 }
 
 // SetKeeper sets who says for which customers this entry keeps the limit for
--- a/gateway/quota/shared_test.go
+++ b/gateway/quota/shared_test.go
@@ -210,6 +210,78 @@
 	qt.Assert(t, float64(taken) >= 0.8*perSecond*(step*steps).Seconds(), qt.IsTrue, qt.Commentf("%v taken", taken))
 }
 
+// The load is a customer at several times its limit while all entries are
+// killed and started again, three times. Nobody knows then what it asked for before.
+func TestLimitHoldsWhileAllEntriesAreStartedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	tolerance := Tolerance{Part: 0.1, Units: 140_000}
+	const perSecond, burst, request = 1_000_000, 1_000_000, 5_000.0
+	c := limited(perSecond, burst)
+	r := newRoom(9, clock, tolerance)
+	for _, e := range r.entries {
+		e.SetConfiguration(c)
+	}
+	r.tell()
+	now = now.Add(20 * time.Second)
+	const step, steps = 20 * time.Millisecond, 400
+	taken := 0.0
+	for i := range steps {
+		now = now.Add(step)
+		switch i {
+		case 80, 180, 280:
+			for _, id := range r.ids {
+				r.alone[id] = true
+				l := NewLimiter(tolerance)
+				l.now = clock
+				r.entries[id] = NewShared(l, id, seat{r, id}, nolog.Or(nil))
+				l.SetConfiguration(c)
+			}
+		case 92, 192, 292:
+			clear(r.alone)
+		}
+		if i%12 == 0 {
+			r.tellDemand()
+		}
+		for j := range 18 {
+			if r.entries[r.ids[(i+j)%9]].TakeShared(context.Background(), "a", request, 0).Taken {
+				taken += request
+			}
+		}
+	}
+	allowed := (perSecond*(step*steps).Seconds()+burst)*(1+tolerance.Part) + tolerance.Units
+	t.Logf("%v taken, %v allowed", taken, allowed)
+	qt.Assert(t, taken <= allowed, qt.IsTrue, qt.Commentf("%v taken, %v allowed", taken, allowed))
+	qt.Assert(t, taken >= 0.8*perSecond*(step*steps).Seconds(), qt.IsTrue, qt.Commentf("%v taken", taken))
+}
+
+// The load is a customer at many times its limit in the first moments of all
+// entries of a large deployment, which know their configuration and no peers.
+func TestLimitHoldsWhileALargeDeploymentStarts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const entries, perSecond, step, steps = 74, 1_000_000, 10 * time.Millisecond, 25
+	r := &room{entries: make(map[string]*Shared), alone: make(map[string]bool)}
+	for i := range entries {
+		id := fmt.Sprintf("e%d", i)
+		r.ids, r.alone[id] = append(r.ids, id), true
+		l := NewLimiter(Tolerance{Part: 0.1, Units: 140_000})
+		l.now = func() time.Time { return now }
+		r.entries[id] = NewShared(l, id, seat{r, id}, nolog.Or(nil))
+		l.SetConfiguration(limited(perSecond, perSecond))
+	}
+	taken := 0.0
+	for range steps {
+		now = now.Add(step)
+		for _, id := range r.ids {
+			if r.entries[id].TakeShared(context.Background(), "a", 500, 0).Taken {
+				taken += 500
+			}
+		}
+	}
+	allowed := perSecond * (step * steps).Seconds() * 1.1
+	qt.Assert(t, taken <= allowed, qt.IsTrue, qt.Commentf("%v taken, %v allowed", taken, allowed))
+}
+
 // tellDemand lets entries that reach each other hear each other's demand.
 func (r *room) tellDemand() {
 	demands := make(map[string]map[string]float64)
--- a/member/member.go
+++ b/member/member.go
@@ -60,6 +60,7 @@
 	lost    chan struct{}
 	isLost  bool
 	joined  chan struct{}
+	scanned chan struct{}
 
 	// lastScan is when the last scan began; it belongs to the scanning
 	// goroutine.
@@ -89,9 +90,10 @@
 			Region:        o.Region,
 			State:         Live,
 		},
-		others: make(map[string]*record),
-		lost:   make(chan struct{}),
-		joined: make(chan struct{}),
+		others:  make(map[string]*record),
+		lost:    make(chan struct{}),
+		joined:  make(chan struct{}),
+		scanned: make(chan struct{}),
 	}
 }
 
@@ -105,6 +107,10 @@
 // Joined is closed after the first heartbeat row was written.
 func (r *Registry) Joined() <-chan struct{} { return r.joined }
 
+// Scanned is closed after the rows of the other members were read for the first
+// time. Before that Members knows those that were heard only.
+func (r *Registry) Scanned() <-chan struct{} { return r.scanned }
+
 // Lost is closed when another incarnation has taken over this entry's ID.
 // The entry must then stop.
 func (r *Registry) Lost() <-chan struct{} { return r.lost }
--- a/member/scan.go
+++ b/member/scan.go
@@ -23,7 +23,10 @@
 		if err != nil && ctx.Err() == nil {
 			r.log.WithError(err).Warn("member: scan failed.")
 		}
-		scanned = scanned || err == nil
+		if err == nil && !scanned {
+			scanned = true
+			close(r.scanned)
+		}
 		next := Jitter(minScanPeriod)
 		if scanned {
 			next = phase(ScanPeriod(r.Count()))
