Fetch a configuration from one peer at a time

They now go one after the other, and those that come later find the version in force. The test, over a link that carries one copy in time and not eight, fails before the change.

--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -67,6 +67,8 @@
 	around Surroundings
 	holder *config.Holder
 	log    *logrus.Entry
+	// fetching holds one token while a configuration is fetched from a peer.
+	fetching chan struct{}
 
 	mu      sync.Mutex
 	raw     json.RawMessage
@@ -74,7 +76,7 @@
 }
 
 func newFollowers(s Surroundings, r *member.Registry, holder *config.Holder, set *replica.Set, limiter *quota.Limiter, log *logrus.Entry) *followers {
-	source := &configSource{around: s, holder: holder, log: log}
+	source := &configSource{around: s, holder: holder, log: log, fetching: make(chan struct{}, 1)}
 	holder.OnChange(limiter.SetConfiguration)
 	rows := &registryRows{around: s, set: set, log: log}
 	f := &followers{source: source, registrar: r, histories: map[string]*follow.History{
@@ -249,6 +251,14 @@
 	case <-ctx.Done():
 		return
 	}
+	// One at a time: all neighbours tell of a version, and as many copies at
+	// once could be more than the host's link carries in time.
+	select {
+	case c.fetching <- struct{}{}:
+		defer func() { <-c.fetching }()
+	case <-ctx.Done():
+		return
+	}
 	if c.known(version) {
 		return
 	}
--- a/app/gateway_feeds_test.go
+++ b/app/gateway_feeds_test.go
@@ -1,12 +1,19 @@
 package app
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
@@ -52,3 +59,34 @@
 		}
 	}
 }
+
+// All neighbours tell of a new version at once, over a link that carries one
+// copy of it in time and not eight.
+func TestConfigurationIsFetchedFromOnePeerAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder := &config.Holder{}
+		source := &configSource{
+			holder: holder, log: nolog.Or(nil), fetching: make(chan struct{}, 1),
+			around: Surroundings{DecodeConfig: func([]byte) (*config.Configuration, error) {
+				return (&config.Configuration{Version: 7}).Compile(), nil
+			}},
+		}
+		running := 0
+		fetch := func(ctx context.Context) (json.RawMessage, bool, error) {
+			running++
+			defer func() { running-- }()
+			for range 6 {
+				// Copies on the way share the link.
+				if !ctxtime.Sleep(ctx, time.Duration(running)*100*time.Millisecond) {
+					return nil, false, ctx.Err()
+				}
+			}
+			return json.RawMessage("{}"), true, nil
+		}
+		for range 8 {
+			go source.fromPeer(t.Context(), 7, fetch)
+		}
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, source.known(7), qt.IsTrue)
+	})
+}
