Keep one table of statuses, and drop what could be derived

- The statuses of errors stood in callerapi, in internal/httpjson and again in the gateway: one table in httpjson now serves the three.
- What a request took of a limit says by itself what is to be given back; the second field for it is gone.
ReturnWhole had no caller, newGatewayNotices a parameter that nothing read.
- Who keeps a limit is found through a set in place of a search of all members for each member, on the path of every limited request.
- A rename of a constant had renamed a field and a comment as well.
- Tests: one way to start an entry of a room, one sum over a span, one build of the binary for both soaks; a disruption is called that.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -236,9 +236,7 @@
 	return before < dutyCandidates
 }
 
-func newGatewayNotices(set *replica.Set, log *logrus.Entry) *drain.Set {
-	return drain.NewSet(log)
-}
+func newGatewayNotices(log *logrus.Entry) *drain.Set { return drain.NewSet(log) }
 
 type handlerDeps struct {
 	fx.In
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -76,13 +77,13 @@
 	horizon := max(shortestKeeperHorizon, keeperHorizon*period)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := []string{p.self}
+	here := map[string]bool{p.self: true}
 	for key, state := range p.heard {
-		if time.Since(state.at) <= horizon && !slices.Contains(out, key.id) {
-			out = append(out, key.id)
+		if time.Since(state.at) <= horizon {
+			here[key.id] = true
 		}
 	}
-	return out
+	return slices.Collect(maps.Keys(here))
 }
 
 // live returns what was heard last of each live peer.
--- a/callerapi/errors.go
+++ b/callerapi/errors.go
@@ -8,6 +8,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/httpjson"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -33,33 +34,9 @@
 	Verdict string `json:"verdict"`
 }
 
-// statuses maps codes to HTTP statuses. A code that is missing is a 500.
-var statuses = map[verdict.Code]int{
-	verdict.CodeInvalid:      http.StatusBadRequest,
-	verdict.CodeUnauthorized: http.StatusUnauthorized,
-	verdict.CodeNotFound:     http.StatusNotFound,
-	verdict.CodeInProgress:   http.StatusConflict,
-	verdict.CodeConflict:     http.StatusConflict,
-	verdict.CodeKeyReused:    http.StatusUnprocessableEntity,
-	verdict.CodeLimited:      http.StatusTooManyRequests,
-	verdict.CodeOverloaded:   http.StatusServiceUnavailable,
-	verdict.CodeUnavailable:  http.StatusServiceUnavailable,
-	verdict.CodeDeadline:     http.StatusGatewayTimeout,
-	verdict.CodeTooLarge:     http.StatusRequestEntityTooLarge,
-	verdict.CodeStalled:      http.StatusRequestTimeout,
-}
-
-// statusOf returns the HTTP status for err.
-func statusOf(err error) int {
-	if status, ok := statuses[verdict.CodeOf(err)]; ok {
-		return status
-	}
-	return http.StatusInternalServerError
-}
-
 func bodyOf(err error) errorBody {
 	kind := "server_error"
-	if statusOf(err) < http.StatusInternalServerError {
+	if httpjson.StatusOf(err) < http.StatusInternalServerError {
 		kind = "invalid_request_error"
 	}
 	return errorBody{Error: errorDetail{
@@ -78,7 +55,7 @@
 		seconds := int64((after + time.Second - 1) / time.Second)
 		c.Header("Retry-After", strconv.FormatInt(seconds, 10))
 	}
-	c.AbortWithStatusJSON(statusOf(err), bodyOf(err))
+	c.AbortWithStatusJSON(httpjson.StatusOf(err), bodyOf(err))
 }
 
 func (s *Server) noRoute(c *gin.Context) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -127,10 +127,9 @@
 	// patience is when the client leaves, deadline when the route's timeout
 	// is over if that comes first.
 	patience, deadline time.Time
-	// asked is what the request counts against its customer's limit, charged
-	// what was taken for it of this entry's own part.
-	asked, charged float64
-	// taken says who decided about the limit.
+	// asked is what the request counts against its customer's limit, taken what
+	// became of it.
+	asked float64
 	taken quota.Taken
 	// counted says that the request was counted as started.
 	counted bool
@@ -286,9 +285,6 @@
 	if !x.taken.Taken {
 		return verdict.New(verdict.NotRun, verdict.CodeLimited, "customer %q is over its limit", x.owner.Name).WithRetryAfter(x.taken.Wait)
 	}
-	if x.taken.Part {
-		x.charged = x.asked
-	}
 	if !ctxtime.Sleep(x.r.Context(), x.taken.Wait) {
 		return verdict.New(verdict.NotRun, verdict.CodeCancelled, "client left while its request waited for its limit")
 	}
@@ -323,8 +319,8 @@
 }
 
 func (x *exchange) failed(err error) string {
-	if x.owner != nil && x.charged > 0 && !x.mayHaveRun {
-		x.h.Limiter.Return(x.owner.Name, x.charged)
+	if x.taken.Taken && x.taken.Part && !x.mayHaveRun {
+		x.h.Limiter.Return(x.owner.Name, x.asked)
 	}
 	if x.r.Context().Err() != nil && errors.Is(context.Cause(x.r.Context()), context.Canceled) {
 		if !x.answered {
@@ -338,8 +334,7 @@
 	if x.mayHaveRun {
 		err = verdict.Wrap(verdict.MayHaveRun, err)
 	}
-	x.status = statusOf(err)
-	fail(x.w, err)
+	x.status = fail(x.w, err)
 	if verdict.Of(err) == verdict.NotRun {
 		return "refused"
 	}
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -273,15 +273,6 @@
 	return g, true
 }
 
-// ReturnWhole gives back what a request took of a limit kept for all.
-func (l *Limiter) ReturnWhole(name string, units float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if cu := l.customers[name]; cu != nil && cu.kept && cu.limit.PerSecond > 0 {
-		cu.whole.Correct(l.now(), units, 0)
-	}
-}
-
 // lowerPart leaves an entry's own part no fuller than that of a new process.
 func (l *Limiter) lowerPart(name string) {
 	l.mu.Lock()
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -65,6 +65,19 @@
 	}}).Compile()
 }
 
+// worstSpan returns the largest sum of so many values in a row.
+func worstSpan(taken []float64, spans int) float64 {
+	worst, got := 0.0, 0.0
+	for i := range taken {
+		got += taken[i]
+		if i >= spans {
+			got -= taken[i-spans]
+		}
+		worst = max(worst, got)
+	}
+	return worst
+}
+
 // The load is a customer that asks for six times its limit, unevenly over six
 // entries, from one moment on; all entries are killed twice in the midst of it and
 // start again. In no span may it get more than the limit with its tolerance.
@@ -103,15 +116,7 @@
 	}
 	const window = 8 * time.Second
 	allowed := (perSecond*window.Seconds()+burst)*(1+tolerance.Part) + tolerance.Units
-	spans := int(window / step)
-	worst, got := 0.0, 0.0
-	for i := range taken {
-		got += taken[i]
-		if i >= spans {
-			got -= taken[i-spans]
-		}
-		worst = max(worst, got)
-	}
+	worst := worstSpan(taken, int(window/step))
 	qt.Assert(t, worst <= allowed, qt.IsTrue, qt.Commentf("%v taken in a span, %v allowed", worst, allowed))
 	qt.Assert(t, worst >= 0.8*perSecond*window.Seconds(), qt.IsTrue, qt.Commentf("only %v taken in a span", worst))
 }
--- a/gateway/quota/retries.go
+++ b/gateway/quota/retries.go
@@ -32,9 +32,9 @@
 	services map[string]*window
 }
 
-// window counts the last Window of one service in budgetSlices.
+// window counts the last Window of one service in slices.
 type window struct {
-	budgetSlices [budgetSlices]slice
+	slices [budgetSlices]slice
 }
 
 type slice struct {
@@ -70,7 +70,7 @@
 	defer r.mu.Unlock()
 	current := r.sliceLocked(service)
 	requests, used := 0.0, 0.0
-	for _, s := range r.services[service].budgetSlices {
+	for _, s := range r.services[service].slices {
 		if current.number-s.number < budgetSlices {
 			requests += s.requests
 			used += s.used
@@ -91,7 +91,7 @@
 		r.services[service] = w
 	}
 	number := r.now().UnixNano() / int64(r.opt.Window/budgetSlices)
-	s := &w.budgetSlices[number%budgetSlices]
+	s := &w.slices[number%budgetSlices]
 	if s.number != number {
 		*s = slice{number: number}
 	}
--- a/gateway/quota/shared_test.go
+++ b/gateway/quota/shared_test.go
@@ -64,15 +64,20 @@
 		r.ids = append(r.ids, fmt.Sprintf("e%d", i))
 	}
 	for _, id := range r.ids {
-		l := NewLimiter(t)
-		l.now = now
-		r.entries[id] = NewShared(l, id, seat{r, id}, nolog.Or(nil))
-		l.SetConfiguration(limited(100_000, 100_000))
+		r.start(id, now, t, limited(100_000, 100_000))
 	}
 	r.tell()
 	return r
 }
 
+// start starts the process of an entry, which knows its configuration only.
+func (r *room) start(id string, now func() time.Time, t Tolerance, c *config.Configuration) {
+	l := NewLimiter(t)
+	l.now = now
+	r.entries[id] = NewShared(l, id, seat{r, id}, nolog.Or(nil))
+	l.SetConfiguration(c)
+}
+
 // tell lets entries that reach each other hear each other.
 func (r *room) tell() {
 	for _, id := range r.ids {
@@ -185,10 +190,7 @@
 			// The new process knows its configuration, and nobody else.
 			delete(r.cut, id)
 			r.alone[id] = true
-			l := NewLimiter(tolerance)
-			l.now = clock
-			r.entries[id] = NewShared(l, id, seat{r, id}, nolog.Or(nil))
-			l.SetConfiguration(c)
+			r.start(id, clock, tolerance, c)
 		case 22:
 			delete(r.alone, id)
 		}
@@ -232,10 +234,7 @@
 		case 80, 180, 280:
 			for _, id := range r.ids {
 				r.alone[id] = true
-				l := NewLimiter(tolerance)
-				l.now = clock
-				r.entries[id] = NewShared(l, id, seat{r, id}, nolog.Or(nil))
-				l.SetConfiguration(c)
+				r.start(id, clock, tolerance, c)
 			}
 		case 92, 192, 292:
 			clear(r.alone)
@@ -264,10 +263,7 @@
 	for i := range entries {
 		id := fmt.Sprintf("e%d", i)
 		r.ids, r.alone[id] = append(r.ids, id), true
-		l := NewLimiter(Tolerance{Part: 0.1, Units: 140_000})
-		l.now = func() time.Time { return now }
-		r.entries[id] = NewShared(l, id, seat{r, id}, nolog.Or(nil))
-		l.SetConfiguration(limited(perSecond, perSecond))
+		r.start(id, func() time.Time { return now }, Tolerance{Part: 0.1, Units: 140_000}, limited(perSecond, perSecond))
 	}
 	taken := 0.0
 	for range steps {
@@ -340,15 +336,7 @@
 		}
 		taken = append(taken, sum)
 	}
-	spans := int(8 * time.Second / step)
-	worst, got := 0.0, 0.0
-	for i := range taken {
-		got += taken[i]
-		if i >= spans {
-			got -= taken[i-spans]
-		}
-		worst = max(worst, got)
-	}
+	worst := worstSpan(taken, int(8*time.Second/step))
 	allowed := (perSecond*8.0+burst)*(1+tolerance.Part) + tolerance.Units
 	qt.Assert(t, worst <= allowed, qt.IsTrue, qt.Commentf("%v taken in a span, %v allowed", worst, allowed))
 	qt.Assert(t, worst >= 0.8*perSecond*8, qt.IsTrue, qt.Commentf("only %v taken in a span", worst))
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/httpjson"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -19,33 +20,20 @@
 // statusOf returns the status of a failure. Statuses that promise that a
 // request has not run are used for that verdict alone.
 func statusOf(err error) int {
-	code := verdict.CodeOf(err)
 	if verdict.Of(err) != verdict.NotRun {
-		if code == verdict.CodeDeadline {
+		if verdict.CodeOf(err) == verdict.CodeDeadline {
 			return http.StatusGatewayTimeout
 		}
 		return http.StatusBadGateway
 	}
-	switch code {
-	case verdict.CodeInvalid:
-		return http.StatusBadRequest
-	case verdict.CodeUnauthorized:
-		return http.StatusUnauthorized
-	case verdict.CodeNotFound:
-		return http.StatusNotFound
-	case verdict.CodeTooLarge:
-		return http.StatusRequestEntityTooLarge
-	case verdict.CodeStalled:
-		return http.StatusRequestTimeout
-	case verdict.CodeLimited:
-		return http.StatusTooManyRequests
-	default:
-		return http.StatusServiceUnavailable
+	if status := httpjson.StatusOf(err); status < http.StatusInternalServerError {
+		return status
 	}
+	return http.StatusServiceUnavailable
 }
 
-// fail answers with a failure.
-func fail(w http.ResponseWriter, err error) {
+// fail answers with a failure and returns the status.
+func fail(w http.ResponseWriter, err error) int {
 	body, encodeErr := json.Marshal(failureBody{
 		Error:   err.Error(),
 		Code:    string(verdict.CodeOf(err)),
@@ -60,6 +48,8 @@
 	if wait := verdict.RetryAfterOf(err); wait > 0 && verdict.Of(err) == verdict.NotRun {
 		h.Set("Retry-After", strconv.FormatFloat(wait.Round(time.Millisecond).Seconds(), 'f', 3, 64))
 	}
-	w.WriteHeader(statusOf(err))
+	status := statusOf(err)
+	w.WriteHeader(status)
 	_, _ = w.Write(body)
+	return status
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -47,7 +47,7 @@
 func WriteError(w http.ResponseWriter, err error) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Verdict", verdict.Of(err).String())
-	w.WriteHeader(status(verdict.CodeOf(err)))
+	w.WriteHeader(status(err))
 	_ = json.NewEncoder(w).Encode(Failure{Error: *DetailOf(err)})
 }
 
@@ -112,25 +112,40 @@
 	}
 }
 
-func status(code verdict.Code) int {
-	switch code {
-	case verdict.CodeInvalid:
-		return http.StatusBadRequest
-	case verdict.CodeUnauthorized:
-		return http.StatusUnauthorized
-	case verdict.CodeNotFound:
-		return http.StatusNotFound
-	case verdict.CodeConflict, verdict.CodeInProgress, verdict.CodeFenced:
+// statuses maps codes to HTTP statuses.
+var statuses = map[verdict.Code]int{
+	verdict.CodeInvalid:      http.StatusBadRequest,
+	verdict.CodeUnauthorized: http.StatusUnauthorized,
+	verdict.CodeNotFound:     http.StatusNotFound,
+	verdict.CodeInProgress:   http.StatusConflict,
+	verdict.CodeConflict:     http.StatusConflict,
+	verdict.CodeKeyReused:    http.StatusUnprocessableEntity,
+	verdict.CodeLimited:      http.StatusTooManyRequests,
+	verdict.CodeOverloaded:   http.StatusServiceUnavailable,
+	verdict.CodeUnavailable:  http.StatusServiceUnavailable,
+	verdict.CodeDeadline:     http.StatusGatewayTimeout,
+	verdict.CodeTooLarge:     http.StatusRequestEntityTooLarge,
+	verdict.CodeStalled:      http.StatusRequestTimeout,
+}
+
+// StatusOf returns the HTTP status of an error by its code, 500 where the code
+// has none.
+func StatusOf(err error) int {
+	if status, ok := statuses[verdict.CodeOf(err)]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// status returns the status between processes of the system, which tell each
+// other more than they tell callers.
+func status(err error) int {
+	switch verdict.CodeOf(err) {
+	case verdict.CodeFenced:
 		return http.StatusConflict
-	case verdict.CodeKeyReused:
-		return http.StatusUnprocessableEntity
-	case verdict.CodeLimited:
-		return http.StatusTooManyRequests
-	case verdict.CodeOverloaded, verdict.CodeUnavailable, verdict.CodeCancelled:
+	case verdict.CodeCancelled:
 		return http.StatusServiceUnavailable
-	case verdict.CodeDeadline:
-		return http.StatusGatewayTimeout
 	default:
-		return http.StatusInternalServerError
+		return StatusOf(err)
 	}
 }
