Ask peers for the counts of incarnations that ended before a process started

Ruled out: counts lost in a kill (all drained), a report that was late.

Change: one call between peers for all counts known; a process that starts asks two of its peers, and until then a window doesn't count as complete. Counts of one incarnation only grow, so that the larger of two figures holds.

--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -37,21 +37,23 @@
 	// be, in update periods; shortestKeeperHorizon is the least.
 	keeperHorizon         = 4
 	shortestKeeperHorizon = 1200 * time.Millisecond
-	// countsHorizon is how long the counts of an entry that is gone are kept,
-	// several windows.
-	countsHorizon = time.Minute
 )
 
 // peerView keeps what the other entries told.
 type peerView struct {
-	self     string
-	registry *member.Registry
-	meter    *usage.Meter
+	self        string
+	incarnation string
+	registry    *member.Registry
+	meter       *usage.Meter
 
 	mu sync.Mutex
 	// heard is by entry and incarnation, so that counts of an incarnation
 	// that is gone are not lost.
 	heard map[heardKey]heardState
+	// inherited are counts that a peer heard before this process started.
+	inherited map[heardKey]inheritedCounts
+	// asked is set once this process has them, or there is nobody to ask.
+	asked bool
 }
 
 type heardKey struct{ id, incarnation string }
@@ -61,8 +63,11 @@
 	at     time.Time
 }
 
-func newPeerView(s gateway.Settings, r *member.Registry, m *usage.Meter) *peerView {
-	return &peerView{self: s.ID, registry: r, meter: m, heard: make(map[heardKey]heardState)}
+func newPeerView(s gateway.Settings, r *member.Registry, m *usage.Meter, i Incarnation) *peerView {
+	return &peerView{
+		self: s.ID, incarnation: string(i), registry: r, meter: m,
+		heard: make(map[heardKey]heardState), inherited: make(map[heardKey]inheritedCounts),
+	}
 }
 
 func (p *peerView) take(from string, d peer.Digest) {
@@ -108,40 +113,6 @@
 	return newest
 }
 
-// usage is a usage.Source.
-func (p *peerView) usage(window int64, end time.Time) (usage.Counts, bool) {
-	sum := make(usage.Counts)
-	add := func(counts map[string]int) {
-		for customer, n := range counts {
-			sum[customer] += n
-		}
-	}
-	add(p.meter.Recent(countsHorizon)[window])
-	missing := make(map[string]bool)
-	for _, id := range p.registry.Live() {
-		missing[id] = id != p.self
-	}
-	// Digests that arrived well after the end of the window have all of it.
-	since := time.Since(end) - countsTravel
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for key, state := range p.heard {
-		add(state.digest.Started[window])
-		if time.Since(state.at) < since {
-			missing[key.id] = false
-		}
-	}
-	for _, m := range missing {
-		if m {
-			return sum, false
-		}
-	}
-	return sum, true
-}
-
-// countsTravel is how old the counts of a digest may be on arrival.
-const countsTravel = 1500 * time.Millisecond
-
 // busy returns how many engines of a service all entries keep busy. Entries
 // that were not heard count as the average of those that were.
 func (p *peerView) busy(own map[string]float64, service string) float64 {
@@ -193,6 +164,7 @@
 		Listener: l, Dial: d.Network.Dial, Log: d.Log, Pace: sharePeriod,
 		Handlers: peer.Handlers{
 			Digest:  d.View.take,
+			Counts:  d.View.counts,
 			Take:    d.Limits.TakeWhole,
 			Changes: d.Followers.since,
 			TemplateVersion: func(from, _ string, version uint64) {
@@ -231,9 +203,10 @@
 	})
 }
 
-func runGatewayMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, view *peerView, b *balance.Balancer, limiter *quota.Limiter, retries *quota.Retries, meter *usage.Meter, h *gateway.Handler, i Incarnation, s gateway.Settings) {
+func runGatewayMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, view *peerView, b *balance.Balancer, limiter *quota.Limiter, retries *quota.Retries, meter *usage.Meter, h *gateway.Handler, i Incarnation, s gateway.Settings, log *logrus.Entry) {
 	l.Go(lc, func(ctx context.Context) { _ = r.Run(ctx) })
 	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
+	l.Go(lc, func(ctx context.Context) { view.inherit(ctx, m.Counts, log) })
 	share := func() {
 		states := view.live()
 		members := len(r.Live())
--- a/peer/changes_test.go
+++ b/peer/changes_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/infra/follow"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 // Versions that a node of a cluster has no changes after.
@@ -26,6 +27,10 @@
 	Version: 9, Age: 70 * time.Millisecond,
 }
 
+var someCounts = []peer.IncarnationCounts{
+	{Member: "gone", Incarnation: "i1", Started: map[int64]map[string]int{7: {"house": 3}}},
+}
+
 func (n *node) onChanges(ctx context.Context, _ string, after uint64, wait time.Duration) (infra.Update, error) {
 	switch after {
 	case versionGone:
@@ -70,3 +75,17 @@
 		c.Assert(<-slow, qt.IsNil)
 	})
 }
+
+func TestCountsOfEndedIncarnationsFromAPeer(t *testing.T) {
+	inBubble(t, 2, func(cl *cluster) {
+		c, ctx := cl.c, context.Background()
+		cl.within(4*time.Second, "answer", func() bool {
+			counts, err := cl.nodes[0].mesh.Counts(ctx, cl.nodes[1].id)
+			if err != nil {
+				return false
+			}
+			c.Assert(counts, qt.DeepEquals, someCounts)
+			return true
+		})
+	})
+}
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -124,6 +124,7 @@
 			TemplateFetch:   n.onFetch,
 			Handoff:         n.onHandoff,
 			Changes:         n.onChanges,
+			Counts:          func() []peer.IncarnationCounts { return someCounts },
 			Take:            takeForTest,
 		},
 	})
--- a/peer/link.go
+++ b/peer/link.go
@@ -146,6 +146,8 @@
 		return l.handleTake(ctx, req)
 	case methodChanges:
 		return l.handleChanges(ctx, req)
+	case methodCounts:
+		return l.conn.Reply(ctx, req.ID, countsResult{Counts: l.mesh.o.Handlers.counts()})
 	default:
 		return fmt.Errorf("%w: method %q", errGarbage, req.Method)
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -56,6 +56,9 @@
 	// Changes returns the changes of a feed that this entry follows, or
 	// follow.ErrLost. It may block.
 	Changes func(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error)
+	// Counts returns what this entry knows of the requests that began to run
+	// at any entry.
+	Counts func() []IncarnationCounts
 	// Handoff takes over a durable request from a peer.
 	Handoff func(ctx context.Context, jobID string) error
 }
@@ -220,6 +223,14 @@
 	}
 }
 
+// Counts asks a peer for what it knows of the requests that began to run at
+// any entry, also at incarnations that have ended.
+func (m *Mesh) Counts(ctx context.Context, peer string) ([]IncarnationCounts, error) {
+	var result countsResult
+	err := m.callKept(ctx, peer, methodCounts, ack{}, &result)
+	return result.Counts, err
+}
+
 // callKept calls a peer over the connection with it, or over one for calls
 // that is kept.
 func (m *Mesh) callKept(ctx context.Context, peer, method string, params, result any) error {
@@ -462,6 +473,13 @@
 	return h.Changes(ctx, feed, after, wait)
 }
 
+func (h Handlers) counts() []IncarnationCounts {
+	if h.Counts == nil {
+		return nil
+	}
+	return h.Counts()
+}
+
 func (h Handlers) handoff(ctx context.Context, jobID string) error {
 	if h.Handoff == nil {
 		return errors.New("handoff is not served here")
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -22,6 +22,7 @@
 	methodHandoff  = "handoff"
 	methodTake     = "take"
 	methodChanges  = "changes"
+	methodCounts   = "counts"
 )
 
 // Demand is the demand of one customer at one entry.
@@ -276,5 +277,19 @@
 	return u
 }
 
+// IncarnationCounts are the requests that began to run at one incarnation of
+// an entry.
+type IncarnationCounts struct {
+	Member      string `json:"m"`
+	Incarnation string `json:"i"`
+	// Started is by window and customer; counts of a window only grow.
+	Started map[int64]map[string]int `json:"u"`
+}
+
+// countsResult is the answer to a call for counts.
+type countsResult struct {
+	Counts []IncarnationCounts `json:"c,omitempty"`
+}
+
 // ack is an empty answer.
 type ack struct{}
