Give the first units of a limit as the members of a deployment are reached

Cause: since entries hand out next to nothing of a limit until they know their peers, the bucket of a limit starts empty after all entries were killed.

Ruled out: slow first reads (configuration in force 70 ms after the listener), entries that keep a limit twice (lines name one keeper each).

Change: a process that has just started gets a fifth of a burst for the part of the members that it reaches, once they are known, less what the customer was heard to ask for. All processes together hand out at most that fifth anew.

The new test (requests after an outage are not refused) fails without it.

--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -22,8 +22,9 @@
 	// is for demand that moves between entries faster than they tell each
 	// other, and for entries that start with a full bucket.
 	toleranceUsed = 0.4
-	// firstFill is how full the buckets of a new process are. Full ones would
-	// hand the burst out again at each restart of all entries.
+	// firstFill is how full the buckets of new processes are, all of them
+	// together. Full ones would hand the burst out again at each restart of all
+	// entries.
 	firstFill = 0.2
 	// fullest is how full a bucket is taken to be at most that another entry
 	// kept, for a customer that asked for nothing in the last seconds.
@@ -62,6 +63,8 @@
 	mu        sync.Mutex
 	customers map[string]*customer
 	members   int
+	// known says that members was told.
+	known bool
 	// peers is the demand of each peer by customer, in units a second.
 	peers map[string]map[string]float64
 }
@@ -77,6 +80,9 @@
 	// customer's limit for them; kept says whether it does.
 	whole rate.Bucket
 	kept  bool
+	// given is the part of the members for which a process that has just
+	// started was given its first units.
+	given float64
 	// told are the demands told to the peers of late, newest last.
 	told []toldDemand
 }
@@ -132,7 +138,7 @@
 func (l *Limiter) SetPeers(members int, peers map[string]map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members, l.peers = max(1, members), peers
+	l.members, l.peers, l.known = max(1, members), peers, true
 	now := l.now()
 	for name, cu := range l.customers {
 		l.resizeLocked(name, cu, now)
@@ -226,26 +232,36 @@
 	kept := l.keeper != nil && l.keeper(name)
 	if kept && !cu.kept {
 		cu.whole = rate.Partly(now, l.fillLocked(cu, others, perSecond, now))
+		cu.given = 0
 	}
 	cu.kept = kept
 	reached := min(1, float64(len(l.peers)+1)/float64(l.members))
 	cu.whole.Resize(now, perSecond*reached, burst*reached)
+	if kept && l.known && now.Sub(cu.since) <= knownAfter && reached > cu.given {
+		// Each of the members that start together may give out its part of it.
+		cu.whole.Give(now, firstFill*burst*(reached-cu.given)*cu.headroom(others, perSecond, now))
+		cu.given = reached
+	}
+}
+
+// headroom returns the part of a limit that the customer didn't ask for of
+// late.
+func (cu *customer) headroom(others, perSecond float64, now time.Time) float64 {
+	if perSecond <= 0 {
+		return 0
+	}
+	return max(0, 1-(cu.demand.Rate(now)+others)/perSecond)
 }
 
 // fillLocked returns how full the bucket of a limit is taken to be that another
 // entry kept until now: the less the customer asked for of late, the fuller.
-// A process that hears nobody has just started or is cut off: all of them
-// together must not hand out a burst. One that has just started doesn't know
-// the demand well.
+// A process that hears nobody is cut off from those that go on with it. One
+// that has just started is given little, as it comes to reach the members.
 func (l *Limiter) fillLocked(cu *customer, others, perSecond float64, now time.Time) float64 {
-	if len(l.peers) == 0 || perSecond <= 0 {
+	if len(l.peers) == 0 || now.Sub(cu.since) <= knownAfter {
 		return 0
 	}
-	most := firstFill
-	if now.Sub(cu.since) > knownAfter {
-		most = fullest
-	}
-	return most * max(0, 1-(cu.demand.Rate(now)+others)/perSecond)
+	return fullest * cu.headroom(others, perSecond, now)
 }
 
 // SetKeeper sets who says for which customers this entry keeps the limit for
--- a/gateway/quota/shared_test.go
+++ b/gateway/quota/shared_test.go
@@ -215,12 +215,18 @@
 // The load is a customer at several times its limit while all entries are
 // killed and started again, three times. Nobody knows then what it asked for before.
 func TestLimitHoldsWhileAllEntriesAreStartedAgain(t *testing.T) {
+	for _, entries := range []int{9, 74} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) { startAllAgain(t, entries) })
+	}
+}
+
+func startAllAgain(t *testing.T, entries int) {
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
 	tolerance := Tolerance{Part: 0.1, Units: 140_000}
 	const perSecond, burst, request = 1_000_000, 1_000_000, 5_000.0
 	c := limited(perSecond, burst)
-	r := newRoom(9, clock, tolerance)
+	r := newRoom(entries, clock, tolerance)
 	for _, e := range r.entries {
 		e.SetConfiguration(c)
 	}
@@ -243,7 +249,7 @@
 			r.tellDemand()
 		}
 		for j := range 18 {
-			if r.entries[r.ids[(i+j)%9]].TakeShared(context.Background(), "a", request, 0).Taken {
+			if r.entries[r.ids[(18*i+j)%entries]].TakeShared(context.Background(), "a", request, 0).Taken {
 				taken += request
 			}
 		}
@@ -392,3 +398,35 @@
 	allowed := (perSecond*8.0+burst)*(1+tolerance.Part) + tolerance.Units
 	qt.Assert(t, worst <= allowed, qt.IsTrue, qt.Commentf("%v in a span, %v allowed", worst, allowed))
 }
+
+// The load is what customers far below their limits send again after an outage
+// of all entries, at once: a fifth of a second's worth of the limit. Three
+// outages in a row hand out no more than the limit allows, as the test of a
+// customer far beyond it shows.
+func TestRequestsAfterAnOutageOfAllEntriesAreNotRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	tolerance := Tolerance{Part: 0.1, Units: 140_000}
+	const entries, perSecond, request, requests = 6, 1_000_000, 10_000.0, 18
+	c := limited(perSecond, perSecond)
+	r := newRoom(entries, clock, tolerance)
+	for _, id := range r.ids {
+		r.alone[id] = true
+		r.start(id, clock, tolerance, c)
+	}
+	// Each reads the rows of the others first, and then hears them.
+	for _, id := range r.ids {
+		r.entries[id].SetPeers(entries, nil)
+	}
+	now = now.Add(20 * time.Millisecond)
+	clear(r.alone)
+	r.tellDemand()
+	refused := 0
+	for i := range requests {
+		now = now.Add(time.Millisecond)
+		if !r.entries[r.ids[i%entries]].TakeShared(context.Background(), "a", request, 37*time.Millisecond).Taken {
+			refused++
+		}
+	}
+	qt.Assert(t, refused, qt.Equals, 0)
+}
--- a/internal/rate/bucket.go
+++ b/internal/rate/bucket.go
@@ -45,6 +45,12 @@
 	b.tokens = min(b.tokens, b.burst*part)
 }
 
+// Give adds n tokens, up to the size of the bucket.
+func (b *Bucket) Give(now time.Time, n float64) {
+	b.refill(now)
+	b.give(n)
+}
+
 // Take takes n tokens, or returns how long to wait for them. A request larger
 // than the bucket is taken from a full one and leaves the rest as debt.
 func (b *Bucket) Take(now time.Time, n float64) time.Duration {
