Run less on demand, and cover the next domain's reclaim from the first one on

Load: reclaims of one domain after the other, 3.5 s apart, with none to be had for 15 s.

Change: from the first reclaim on, on-demand replicas cover the largest domain that is left as well, and the firm part is 0.4. A large surplus goes back in quarters of a domain's replicas instead of fifths: less on demand is to be reached.

--- a/gateway/scaling/doc.go
+++ b/gateway/scaling/doc.go
@@ -7,7 +7,9 @@
 // to be had. Counts go up at once and down slowly. A firm part of what the
 // load needs runs on demand; the rest is reclaimable, with so many more that
 // the loss of one domain's leaves enough. While reclaimable ones can't be had,
-// on-demand ones stand in for those that are missing.
+// on-demand ones stand in for those that are missing, and for those of the
+// domain that would be missed most: reclaims of domains follow each other faster
+// than replicas start.
 //
 // Planner decides and uses no network; Controller carries plans out under a
 // lease.
--- a/gateway/scaling/plan.go
+++ b/gateway/scaling/plan.go
@@ -19,7 +19,7 @@
 	mostUse = 0.82
 	// firmPart is the part of the need that runs on demand, to hold through a
 	// reclaim with late answers rather than none.
-	firmPart = 0.55
+	firmPart = 0.40
 	// leastFirm is the least number of on-demand replicas of a service.
 	leastFirm = 3
 	// holdTime is the time constant with which a peak of the need fades.
@@ -44,7 +44,7 @@
 	// stepPart is the part of a domain's replicas that a step down may give
 	// back, and surplusPart that of what is too much in all domains: one by one
 	// a large surplus would be paid for as long as the day lasts.
-	stepPart    = 5
+	stepPart    = 4
 	surplusPart = 3
 	// scarceFor is how long after a refusal or a reclaim reclaimable replicas
 	// are not counted on.
@@ -223,11 +223,13 @@
 		reclaimable = 1
 	}
 	if in.Now.Before(p.scarce) {
-		have := 0
+		have, most := 0, 0
 		for _, s := range in.Supply {
 			have += s.Reclaimable
+			most = max(most, s.Reclaimable)
 		}
-		onDemand = max(onDemand, need-have)
+		// The next domain may lose its part before others could start.
+		onDemand = max(onDemand, need-have+most)
 	}
 	return onDemand, reclaimable
 }
--- a/gateway/scaling/plan_test.go
+++ b/gateway/scaling/plan_test.go
@@ -258,3 +258,24 @@
 	a, b := m.have[slot{"a", true}], m.have[slot{"b", true}]
 	qt.Assert(t, a <= b, qt.IsTrue, qt.Commentf("a has %d, b %d", a, b))
 }
+
+// The load is a steady one, while the reclaimable replicas of all domains are
+// taken away one domain after the other and none are to be had. From the second
+// on there are nearly as many replicas as without.
+func TestReclaimsOfOneDomainAfterTheOther(t *testing.T) {
+	const busy = 9
+	m := newMarket(4)
+	m.run(60*time.Second, busy)
+	calm := m.price()
+	m.reclaim("a", 15*time.Second)
+	first := m.run(4500*time.Millisecond, busy)
+	m.reclaim("b", 15*time.Second)
+	second := m.run(4500*time.Millisecond, busy)
+	m.reclaim("c", 15*time.Second)
+	third := m.run(10*time.Second, busy)
+	need := int(needOf(busy))
+	t.Logf("%d needed; %d, %d and %d served; price %.1f before", need, first, second, third, calm)
+	qt.Assert(t, first >= need-1, qt.IsTrue)
+	qt.Assert(t, second >= need-1, qt.IsTrue)
+	qt.Assert(t, third >= need-1, qt.IsTrue)
+}
