Have long prompts placed by one entry for all, and share what part of the load they are

What others sent in the last moments isn't known, so that two long prompts meet at one engine while another is idle.

Found on the way, by playing 74 entries: the learned rate of engines was worthless at entries that see few long prompts. Short ones that waited make any slope, and with it no prompt counted as long, or all did. And one of many entries sees too few long prompts to know their part of the work, so that entries didn't agree on the split.

Change: the member that a service's name hashes to places the long prompts of all entries, by what it placed before and how long reading takes; an entry that can't ask it within 60 ms chooses by itself, as before. Digests tell what part of the reading is long. A rate starts with ten assumed measurements. The choice of keepers and what becomes of silent ones moves from quota to gateway/keeper, which serves both.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -106,8 +106,8 @@
 		fx.Provide(
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
 			newBalancer, newPool, newRetries, newUsage, newDutyLease, newPeerView,
-			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newCallerServer,
-			newLimiter, newSharedLimits, usage.NewClock, newFollowers,
+			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newCallerServer, newSharedBalancer,
+			newLimiter, newKeeperPeers, newSharedLimits, usage.NewClock, newFollowers,
 		),
 		fx.Invoke(runGatewayMesh, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
@@ -185,24 +185,29 @@
 
 func newLimiter(s gateway.Settings) *quota.Limiter { return quota.NewLimiter(s.LimitTolerance) }
 
-// newSharedLimits provides the limits over all entries. The mesh, which needs
-// them itself, is filled in once it exists.
-func newSharedLimits(l *quota.Limiter, s gateway.Settings, view *peerView, log *logrus.Entry) (*quota.Shared, *limitPeers) {
-	peers := &limitPeers{view: view}
-	return quota.NewShared(l, s.ID, peers, log), peers
+// newKeeperPeers provides the calls to entries that decide for all. The mesh,
+// which serves such calls itself, is filled in once it exists.
+func newKeeperPeers(view *peerView) *keeperPeers { return &keeperPeers{view: view} }
+
+func newSharedLimits(l *quota.Limiter, s gateway.Settings, peers *keeperPeers, log *logrus.Entry) *quota.Shared {
+	return quota.NewShared(l, s.ID, peers, log)
+}
+
+func newSharedBalancer(b *balance.Balancer, s gateway.Settings, peers *keeperPeers, log *logrus.Entry) *balance.Shared {
+	return balance.NewShared(b, s.ID, peers, log)
 }
 
-// limitPeers implements quota.Peers.
-type limitPeers struct {
+// keeperPeers implements quota.Peers and balance.Peers.
+type keeperPeers struct {
 	view *peerView
 	mesh *peer.Mesh
 }
 
-// Members implements quota.Peers.
-func (p *limitPeers) Members() []string { return p.view.present(p.mesh.UpdatePeriod()) }
+// Members implements quota.Peers and balance.Peers.
+func (p *keeperPeers) Members() []string { return p.view.present(p.mesh.UpdatePeriod()) }
 
 // Take implements quota.Peers.
-func (p *limitPeers) Take(ctx context.Context, id, customer string, units float64, within time.Duration) (rate.Grant, error) {
+func (p *keeperPeers) Take(ctx context.Context, id, customer string, units float64, within time.Duration) (rate.Grant, error) {
 	g, kept, err := p.mesh.Take(ctx, id, customer, units, within)
 	if err == nil && !kept {
 		return rate.Grant{}, quota.ErrKeptElsewhere
@@ -244,7 +249,7 @@
 	Surroundings Surroundings
 	Config       *config.Holder
 	Followers    *followers
-	Balancer     *balance.Balancer
+	Balancer     *balance.Shared
 	Pool         *upstream.Pool
 	Limiter      *quota.Shared
 	Retries      *quota.Retries
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -130,7 +130,7 @@
 func loadsOf(states map[string]heardState, delay time.Duration) []balance.PeerLoad {
 	out := make([]balance.PeerLoad, 0, len(states))
 	for _, s := range states {
-		out = append(out, balance.PeerLoad{Age: time.Since(s.at) + delay, Endpoints: s.digest.Endpoints, Services: s.digest.Services})
+		out = append(out, balance.PeerLoad{Age: time.Since(s.at) + delay, Endpoints: s.digest.Endpoints, Services: s.digest.Services, Reading: s.digest.Reading})
 	}
 	return out
 }
@@ -147,7 +147,8 @@
 	Replicas  *replica.Set
 	View      *peerView
 	Limits    *quota.Shared
-	LimitPeer *limitPeers
+	Keepers   *keeperPeers
+	Balancer  *balance.Balancer
 	Loops     *Loops
 	Log       *logrus.Entry
 }
@@ -165,6 +166,7 @@
 		Handlers: peer.Handlers{
 			Digest:  d.View.take,
 			Counts:  d.View.counts,
+			Place:   func(p peer.PlaceRequest) peer.PlaceResult { return placeFor(d.Balancer, p) },
 			Take:    d.Limits.TakeWhole,
 			Changes: d.Followers.since,
 			TemplateVersion: func(from, _ string, version uint64) {
@@ -179,7 +181,7 @@
 			},
 		},
 	})
-	d.LimitPeer.mesh = m
+	d.Keepers.mesh = m
 	d.Followers.mesh = m
 	d.Config.OnChange(func(c *config.Configuration) { m.SetTemplateVersion(configName, c.Version) })
 	spreadDrains(d.Notices, d.Replicas, m)
@@ -225,7 +227,7 @@
 		// Older windows are not reported any more.
 		started := meter.Recent(s.Usage.Due + countsTravel)
 		d := gatewayDigest(limiter, started, h, i)
-		d.Work = b.Work()
+		d.Work, d.Reading = b.Work(), b.Reading()
 		if members > readAlone {
 			d.Services = b.OwnByService()
 		} else {
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -106,6 +106,9 @@
 	RunnerUp *replica.Replica
 	// Candidates is how many replicas were looked at.
 	Candidates int
+	// PlacedBy is the entry that placed a long prompt; empty where this entry
+	// chose by itself.
+	PlacedBy string
 }
 
 // Balancer chooses replicas. It is safe for concurrent use.
@@ -125,7 +128,12 @@
 	lives map[string]*lives
 	// others is by replica ID.
 	others map[string]othersLoad
-	parts  *lru.Cache[uint64, []sighting]
+	// reading is what the other entries have engines read, by service.
+	reading map[string]peer.Reading
+	// reserved is until when a replica reads the long prompts that were placed
+	// on it here, by replica ID.
+	reserved map[string]time.Time
+	parts    *lru.Cache[uint64, []sighting]
 }
 
 // state is what this entry knows of one replica.
@@ -163,13 +171,14 @@
 	}
 	return &Balancer{
 		set: set, opt: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
-		states: make(map[string]*state),
-		rates:  make(map[string]*rate),
-		work:   make(map[string]*meter.Meter),
-		mixes:  make(map[string]*mix),
-		lives:  make(map[string]*lives),
-		others: make(map[string]othersLoad),
-		parts:  parts,
+		states:   make(map[string]*state),
+		rates:    make(map[string]*rate),
+		work:     make(map[string]*meter.Meter),
+		mixes:    make(map[string]*mix),
+		lives:    make(map[string]*lives),
+		others:   make(map[string]othersLoad),
+		reserved: make(map[string]time.Time),
+		parts:    parts,
 	}
 }
 
@@ -294,4 +303,9 @@
 			delete(b.states, id)
 		}
 	}
+	for id, until := range b.reserved {
+		if time.Now().After(until) {
+			delete(b.reserved, id)
+		}
+	}
 }
--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -48,12 +48,24 @@
 	return last
 }
 
+// played are entries and how often they tell each other their load.
+type played struct {
+	entries int
+	period  time.Duration
+}
+
+var (
+	fewPlayed  = played{6, 300 * time.Millisecond}
+	manyPlayed = played{74, 2 * time.Second}
+)
+
 // play plays a load of urgent short prompts and a few that are very long on
 // engines that read one prompt after the other, through several entries that
-// tell each other their load every 300 ms. It returns the times to the first
-// token of the short ones, sorted.
-func play(t *testing.T, split bool) []time.Duration {
-	const entries, engines, tokensPerSecond = 6, 8, 68_000.0
+// tell each other their load once a period. It returns the times to the first
+// token of the short ones and of the long ones, sorted.
+func play(t *testing.T, split, placed bool, crowd played) (short, long []time.Duration) {
+	const engines, tokensPerSecond = 8, 68_000.0
+	entries := crowd.entries
 	rng := rand.New(rand.NewPCG(1, 2))
 	set := replicas(engines)
 	var balancers []*Balancer
@@ -61,26 +73,35 @@
 		balancers = append(balancers, balancer(set, uint64(i)))
 	}
 	free := make(map[string]time.Duration)
-	var short []time.Duration
 	var queue events
 	var now time.Duration
 	began := time.Now()
-	arrive := func(long bool) {
+	arrive := func(isLong bool) {
 		q := Query{Service: "s", Slots: 64, PromptTokens: 500 + rng.IntN(3000)}
 		if split {
 			q.Tightest = 500 * time.Millisecond
 		}
-		if long {
+		if isLong {
 			q.PromptTokens = 20_000 + rng.IntN(30_000)
 		}
 		b := balancers[rng.IntN(entries)]
 		c, err := b.Choose(q)
 		qt.Assert(t, err, qt.IsNil)
+		if placed && b.Long(q, c) {
+			p, err := balancers[0].Place(q)
+			qt.Assert(t, err, qt.IsNil)
+			var ok bool
+			c, ok = b.Placed(q, p, c)
+			qt.Assert(t, ok, qt.IsTrue)
+		}
 		ticket := b.Begin(q, c)
 		at := max(now, free[c.Replica.ID]) + time.Duration(float64(q.PromptTokens)/tokensPerSecond*float64(time.Second))
 		free[c.Replica.ID] = at
 		first := at + 40*time.Millisecond
-		if !long {
+		if isLong {
+			// What is more than reading it takes.
+			long = append(long, first-now-time.Duration(float64(q.PromptTokens)/tokensPerSecond*float64(time.Second)))
+		} else {
 			short = append(short, first-now)
 		}
 		heap.Push(&queue, event{first, ticket.Started})
@@ -95,8 +116,8 @@
 			longAt += time.Duration(rng.ExpFloat64() * float64(time.Second) / 4)
 		}
 		for shareAt <= shortAt {
-			heap.Push(&queue, event{shareAt, func() { share(balancers) }})
-			shareAt += 300 * time.Millisecond
+			heap.Push(&queue, event{shareAt, func() { share(balancers, crowd.period) }})
+			shareAt += crowd.period
 		}
 		for len(queue) > 0 && queue[0].at <= shortAt {
 			e := heap.Pop(&queue).(event)
@@ -106,31 +127,60 @@
 		}
 	}
 	slices.Sort(short)
-	return short
+	slices.Sort(long)
+	return short, long
 }
 
-func share(balancers []*Balancer) {
+// late returns the part of sorted times beyond 300 ms.
+func late(times []time.Duration) float64 {
+	i, _ := slices.BinarySearch(times, 300*time.Millisecond)
+	return float64(len(times)-i) / float64(len(times))
+}
+
+// The load is that of long prompts beside urgent short ones at several entries.
+// Placed by one of them, long prompts wait for each other less, and the short
+// ones no more.
+func TestLongPromptsPlacedByOneEntryWaitLess(t *testing.T) {
+	for _, crowd := range []played{fewPlayed, manyPlayed} {
+		var shortBefore, longBefore, short, long []time.Duration
+		synctest.Test(t, func(t *testing.T) { shortBefore, longBefore = play(t, true, false, crowd) })
+		synctest.Test(t, func(t *testing.T) { short, long = play(t, true, true, crowd) })
+		t.Logf("%d entries: later than 300 ms: long %.3f, before %.3f; short %.3f, before %.3f",
+			crowd.entries, late(long), late(longBefore), late(short), late(shortBefore))
+		qt.Check(t, late(long) <= late(longBefore)/2, qt.IsTrue)
+		qt.Check(t, late(short) <= late(shortBefore), qt.IsTrue)
+	}
+}
+
+// share lets entries tell each other their load, which is half a period old on
+// average when it is used.
+func share(balancers []*Balancer, period time.Duration) {
+	told := make([]PeerLoad, len(balancers))
 	for i, b := range balancers {
-		var loads []PeerLoad
-		for j, other := range balancers {
-			if i != j {
-				loads = append(loads, PeerLoad{Endpoints: other.Own()})
-			}
-		}
-		b.SetPeers(loads)
+		told[i] = loadOf(b, len(balancers))
+		told[i].Age = period / 2
 	}
+	for i, b := range balancers {
+		b.SetPeers(append(slices.Clone(told[:i]), told[i+1:]...))
+	}
+}
+
+// fewEntries tell their load by replica; each of many only by service.
+const fewEntries = 16
+
+func loadOf(b *Balancer, entries int) PeerLoad {
+	if entries > fewEntries {
+		return PeerLoad{Services: b.OwnByService(), Reading: b.Reading()}
+	}
+	return PeerLoad{Endpoints: b.Own(), Reading: b.Reading()}
 }
 
 // The load: a long prompt takes an engine for longer than the objective of the
 // others, and other entries know of it only later.
 func TestLongPromptsDontDelayTheOthers(t *testing.T) {
 	var with, without []time.Duration
-	synctest.Test(t, func(t *testing.T) { without = play(t, false) })
-	synctest.Test(t, func(t *testing.T) { with = play(t, true) })
-	late := func(times []time.Duration) float64 {
-		i, _ := slices.BinarySearch(times, 300*time.Millisecond)
-		return float64(len(times)-i) / float64(len(times))
-	}
+	synctest.Test(t, func(t *testing.T) { without, _ = play(t, false, false, fewPlayed) })
+	synctest.Test(t, func(t *testing.T) { with, _ = play(t, true, false, fewPlayed) })
 	t.Logf("short prompts later than 300 ms: %.3f with the split, %.3f without", late(with), late(without))
 	qt.Assert(t, late(with) < late(without)/2, qt.IsTrue)
 }
@@ -287,9 +337,6 @@
 	next, look int
 }
 
-// fewEntries tell their load by replica.
-const fewEntries = 16
-
 func newCrowd(entries int, period time.Duration) *crowd {
 	c := &crowd{period: period, began: time.Now(), told: make([]PeerLoad, entries), at: make([]time.Time, entries)}
 	set := replicas(serviceReplicas)
@@ -299,20 +346,11 @@
 	return c
 }
 
-// loadOf returns what an entry tells of its load: one of many tells no more than
-// that by service.
-func (c *crowd) loadOf(b *Balancer) PeerLoad {
-	if len(c.balancers) > fewEntries {
-		return PeerLoad{Services: b.OwnByService()}
-	}
-	return PeerLoad{Endpoints: b.Own()}
-}
-
 // tell lets entries tell and take in what is due by now.
 func (c *crowd) tell() {
 	for n := len(c.balancers); time.Since(c.began) > time.Duration(c.next)*c.period/time.Duration(n); c.next++ {
 		i := c.next % n
-		c.told[i], c.at[i] = c.loadOf(c.balancers[i]), time.Now()
+		c.told[i], c.at[i] = loadOf(c.balancers[i], n), time.Now()
 	}
 	for ; time.Since(c.began) > time.Duration(c.look)*serviceLooks; c.look++ {
 		for i := range c.told {
--- a/gateway/balance/eject.go
+++ b/gateway/balance/eject.go
@@ -122,7 +122,7 @@
 		st.ejected = out[r.ID]
 		log := b.opt.Log.WithFields(logrus.Fields{
 			"replica": r.ID, "born": r.Born, "service": r.Service,
-			"failed_part": round(st.failures.rate(now)), "service_mean": round(mean),
+			"failed_part": thousandths(st.failures.rate(now)), "service_mean": thousandths(mean),
 			"failures_in_a_row": st.failures.row,
 		})
 		if st.ejected {
@@ -132,6 +132,3 @@
 		}
 	}
 }
-
-// round returns a part with three digits, for log lines.
-func round(part float64) float64 { return math.Round(part*1000) / 1000 }
--- a/gateway/balance/peers.go
+++ b/gateway/balance/peers.go
@@ -26,6 +26,8 @@
 	Endpoints map[string]peer.EndpointLoad
 	// Services is by service, where it isn't known by replica.
 	Services map[string]peer.EndpointLoad
+	// Reading is what the entry has engines read, by service.
+	Reading map[string]peer.Reading
 }
 
 // othersLoad is the load that the other entries are expected to put on a
@@ -82,7 +84,12 @@
 	defer b.mu.Unlock()
 	expected := make(map[string]othersLoad)
 	unknown := make(map[string]othersLoad)
+	reading := make(map[string]peer.Reading)
 	for _, l := range loads {
+		for service, r := range l.Reading {
+			sum := reading[service]
+			reading[service] = peer.Reading{All: sum.All + r.All, Long: sum.Long + r.Long}
+		}
 		for service, load := range l.Services {
 			sum := unknown[service]
 			sum.add(othersLoad{float64(load.InFlight), float64(load.Tokens)}, 1)
@@ -110,7 +117,7 @@
 			expected[r.ID] = sum
 		}
 	}
-	b.others = expected
+	b.others, b.reading = expected, reading
 }
 
 // divideLocked divides an old load into what is still expected there and what
--- /dev/null
+++ b/gateway/balance/shared.go
@@ -0,0 +1,79 @@
+package balance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/keeper"
+)
+
+// placeTimeout bounds the call to the entry that places long prompts: a small
+// part of the time that one takes to be read. One way between two failure
+// domains takes a millisecond or two.
+const placeTimeout = 60 * time.Millisecond
+
+// Peers reaches the entry that places long prompts.
+type Peers interface {
+	// Members returns the IDs of the members that are heard now, this one
+	// included.
+	Members() []string
+	// Place has a peer place a long prompt, as Balancer.Place does.
+	Place(ctx context.Context, peer string, q Query) (Placement, error)
+}
+
+// Shared is a Balancer that has the long prompts of each service placed by one
+// entry for all. It is safe for concurrent use.
+type Shared struct {
+	*Balancer
+	self    string
+	peers   Peers
+	keepers *keeper.Keepers
+}
+
+// NewShared returns the choice of replicas over all entries, for the entry named
+// self.
+func NewShared(b *Balancer, self string, peers Peers, log *logrus.Entry) *Shared {
+	return &Shared{Balancer: b, self: self, peers: peers, keepers: keeper.New(time.Now, peers.Members, log)}
+}
+
+// ChooseShared returns the replica for a request, or ErrNone. Where the entry
+// that places long prompts can't be asked, this one chooses.
+func (s *Shared) ChooseShared(ctx context.Context, q Query) (Choice, error) {
+	local, err := s.Choose(q)
+	if err != nil || !s.Long(q, local) {
+		return local, err
+	}
+	id := s.keepers.Of("place/" + q.Service)
+	p, err := s.place(ctx, id, q)
+	if err != nil {
+		return local, nil // why is logged, and the choice is good enough
+	}
+	c, usable := s.Placed(q, p, local)
+	if !usable {
+		return local, nil
+	}
+	c.PlacedBy = id
+	return c, nil
+}
+
+// errNotAsked says that the entry that places long prompts is left alone.
+var errNotAsked = errors.New("entry was silent just now")
+
+func (s *Shared) place(ctx context.Context, id string, q Query) (Placement, error) {
+	if id == s.self {
+		return s.Place(q)
+	}
+	if !s.keepers.Askable(id) {
+		return Placement{}, errNotAsked
+	}
+	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	p, err := s.peers.Place(callCtx, id, q)
+	if err != nil && !errors.Is(err, ErrNone) && ctx.Err() == nil {
+		s.keepers.FellSilent(id, err)
+	}
+	return p, err
+}
--- a/gateway/balance/split.go
+++ b/gateway/balance/split.go
@@ -10,6 +10,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	meter "github.com/coltsfootcleat/coltsfootcleat/internal/rate"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 // The split answers loads where few prompts are so long that an engine reads
@@ -43,12 +44,30 @@
 	long, all meter.Meter
 }
 
-func (m *mix) share(now time.Time) float64 {
-	all := m.all.Rate(now)
+// Reading returns what this entry has engines read, by service.
+func (b *Balancer) Reading() map[string]peer.Reading {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	out := make(map[string]peer.Reading, len(b.mixes))
+	for service, m := range b.mixes {
+		out[service] = peer.Reading{All: thousandths(m.all.Rate(now)), Long: thousandths(m.long.Rate(now))}
+	}
+	return out
+}
+
+// thousandths keeps digests small.
+func thousandths(v float64) float64 { return math.Round(v*1000) / 1000 }
+
+// longShareLocked returns the part of a service's work that long prompts are,
+// over all entries: one of many sees too few of them.
+func (b *Balancer) longShareLocked(service string, now time.Time) float64 {
+	m, others := b.mixLocked(service), b.reading[service]
+	all := m.all.Rate(now) + others.All
 	if all <= 0 {
 		return 0
 	}
-	return m.long.Rate(now) / all
+	return (m.long.Rate(now) + others.Long) / all
 }
 
 // isLong says whether a prompt of so many tokens to be read is long.
@@ -72,7 +91,7 @@
 // forLong returns the replicas that are meant for long prompts; nil where the
 // service isn't divided.
 func (b *Balancer) forLong(q Query, ready []*replica.Replica, now time.Time) map[string]bool {
-	share := b.mixLocked(q.Service).share(now)
+	share := b.longShareLocked(q.Service, now)
 	if q.Slots == 0 || q.Tightest <= 0 || len(ready) < leastSplit || share <= 0 {
 		return nil
 	}
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -13,6 +13,11 @@
 	remembered = 0.995
 	// leastMeasured is how many measurements a learned rate needs.
 	leastMeasured = 20
+	// assumedMeasurements is how many measurements of an empty prompt, and of one
+	// of assumedTokens, what is expected of an engine counts at first. The prompt
+	// is as long as those that the rate matters for.
+	assumedMeasurements = 5
+	assumedTokens       = 30_000
 	// leastBase and mostBase bound the learned time of an empty prompt, in
 	// seconds.
 	leastBase, mostBase = 0.005, 0.5
@@ -33,15 +38,24 @@
 	n, x, y, xx, xy float64
 }
 
+// newRate returns the rate expected of engines that nothing was measured of. It
+// counts as much as a few measurements: without them, short prompts that waited
+// for others make any slope.
+func newRate() *rate {
+	r := &rate{perSecond: firstRate, base: baseDelay.Seconds()}
+	for range assumedMeasurements {
+		for _, tokens := range []float64{0, assumedTokens} {
+			r.add(tokens, r.base+tokens/r.perSecond)
+		}
+	}
+	return r
+}
+
 // measured takes in a time to the first token.
 func (r *rate) measured(tokens, took float64) {
 	// One request that waited for something else must not turn the line.
 	took = min(took, 3*(r.base+tokens/r.perSecond)+r.base)
-	r.n = r.n*remembered + 1
-	r.x = r.x*remembered + tokens
-	r.y = r.y*remembered + took
-	r.xx = r.xx*remembered + tokens*tokens
-	r.xy = r.xy*remembered + tokens*took
+	r.add(tokens, took)
 	spread := r.n*r.xx - r.x*r.x
 	if r.n < leastMeasured || spread <= 0 {
 		return
@@ -52,10 +66,18 @@
 	r.base = min(max((r.y-slope*r.x)/r.n, leastBase), mostBase)
 }
 
+func (r *rate) add(tokens, took float64) {
+	r.n = r.n*remembered + 1
+	r.x = r.x*remembered + tokens
+	r.y = r.y*remembered + took
+	r.xx = r.xx*remembered + tokens*tokens
+	r.xy = r.xy*remembered + tokens*took
+}
+
 func (b *Balancer) rateLocked(service string) *rate {
 	r := b.rates[service]
 	if r == nil {
-		r = &rate{perSecond: firstRate, base: baseDelay.Seconds()}
+		r = newRate()
 		b.rates[service] = r
 	}
 	return r
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -87,7 +87,7 @@
 // goes on.
 func (x *exchange) attempt(ctx context.Context, lastEvent string) error {
 	q := x.query()
-	choice, err := x.h.Balancer.Choose(q)
+	choice, err := x.h.Balancer.ChooseShared(ctx, q)
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q: %w", x.service, err).WithRetryAfter(retryNone)
 	}
@@ -195,6 +195,9 @@
 	if c.FirstToken > 0 {
 		f["predicted_ms"], f["cached"], f["prompt"], f["ahead"] = c.FirstToken.Milliseconds(), c.CachedTokens, x.req.PromptTokens, c.Ahead
 	}
+	if c.PlacedBy != "" {
+		f["placed_by"] = c.PlacedBy
+	}
 	if c.RunnerUp != nil {
 		f["runner_up"] = c.RunnerUp.ID
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -63,6 +63,9 @@
 func (alone) Take(context.Context, string, string, float64, time.Duration) (rate.Grant, error) {
 	return rate.Grant{Taken: true}, nil
 }
+func (alone) Place(context.Context, string, balance.Query) (balance.Placement, error) {
+	return balance.Placement{}, balance.ErrNone
+}
 
 type recorder struct{}
 
@@ -104,7 +107,7 @@
 		Dialect: dialect{}, Config: w.config,
 		ConfigAge:   func() (time.Duration, bool) { return w.age, true },
 		RegistryAge: func() (time.Duration, bool) { return 0, true },
-		Balancer:    balance.New(w.set, balance.Options{FailureDomain: "d", Seed: 1, Log: nolog.Or(nil)}), Pool: pool,
+		Balancer:    balance.NewShared(balance.New(w.set, balance.Options{FailureDomain: "d", Seed: 1, Log: nolog.Or(nil)}), "e", alone{}, nolog.Or(nil)), Pool: pool,
 		Limiter: quota.NewShared(limiter, "e", alone{}, nolog.Or(nil)),
 		Retries: quota.NewRetries(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
 		Usage:   usage.NewMeter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -59,7 +59,7 @@
 	// be complete, and false before the first read.
 	ConfigAge   func() (time.Duration, bool)
 	RegistryAge func() (time.Duration, bool)
-	Balancer    *balance.Balancer
+	Balancer    *balance.Shared
 	Pool        *upstream.Pool
 	Limiter     *quota.Shared
 	Retries     *quota.Retries
--- a/gateway/quota/shared.go
+++ b/gateway/quota/shared.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/keeper"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 )
 
@@ -17,8 +17,6 @@
 	// failure domains takes a millisecond or two, and a host with a fifth of a
 	// processor some more.
 	askTimeout = 120 * time.Millisecond
-	// askPause is how long a keeper that did not answer is not asked again.
-	askPause = time.Second
 	// fallBackGap is how long an entry's own part must not have been used for
 	// its next use to be a new start.
 	fallBackGap = 500 * time.Millisecond
@@ -42,35 +40,23 @@
 // concurrent use.
 type Shared struct {
 	*Limiter
-	self  string
-	peers Peers
-	log   *logrus.Entry
+	self    string
+	peers   Peers
+	keepers *keeper.Keepers
 
 	mu sync.Mutex
-	// silent is until when a keeper is not asked.
-	silent map[string]time.Time
 	// fellBack is when the own part of a customer's limit was last used.
 	fellBack map[string]time.Time
 }
 
 // NewShared returns the limits over all entries, for the entry named self.
 func NewShared(l *Limiter, self string, peers Peers, log *logrus.Entry) *Shared {
-	s := &Shared{Limiter: l, self: self, peers: peers, log: log, silent: make(map[string]time.Time), fellBack: make(map[string]time.Time)}
-	l.SetKeeper(func(customer string) bool { return s.keeper(customer) == self })
+	s := &Shared{Limiter: l, self: self, peers: peers, fellBack: make(map[string]time.Time)}
+	s.keepers = keeper.New(func() time.Time { return l.now() }, peers.Members, log)
+	l.SetKeeper(func(customer string) bool { return s.keepers.Of(customer) == self })
 	return s
 }
 
-// keeper returns the member that keeps a customer's limit.
-func (s *Shared) keeper(customer string) string {
-	best, highest := "", uint64(0)
-	for _, id := range s.peers.Members() {
-		if h := xxhash.Sum64String(customer + "/" + id); best == "" || h > highest {
-			best, highest = id, h
-		}
-	}
-	return best
-}
-
 // Taken says what became of taking units of a limit.
 type Taken struct {
 	rate.Grant
@@ -87,22 +73,22 @@
 	if !s.Limited(customer, units) {
 		return Taken{Grant: rate.Grant{Taken: true}}
 	}
-	keeper := s.keeper(customer)
-	if keeper == s.self {
+	id := s.keepers.Of(customer)
+	if id == s.self {
 		if g, kept := s.TakeWhole(customer, units, within); kept {
-			return Taken{Grant: g, Keeper: keeper}
+			return Taken{Grant: g, Keeper: id}
 		}
-	} else if s.askable(keeper) {
+	} else if s.keepers.Askable(id) {
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
-		g, err := s.peers.Take(ctx, keeper, customer, units, within)
+		g, err := s.peers.Take(ctx, id, customer, units, within)
 		switch {
 		case err == nil:
-			return Taken{Grant: g, Keeper: keeper}
+			return Taken{Grant: g, Keeper: id}
 		case errors.Is(err, ErrKeptElsewhere):
 			// Both will know the same members in a moment.
 		default:
-			s.fellSilent(keeper, err)
+			s.keepers.FellSilent(id, err)
 		}
 	}
 	s.fallBack(customer)
@@ -122,16 +108,3 @@
 		s.lowerPart(customer)
 	}
 }
-
-func (s *Shared) askable(keeper string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !time.Now().Before(s.silent[keeper])
-}
-
-func (s *Shared) fellSilent(keeper string, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent[keeper] = time.Now().Add(askPause)
-	s.log.WithError(err).WithField("member", keeper).Warn("quota: keeper of limits not reached, own part is used.")
-}
--- a/gateway/quota/shared_test.go
+++ b/gateway/quota/shared_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/keeper"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 )
@@ -78,6 +79,13 @@
 	l.SetConfiguration(c)
 }
 
+// askAgain lets entries forget which keepers did not answer them.
+func (r *room) askAgain(now func() time.Time) {
+	for id, e := range r.entries {
+		e.keepers = keeper.New(now, seat{r, id}.Members, nolog.Or(nil))
+	}
+}
+
 // tell lets entries that reach each other hear each other.
 func (r *room) tell() {
 	for _, id := range r.ids {
@@ -139,7 +147,7 @@
 	now := time.Unix(1000, 0)
 	tolerance := Tolerance{Part: 0.1, Units: 140_000}
 	r := newRoom(9, func() time.Time { return now }, tolerance)
-	keeper := r.entries["e0"].keeper("a")
+	keeper := r.entries["e0"].keepers.Of("a")
 	const step, steps, request = 20 * time.Millisecond, 400, 5_000.0
 	now = now.Add(20 * time.Second)
 	r.tell()
@@ -149,9 +157,7 @@
 		if i%50 == 0 {
 			r.cut[keeper] = i%100 == 50
 			r.tell()
-			for _, e := range r.entries {
-				clear(e.silent)
-			}
+			r.askAgain(func() time.Time { return now })
 		}
 		for j := range 9 {
 			if r.entries[r.ids[(i+j)%9]].TakeShared(context.Background(), "a", request, 0).Wait == 0 {
@@ -324,10 +330,8 @@
 		now = now.Add(step)
 		if i%12 == 0 {
 			r.tellDemand()
-			r.busy = map[string]bool{r.entries["e0"].keeper("a"): i >= calm}
-			for _, e := range r.entries {
-				clear(e.silent)
-			}
+			r.busy = map[string]bool{r.entries["e0"].keepers.Of("a"): i >= calm}
+			r.askAgain(func() time.Time { return now })
 		}
 		load := 0.4
 		if i >= calm {
--- a/peer/link.go
+++ b/peer/link.go
@@ -146,6 +146,12 @@
 		return l.handleTake(ctx, req)
 	case methodChanges:
 		return l.handleChanges(ctx, req)
+	case methodPlace:
+		var p PlaceRequest
+		if err := params(req, &p); err != nil {
+			return err
+		}
+		return l.conn.Reply(ctx, req.ID, l.mesh.o.Handlers.place(p))
 	case methodCounts:
 		return l.conn.Reply(ctx, req.ID, countsResult{Counts: l.mesh.o.Handlers.counts()})
 	default:
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -56,6 +56,8 @@
 	// Changes returns the changes of a feed that this entry follows, or
 	// follow.ErrLost. It may block.
 	Changes func(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error)
+	// Place places a long prompt for a peer.
+	Place func(PlaceRequest) PlaceResult
 	// Counts returns what this entry knows of the requests that began to run
 	// at any entry.
 	Counts func() []IncarnationCounts
@@ -223,6 +225,13 @@
 	}
 }
 
+// Place has a peer place a long prompt.
+func (m *Mesh) Place(ctx context.Context, peer string, p PlaceRequest) (PlaceResult, error) {
+	var result PlaceResult
+	err := m.callKept(ctx, peer, methodPlace, p, &result)
+	return result, err
+}
+
 // Counts asks a peer for what it knows of the requests that began to run at
 // any entry, also at incarnations that have ended.
 func (m *Mesh) Counts(ctx context.Context, peer string) ([]IncarnationCounts, error) {
@@ -473,6 +482,13 @@
 	return h.Changes(ctx, feed, after, wait)
 }
 
+func (h Handlers) place(p PlaceRequest) PlaceResult {
+	if h.Place == nil {
+		return PlaceResult{}
+	}
+	return h.Place(p)
+}
+
 func (h Handlers) counts() []IncarnationCounts {
 	if h.Counts == nil {
 		return nil
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -23,6 +23,7 @@
 	methodTake     = "take"
 	methodChanges  = "changes"
 	methodCounts   = "counts"
+	methodPlace    = "place"
 )
 
 // Demand is the demand of one customer at one entry.
@@ -72,6 +73,8 @@
 	// Services is the load by service, in place of Endpoints where digests are
 	// so long on their way that it has moved to others meanwhile.
 	Services map[string]EndpointLoad `json:"s,omitempty"`
+	// Reading is what the entry has engines read, by service.
+	Reading map[string]Reading `json:"r,omitempty"`
 	// Work is how many endpoints of each service the entry keeps busy.
 	Work map[string]float64 `json:"k,omitempty"`
 	// Started counts the requests that began to run, by window and customer.
@@ -86,6 +89,13 @@
 	Tokens int `json:"t,omitempty"`
 }
 
+// Reading is how many engines the prompts of one entry keep busy: all of them,
+// and the long ones among them.
+type Reading struct {
+	All  float64 `json:"a"`
+	Long float64 `json:"l"`
+}
+
 // hello opens a connection, in both directions.
 type hello struct {
 	Deployment string        `json:"deployment"`
@@ -243,6 +253,36 @@
 	Elsewhere bool `json:"e,omitempty"`
 }
 
+// PlaceRequest asks a peer to place a long prompt.
+type PlaceRequest struct {
+	Service string `json:"s"`
+	// Slots is how many requests an endpoint of the service runs.
+	Slots int `json:"n"`
+	// Parts are those that the prompt shares with others, their IDs as text:
+	// numbers in messages hold no 64 bits.
+	Parts        []PlacePart `json:"p,omitempty"`
+	PromptTokens int         `json:"t"`
+	// TightestMS is the tightest latency objective of the service's requests.
+	TightestMS int64 `json:"o"`
+	// Exclude are endpoints that had the request before.
+	Exclude []string `json:"x,omitempty"`
+}
+
+// PlacePart is a part of a prompt.
+type PlacePart struct {
+	ID     string `json:"i"`
+	Tokens int    `json:"t"`
+}
+
+// PlaceResult says where a long prompt goes.
+type PlaceResult struct {
+	// Endpoint is empty where there is none.
+	Endpoint     string `json:"e,omitempty"`
+	Born         int64  `json:"b,omitempty"`
+	CachedTokens int    `json:"c,omitempty"`
+	FirstTokenMS int64  `json:"f,omitempty"`
+}
+
 // changesParams asks for the changes of a feed after a version.
 type changesParams struct {
 	Feed   string `json:"f"`
