--- a/gateway/balance/shared.go
+++ b/gateway/balance/shared.go
@@ -36,7 +36,7 @@
 // NewShared returns the choice of replicas over all entries, for the entry named
 // self.
 func NewShared(b *Balancer, self string, peers Peers, log *logrus.Entry) *Shared {
-	return &Shared{Balancer: b, self: self, peers: peers, keepers: keeper.New(time.Now, peers.Members, log)}
+	return &Shared{Balancer: b, self: self, peers: peers, keepers: keeper.New(time.Now, peers.Members, log.WithField("decides", "placement"))}
 }
 
 // ChooseShared returns the replica for a request, or ErrNone. Where the entry
--- a/gateway/quota/shared.go
+++ b/gateway/quota/shared.go
@@ -52,7 +52,7 @@
 // NewShared returns the limits over all entries, for the entry named self.
 func NewShared(l *Limiter, self string, peers Peers, log *logrus.Entry) *Shared {
 	s := &Shared{Limiter: l, self: self, peers: peers, fellBack: make(map[string]time.Time)}
-	s.keepers = keeper.New(func() time.Time { return l.now() }, peers.Members, log)
+	s.keepers = keeper.New(func() time.Time { return l.now() }, peers.Members, log.WithField("decides", "limits"))
 	l.SetKeeper(func(customer string) bool { return s.keepers.Of(customer) == self })
 	return s
 }
--- a/peer/changes_test.go
+++ b/peer/changes_test.go
@@ -89,3 +89,19 @@
 		})
 	})
 }
+
+// IDs of parts and times of birth take 64 bits.
+func TestPlacementByAPeer(t *testing.T) {
+	inBubble(t, 2, func(cl *cluster) {
+		c, ctx := cl.c, context.Background()
+		q := peer.PlaceRequest{Service: "s", PromptTokens: 40_000, Parts: []peer.PlacePart{{ID: "fedcba9876543211", Tokens: 512}}}
+		cl.within(4*time.Second, "answer", func() bool {
+			r, err := cl.nodes[0].mesh.Place(ctx, cl.nodes[1].id, q)
+			if err != nil {
+				return false
+			}
+			c.Assert(r, qt.DeepEquals, peer.PlaceResult{Endpoint: "fedcba9876543211", Born: 1 << 60})
+			return true
+		})
+	})
+}
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -125,7 +125,10 @@
 			Handoff:         n.onHandoff,
 			Changes:         n.onChanges,
 			Counts:          func() []peer.IncarnationCounts { return someCounts },
-			Take:            takeForTest,
+			Place: func(p peer.PlaceRequest) peer.PlaceResult {
+				return peer.PlaceResult{Endpoint: p.Parts[0].ID, Born: 1 << 60}
+			},
+			Take: takeForTest,
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
