Don't take a silent reader of the registry for a quiet registry

Likely cause, from the code: an entry that reads the registry for others and whose call of the store gets no answer, while the connection lives, knows only after 10.5 s that it hears nothing. Until then it tells those that follow through it that there is no change. It is out of touch; they are not.

Change: a history of the registry that was told nothing for 1.5 s counts as lost; replicas write there every second or so, each of them. Who follows through it asks another reader then, or the store.

The new test in infra/follow fails without it.

--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -36,6 +36,10 @@
 	// sharedPause takes its place where few entries read for many: replicas
 	// come and go several times a second there.
 	sharedPause = 400 * time.Millisecond
+	// registryQuiet is how long the registry may tell nothing to its readers
+	// until those that follow through them look elsewhere: replicas write there
+	// every second or so, each of them.
+	registryQuiet = 1500 * time.Millisecond
 	// readersPerDomain is how many entries of a failure domain read the feeds
 	// for the others in it: one may fail.
 	readersPerDomain = 2
@@ -80,7 +84,7 @@
 	holder.OnChange(limiter.SetConfiguration)
 	rows := &registryRows{around: s, set: set, log: log}
 	f := &followers{source: source, registrar: r, histories: map[string]*follow.History{
-		configFeed: follow.NewHistory(), registryFeed: follow.NewHistory(),
+		configFeed: follow.NewHistory(0), registryFeed: follow.NewHistory(registryQuiet),
 	}}
 	f.config = follow.New(f.shared(configFeed, s.Config, log), source, f.options(configFeed, log))
 	o := f.options(registryFeed, log)
--- a/gateway/balance/split.go
+++ b/gateway/balance/split.go
@@ -56,7 +56,7 @@
 	return out
 }
 
-// thousandths keeps digests small.
+// thousandths rounds to three decimals, for digests and log lines.
 func thousandths(v float64) float64 { return math.Round(v*1000) / 1000 }
 
 // longShareLocked returns the part of a service's work that long prompts are,
--- a/infra/follow/follow_test.go
+++ b/infra/follow/follow_test.go
@@ -72,7 +72,7 @@
 
 func (s *story) Change(c infra.Change) { s.told = append(s.told, c.Key) }
 
-func run(t *testing.T, f *feed, o follow.Options) (*follow.Follower, *story) {
+func run(t *testing.T, f infra.Feed, o follow.Options) (*follow.Follower, *story) {
 	s := &story{}
 	o.Log = nolog.Or(nil)
 	follower := follow.New(f, s, o)
--- a/infra/follow/history.go
+++ b/infra/follow/history.go
@@ -22,6 +22,10 @@
 // histories of several processes and the feed itself at any time. It is safe
 // for concurrent use; a nil History keeps nothing.
 type History struct {
+	// quiet is how long the feed may tell nothing until it counts as lost; 0
+	// is for ever.
+	quiet time.Duration
+
 	mu      sync.Mutex
 	rows    map[string]infra.Row
 	changes []infra.Change
@@ -34,9 +38,11 @@
 }
 
 // NewHistory returns a History that is lost until a follower has read the
-// feed.
-func NewHistory() *History {
-	return &History{rows: make(map[string]infra.Row), lost: true, news: make(chan struct{})}
+// feed, and whenever the feed told nothing for longer than quiet: the call
+// that waits for it may have gone silent. A quiet of 0 is for feeds that have
+// nothing to tell for long.
+func NewHistory(quiet time.Duration) *History {
+	return &History{quiet: quiet, rows: make(map[string]infra.Row), lost: true, news: make(chan struct{})}
 }
 
 // replace takes in all rows as of a version. What differs from the rows
@@ -116,7 +122,7 @@
 // Since returns the changes after a version, as infra.Feed.Changes does. It
 // fails with ErrLost while the feed can't be read.
 func (h *History) Since(ctx context.Context, after uint64, wait time.Duration) (infra.Update, error) {
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(h.mostWait(wait))
 	defer timer.Stop()
 	for last := false; ; {
 		u, news, err := h.since(after)
@@ -133,10 +139,20 @@
 	}
 }
 
+// mostWait shortens a wait that would outlast the feed's quiet.
+func (h *History) mostWait(wait time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.quiet <= 0 {
+		return wait
+	}
+	return min(wait, max(0, h.quiet-time.Since(h.confirmed))+time.Millisecond)
+}
+
 func (h *History) since(after uint64) (infra.Update, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.lost {
+	if h.lost || h.quiet > 0 && time.Since(h.confirmed) > h.quiet {
 		return infra.Update{}, nil, ErrLost
 	}
 	if after < h.floor {
--- a/infra/follow/shared_test.go
+++ b/infra/follow/shared_test.go
@@ -18,8 +18,10 @@
 type pair struct {
 	feed   *feed
 	reader *follow.Follower
-	// mute makes the reader's process answer nobody.
+	// mute makes the reader's process answer nobody, hangs its calls of the
+	// feed get no answer.
 	mute  bool
+	hangs bool
 	asked int
 	// direct counts the calls of the follower that went to the feed itself.
 	direct   *counted
@@ -28,6 +30,20 @@
 	backs    int
 }
 
+// hanging is a feed whose calls get no answer for a while.
+type hanging struct {
+	*feed
+	hangs *bool
+}
+
+func (h *hanging) Changes(ctx context.Context, after uint64, wait time.Duration) (infra.Update, error) {
+	if *h.hangs {
+		<-ctx.Done()
+		return infra.Update{}, ctx.Err()
+	}
+	return h.feed.Changes(ctx, after, wait)
+}
+
 // counted counts the calls of a feed.
 type counted struct {
 	*feed
@@ -48,11 +64,14 @@
 	return c.feed.Changes(ctx, after, wait)
 }
 
-func newPair(t *testing.T) *pair {
+func newPair(t *testing.T) *pair { return newPairOf(t, 0) }
+
+// newPairOf returns a pair whose reader's history may be quiet for so long.
+func newPairOf(t *testing.T, quiet time.Duration) *pair {
 	p := &pair{feed: &feed{}}
 	p.feed.put("a")
-	history := follow.NewHistory()
-	p.reader, _ = run(t, p.feed, follow.Options{Wait: 9 * time.Second, History: history})
+	history := follow.NewHistory(quiet)
+	p.reader, _ = run(t, &hanging{feed: p.feed, hangs: &p.hangs}, follow.Options{Wait: 9 * time.Second, History: history})
 	p.direct = &counted{feed: p.feed}
 	shared := follow.NewShared(p.direct, follow.SharedOptions{
 		Name:    "test",
@@ -155,7 +174,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &feed{}
 		f.put("a")
-		history := follow.NewHistory()
+		history := follow.NewHistory(0)
 		_, err := history.Since(t.Context(), 0, time.Second)
 		qt.Assert(t, err, qt.ErrorIs, follow.ErrLost)
 		run(t, f, follow.Options{History: history})
@@ -173,3 +192,28 @@
 		qt.Assert(t, u.Changes, qt.HasLen, 1001)
 	})
 }
+
+// The service goes on answering the follower, and no longer its reader, whose
+// call waits in vain: silence must not be taken for there being no change.
+func TestFollowerDoesNotTrustAReaderThatHearsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const quiet = 1500 * time.Millisecond
+		p := newPairOf(t, quiet)
+		beat := func() {
+			for range 20 {
+				p.feed.put("beat")
+				time.Sleep(500 * time.Millisecond)
+			}
+		}
+		beat()
+		before := p.direct.calls
+		beat()
+		qt.Assert(t, p.direct.calls, qt.Equals, before)
+		p.hangs = true
+		p.feed.put("last before")
+		time.Sleep(100 * time.Millisecond)
+		p.feed.put("leaves")
+		time.Sleep(quiet + 500*time.Millisecond)
+		qt.Assert(t, p.told.told[len(p.told.told)-1], qt.Equals, "leaves")
+	})
+}
