Go on by the store where only the reader of a feed lost it

Cause, from the code; its log is being read: a follower whose reader lost the feed was told of it as of an outage of the store. For two seconds after an outage replicas that are missing are still used, since their entries may only have lapsed. Without an outage, a replica that left without a word is used for as long, beside the time in which the loss was noticed; three seconds are allowed.

Change: after any failure of a reader the store is asked, with the version reached, so that no change is missed. If it was away for all, that fails too.

The new test in infra/follow fails without it.

--- a/infra/follow/shared.go
+++ b/infra/follow/shared.go
@@ -67,11 +67,8 @@
 		return u, err
 	}
 	s.fails(peer, err)
-	if errors.Is(err, ErrLost) {
-		// What happened meanwhile isn't known, as after a failure of the
-		// service: the follower must learn of it.
-		return u, err
-	}
+	// If the service was away for all, and not for the peer alone, this fails as
+	// well, and the follower learns of it.
 	return s.Feed.Changes(ctx, after, max(leastWait, wait-time.Since(began)))
 }
 
--- a/infra/follow/shared_test.go
+++ b/infra/follow/shared_test.go
@@ -22,7 +22,9 @@
 	// feed get no answer.
 	mute  bool
 	hangs bool
-	asked int
+	// refused says that the service turns the reader away.
+	refused bool
+	asked   int
 	// direct counts the calls of the follower that went to the feed itself.
 	direct   *counted
 	follower *follow.Follower
@@ -33,10 +35,13 @@
 // hanging is a feed whose calls get no answer for a while.
 type hanging struct {
 	*feed
-	hangs *bool
+	hangs, refused *bool
 }
 
 func (h *hanging) Changes(ctx context.Context, after uint64, wait time.Duration) (infra.Update, error) {
+	if *h.refused {
+		return infra.Update{}, errors.New("turned away")
+	}
 	if *h.hangs {
 		<-ctx.Done()
 		return infra.Update{}, ctx.Err()
@@ -71,7 +76,7 @@
 	p := &pair{feed: &feed{}}
 	p.feed.put("a")
 	history := follow.NewHistory(quiet)
-	p.reader, _ = run(t, &hanging{feed: p.feed, hangs: &p.hangs}, follow.Options{Wait: 9 * time.Second, History: history})
+	p.reader, _ = run(t, &hanging{feed: p.feed, hangs: &p.hangs, refused: &p.refused}, follow.Options{Wait: 9 * time.Second, History: history})
 	p.direct = &counted{feed: p.feed}
 	shared := follow.NewShared(p.direct, follow.SharedOptions{
 		Name:    "test",
@@ -217,3 +222,18 @@
 		qt.Assert(t, p.told.told[len(p.told.told)-1], qt.Equals, "leaves")
 	})
 }
+
+// A reader that lost the feed while the service answers the follower is no
+// outage of the service: what the service removed is gone at once.
+func TestReaderThatLostTheFeedIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		p.refused = true
+		p.feed.put("wakes the reader")
+		time.Sleep(2 * time.Second)
+		p.feed.put("gone")
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, p.told.told[len(p.told.told)-1], qt.Equals, "gone")
+		qt.Assert(t, p.backs, qt.Equals, 0)
+	})
+}
