Work out what an engine costs a request in one place

Choosing a replica and placing a long prompt had the same five lines for pace, cold starts, failures and shared parts that are read anew.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -266,17 +266,25 @@
 	if full := inFlight + 1 - slots; full > 0 {
 		predicted += full / slots * meanRun.Seconds()
 	}
+	firstToken, cost := b.engineCostLocked(q, r, predicted, c.CachedTokens, now)
+	c.FirstToken = firstToken
+	if r.FailureDomain != b.opt.FailureDomain {
+		cost += otherDomain.Seconds()
+	}
+	return c, cost
+}
+
+// engineCostLocked returns the time to the first token that is predicted for an
+// engine, given that of one of normal pace in seconds, and its cost in seconds.
+func (b *Balancer) engineCostLocked(q Query, r *replica.Replica, predicted float64, cached int, now time.Time) (time.Duration, float64) {
+	st := b.stateLocked(r)
 	predicted *= st.pace
 	if r.Cold > now.Sub(r.Seen) {
 		predicted *= coldFactor
 	}
-	c.FirstToken = time.Duration(predicted * float64(time.Second))
 	cost := predicted*(1+failureCost*st.failures.rate(now)) + engineJitter.Seconds()*b.random.Float64()
-	cost += affinity * float64(max(0, q.shared()-c.CachedTokens)) / speed.perSecond
-	if r.FailureDomain != b.opt.FailureDomain {
-		cost += otherDomain.Seconds()
-	}
-	return c, cost
+	cost += affinity * float64(max(0, q.shared()-cached)) / b.rateLocked(q.Service).perSecond
+	return time.Duration(predicted * float64(time.Second)), cost
 }
 
 func (b *Balancer) stateLocked(r *replica.Replica) *state {
--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -63,19 +63,12 @@
 // placementLocked returns what a replica is expected to do with a long prompt,
 // and its cost in seconds.
 func (b *Balancer) placementLocked(q Query, r *replica.Replica, ready []*replica.Replica, now time.Time) (Placement, float64) {
-	st := b.stateLocked(r)
 	speed := b.rateLocked(q.Service)
 	cached := b.cachedLocked(q, r, ready, now)
 	wait := max(0, b.reserved[r.ID].Sub(now).Seconds())
 	read := float64(max(0, q.PromptTokens-cached)) / speed.perSecond
-	predicted := (wait + read + speed.base) * st.pace
-	if r.Cold > now.Sub(r.Seen) {
-		predicted *= coldFactor
-	}
-	cost := predicted*(1+failureCost*st.failures.rate(now)) + engineJitter.Seconds()*b.random.Float64()
-	cost += affinity * float64(max(0, q.shared()-cached)) / speed.perSecond
-	p := Placement{Replica: r.ID, Born: r.Born, CachedTokens: cached, FirstToken: time.Duration(predicted * float64(time.Second))}
-	return p, cost
+	firstToken, cost := b.engineCostLocked(q, r, wait+read+speed.base, cached, now)
+	return Placement{Replica: r.ID, Born: r.Born, CachedTokens: cached, FirstToken: firstToken}, cost
 }
 
 // reserveLocked takes the time that reading the prompt takes.
