--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -26,10 +26,13 @@
 	callSlack = 1500 * time.Millisecond
 	// snapshotTimeout bounds one snapshot.
 	snapshotTimeout = 2 * time.Second
-	// minBackoff and maxBackoff bound the delay before a retry. maxBackoff is
-	// short compared to the time within which a change must be in force.
+	// minBackoff is the mean delay before the first retry, and maxBackoff the
+	// longest delay, jitter included. Readers deny requests by the age of the
+	// copy, which must be known within a second of the end of an outage.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 700 * time.Millisecond
+	// backoffJitter is the largest deviation of a delay, as a share of its mean.
+	backoffJitter = 0.25
 )
 
 // Handler receives the rows and changes that a Follower reads. Its methods are
@@ -126,7 +129,8 @@
 
 func newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = minBackoff, maxBackoff
+	b.InitialInterval, b.RandomizationFactor = minBackoff, backoffJitter
+	b.MaxInterval = time.Duration(float64(maxBackoff) / (1 + backoffJitter))
 	return b
 }
 
