--- a/app/gateway.go
+++ b/app/gateway.go
@@ -163,7 +163,8 @@
 func newGatewayRegistry(table infra.Table, s gateway.Settings, i Incarnation, log *logrus.Entry) *member.Registry {
 	return member.New(table, member.Options{
 		ID: s.ID, Incarnation: string(i), Addr: s.Listen.Peers,
-		FailureDomain: s.FailureDomain, Region: s.Region, Log: log,
+		FailureDomain: s.FailureDomain, Region: s.Region,
+		UpdatePeriod: gatewayUpdatePeriod, Log: log,
 	})
 }
 
@@ -224,8 +225,10 @@
 
 func newLeaderLease(lc fx.Lifecycle, l *Loops, table infra.Table, r *member.Registry, s gateway.Settings, i Incarnation, log *logrus.Entry) *lease.Lease {
 	leaderLease := lease.New(table, lease.Options{
-		Candidate: func() bool { return isLeaderCandidate(s.ID, r.Live()) },
-		Name:      leaderLeaseName, Owner: s.ID, Incarnation: string(i),
+		// Before the members are known, every entry would be a candidate.
+		Candidate:  func() bool { return r.IsSettled() && isLeaderCandidate(s.ID, r.Live()) },
+		Contenders: r.Count,
+		Name:       leaderLeaseName, Owner: s.ID, Incarnation: string(i),
 		Duration: s.LeaseLength + s.LeaseLength/3, Log: log,
 	})
 	l.Go(lc, leaderLease.Run)
--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -40,10 +40,17 @@
 	// in deployments of that size, replicas register and drain several times a
 	// second.
 	sharedFeedPause = 400 * time.Millisecond
-	// registryIdleTimeout is how long the registry feed may deliver nothing to
+	// registryReaderWait is how long a call of an entry that reads the registry
+	// for others waits for changes. Replicas write to the registry only when
+	// they change, so most calls return without one.
+	registryReaderWait = 1200 * time.Millisecond
+	// registryIdleTimeout is how long the registry feed may confirm nothing to
 	// its readers before the entries that follow through them change to another
-	// source. Each replica writes to the registry about once a second.
-	registryIdleTimeout = 1500 * time.Millisecond
+	// source. It is longer than sharedFeedPause and registryReaderWait together.
+	registryIdleTimeout = 2 * time.Second
+	// startPause is the minimum pause between two reads of a feed until the
+	// members are known: the entry may be one of hundreds that read directly.
+	startPause = 600 * time.Millisecond
 	// readersPerDomain is the number of entries of a failure domain that read
 	// the feeds for the others in it, so that one of them may fail.
 	readersPerDomain = 2
@@ -92,10 +99,10 @@
 	f := &followers{source: source, members: r, histories: map[string]*follow.History{
 		configFeed: follow.NewHistory(0), registryFeed: follow.NewHistory(registryIdleTimeout),
 	}}
-	f.config = follow.New(f.sharedFeed(configFeed, deps.Config, log), source, f.options(configFeed, log))
+	f.config = follow.New(f.sharedFeed(configFeed, deps.Config, feedWait, log), source, f.options(configFeed, log))
 	o := f.options(registryFeed, log)
 	o.OnRecovered = set.RegistryRecovered
-	f.registry = follow.New(f.sharedFeed(registryFeed, deps.Registry, log), rows, o)
+	f.registry = follow.New(f.sharedFeed(registryFeed, deps.Registry, registryReaderWait, log), rows, o)
 	return f
 }
 
@@ -103,20 +110,31 @@
 	return follow.Options{
 		Name: feed, Wait: feedWait, StartJitter: feedJitter, History: f.histories[feed], Log: log,
 		Pause: func() time.Duration {
-			members := f.members.Members()
-			if len(members) > maxDirectReaders {
+			members := f.members.Count()
+			switch {
+			case members > maxDirectReaders:
 				return sharedFeedPause
+			case !f.members.IsSettled():
+				return startPause
+			default:
+				return time.Duration(members) * pausePerReader
 			}
-			return time.Duration(len(members)) * pausePerReader
 		},
 	}
 }
 
 // sharedFeed returns a feed that reads changes through the peers that are
-// readers for this entry, or from direct if there are none.
-func (f *followers) sharedFeed(feed string, direct infra.Feed, log *logrus.Entry) infra.Feed {
+// readers for this entry, or from direct if there are none. An entry that reads
+// for others waits for changes for at most readerWait.
+func (f *followers) sharedFeed(feed string, direct infra.Feed, readerWait time.Duration, log *logrus.Entry) infra.Feed {
 	return follow.NewShared(direct, follow.SharedOptions{
-		Name:    feed,
+		Name: feed,
+		ReaderWait: func() time.Duration {
+			if f.members.Count() <= maxDirectReaders {
+				return feedWait
+			}
+			return readerWait
+		},
 		Readers: func() []string { return readersFor(f.members.Self(), f.members.Members()) },
 		ChangesFrom: func(ctx context.Context, id string, after uint64, wait time.Duration) (infra.Update, error) {
 			return f.mesh.Changes(ctx, id, feed, after, wait)
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -31,6 +31,10 @@
 	// deployment publishes its state and divides limits anew. Limits may be
 	// exceeded by the demand that shifts between entries in the meantime.
 	gatewayStatePeriod = 250 * time.Millisecond
+	// maxUnscaledMembers is the largest number of members that publish their
+	// states every gatewayStatePeriod. Beyond it the interval grows with their
+	// number, so that the total rate of updates stays bounded.
+	maxUnscaledMembers = 8
 	// maxLoadAge is the age up to which the load of a peer counts.
 	maxLoadAge = 4 * time.Second
 	// ownerHorizon is the maximum age, in update periods, of the last state
@@ -138,6 +142,12 @@
 	return out
 }
 
+// gatewayUpdatePeriod returns the interval at which an entry publishes its
+// state, by the number of members.
+func gatewayUpdatePeriod(members int) time.Duration {
+	return gatewayStatePeriod * time.Duration(max(members, maxUnscaledMembers)) / maxUnscaledMembers
+}
+
 type gatewayMeshDeps struct {
 	fx.In
 
@@ -165,7 +175,7 @@
 	var m *peer.Mesh
 	m = peer.New(peer.Options{
 		Deployment: gatewayDeployment, Registry: d.Registry, Notices: d.Notices,
-		Listener: l, Dial: d.Network.Dial, Log: d.Log, UpdatePeriod: gatewayStatePeriod,
+		Listener: l, Dial: d.Network.Dial, Log: d.Log,
 		Handlers: peer.Handlers{
 			EntryState: d.View.receive,
 			Counts:     d.View.counts,
--- a/infra/follow/shared.go
+++ b/infra/follow/shared.go
@@ -33,7 +33,11 @@
 	Readers func() []string
 	// ChangesFrom returns the changes that History.Since returns at a peer.
 	ChangesFrom func(ctx context.Context, peer string, after uint64, wait time.Duration) (infra.Update, error)
-	Log         *logrus.Entry
+	// ReaderWait bounds the wait of a direct call while this process has no
+	// readers, which it may then be for others: they take the feed for
+	// unavailable if it confirms nothing for longer. Nil means no bound.
+	ReaderWait func() time.Duration
+	Log        *logrus.Entry
 }
 
 // Shared is an infra.Feed that reads changes through peers, so that the load
@@ -57,7 +61,11 @@
 
 // Changes implements infra.Feed.
 func (s *Shared) Changes(ctx context.Context, after uint64, wait time.Duration) (infra.Update, error) {
-	peer, ok := s.availablePeer()
+	readers := s.opt.Readers()
+	if len(readers) == 0 && s.opt.ReaderWait != nil {
+		wait = min(wait, s.opt.ReaderWait())
+	}
+	peer, ok := s.firstAvailable(readers)
 	if !ok {
 		return s.Feed.Changes(ctx, after, wait)
 	}
@@ -81,12 +89,12 @@
 	return s.opt.ChangesFrom(ctx, peer, after, wait)
 }
 
-// availablePeer returns the first reader that is not backed off.
-func (s *Shared) availablePeer() (string, bool) {
+// firstAvailable returns the first reader that is not backed off.
+func (s *Shared) firstAvailable(readers []string) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for _, id := range s.opt.Readers() {
+	for _, id := range readers {
 		if now.After(s.backedOffUntil[id]) {
 			delete(s.backedOffUntil, id)
 			return id, true
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -24,6 +24,9 @@
 	// nonCandidateBackoff is the factor by which the delay between two reads of
 	// the row is longer for a contender that is not a candidate.
 	nonCandidateBackoff = 8
+	// maxNonCandidateReads bounds the reads per second of all contenders that
+	// are not candidates.
+	maxNonCandidateReads = 2
 )
 
 // Options configure a Lease. A Duration, Margin, TableTimeout or Log that is
@@ -47,6 +50,9 @@
 	// means that it always does. Processes that are not candidates read the row
 	// rarely, which limits the table calls of many contenders.
 	Candidate func() bool
+	// Contenders returns the number of contenders, which bounds the rate at
+	// which those that are not candidates read the row. It may be nil.
+	Contenders func() int
 	// TableTimeout bounds each call to the table.
 	TableTimeout time.Duration
 	Log          *logrus.Entry
@@ -83,8 +89,13 @@
 	// highestFence is the highest fencing token seen in the row.
 	highestFence uint64
 
-	// observed is used only by the goroutine of Run.
+	// The fields below are used only by the goroutine of Run.
+
 	observed observedRow
+	// lastStep is the time of the last step, and idleJitter the random part of
+	// the delay after it while this process is not a candidate, in [0, 1).
+	lastStep   time.Time
+	idleJitter float64
 }
 
 // hold is the state of a lease that this process holds or has held. A fence of
@@ -113,6 +124,8 @@
 		log:      options.Log,
 		rowKey:   "lease/" + options.Name,
 		released: make(chan struct{}),
+
+		idleJitter: rand.Float64(),
 	}
 }
 
@@ -120,8 +133,12 @@
 // called, and then releases it. It logs failures and retries.
 func (l *Lease) Run(ctx context.Context) {
 	ctx = infra.WithPriority(ctx, infra.PriorityLease)
+	l.lastStep = time.Now()
 	for {
-		l.step(ctx)
+		if l.due() {
+			l.step(ctx)
+			l.lastStep, l.idleJitter = time.Now(), rand.Float64()
+		}
 		if !l.waitForNextStep(ctx) {
 			l.releaseRow(ctx)
 			return
@@ -188,9 +205,6 @@
 func (l *Lease) waitForNextStep(ctx context.Context) bool {
 	delay := l.opt.Duration / renewalsPerLease
 	delay -= rand.N(delay/renewalsPerLease + 1)
-	if _, held := l.Held(); !held && l.opt.Candidate != nil && !l.opt.Candidate() {
-		delay *= nonCandidateBackoff
-	}
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -203,6 +217,27 @@
 	}
 }
 
+// due reports whether the next step is due. A process that becomes a candidate
+// does not wait for the end of its idle delay.
+func (l *Lease) due() bool {
+	if l.opt.Candidate == nil || l.opt.Candidate() {
+		return true
+	}
+	_, held := l.Held()
+	return held || time.Since(l.lastStep) >= l.nonCandidateDelay()
+}
+
+// nonCandidateDelay returns the delay between two reads of the row by a
+// contender that is not a candidate.
+func (l *Lease) nonCandidateDelay() time.Duration {
+	delay := l.opt.Duration / renewalsPerLease * nonCandidateBackoff
+	if l.opt.Contenders == nil {
+		return delay
+	}
+	mean := float64(l.opt.Contenders()) / maxNonCandidateReads
+	return max(delay, time.Duration((0.5+l.idleJitter)*mean*float64(time.Second)))
+}
+
 // clearHold marks the lease as not held and returns the previous state.
 func (l *Lease) clearHold() hold {
 	l.mu.Lock()
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -295,3 +296,46 @@
 		cs.table.SetFaults(standin.TableFaults{})
 	}
 }
+
+// TestManyContendersReadRarely guards against reads of the row that grow with
+// the number of contenders, and checks that a contender that becomes a
+// candidate takes over from a failed holder without waiting for its next read.
+func TestManyContendersReadRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const contenders, seconds = 100, 60
+		table := standin.NewTable(1)
+		defer table.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		var candidate, known atomic.Int64
+		leases := make([]*Lease, contenders)
+		gates := make([]*standin.Gate, contenders)
+		known.Store(1)
+		for i := range leases {
+			gates[i] = standin.NewGate(table)
+			leases[i] = New(gates[i], Options{
+				Name: "placement", Owner: fmt.Sprintf("e%d", i), Incarnation: "1", Duration: testDuration, Margin: testMargin,
+				Candidate:  func() bool { return candidate.Load() == int64(i) },
+				Contenders: func() int { return int(known.Load()) },
+			})
+			running.Go(func() { leases[i].Run(ctx) })
+		}
+		time.Sleep(2 * time.Second)
+		known.Store(contenders)
+		time.Sleep(maxTakeoverTime)
+		_, held := leases[0].Held()
+		qt.Assert(t, held, qt.IsTrue)
+		before := table.Counts()
+		time.Sleep(seconds * time.Second)
+		reads := float64(table.Counts().Reads-before.Reads) / seconds
+		qt.Check(t, reads <= 1.5*maxNonCandidateReads, qt.IsTrue, qt.Commentf("%.1f reads a second", reads))
+		gates[0].Pause()
+		defer gates[0].Resume()
+		candidate.Store(1)
+		time.Sleep(maxTakeoverTime)
+		_, held = leases[1].Held()
+		qt.Check(t, held, qt.IsTrue)
+	})
+}
--- a/member/member.go
+++ b/member/member.go
@@ -38,19 +38,27 @@
 	State         State  `json:"state"`
 }
 
-// Options configure a Registry. All but Log describe this entry's own member.
+// Options configure a Registry. All but UpdatePeriod and Log describe this
+// entry's own member.
 type Options struct {
 	ID            string
 	Incarnation   string
 	Addr          string
 	FailureDomain string
 	Region        string
-	Log           *logrus.Entry
+	// UpdatePeriod returns the time between two state updates of an entry, by
+	// the number of members. If it is set, peers exchange updates often enough
+	// to prove that members are alive, and heartbeats only keep the rows from
+	// becoming stale. Nil means the package's UpdatePeriod, and that heartbeats
+	// count as well.
+	UpdatePeriod func(members int) time.Duration
+	Log          *logrus.Entry
 }
 
 // Registry holds this entry's own member and the state of all others. It is
 // safe for concurrent use, including with Run.
 type Registry struct {
+	opt   Options
 	table infra.Table
 	log   *logrus.Entry
 
@@ -65,6 +73,10 @@
 	isReplaced   bool
 	joined       chan struct{}
 	scanned      chan struct{}
+	settled      chan struct{}
+	// rejoined is set if the table held a row of an earlier incarnation of this
+	// entry at its start.
+	rejoined bool
 
 	// lastScan is the time at which the last successful scan began. Only the
 	// goroutine that scans uses it.
@@ -86,6 +98,7 @@
 // called or a member is merged.
 func New(table infra.Table, o Options) *Registry {
 	return &Registry{
+		opt:   o,
 		table: table,
 		log:   o.Log,
 		self: Member{
@@ -100,6 +113,7 @@
 		replaced: make(chan struct{}),
 		joined:   make(chan struct{}),
 		scanned:  make(chan struct{}),
+		settled:  make(chan struct{}),
 	}
 }
 
@@ -119,6 +133,22 @@
 // entry and the members that peers reported.
 func (r *Registry) Scanned() <-chan struct{} { return r.scanned }
 
+// Settled returns a channel that is closed once the members are known that
+// started together with this entry. An entry that finds a row of an earlier
+// incarnation of its own finds the rows of the others as well. On a first start
+// of the deployment, rows are still being written when they are first read.
+func (r *Registry) Settled() <-chan struct{} { return r.settled }
+
+// IsSettled reports whether the channel of Settled is closed.
+func (r *Registry) IsSettled() bool {
+	select {
+	case <-r.settled:
+		return true
+	default:
+		return false
+	}
+}
+
 // Replaced returns a channel that is closed when another incarnation has taken
 // over this entry's ID. The entry must then stop.
 func (r *Registry) Replaced() <-chan struct{} { return r.replaced }
@@ -201,13 +231,13 @@
 func (r *Registry) stateLocked(rec *record, now time.Time) (State, bool) {
 	members := len(r.others) + 1
 	sinceContact := now.Sub(rec.lastContact)
-	if sinceContact > FailureTimeout(members) {
+	if sinceContact > r.failureTimeout(members) {
 		return Suspect, false
 	}
 	if !rec.suspectedAt.IsZero() {
 		return Suspect, now.Sub(rec.suspectedAt) <= refuteWindow
 	}
-	if sinceContact > suspectAfter(members) {
+	if sinceContact > r.suspectAfter(members) {
 		return Suspect, true
 	}
 	return rec.member.State, true
--- a/member/scan.go
+++ b/member/scan.go
@@ -15,9 +15,13 @@
 // which a member's row is deleted.
 const staleRowTimeouts = 10
 
+// maxOwnRowWait bounds the delay of the first scan.
+const maxOwnRowWait = 700 * time.Millisecond
+
 // runScans scans the rows periodically until ctx ends. It closes r.scanned
 // after the first success.
 func (r *Registry) runScans(ctx context.Context) {
+	r.awaitOwnRow(ctx)
 	scanned := false
 	phase := StaggeredDelays()
 	for {
@@ -25,13 +29,23 @@
 		if err != nil && ctx.Err() == nil {
 			r.log.WithError(err).Warn("member: scan failed.")
 		}
-		if err == nil && !scanned {
+		next := Jitter(minScanPeriod)
+		switch {
+		case err == nil && !scanned && !r.hasRejoined():
 			scanned = true
 			close(r.scanned)
-		}
-		next := Jitter(minScanPeriod)
-		if scanned {
-			next = phase(ScanPeriod(r.Count()))
+			next = settleTime
+		case err == nil:
+			if !scanned {
+				scanned = true
+				close(r.scanned)
+			}
+			if !r.IsSettled() {
+				close(r.settled)
+			}
+			next = phase(r.scanPeriod(r.Count()))
+		case scanned:
+			next = phase(r.scanPeriod(r.Count()))
 		}
 		// Until the first scan succeeds, the entry may have no other members
 		// on record, so it retries after the minimum period.
@@ -41,6 +55,25 @@
 	}
 }
 
+func (r *Registry) hasRejoined() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rejoined
+}
+
+// awaitOwnRow delays the first scan for a limited time until this entry has
+// written its row. The rows of entries that start at the same time are then
+// written as well, so that most entries need no second scan to find them.
+func (r *Registry) awaitOwnRow(ctx context.Context) {
+	timer := time.NewTimer(maxOwnRowWait)
+	defer timer.Stop()
+	select {
+	case <-r.joined:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // scan reads all rows, merges those that changed and removes members whose
 // rows are missing or stale.
 func (r *Registry) scan(ctx context.Context) error {
@@ -65,13 +98,13 @@
 
 // rowContact returns the contact that a changed row proves. The row was written
 // at some time since the last scan. The contact's age is the time since the
-// last scan less one heartbeat period, which is safe because FailureTimeout is
-// several heartbeat periods long.
+// last scan less one heartbeat period, which is safe because the failure timeout
+// is several heartbeat periods long, or state updates arrive more often.
 func (r *Registry) rowContact(now time.Time) contact {
 	if r.lastScan.IsZero() {
 		return contact{at: now, notBefore: now}
 	}
-	age := max(0, now.Sub(r.lastScan)-HeartbeatPeriod(r.Count()))
+	age := max(0, now.Sub(r.lastScan)-r.heartbeatPeriod(r.Count()))
 	return contact{at: now.Add(-age), notBefore: r.lastScan}
 }
 
@@ -136,7 +169,7 @@
 // can't return under the same incarnation without this entry noticing.
 func (r *Registry) deleteStaleRow(ctx context.Context) {
 	r.mu.Lock()
-	limit := staleRowTimeouts * FailureTimeout(len(r.others)+1)
+	limit := staleRowTimeouts * r.failureTimeout(len(r.others)+1)
 	var staleRow infra.Write
 	for id, rec := range r.others {
 		if rec.rowVersion != 0 && time.Since(rec.lastContact) > limit {
--- a/member/table.go
+++ b/member/table.go
@@ -46,7 +46,7 @@
 
 func (r *Registry) runHeartbeats(ctx context.Context) error {
 	phase := StaggeredDelays()
-	for {
+	for first := true; ; first = false {
 		err := r.writeHeartbeat(ctx, r.Self())
 		if errors.Is(err, ErrReplaced) {
 			r.markReplaced()
@@ -55,7 +55,10 @@
 		if err != nil && ctx.Err() == nil {
 			r.log.WithError(err).Warn("member: heartbeat failed.")
 		}
-		if !ctxtime.Sleep(ctx, phase(HeartbeatPeriod(r.Count()))) {
+		if first && err == nil && !ctxtime.Sleep(ctx, settleTime) {
+			return nil
+		}
+		if !ctxtime.Sleep(ctx, phase(r.heartbeatPeriod(r.Count()))) {
 			return nil
 		}
 	}
@@ -109,6 +112,7 @@
 		r.adoptEpoch(v, tableRow.Version)
 		return tableRow.Version, nil
 	}
+	r.markRejoined()
 	// Another incarnation wrote the row. It is an earlier one, unless this
 	// incarnation has written the row before: then a later one has replaced it.
 	if self.Epoch != 0 && tableRow.Version > self.Epoch {
@@ -117,6 +121,12 @@
 	return tableRow.Version, nil
 }
 
+func (r *Registry) markRejoined() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rejoined = true
+}
+
 // adoptEpoch sets the epoch from this entry's own row after a first commit
 // whose response was lost.
 func (r *Registry) adoptEpoch(v row, version uint64) {
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -158,7 +158,7 @@
 // pruneFailed removes the data about failed members.
 func (m *Mesh) pruneFailed() {
 	isMember := m.isMember
-	m.states.prune(isMember, forgetFactor*member.FailureTimeout(m.o.Registry.Count()))
+	m.states.prune(isMember, forgetFactor*m.o.Registry.FailureTimeout())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id := range m.reports {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -32,10 +32,6 @@
 	// unreachableAfter is the time without a connection after which a
 	// neighbour is reported as unreachable.
 	unreachableAfter = 5 * time.Second
-	// maxUnscaledMembers is the largest number of members for which the update
-	// period is Options.UpdatePeriod. Beyond it the period grows with their
-	// number, so that the total rate of updates of all members stays bounded.
-	maxUnscaledMembers = 8
 	// banPeriod is the mean time for which a peer is refused after a protocol
 	// violation.
 	banPeriod = 10 * time.Second
@@ -79,13 +75,9 @@
 	Registry   *member.Registry
 	Notices    *drain.Set
 	Listener   net.Listener
-	// UpdatePeriod is the time between two updates of this entry's state for up
-	// to maxUnscaledMembers members, beyond which it grows with their number. 0
-	// means member.UpdatePeriod.
-	UpdatePeriod time.Duration
-	Dial         func(ctx context.Context, network, addr string) (net.Conn, error)
-	Log          *logrus.Entry
-	Handlers     Handlers
+	Dial       func(ctx context.Context, network, addr string) (net.Conn, error)
+	Log        *logrus.Entry
+	Handlers   Handlers
 }
 
 // Mesh connects this entry with its peers. It is safe for concurrent use.
@@ -409,21 +401,10 @@
 }
 
 // UpdatePeriod returns the time between two updates of this entry's state.
-func (m *Mesh) UpdatePeriod() time.Duration {
-	members := m.o.Registry.Count()
-	if m.o.UpdatePeriod <= 0 {
-		return member.UpdatePeriod(members)
-	}
-	return m.o.UpdatePeriod * time.Duration(max(members, maxUnscaledMembers)) / maxUnscaledMembers
-}
+func (m *Mesh) UpdatePeriod() time.Duration { return m.o.Registry.UpdatePeriod() }
 
 // sendPeriod returns the time between two state updates on a connection.
-func (m *Mesh) sendPeriod() time.Duration {
-	if m.o.UpdatePeriod <= 0 {
-		return sendPeriod
-	}
-	return min(sendPeriod, m.UpdatePeriod())
-}
+func (m *Mesh) sendPeriod() time.Duration { return min(sendPeriod, m.UpdatePeriod()) }
 
 // PropagationDelay returns the mean age of the state of another member on
 // arrival. Each hop delays it by half a send period on average.
--- a/peer/publish.go
+++ b/peer/publish.go
@@ -94,7 +94,7 @@
 		return nil
 	}
 	age := time.Duration(st.AgeSeconds) * time.Second
-	if age > member.FailureTimeout(m.o.Registry.Count()) {
+	if age > m.o.Registry.FailureTimeout() {
 		return nil
 	}
 	if stored, ok := m.states.stamp(st.Origin); ok && !stored.less(st.Stamp) {
