--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -37,11 +37,18 @@
 	maxUnscaledMembers = 8
 	// maxLoadAge is the age up to which the load of a peer counts.
 	maxLoadAge = 4 * time.Second
+	// demandHorizon is the maximum age, in update periods, of the last state
+	// update of a peer that is counted as sharing the customers' limits, but at
+	// least maxLoadAge. The owner of a limit withholds the shares of the others.
+	demandHorizon = 2.5
 	// ownerHorizon is the maximum age, in update periods, of the last state
 	// update of a peer that can be an owner. minOwnerHorizon is its lower
 	// bound.
 	ownerHorizon    = 4
 	minOwnerHorizon = 1200 * time.Millisecond
+	// reachableTTL is how long the result of reachable is reused, because it is
+	// needed several times for each request.
+	reachableTTL = 100 * time.Millisecond
 )
 
 // peerView holds the states of the other entries and the counts of their
@@ -58,6 +65,10 @@
 	received map[incarnationKey]receivedState
 	// inherited holds counts that a peer received before this process started.
 	inherited map[incarnationKey]inheritedCounts
+	// reachableIDs is the last result of reachable, computed at reachableAt. It
+	// is replaced and never modified.
+	reachableIDs []string
+	reachableAt  time.Time
 	// inheritDone is set once inherit has ended, whether it has merged counts
 	// or no peer could return them.
 	inheritDone bool
@@ -84,22 +95,40 @@
 }
 
 // reachable returns the IDs of this entry and of the peers with a recent state
-// update, which can be owners.
+// update that no peer suspects, which can be owners.
 func (p *peerView) reachable(period time.Duration) []string {
 	horizon := max(minOwnerHorizon, ownerHorizon*period)
 	p.mu.Lock()
+	if p.reachableIDs != nil && time.Since(p.reachableAt) < reachableTTL {
+		defer p.mu.Unlock()
+		return p.reachableIDs
+	}
+	p.mu.Unlock()
+	suspects := make(map[string]bool)
+	for _, m := range p.registry.Members() {
+		suspects[m.ID] = m.State == member.Suspect
+	}
+	p.mu.Lock()
 	defer p.mu.Unlock()
 	ids := map[string]bool{p.self: true}
 	for key, last := range p.received {
-		if time.Since(last.receivedAt) <= horizon {
+		if time.Since(last.receivedAt) <= horizon && !suspects[key.id] {
 			ids[key.id] = true
 		}
 	}
-	return slices.Collect(maps.Keys(ids))
+	p.reachableIDs, p.reachableAt = slices.Collect(maps.Keys(ids)), time.Now()
+	return p.reachableIDs
+}
+
+// sharingStates returns the last state update of each live peer that shares
+// the customers' limits.
+func (p *peerView) sharingStates(period time.Duration) map[string]receivedState {
+	return p.liveStates(max(maxLoadAge, time.Duration(demandHorizon*float64(period))))
 }
 
-// liveStates returns the last state update of each live peer.
-func (p *peerView) liveStates() map[string]receivedState {
+// liveStates returns the last state update of each live peer that is no older
+// than maxAge.
+func (p *peerView) liveStates(maxAge time.Duration) map[string]receivedState {
 	live := make(map[string]bool)
 	for _, id := range p.registry.Live() {
 		live[id] = id != p.self
@@ -113,7 +142,7 @@
 		if age > countsRetention {
 			delete(p.received, key)
 		}
-		if live[key.id] && age <= maxLoadAge && last.receivedAt.After(newest[key.id].receivedAt) {
+		if live[key.id] && age <= maxAge && last.receivedAt.After(newest[key.id].receivedAt) {
 			newest[key.id] = last
 		}
 	}
@@ -123,7 +152,7 @@
 // busyEngines returns the busy engines of a service over all entries. Entries
 // without a recent state update count as the average of the others.
 func (p *peerView) busyEngines(own map[string]float64, service string) float64 {
-	states := p.liveStates()
+	states := p.liveStates(maxLoadAge)
 	sum := own[service]
 	for _, s := range states {
 		sum += s.state.BusyEngines[service]
@@ -224,14 +253,15 @@
 	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
 	l.Go(lc, func(ctx context.Context) { view.inherit(ctx, m.Counts, log) })
 	update := func() {
-		states := view.liveStates()
+		states := view.liveStates(maxLoadAge)
 		members := len(r.Live())
 		if members == 1 && !isClosed(r.Scanned()) {
 			members = 0 // membership not read yet
 		}
 		b.SetPeers(peerLoads(states, m.PropagationDelay()+gatewayStatePeriod/2))
-		demand := make(map[string]map[string]float64, len(states))
-		for id, s := range states {
+		sharing := view.sharingStates(m.UpdatePeriod())
+		demand := make(map[string]map[string]float64, len(sharing))
+		for id, s := range sharing {
 			demand[id] = demandOf(s.state)
 		}
 		if members > 0 {
