--- a/app/gateway.go
+++ b/app/gateway.go
@@ -1,11 +1,13 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -109,9 +111,9 @@
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
 			newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
-			newLimiter, newOwnerPeers, newGlobalLimiter, usage.NewClock, newFollowers,
+			newLimiter, newOwnerPeers, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
 		),
-		fx.Invoke(runGatewayMesh, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
+		fx.Invoke(runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
 	)
 	if err := g.app.Err(); err != nil {
@@ -236,16 +238,19 @@
 }
 
 // isLeaderCandidate reports whether a member is among those that contend for
-// the leader lease. All members with the same set of live members compute the
-// same candidates.
+// the leader lease.
 func isLeaderCandidate(self string, live []string) bool {
-	before := 0
-	for _, id := range live {
-		if xxhash.Sum64String(id) < xxhash.Sum64String(self) {
-			before++
-		}
-	}
-	return before < leaderCandidates
+	return slices.Contains(leaderCandidateIDs(live), self)
+}
+
+// leaderCandidateIDs returns the members that contend for the leader lease. All
+// members with the same set of live members compute the same candidates.
+func leaderCandidateIDs(live []string) []string {
+	ids := slices.Clone(live)
+	slices.SortFunc(ids, func(x, y string) int {
+		return cmp.Compare(xxhash.Sum64String(x), xxhash.Sum64String(y))
+	})
+	return ids[:min(len(ids), leaderCandidates)]
 }
 
 func newGatewayNotices(log *logrus.Entry) *drain.Set { return drain.NewSet(log) }
--- a/app/gateway_counts.go
+++ b/app/gateway_counts.go
@@ -52,10 +52,16 @@
 		missing[id] = id != p.self
 	}
 	// A state update received more than maxCountsDelay after the end of the
-	// window contains all of its counts.
-	since := time.Since(end) - maxCountsDelay
+	// window contains all of its counts, and so do counts pushed more than
+	// maxPushDelay after it.
+	since, pushedSince := time.Since(end)-maxCountsDelay, time.Since(end)-maxPushDelay
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for id, at := range p.countsPushedAt {
+		if time.Since(at) < pushedSince {
+			missing[id] = false
+		}
+	}
 	for key, last := range p.received {
 		add(maxCounts(last.state.Started[window], p.inherited[key].started[window]))
 		if time.Since(last.receivedAt) < since {
@@ -105,6 +111,20 @@
 	return out
 }
 
+// receiveCounts records the counts that a peer pushed.
+func (p *peerView) receiveCounts(from string, c peer.IncarnationCounts) {
+	p.mergeInherited([]peer.IncarnationCounts{c})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.countsPushedAt[from] = now
+	for id, at := range p.countsPushedAt {
+		if now.Sub(at) > countsRetention {
+			delete(p.countsPushedAt, id)
+		}
+	}
+}
+
 // mergeInherited merges counts that a peer reported.
 func (p *peerView) mergeInherited(reported []peer.IncarnationCounts) {
 	p.mu.Lock()
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollup"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
@@ -69,6 +70,8 @@
 	// is replaced and never modified.
 	reachableIDs []string
 	reachableAt  time.Time
+	// countsPushedAt is the time of the last counts that an entry pushed.
+	countsPushedAt map[string]time.Time
 	// inheritDone is set once inherit has ended, whether it has merged counts
 	// or no peer could return them.
 	inheritDone bool
@@ -85,6 +88,7 @@
 	return &peerView{
 		self: s.ID, incarnation: string(i), registry: r, counter: c,
 		received: make(map[incarnationKey]receivedState), inherited: make(map[incarnationKey]inheritedCounts),
+		countsPushedAt: make(map[string]time.Time),
 	}
 }
 
@@ -190,6 +194,8 @@
 	View      *peerView
 	Limits    *quota.GlobalLimiter
 	Owners    *ownerPeers
+	Rollup    *rollup.Rollup
+	Loads     *rollupPeers
 	Balancer  *balance.Balancer
 	Loops     *Loops
 	Log       *logrus.Entry
@@ -207,10 +213,11 @@
 		Listener: l, Dial: d.Network.Dial, Log: d.Log,
 		Handlers: peer.Handlers{
 			EntryState: d.View.receive,
-			Counts:     d.View.counts,
-			Place:      func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, p) },
-			Reserve:    d.Limits.ReserveOwned,
-			Changes:    d.Followers.changesSince,
+			Counts:     d.View.counts, CountsPushed: d.View.receiveCounts,
+			Place:   func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, p) },
+			Reserve: d.Limits.ReserveOwned,
+			Loads:   d.Rollup.Serve,
+			Changes: d.Followers.changesSince,
 			TemplateVersion: func(from, _ string, version uint64) {
 				d.Loops.Spawn(func(ctx context.Context) {
 					d.Followers.source.fetchFromPeer(ctx, version, func(ctx context.Context) (json.RawMessage, bool, error) {
@@ -224,6 +231,7 @@
 		},
 	})
 	d.Owners.mesh = m
+	d.Loads.mesh = m
 	d.Followers.mesh = m
 	d.Config.OnChange(func(c *config.Configuration) { m.SetTemplateVersion(configName, c.Version) })
 	exchangeDrains(d.Notices, d.Replicas, m)
@@ -248,7 +256,7 @@
 	})
 }
 
-func runGatewayMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, view *peerView, b *balance.Balancer, limiter *quota.Limiter, retries *quota.RetryBudget, counter *usage.Counter, h *gateway.Handler, i Incarnation, s gateway.Settings, log *logrus.Entry) {
+func runGatewayMesh(lc fx.Lifecycle, l *Loops, m *peer.Mesh, r *member.Registry, view *peerView, b *balance.Balancer, limiter *quota.Limiter, retries *quota.RetryBudget, counter *usage.Counter, h *gateway.Handler, loads *rollup.Rollup, i Incarnation, s gateway.Settings, log *logrus.Entry) {
 	l.Go(lc, func(ctx context.Context) { _ = r.Run(ctx) })
 	l.Go(lc, func(ctx context.Context) { _ = m.Run(ctx) })
 	l.Go(lc, func(ctx context.Context) { view.inherit(ctx, m.Counts, log) })
@@ -258,7 +266,7 @@
 		if members == 1 && !isClosed(r.Scanned()) {
 			members = 0 // membership not read yet
 		}
-		b.SetPeers(peerLoads(states, m.PropagationDelay()+gatewayStatePeriod/2))
+		b.SetPeers(currentLoads(states, m, loads))
 		sharing := view.sharingStates(m.UpdatePeriod())
 		demand := make(map[string]map[string]float64, len(sharing))
 		for id, s := range sharing {
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -143,6 +143,9 @@
 	// peerLoads is the load that other entries are expected to put on replicas,
 	// by replica ID.
 	peerLoads map[string]expectedLoad
+	// peerOutcomes holds the recent outcomes of the requests of the other
+	// entries, by replica ID.
+	peerOutcomes map[string]outcomes
 	// peerPrefill is the sum of the prefill loads of the other entries, by
 	// service.
 	peerPrefill map[string]peer.PrefillLoad
@@ -214,6 +217,22 @@
 	return out
 }
 
+// OwnOutcomes returns the recent outcomes of this entry's requests, by replica
+// ID.
+func (b *Balancer) OwnOutcomes() map[string]peer.Outcomes {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	out := make(map[string]peer.Outcomes)
+	for id, st := range b.states {
+		answered, failed := st.failures.decayed(now)
+		if answered+failed >= minReportedOutcomes {
+			out[id] = peer.Outcomes{Answered: answered, Failed: failed}
+		}
+	}
+	return out
+}
+
 // OwnLoadByService returns the load that this entry puts on the replicas of
 // each service.
 func (b *Balancer) OwnLoadByService() map[string]peer.EndpointLoad {
@@ -277,7 +296,7 @@
 		if r.FailureDomain != b.opt.FailureDomain {
 			cost += crossDomainCost.Seconds()
 		}
-		return c, cost + st.failures.rate(now)
+		return c, cost + b.failureRateLocked(st, r, now)
 	}
 	c.CachedTokens = b.cachedLocked(q, r, ready, now)
 	fit := b.prefillRateLocked(q.Service)
@@ -303,7 +322,7 @@
 	if r.ColdRemaining > now.Sub(r.Seen) {
 		predicted *= coldFactor
 	}
-	cost := predicted*(1+failurePenalty*st.failures.rate(now)) + engineJitter.Seconds()*b.random.Float64()
+	cost := predicted*(1+failurePenalty*b.failureRateLocked(st, r, now)) + engineJitter.Seconds()*b.random.Float64()
 	cost += cacheAffinity * float64(max(0, q.sharedTokens()-cached)) / b.prefillRateLocked(q.Service).perSecond
 	return time.Duration(predicted * float64(time.Second)), cost
 }
--- a/gateway/balance/eject.go
+++ b/gateway/balance/eject.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 const (
@@ -18,6 +19,13 @@
 	// ejectMinFailures is the decayed number of failures below which a replica
 	// is not ejected for its failure rate.
 	ejectMinFailures = 2.0
+	// maxPeerOutcomes bounds the weight of the outcomes that other entries
+	// reported of a replica, so that hundreds of reports are outweighed within
+	// a few time constants once the replica answers again.
+	maxPeerOutcomes = 8.0
+	// minReportedOutcomes is the decayed number of outcomes below which they
+	// are not reported.
+	minReportedOutcomes = 0.05
 	// maxEjectedFraction is the fraction of a service's replicas that may be
 	// ejected.
 	maxEjectedFraction = 1.0 / 3
@@ -71,38 +79,77 @@
 	}
 }
 
-// rate returns the fraction of recent requests that failed. The additional 1 in
-// the denominator keeps the rate low after few requests.
-func (f *failures) rate(now time.Time) float64 {
+// decayed returns the numbers of recent requests that succeeded and failed.
+func (f *failures) decayed(now time.Time) (succeeded, failed float64) {
 	if f.at.IsZero() {
-		return 0
+		return 0, 0
 	}
 	k := math.Exp(-now.Sub(f.at).Seconds() / failureDecay.Seconds())
-	return f.failed * k / (f.succeeded*k + f.failed*k + 1)
+	return f.succeeded * k, f.failed * k
+}
+
+// outcomes are the recent outcomes of the requests that other entries sent to a
+// replica, as of a time.
+type outcomes struct {
+	succeeded, failed float64
+	at                time.Time
+}
+
+// plus adds the outcomes that an entry reported as of a time.
+func (o outcomes) plus(reported peer.Outcomes, at time.Time) outcomes {
+	return outcomes{succeeded: o.succeeded + reported.Answered, failed: o.failed + reported.Failed, at: at}
+}
+
+// decayed returns the numbers of outcomes now, with a bounded sum.
+func (o outcomes) decayed(now time.Time) (succeeded, failed float64) {
+	sum := o.succeeded + o.failed
+	if sum <= 0 {
+		return 0, 0
+	}
+	k := min(1, maxPeerOutcomes/sum) * math.Exp(-now.Sub(o.at).Seconds()/failureDecay.Seconds())
+	return o.succeeded * k, o.failed * k
+}
+
+// outcomesLocked returns the numbers of recent requests of all entries that a
+// replica answered and failed. The outcomes of other entries count only once
+// they can't be those of an earlier incarnation.
+func (b *Balancer) outcomesLocked(st *replicaState, r *replica.Replica, now time.Time) (succeeded, failed float64) {
+	succeeded, failed = st.failures.decayed(now)
+	if now.Sub(r.Seen) < failureDecay {
+		return succeeded, failed
+	}
+	peersSucceeded, peersFailed := b.peerOutcomes[r.ID].decayed(now)
+	return succeeded + peersSucceeded, failed + peersFailed
+}
+
+// failureRateLocked returns the fraction of recent requests to a replica that
+// failed. The additional 1 in the denominator keeps the rate low after few
+// requests.
+func (b *Balancer) failureRateLocked(st *replicaState, r *replica.Replica, now time.Time) float64 {
+	succeeded, failed := b.outcomesLocked(st, r, now)
+	return failed / (succeeded + failed + 1)
 }
 
 // ejectedLocked returns the replicas to exclude from a choice.
 func (b *Balancer) ejectedLocked(ready []*replica.Replica, now time.Time) map[string]bool {
-	mean, n := 0.0, 0
-	for _, r := range ready {
-		if st := b.states[r.ID]; st != nil {
-			mean += st.failures.rate(now)
-		}
-		n++
-	}
-	if n == 0 {
+	if len(ready) == 0 {
 		return nil
 	}
+	n, mean := len(ready), 0.0
+	for _, r := range ready {
+		mean += b.failureRateLocked(b.stateLocked(r), r, now)
+	}
 	mean /= float64(n)
 	maxEjected := int(float64(n) * maxEjectedFraction)
 	var out map[string]bool
 	for _, r := range ready {
-		st := b.states[r.ID]
-		if st == nil || st.incarnation != r.Incarnation || len(out) >= maxEjected {
+		st := b.stateLocked(r)
+		if len(out) >= maxEjected {
 			continue
 		}
-		f := &st.failures
-		if !now.Before(f.ejectedUntil) && (f.failed < ejectMinFailures || f.rate(now) < mean+ejectThreshold) {
+		_, failed := b.outcomesLocked(st, r, now)
+		failed = max(failed, st.failures.failed)
+		if !now.Before(st.failures.ejectedUntil) && (failed < ejectMinFailures || b.failureRateLocked(st, r, now) < mean+ejectThreshold) {
 			continue
 		}
 		if out == nil {
@@ -125,7 +172,7 @@
 		st.ejected = ejected[r.ID]
 		log := b.opt.Log.WithFields(logrus.Fields{
 			"replica": r.ID, "born": r.Incarnation, "service": r.Service,
-			"failed_part": thousandths(st.failures.rate(now)), "service_mean": thousandths(mean),
+			"failed_part": thousandths(b.failureRateLocked(st, r, now)), "service_mean": thousandths(mean),
 			"failures_in_a_row": st.failures.consecutive,
 		})
 		if st.ejected {
--- a/gateway/balance/peers.go
+++ b/gateway/balance/peers.go
@@ -28,6 +28,9 @@
 	// Services is the load by service, for entries that don't report it by
 	// replica.
 	Services map[string]peer.EndpointLoad
+	// Outcomes holds the recent outcomes of the entry's requests, by replica
+	// ID.
+	Outcomes map[string]peer.Outcomes
 	// PrefillLoad is the prefill load of the entry, by service.
 	PrefillLoad map[string]peer.PrefillLoad
 }
@@ -89,6 +92,8 @@
 	expected := make(map[string]expectedLoad)
 	unlocated := make(map[string]expectedLoad)
 	prefill := make(map[string]peer.PrefillLoad)
+	reported := make(map[string]outcomes)
+	now := time.Now()
 	for _, l := range loads {
 		for service, r := range l.PrefillLoad {
 			sum := prefill[service]
@@ -112,6 +117,9 @@
 			rest.add(moved, 1)
 			unlocated[r.Service] = rest
 		}
+		for id, o := range l.Outcomes {
+			reported[id] = reported[id].plus(o, now.Add(-l.Age))
+		}
 	}
 	for service, rest := range unlocated {
 		ready := current.Ready[service]
@@ -121,7 +129,7 @@
 			expected[r.ID] = sum
 		}
 	}
-	b.peerLoads, b.peerPrefill = expected, prefill
+	b.peerLoads, b.peerPrefill, b.peerOutcomes = expected, prefill, reported
 }
 
 // splitStaleLocked splits a load of the given age into the load that is
--- a/peer/link.go
+++ b/peer/link.go
@@ -161,6 +161,19 @@
 			return err
 		}
 		return l.conn.Reply(ctx, req.ID, l.mesh.o.Handlers.place(p))
+	case methodLoads:
+		var r LoadReport
+		if err := params(req, &r); err != nil {
+			return err
+		}
+		return l.conn.Reply(ctx, req.ID, l.mesh.o.Handlers.loads(l.peer.ID, r))
+	case methodPushCounts:
+		var c IncarnationCounts
+		if err := params(req, &c); err != nil {
+			return err
+		}
+		l.mesh.o.Handlers.countsPushed(l.peer.ID, c)
+		return l.conn.Reply(ctx, req.ID, ack{})
 	case methodCounts:
 		return l.conn.Reply(ctx, req.ID, countsResult{Counts: l.mesh.o.Handlers.counts()})
 	default:
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -60,6 +60,10 @@
 	Changes func(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error)
 	// Place chooses the endpoint of a centrally placed prompt for a peer.
 	Place func(PlaceRequest) PlaceResult
+	// Loads receives the load report of a peer and returns the sum for it.
+	Loads func(from string, r LoadReport) LoadSum
+	// CountsPushed receives the counts of a peer's own requests.
+	CountsPushed func(from string, c IncarnationCounts)
 	// Counts returns what this entry has recorded of the requests that began to
 	// run at any entry.
 	Counts func() []IncarnationCounts
@@ -237,6 +241,19 @@
 	return result, err
 }
 
+// ExchangeLoads sends a load report to a peer, which returns the sum of the
+// loads of other entries.
+func (m *Mesh) ExchangeLoads(ctx context.Context, peer string, r LoadReport) (LoadSum, error) {
+	var result LoadSum
+	err := m.callCached(ctx, peer, methodLoads, r, &result)
+	return result, err
+}
+
+// PushCounts sends the counts of this entry's own requests to a peer.
+func (m *Mesh) PushCounts(ctx context.Context, peer string, c IncarnationCounts) error {
+	return m.callCached(ctx, peer, methodPushCounts, c, &ack{})
+}
+
 // Counts returns what a peer has recorded of the requests that began to run at
 // any entry, including incarnations that have ended.
 func (m *Mesh) Counts(ctx context.Context, peer string) ([]IncarnationCounts, error) {
@@ -486,6 +503,19 @@
 	return h.Place(p)
 }
 
+func (h Handlers) loads(from string, r LoadReport) LoadSum {
+	if h.Loads == nil {
+		return LoadSum{}
+	}
+	return h.Loads(from, r)
+}
+
+func (h Handlers) countsPushed(from string, c IncarnationCounts) {
+	if h.CountsPushed != nil && c.Member == from {
+		h.CountsPushed(from, c)
+	}
+}
+
 func (h Handlers) counts() []IncarnationCounts {
 	if h.Counts == nil {
 		return nil
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -24,6 +24,8 @@
 	methodChanges     = "changes"
 	methodCounts      = "counts"
 	methodPlace       = "place"
+	methodLoads       = "loads"
+	methodPushCounts  = "push_counts"
 )
 
 // Demand is the demand of one customer at one entry.
@@ -92,6 +94,38 @@
 	Tokens int `json:"t,omitempty"`
 }
 
+// Outcomes are the numbers of recent requests that an endpoint answered and
+// failed, with exponential decay.
+type Outcomes struct {
+	Answered float64 `json:"a,omitempty"`
+	Failed   float64 `json:"x,omitempty"`
+}
+
+// Load is the load that one or more entries cause, and what they observed of
+// endpoints.
+type Load struct {
+	// Services is the load by service.
+	Services map[string]EndpointLoad `json:"s,omitempty"`
+	// Outcomes is by endpoint ID.
+	Outcomes map[string]Outcomes `json:"o,omitempty"`
+}
+
+// LoadReport reports the load of an entry to the aggregator of its failure
+// domain.
+type LoadReport struct {
+	Load
+	// DomainOnly is set by aggregators of other failure domains, which report
+	// nothing and request the sum of the called one's.
+	DomainOnly bool `json:"d,omitempty"`
+}
+
+// LoadSum is the reply to LoadReport.
+type LoadSum struct {
+	Load
+	// NotAggregator is set if the called entry doesn't sum its domain's loads.
+	NotAggregator bool `json:"n,omitempty"`
+}
+
 // PrefillLoad is the mean number of engines that the prefill of one entry's
 // prompts occupies. All counts all prompts, Long only the long ones.
 type PrefillLoad struct {
