--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,6 +22,8 @@
 	maxBufferedBody = 128 << 10
 	// copyBufferSize is the size of the buffer for copying bodies, in bytes.
 	copyBufferSize = 8 << 10
+	// maxEventBytes is the maximum size of one event of a stream.
+	maxEventBytes = 1 << 20
 )
 
 // relay relays an answer to the client. It returns the outcome to record for
@@ -29,7 +31,9 @@
 func (x *exchange) relay(ctx context.Context, t *balance.Ticket, a *upstream.Answer, lastEvent string) (balance.Outcome, error) {
 	reply := x.h.Dialect.DecodeReply(a.Status, a.Header)
 	if reply.NotRun || a.Status == http.StatusMisdirectedRequest {
-		_, _ = io.Copy(io.Discard, a)
+		if err := a.Discard(); err != nil {
+			x.h.Log.WithField("request", x.req.ID).WithError(err).Debug("gateway: body of a refusal can't be read.")
+		}
 		return balance.Refused, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "replica %s refused with status %d", x.replica, a.Status).WithRetryAfter(retryAfterOverload)
 	}
 	x.mayHaveRun = true
@@ -178,6 +182,9 @@
 		if writeErr := s.writeEvents(); writeErr != nil {
 			return writeErr
 		}
+		if len(s.splitter.remainder()) > maxEventBytes {
+			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s: event without an end", s.x.replica)
+		}
 		if errors.Is(err, io.EOF) {
 			return s.finish()
 		}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -52,6 +54,8 @@
 	net.Conn
 	addr   string
 	reader *bufio.Reader
+	// bound is what reader reads from.
+	bound *boundedReader
 	// idleTimeout is the maximum time that the connection may be idle, and
 	// idleDeadline the time at which it expires if it stays idle.
 	idleTimeout  time.Duration
@@ -118,7 +122,31 @@
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connect to %s: %w", addr, err)
 	}
-	return &conn{Conn: nc, addr: addr, reader: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	bound := &boundedReader{from: nc, left: math.MaxInt64}
+	return &conn{Conn: nc, addr: addr, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout}, nil
+}
+
+// boundedReader reads from a connection and fails with errTooLong after a
+// number of bytes. It is used by one goroutine at a time.
+type boundedReader struct {
+	from io.Reader
+	left int64
+}
+
+// set bounds the bytes to read from now on. Bytes that are already buffered
+// don't count.
+func (b *boundedReader) set(n int64) { b.left = n }
+
+func (b *boundedReader) clear() { b.left = math.MaxInt64 }
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.from.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
 }
 
 // pop removes and returns the most recently used connection whose idle timeout
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -26,9 +26,16 @@
 	maxSkippedAnswers = 3
 	// maxSkippedBody is the maximum size of the body of a skipped answer, in
 	// bytes.
-	maxSkippedBody = 1 << 20
+	maxSkippedBody = 256 << 10
+	// maxHeadBytes is the maximum size of the status line and the header of an
+	// answer, together with the informational answers before it.
+	maxHeadBytes = 64 << 10
 )
 
+// errTooLong is returned if a replica sends bytes without an end where the header
+// of an answer is expected, or in the body of one that is not used.
+var errTooLong = errors.New("replica sends bytes without an end")
+
 // errMisdelivered is returned if too many answers belong to other requests, or
 // if the end of such an answer can't be found.
 var errMisdelivered = errors.New("answer belongs to another request")
@@ -175,6 +182,7 @@
 func (p *Pool) receive(c *conn, r *Request) (*Answer, error) {
 	clean := true
 	req := &http.Request{Method: r.Method}
+	c.bound.set(maxHeadBytes)
 	for skipped := 0; ; {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
@@ -184,15 +192,18 @@
 			continue
 		}
 		if r.Matches(resp.StatusCode, resp.Header) {
+			c.bound.clear()
 			return p.newAnswer(c, resp, clean), nil
 		}
 		if skipped++; skipped > maxSkippedAnswers || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errMisdelivered
 		}
 		clean = false
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBody)); err != nil {
+		c.bound.set(maxSkippedBody)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
+		c.bound.set(maxHeadBytes)
 	}
 }
 
@@ -217,12 +228,20 @@
 	return n, err
 }
 
+// Discard reads the rest of a body that is not used, up to a limit, so that the
+// connection can be reused.
+func (a *Answer) Discard() error {
+	a.conn.bound.set(maxSkippedBody)
+	_, err := io.Copy(io.Discard, a)
+	return err
+}
+
 // Close ends the answer. It returns the connection to the pool if the request
 // was written and the answer read completely. Otherwise it closes the
 // connection, which makes the replica stop.
 func (a *Answer) Close() {
 	a.closeOnce.Do(func() {
-		reuse := a.stopCancel() && a.readToEnd && a.reusable && a.requestWritten()
+		reuse := a.stopCancel() && a.readToEnd && a.reusable && a.requestWritten() && a.conn.reader.Buffered() == 0
 		if reuse {
 			a.pool.put(a.conn)
 			return
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -30,6 +30,10 @@
 	idleTimeout    = 30 * time.Second
 )
 
+// maxHeaderBytes bounds the header of an answer. A server in trouble may send one
+// without an end, and small hosts have many calls open at once.
+const maxHeaderBytes = 64 << 10
+
 // errAborted is the error of writes to a connection whose request has failed.
 var errAborted = errors.New("request was aborted before it was written")
 
@@ -56,6 +60,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		Protocols:           protocols,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -185,3 +185,59 @@
 		})
 	}
 }
+
+// TestHeaderWithoutAnEnd plays a server in trouble that sends a header, or
+// informational answers, until the client closes.
+func TestHeaderWithoutAnEnd(t *testing.T) {
+	const (
+		maxTaken = 512 << 10
+		sent     = 4 << 20
+	)
+	for _, test := range []struct{ name, prefix, unit string }{
+		{"header line", "HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 1024)},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "A: " + strings.Repeat("x", 1024) + "\r\n"},
+		{"status line", "HTTP/1.1 200 ", strings.Repeat("x", 1024)},
+		{"informational answers", "", "HTTP/1.1 102 Processing\r\nA: " + strings.Repeat("x", 1024) + "\r\n\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				network := memnet.New()
+				l, err := network.Listen(address)
+				c.Assert(err, qt.IsNil)
+				defer l.Close()
+				var taken atomic.Int64
+				go func() {
+					nc, err := l.Accept()
+					if err != nil {
+						return
+					}
+					defer nc.Close()
+					req, err := http.ReadRequest(bufio.NewReader(nc))
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					_, err = io.WriteString(nc, test.prefix)
+					for err == nil {
+						if taken.Load() > sent {
+							time.Sleep(time.Second)
+						}
+						var n int
+						n, err = io.WriteString(nc, test.unit)
+						taken.Add(int64(n))
+					}
+				}()
+				transport := sendonce.New(network.Dialer("10.0.0.2"))
+				defer transport.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				_, written, err := transport.SendOnce(request(c, http.MethodPost, "order").WithContext(ctx))
+				c.Assert(err, qt.IsNotNil)
+				c.Assert(written, qt.IsTrue)
+				time.Sleep(10 * time.Second)
+				c.Assert(taken.Load() <= maxTaken, qt.IsTrue, qt.Commentf("%d bytes", taken.Load()))
+			})
+		})
+	}
+}
