--- a/member/member.go
+++ b/member/member.go
@@ -136,9 +136,21 @@
 // Settled returns a channel that is closed once the members are known that
 // started together with this entry. An entry that finds a row of an earlier
 // incarnation of its own finds the rows of the others as well. On a first start
-// of the deployment, rows are still being written when they are first read.
+// of the deployment, rows are still being written when they are first read, so
+// that another scan follows. If that one fails, peers have to make the members
+// known.
 func (r *Registry) Settled() <-chan struct{} { return r.settled }
 
+// IsScanned reports whether the channel of Scanned is closed.
+func (r *Registry) IsScanned() bool {
+	select {
+	case <-r.scanned:
+		return true
+	default:
+		return false
+	}
+}
+
 // IsSettled reports whether the channel of Settled is closed.
 func (r *Registry) IsSettled() bool {
 	select {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -250,3 +250,32 @@
 	c.Assert(m.State, qt.Equals, member.Leaving)
 	c.Assert(r.Live(), qt.DeepEquals, []string{"a"})
 }
+
+// TestMembershipSettlesWithoutTheTable guards against an entry that waits for
+// the table for ever: it contends for leases and accepts unknown peers only once
+// the membership has settled.
+func TestMembershipSettlesWithoutTheTable(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			table := standin.NewTable(1)
+			r := newRegistry(table, "a", "1")
+			stop := run(r)
+			time.Sleep(500 * time.Millisecond)
+			c.Assert(r.IsScanned(), qt.IsTrue)
+			c.Assert(r.IsSettled(), qt.IsFalse)
+			table.SetFaults(standin.TableFaults{Outage: lost})
+			time.Sleep(2 * time.Second)
+			c.Assert(r.IsSettled(), qt.IsTrue)
+			c.Assert(stop(), qt.IsNil)
+			table.SetFaults(standin.TableFaults{})
+
+			// A later incarnation finds its own row, so the others' as well.
+			next := newRegistry(table, "a", "2")
+			stop = run(next)
+			time.Sleep(500 * time.Millisecond)
+			c.Assert(next.IsSettled(), qt.IsTrue)
+			c.Assert(stop(), qt.IsNil)
+		})
+	}
+}
--- a/member/scan.go
+++ b/member/scan.go
@@ -31,21 +31,17 @@
 		}
 		next := Jitter(minScanPeriod)
 		switch {
-		case err == nil && !scanned && !r.hasRejoined():
+		case scanned:
+			r.markSettled()
+			next = phase(r.scanPeriod(r.Count()))
+		case err == nil:
 			scanned = true
 			close(r.scanned)
 			next = settleTime
-		case err == nil:
-			if !scanned {
-				scanned = true
-				close(r.scanned)
-			}
-			if !r.IsSettled() {
-				close(r.settled)
+			if r.hasRejoined() {
+				r.markSettled()
+				next = phase(r.scanPeriod(r.Count()))
 			}
-			next = phase(r.scanPeriod(r.Count()))
-		case scanned:
-			next = phase(r.scanPeriod(r.Count()))
 		}
 		// Until the first scan succeeds, the entry may have no other members
 		// on record, so it retries after the minimum period.
@@ -55,6 +51,14 @@
 	}
 }
 
+// markSettled closes the channel of Settled. Only the goroutine that scans calls
+// it.
+func (r *Registry) markSettled() {
+	if !r.IsSettled() {
+		close(r.settled)
+	}
+}
+
 func (r *Registry) hasRejoined() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -113,7 +113,7 @@
 // accepted, but a new incarnation of a live member is not.
 func (m *Mesh) checkRegistered(ctx context.Context, peer member.Member) error {
 	record, ok := m.o.Registry.Lookup(peer.ID)
-	if !ok && !m.o.Registry.IsSettled() {
+	if !ok && m.o.Registry.IsScanned() && !m.o.Registry.IsSettled() {
 		// The next scan finds all members that start at the same time, without
 		// a call for each of them.
 		select {
