--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -296,7 +296,7 @@
 		if r.FailureDomain != b.opt.FailureDomain {
 			cost += crossDomainCost.Seconds()
 		}
-		return c, cost + b.failureRateLocked(st, r, now)
+		return c, cost + st.failures.rate(now)
 	}
 	c.CachedTokens = b.cachedLocked(q, r, ready, now)
 	fit := b.prefillRateLocked(q.Service)
@@ -322,7 +322,7 @@
 	if r.ColdRemaining > now.Sub(r.Seen) {
 		predicted *= coldFactor
 	}
-	cost := predicted*(1+failurePenalty*b.failureRateLocked(st, r, now)) + engineJitter.Seconds()*b.random.Float64()
+	cost := predicted*(1+failurePenalty*st.failures.rate(now)) + engineJitter.Seconds()*b.random.Float64()
 	cost += cacheAffinity * float64(max(0, q.sharedTokens()-cached)) / b.prefillRateLocked(q.Service).perSecond
 	return time.Duration(predicted * float64(time.Second)), cost
 }
--- a/gateway/balance/eject.go
+++ b/gateway/balance/eject.go
@@ -88,6 +88,18 @@
 	return f.succeeded * k, f.failed * k
 }
 
+// rate returns the fraction of this entry's recent requests that failed. The
+// cost of a choice depends on it alone: with the outcomes of all entries, all of
+// them would gather on the replicas that failed least in the last second.
+func (f *failures) rate(now time.Time) float64 {
+	succeeded, failed := f.decayed(now)
+	return failureRate(succeeded, failed)
+}
+
+// failureRate returns the fraction of requests that failed. The additional 1 in
+// the denominator keeps the rate low after few requests.
+func failureRate(succeeded, failed float64) float64 { return failed / (succeeded + failed + 1) }
+
 // outcomes are the recent outcomes of the requests that other entries sent to a
 // replica, as of a time.
 type outcomes struct {
@@ -122,12 +134,10 @@
 	return succeeded + peersSucceeded, failed + peersFailed
 }
 
-// failureRateLocked returns the fraction of recent requests to a replica that
-// failed. The additional 1 in the denominator keeps the rate low after few
-// requests.
+// failureRateLocked returns the fraction of recent requests of all entries to a
+// replica that failed, which decides whether it is ejected.
 func (b *Balancer) failureRateLocked(st *replicaState, r *replica.Replica, now time.Time) float64 {
-	succeeded, failed := b.outcomesLocked(st, r, now)
-	return failed / (succeeded + failed + 1)
+	return failureRate(b.outcomesLocked(st, r, now))
 }
 
 // ejectedLocked returns the replicas to exclude from a choice.
--- a/gateway/balance/fleet_test.go
+++ b/gateway/balance/fleet_test.go
@@ -162,3 +162,17 @@
 		qt.Check(t, shared.late <= 1.1*alone.late, qt.IsTrue)
 	})
 }
+
+// TestFleetSpreadsWhileAllFail plays a moment in which every engine fails some
+// of its requests. If the cost of a choice followed the shared outcomes, all
+// entries would gather on the engines that failed least in the last second.
+func TestFleetSpreadsWhileAllFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run := fleetRun{perSecond: 900, failing: fleetEngines, failFraction: 0.45}
+		alone := playFleet(run)
+		run.shareOutcomes = true
+		shared := playFleet(run)
+		t.Logf("late: %.4f by own outcomes, %.4f by those of all", alone.late, shared.late)
+		qt.Check(t, shared.late <= alone.late+0.01, qt.IsTrue)
+	})
+}
