--- a/lease/lease.go
+++ b/lease/lease.go
@@ -24,6 +24,9 @@
 	// nonCandidateBackoff is the factor by which the delay between two reads of
 	// the row is longer for a contender that is not a candidate.
 	nonCandidateBackoff = 8
+	// candidacyCheckPeriod is the time between two checks whether this process
+	// has become a candidate, which need no call.
+	candidacyCheckPeriod = 200 * time.Millisecond
 	// maxNonCandidateReads bounds the reads per second of all contenders that
 	// are not candidates.
 	maxNonCandidateReads = 2
@@ -205,6 +208,9 @@
 func (l *Lease) waitForNextStep(ctx context.Context) bool {
 	delay := l.opt.Duration / renewalsPerLease
 	delay -= rand.N(delay/renewalsPerLease + 1)
+	if !l.active() {
+		delay = min(delay, candidacyCheckPeriod)
+	}
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -220,11 +226,16 @@
 // due reports whether the next step is due. A process that becomes a candidate
 // does not wait for the end of its idle delay.
 func (l *Lease) due() bool {
+	return l.active() || time.Since(l.lastStep) >= l.nonCandidateDelay()
+}
+
+// active reports whether this process holds the lease or is a candidate.
+func (l *Lease) active() bool {
 	if l.opt.Candidate == nil || l.opt.Candidate() {
 		return true
 	}
 	_, held := l.Held()
-	return held || time.Since(l.lastStep) >= l.nonCandidateDelay()
+	return held
 }
 
 // nonCandidateDelay returns the delay between two reads of the row by a
