--- a/app/gateway_counts_test.go
+++ b/app/gateway_counts_test.go
@@ -75,7 +75,7 @@
 			// settle is the time after the end of a window at which a complete
 			// window is reported.
 			settle = 2500 * time.Millisecond
-			// killed is an entry that dies shortly before the end of a window.
+			// killed is an entry that is killed shortly before the end of a window.
 			killed = 3
 		)
 		view, receive := largeView(peers)
--- a/app/gateway_push.go
+++ b/app/gateway_push.go
@@ -22,8 +22,8 @@
 // counts to the entries that may report them, several times in each window.
 
 const (
-	// pushesPerWindow is the number of pushes in a usage window. An entry that
-	// dies takes the counts since its last push with it.
+	// pushesPerWindow is the number of pushes in a usage window. The counts
+	// since the last push of an entry are lost if its process is killed.
 	pushesPerWindow = 2
 	// maxPushDelay bounds the time from reading the counter to the arrival of
 	// the push.
--- a/member/scan.go
+++ b/member/scan.go
@@ -66,8 +66,7 @@
 }
 
 // awaitOwnRow delays the first scan for a limited time until this entry has
-// written its row. The rows of entries that start at the same time are then
-// written as well, so that most entries need no second scan to find them.
+// written its row, and with it many of the entries that start at the same time.
 func (r *Registry) awaitOwnRow(ctx context.Context) {
 	timer := time.NewTimer(maxOwnRowWait)
 	defer timer.Stop()
