--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -153,6 +153,11 @@
 	// failedAnswer is the answer of a replica that ran the request and failed.
 	// It is relayed to the client if no retry gets a better one.
 	failedAnswer *bufferedAnswer
+	// framing is that of the last answer that was relayed, events the number of
+	// complete events relayed, and partialEvent the number of bytes of the last
+	// answer after its last complete event.
+	framing              upstream.Framing
+	events, partialEvent int
 	// firstEventLatency is the time from the arrival of the request to the
 	// first event of a stream.
 	firstEventLatency time.Duration
@@ -377,8 +382,11 @@
 		f["replica"], f["sends"] = x.replica, x.sends
 		x.addChoiceFields(f)
 	}
+	if x.framing != "" {
+		f["framing"] = x.framing
+	}
 	if x.firstEventLatency > 0 {
-		f["first_ms"] = x.firstEventLatency.Milliseconds()
+		f["first_ms"], f["events"], f["partial_event_bytes"] = x.firstEventLatency.Milliseconds(), x.events, x.partialEvent
 	}
 	if err != nil {
 		addAgeField(f, "configuration_age_ms", x.h.ConfigAge)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -37,6 +37,7 @@
 		return balance.Refused, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "replica %s refused with status %d", x.replica, a.Status).WithRetryAfter(retryAfterOverload)
 	}
 	x.mayHaveRun = true
+	x.framing = a.Framing
 	if x.route.Kind == config.Stream && a.Status < http.StatusMultipleChoices {
 		return x.relayStream(ctx, t, a, lastEvent)
 	}
@@ -176,6 +177,7 @@
 // run copies events until the stream ends or fails.
 func (s *streamCopy) run() error {
 	buf := make([]byte, copyBufferSize)
+	defer func() { s.x.partialEvent = len(s.splitter.remainder()) }()
 	for {
 		n, err := s.a.Read(buf)
 		s.splitter.feed(buf[:n])
@@ -206,6 +208,7 @@
 		if id := eventID(event); id != "" {
 			s.lastEventID = id
 		}
+		s.x.events++
 		wrote = true
 	}
 	if !wrote {
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -55,13 +55,39 @@
 	Matches func(status int, header http.Header) bool
 }
 
+// Framing is how the end of an answer's body is marked.
+type Framing string
+
+const (
+	// FramedByLength and FramedByChunks mark the end in the answer itself, so
+	// that a body that was broken off can be told from a complete one.
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByConnection leaves the end to the close of the connection. A
+	// replica that crashes may close it in order, too.
+	FramedByConnection Framing = "connection"
+)
+
+// framingOf returns the framing of a response.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	default:
+		return FramedByConnection
+	}
+}
+
 // Answer is a replica's answer whose header has arrived. Close must be called
 // when the body is no longer needed, and Read must not be called after Close.
 type Answer struct {
 	Status int
 	Header http.Header
 	// Length is the length of the body, -1 if unknown.
-	Length int64
+	Length  int64
+	Framing Framing
 
 	pool  *Pool
 	conn  *conn
@@ -195,7 +221,7 @@
 			c.bound.clear()
 			return p.newAnswer(c, resp, clean), nil
 		}
-		if skipped++; skipped > maxSkippedAnswers || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if skipped++; skipped > maxSkippedAnswers || framingOf(resp) == FramedByConnection {
 			return nil, errMisdelivered
 		}
 		clean = false
@@ -210,16 +236,16 @@
 // newAnswer returns the Answer of a response. clean is false if answers to
 // other requests arrived on the connection.
 func (p *Pool) newAnswer(c *conn, resp *http.Response, clean bool) *Answer {
-	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, pool: p, conn: c, body: resp.Body}
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	a.reusable = clean && framed && !resp.Close
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), pool: p, conn: c, body: resp.Body}
+	a.reusable = clean && a.Framing != FramedByConnection && !resp.Close
 	if timeout, ok := parseKeepAlive(resp.Header.Get("Keep-Alive")); ok {
 		c.idleTimeout = timeout
 	}
 	return a
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF only at the end of a complete body,
+// or when a connection that marks the end is closed in order.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
 	if errors.Is(err, io.EOF) {
