--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -172,12 +173,17 @@
 	// which the stream isn't resumed.
 	clientWriteFailed bool
 	splitter          eventSplitter
+	// events is the number of complete events of this answer.
+	events int
 }
 
 // run copies events until the stream ends or fails.
 func (s *streamCopy) run() error {
 	buf := make([]byte, copyBufferSize)
-	defer func() { s.x.partialEvent = len(s.splitter.remainder()) }()
+	defer func() {
+		s.x.events += s.events
+		s.x.partialEvent = len(s.splitter.remainder())
+	}()
 	for {
 		n, err := s.a.Read(buf)
 		s.splitter.feed(buf[:n])
@@ -208,7 +214,7 @@
 		if id := eventID(event); id != "" {
 			s.lastEventID = id
 		}
-		s.x.events++
+		s.events++
 		wrote = true
 	}
 	if !wrote {
@@ -236,11 +242,18 @@
 	s.x.h.Recorder.FirstToken(s.x.route.Name, s.x.firstEventLatency)
 }
 
-// finish writes the bytes after the last complete event. It is called when the
-// replica has ended the stream properly.
+// finish ends a stream whose replica has sent its last byte. Without an error
+// of the connection, only the events show whether the replica was done.
 func (s *streamCopy) finish() error {
+	rest := s.splitter.remainder()
+	if len(bytes.Trim(rest, "\r\n")) > 0 {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s ended within an event", s.x.replica)
+	}
+	if s.events == 0 && s.a.Framing == upstream.FramedByConnection {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s ended before its first event", s.x.replica)
+	}
 	s.writeHeader()
-	if rest := s.splitter.remainder(); len(rest) > 0 {
+	if len(rest) > 0 {
 		if _, err := s.x.w.Write(rest); err != nil {
 			s.clientWriteFailed = true
 			return err
