--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -124,3 +124,20 @@
 		})
 	}
 }
+
+// Guards against the failure of the replica that should resume a stream being
+// joined to the stream's events, and ending it as complete.
+func TestFailureOfResumingReplicaIsNotJoinedToStream(t *testing.T) {
+	for _, status := range []int{500, 504, 400, 302} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				both := inTurn(answerEvents(3, false), answerStatus(status, ""))
+				e := newTestEntry(t, testConfiguration(), both, both)
+				_, body, err := e.get(t, "/resume/x")
+				qt.Check(t, err, qt.IsNotNil)
+				qt.Check(t, body, qt.Equals, eventText(1, 3))
+				qt.Check(t, e.receivedCount(), qt.Equals, 2)
+			})
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -42,6 +42,9 @@
 	if x.route.Kind == config.Stream && a.Status < http.StatusMultipleChoices {
 		return x.relayStream(ctx, t, a, lastEvent)
 	}
+	if x.headerSent {
+		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "replica %s didn't resume the stream: status %d", x.replica, a.Status)
+	}
 	return x.relayAnswer(t, a)
 }
 
