--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -148,15 +148,18 @@
 	if s := x.cfg.Services[x.service]; s.Engine != nil {
 		q.Slots, q.LatencyObjective = s.Engine.Slots, x.cfg.MinLatencyObjective(x.service)
 	}
-	if n := len(x.req.Parts); n > 1 {
-		q.Parts = x.req.Parts[:n-1]
-	}
+	q.Parts = x.sharedParts()
 	for _, p := range q.Parts {
 		q.PromptTokens = max(q.PromptTokens, p.Tokens)
 	}
 	return q
 }
 
+// sharedParts returns the prompt parts that other requests may have as well.
+func (x *exchange) sharedParts() []balance.Part {
+	return x.req.Parts[:max(0, len(x.req.Parts)-1)]
+}
+
 // send sends the request to a replica and waits for the header of its answer.
 func (x *exchange) send(ctx context.Context, r *replica.Replica, lastEvent string) (*upstream.Answer, error) {
 	remaining := time.Until(x.deadline)
