--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -33,6 +33,13 @@
 
 func (dialect) DecodeRequest(r *http.Request) (gateway.Request, error) {
 	out := gateway.Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last")}
+	for field := range strings.FieldsSeq(r.Header.Get("Parts")) {
+		id, err := strconv.ParseUint(field, 10, 64)
+		if err != nil {
+			return out, err
+		}
+		out.Parts = append(out.Parts, balance.Part{ID: id, Tokens: 100})
+	}
 	if ms := r.Header.Get("Patience"); ms != "" {
 		n, err := strconv.Atoi(ms)
 		if err != nil {
@@ -44,7 +51,7 @@
 }
 
 func (dialect) ReplicaHeader(r *http.Request, f gateway.Forwarding) http.Header {
-	h := http.Header{"Id": {r.Header.Get("Id")}, "Replica": {f.ReplicaID}, "Customer": {f.Customer}}
+	h := http.Header{"Id": {r.Header.Get("Id")}, "Replica": {f.ReplicaID}, "Customer": {f.Customer}, "Parts": r.Header["Parts"]}
 	h.Set("Remaining", strconv.FormatInt(f.Remaining.Milliseconds(), 10))
 	h.Set("Last", f.LastEventID)
 	return h
