--- a/app/gateway.go
+++ b/app/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/scaling"
@@ -111,7 +112,7 @@
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
 			newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
-			newLimiter, newOwnerPeers, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
+			newLimiter, newOwnerPeers, newQuarantine, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
 		),
 		fx.Invoke(runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
@@ -203,6 +204,14 @@
 	return balance.NewGlobalBalancer(b, s.ID, peers, log)
 }
 
+func newQuarantine(s gateway.Settings, peers *ownerPeers, set *replica.Set, m *telemetry.Metrics, log *logrus.Entry) *quarantine.Set {
+	return quarantine.New(quarantine.Options{
+		ID: s.ID, Members: peers.Members,
+		Ready: func(service string) []*replica.Replica { return set.Current().Ready[service] },
+		Log:   log, Count: m.Quarantined,
+	})
+}
+
 // ownerPeers implements quota.Peers and balance.Peers.
 type ownerPeers struct {
 	view *peerView
@@ -258,23 +267,24 @@
 type handlerDeps struct {
 	fx.In
 
-	Deps      GatewayDeps
-	Config    *config.Holder
-	Followers *followers
-	Balancer  *balance.GlobalBalancer
-	Pool      *upstream.Pool
-	Limiter   *quota.GlobalLimiter
-	Retries   *quota.RetryBudget
-	Usage     *usage.Counter
-	Metrics   *telemetry.Metrics
-	Log       *logrus.Entry
+	Deps       GatewayDeps
+	Config     *config.Holder
+	Followers  *followers
+	Balancer   *balance.GlobalBalancer
+	Pool       *upstream.Pool
+	Quarantine *quarantine.Set
+	Limiter    *quota.GlobalLimiter
+	Retries    *quota.RetryBudget
+	Usage      *usage.Counter
+	Metrics    *telemetry.Metrics
+	Log        *logrus.Entry
 }
 
 func newHandler(d handlerDeps) *gateway.Handler {
 	return gateway.New(gateway.Deps{
 		Dialect: d.Deps.Dialect, Config: d.Config, ConfigAge: d.Followers.config.Age,
 		RegistryAge: d.Followers.registry.Age,
-		Balancer:    d.Balancer, Pool: d.Pool, Limiter: d.Limiter, Retries: d.Retries,
+		Balancer:    d.Balancer, Pool: d.Pool, Quarantine: d.Quarantine, Limiter: d.Limiter, Retries: d.Retries,
 		Usage: d.Usage, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
 		Loaded: []<-chan struct{}{d.Followers.config.Loaded(), d.Followers.registry.Loaded()},
 	})
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -17,6 +17,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollup"
@@ -184,21 +185,22 @@
 type gatewayMeshDeps struct {
 	fx.In
 
-	Settings  gateway.Settings
-	Network   Network
-	Registry  *member.Registry
-	Notices   *drain.Set
-	Followers *followers
-	Config    *config.Holder
-	Replicas  *replica.Set
-	View      *peerView
-	Limits    *quota.GlobalLimiter
-	Owners    *ownerPeers
-	Rollup    *rollup.Rollup
-	Loads     *rollupPeers
-	Balancer  *balance.Balancer
-	Loops     *Loops
-	Log       *logrus.Entry
+	Settings   gateway.Settings
+	Network    Network
+	Registry   *member.Registry
+	Notices    *drain.Set
+	Quarantine *quarantine.Set
+	Followers  *followers
+	Config     *config.Holder
+	Replicas   *replica.Set
+	View       *peerView
+	Limits     *quota.GlobalLimiter
+	Owners     *ownerPeers
+	Rollup     *rollup.Rollup
+	Loads      *rollupPeers
+	Balancer   *balance.Balancer
+	Loops      *Loops
+	Log        *logrus.Entry
 }
 
 func newGatewayMesh(lc fx.Lifecycle, d gatewayMeshDeps) (*peer.Mesh, error) {
@@ -209,7 +211,7 @@
 	lc.Append(fx.StopHook(func() { closeQuietly(l) }))
 	var m *peer.Mesh
 	m = peer.New(peer.Options{
-		Deployment: gatewayDeployment, Registry: d.Registry, Notices: d.Notices,
+		Deployment: gatewayDeployment, Registry: d.Registry, Notices: d.Notices, Evidence: d.Quarantine,
 		Listener: l, Dial: d.Network.Dial, Log: d.Log,
 		Handlers: peer.Handlers{
 			EntryState: d.View.receive,
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -185,6 +185,9 @@
 	Log  *logrus.Entry
 }
 
+// IsLeaving reports whether a replica is draining or gone.
+func (b *Balancer) IsLeaving(r *replica.Replica) bool { return b.set.IsLeaving(r) }
+
 // New returns a Balancer over a set of replicas.
 func New(set *replica.Set, o Options) *Balancer {
 	parts, err := lru.New[uint64, []partLocation](maxCachedParts)
--- a/gateway/balance/eject.go
+++ b/gateway/balance/eject.go
@@ -69,9 +69,12 @@
 		// A replica that refuses a request is reachable, but at capacity.
 		f.succeeded++
 		f.consecutive = 0
-	case Failed:
+	case Failed, Crashed:
 		f.failed++
 		f.consecutive++
+		if o == Crashed {
+			f.consecutive = max(f.consecutive, unresponsiveFailures)
+		}
 		if f.consecutive >= unresponsiveFailures {
 			pause := min(unresponsivePause<<min(f.consecutive-unresponsiveFailures, 3), maxUnresponsivePause)
 			f.ejectedUntil = now.Add(pause)
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -110,6 +110,9 @@
 	// Failed is the outcome of requests that the replica failed or did not
 	// answer.
 	Failed
+	// Crashed is the outcome of requests whose replica has crashed, which is
+	// known for certain.
+	Crashed
 	// Refused is the outcome of requests that the replica declined to run.
 	Refused
 	// Neutral is the outcome of requests that don't indicate the replica's
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
@@ -71,7 +72,8 @@
 	if ctx.Err() != nil || time.Until(x.deadline) < minTimeToSend {
 		return false
 	}
-	if errors.Is(err, balance.ErrNoReplica) || verdict.CodeOf(err) == verdict.CodeOverloaded {
+	var quarantined *quarantine.Refusal
+	if errors.Is(err, balance.ErrNoReplica) || verdict.CodeOf(err) == verdict.CodeOverloaded || errors.As(err, &quarantined) || x.crashSuspect {
 		return false
 	}
 	reason := "not run"
@@ -106,6 +108,7 @@
 		return err
 	}
 	x.lastChoice, x.replica = choice, choice.Replica.ID
+	x.brokenAtStart = false
 	ticket := x.h.Balancer.Begin(q, choice)
 	outcome := balance.Neutral
 	defer func() { ticket.End(outcome) }()
@@ -116,9 +119,47 @@
 	}
 	defer answer.Close()
 	outcome, err = x.relay(ctx, ticket, answer, lastEvent)
+	if x.brokenAtStart && ctx.Err() == nil && x.replicaCrashed(ctx, choice.Replica) {
+		outcome = balance.Crashed
+		x.recordCrash(choice.Replica)
+	}
 	return err
 }
 
+// replicaCrashed reports whether the replica that broke off an answer has
+// crashed. One that was told to leave has not.
+func (x *exchange) replicaCrashed(ctx context.Context, r *replica.Replica) bool {
+	return !x.h.Balancer.IsLeaving(r) && x.h.Pool.Refuses(ctx, r.Addr)
+}
+
+// recordCrash records that the replica crashed as it began to answer the
+// request.
+func (x *exchange) recordCrash(r *replica.Replica) {
+	parts := x.sharedPartIDs()
+	x.crashSuspect = x.h.Quarantine.Suspect(x.customerName(), parts)
+	x.h.Quarantine.Crashed(r, x.customerName(), parts)
+}
+
+// checkQuarantine refuses the request if its prompt would crash a replica.
+func (x *exchange) checkQuarantine() error {
+	if x.onTrial {
+		return nil
+	}
+	var refusal *quarantine.Refusal
+	if x.onTrial, refusal = x.h.Quarantine.Check(x.customerName(), x.sharedPartIDs()); refusal != nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "quarantine: %w", refusal).WithRetryAfter(refusal.RetryAfter())
+	}
+	return nil
+}
+
+// customerName returns the name of the request's customer, or "" if it has none.
+func (x *exchange) customerName() string {
+	if x.customer == nil {
+		return ""
+	}
+	return x.customer.Name
+}
+
 // outcomeOfError returns the outcome that is recorded for the replica of a
 // request without an answer.
 func outcomeOfError(err error) balance.Outcome {
@@ -160,8 +201,21 @@
 	return x.req.Parts[:max(0, len(x.req.Parts)-1)]
 }
 
+func (x *exchange) sharedPartIDs() []uint64 {
+	parts := x.sharedParts()
+	out := make([]uint64, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
 // send sends the request to a replica and waits for the header of its answer.
 func (x *exchange) send(ctx context.Context, r *replica.Replica, lastEvent string) (*upstream.Answer, error) {
+	// The prompt may have crashed replicas since the request was admitted.
+	if err := x.checkQuarantine(); err != nil {
+		return nil, err
+	}
 	remaining := time.Until(x.deadline)
 	if remaining < minTimeToSend {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeDeadline, "no time left to send")
@@ -173,9 +227,7 @@
 	if lastEvent == "" {
 		f.LastEventID = x.req.LastEventID
 	}
-	if x.customer != nil {
-		f.Customer = x.customer.Name
-	}
+	f.Customer = x.customerName()
 	if x.route.Kind == config.Stream {
 		f.Urgency = x.urgency()
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
@@ -116,6 +117,10 @@
 		ConfigAge:   func() (time.Duration, bool) { return e.age, true },
 		RegistryAge: func() (time.Duration, bool) { return 0, true },
 		Balancer:    balance.NewGlobalBalancer(balance.New(e.set, balance.Options{FailureDomain: "d", Seed: 1, Log: nolog.Or(nil)}), "e", noPeers{}, nolog.Or(nil)), Pool: pool,
+		Quarantine: quarantine.New(quarantine.Options{
+			ID: "e", Members: noPeers{}.Members, Ready: func(service string) []*replica.Replica { return e.set.Current().Ready[service] },
+			Log: nolog.Or(nil), Count: func(string) {},
+		}),
 		Limiter: quota.NewGlobalLimiter(limiter, "e", noPeers{}, nolog.Or(nil)),
 		Retries: quota.NewRetryBudget(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
 		Usage:   usage.NewCounter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -15,6 +15,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
@@ -67,6 +68,7 @@
 	RegistryAge func() (time.Duration, bool)
 	Balancer    *balance.GlobalBalancer
 	Pool        *upstream.Pool
+	Quarantine  *quarantine.Set
 	Limiter     *quota.GlobalLimiter
 	Retries     *quota.RetryBudget
 	Usage       *usage.Counter
@@ -159,6 +161,12 @@
 	// answer after its last complete event.
 	framing              upstream.Framing
 	events, partialEvent int
+	// brokenAtStart is set if the last answer broke off before its first event.
+	// crashSuspect is set once a replica crashed with such an answer, and the
+	// request may have caused that.
+	brokenAtStart, crashSuspect bool
+	// onTrial is set if the request was admitted although its parts are banned.
+	onTrial bool
 	// firstEventLatency is the time from the arrival of the request to the
 	// first event of a stream.
 	firstEventLatency time.Duration
@@ -217,6 +225,9 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	x.service = x.route.Pick(rand.Float64())
 	x.h.Retries.Deposit(x.service)
 	return x.charge()
--- /dev/null
+++ b/gateway/quarantine/judge.go
@@ -0,0 +1,147 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// minCrashes is the number of replicas that must crash on a part that was
+	// never answered, before the part is banned.
+	minCrashes = 3
+	// minCrashesIfAnswered is that number for a part that was answered before
+	// the last of these crashes.
+	minCrashesIfAnswered = 5
+	// simultaneous is the time within which replicas of one failure domain that
+	// crash count as one: what ended all of them wasn't in their prompts.
+	simultaneous = 100 * time.Millisecond
+)
+
+// Ban keeps requests of a customer from replicas if they contain all of its
+// parts.
+type Ban struct {
+	Customer string
+	Parts    []uint64
+	crashes  []*crash
+	// proven is set if one of the crashes can't be due to any part but these.
+	proven bool
+}
+
+// Crashes is the number of replicas that crashed on the parts.
+func (b *Ban) Crashes() int { return len(b.crashes) }
+
+// lastCrash is the time of the latest crash.
+func (b *Ban) lastCrash() time.Time {
+	last := time.Time{}
+	for _, c := range b.crashes {
+		if c.at.After(last) {
+			last = c.at
+		}
+	}
+	return last
+}
+
+// appliesTo reports whether a prompt contains all parts of the ban.
+func (b *Ban) appliesTo(parts []uint64) bool {
+	for _, p := range b.Parts {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// judge returns the bans that explain the crashes of one customer's prompts.
+// ownAnswer returns when this entry last had an answer on a part, the zero time
+// for never. Each crash is explained by one ban at most: the parts that account
+// for most crashes are banned first, so that a sound part that is in the prompts
+// of some of these isn't banned with them.
+func judge(customer string, crashes []*crash, ownAnswer func(part uint64) time.Time) []*Ban {
+	var bans []*Ban
+	for unexplained := crashes; ; {
+		against := crashesByPart(unexplained, ownAnswer)
+		blamed, ok := mostBlamed(against, crashes, ownAnswer)
+		if !ok {
+			return bans
+		}
+		explained := against[blamed]
+		b := &Ban{Customer: customer, crashes: explained}
+		for part, list := range against {
+			if slices.Equal(list, explained) {
+				b.Parts = append(b.Parts, part)
+			}
+		}
+		slices.Sort(b.Parts)
+		b.proven = slices.ContainsFunc(explained, func(c *crash) bool { return c.provenBy(b.Parts, ownAnswer) })
+		bans = append(bans, b)
+		unexplained = slices.DeleteFunc(slices.Clone(unexplained), func(c *crash) bool { return slices.Contains(explained, c) })
+	}
+}
+
+// provenBy reports whether a crash can only be due to the given parts, because
+// all others of its prompts were answered.
+func (c *crash) provenBy(parts []uint64, ownAnswer func(part uint64) time.Time) bool {
+	return !slices.ContainsFunc(c.parts, func(part uint64) bool {
+		return !slices.Contains(parts, part) && !c.isAnswered(part) && ownAnswer(part).IsZero()
+	})
+}
+
+// crashesByPart returns the crashes that count against each part.
+func crashesByPart(crashes []*crash, ownAnswer func(part uint64) time.Time) map[uint64][]*crash {
+	out := make(map[uint64][]*crash)
+	for _, c := range crashes {
+		for _, part := range c.parts {
+			if c.countsAgainst(part, ownAnswer(part)) {
+				out[part] = append(out[part], c)
+			}
+		}
+	}
+	return out
+}
+
+// countsAgainst reports whether a part wasn't answered since the crash, at the
+// others or at this entry.
+func (c *crash) countsAgainst(part uint64, ownAnswer time.Time) bool {
+	return c.at.After(ownAnswer) && !c.isAnswered(part)
+}
+
+// mostBlamed returns the part that most crashes count against, and false if
+// there are too few against each part.
+func mostBlamed(against map[uint64][]*crash, all []*crash, ownAnswer func(part uint64) time.Time) (uint64, bool) {
+	var candidates []uint64
+	for part, list := range against {
+		if countCrashes(list) >= crashesNeeded(part, all, ownAnswer(part)) {
+			candidates = append(candidates, part)
+		}
+	}
+	if len(candidates) == 0 {
+		return 0, false
+	}
+	return slices.MinFunc(candidates, func(x, y uint64) int {
+		return cmp.Or(cmp.Compare(len(against[y]), len(against[x])), cmp.Compare(x, y))
+	}), true
+}
+
+// countCrashes returns the number of crashes, of which those at the same time in
+// the same failure domain count as one.
+func countCrashes(crashes []*crash) int {
+	sorted := slices.SortedFunc(slices.Values(crashes), func(x, y *crash) int { return x.at.Compare(y.at) })
+	last := make(map[string]time.Time)
+	n := 0
+	for _, c := range sorted {
+		if at, ok := last[c.domain]; !ok || c.at.Sub(at) > simultaneous {
+			n++
+		}
+		last[c.domain] = c.at
+	}
+	return n
+}
+
+// crashesNeeded returns the number of crashes after which a part is banned.
+func crashesNeeded(part uint64, all []*crash, ownAnswer time.Time) int {
+	if ownAnswer.IsZero() && !slices.ContainsFunc(all, func(c *crash) bool { return c.isAnswered(part) }) {
+		return minCrashes
+	}
+	return minCrashesIfAnswered
+}
--- /dev/null
+++ b/gateway/quarantine/quarantine.go
@@ -0,0 +1,338 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+)
+
+const (
+	// trialInterval is the time after the last crash in which banned requests
+	// get no trial.
+	trialInterval = 10 * time.Minute
+	// trialTurn is how long one entry may admit the request on trial, before it
+	// is another one's turn.
+	trialTurn = time.Minute
+	// maxParts is the number of shared parts of a prompt that are considered.
+	// Those at its end are shared with the fewest other prompts.
+	maxParts = 32
+	// maxMergedParts is the number of parts of all requests whose answers one
+	// replica began when it crashed.
+	maxMergedParts = 2 * maxParts
+)
+
+// Options configure a Set.
+type Options struct {
+	// ID is the ID of this entry.
+	ID string
+	// Members returns the IDs of the reachable members, this one included.
+	Members func() []string
+	// Ready returns the replicas of a service that accept new requests.
+	Ready func(service string) []*replica.Replica
+	Log   *logrus.Entry
+	// Count counts events: "crash", "ban", "lift", "refusal" and "trial".
+	Count func(event string)
+}
+
+// Set holds the evidence against prompt parts and the bans that follow from it.
+// It is safe for concurrent use.
+type Set struct {
+	opt Options
+
+	mu       sync.Mutex
+	answered answeredParts
+	evidence evidence
+	bans     map[string][]*Ban
+	// trials holds when this entry last admitted a request on trial, by ban.
+	trials map[string]trial
+	// announcing holds the customers for whose parts an announcement of answers
+	// is scheduled.
+	announcing  map[string]bool
+	onBroadcast []func()
+}
+
+// trial is a request that was admitted although it is banned.
+type trial struct {
+	at       time.Time
+	versions string
+}
+
+// New returns an empty Set.
+func New(o Options) *Set {
+	return &Set{opt: o, answered: newAnsweredParts(), evidence: newEvidence(), bans: make(map[string][]*Ban), trials: make(map[string]trial), announcing: make(map[string]bool)}
+}
+
+// Refusal is the reason why a request is kept from replicas.
+type Refusal struct {
+	Parts   []uint64
+	Crashes int
+	// Since is the time since the last crash.
+	Since time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("prompt parts %v crashed %d replicas, the last one %v ago", partNames(r.Parts), r.Crashes, r.Since.Round(time.Second))
+}
+
+// RetryAfter is the time after which such a request may be admitted again.
+func (r *Refusal) RetryAfter() time.Duration { return max(trialInterval-r.Since, trialTurn) }
+
+// Check returns why a request with the given shared parts must not reach a
+// replica, or nil. It reports whether the request is admitted on trial, in which
+// case it must not be checked again.
+func (s *Set) Check(customer string, parts []uint64) (onTrial bool, refusal *Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.bans[customer]) == 0 {
+		return false, nil
+	}
+	s.expireLocked(time.Now())
+	for _, b := range s.bans[customer] {
+		if !b.appliesTo(parts) || !s.wouldCrashLocked(b, parts) {
+			continue
+		}
+		if s.admitOnTrialLocked(b) {
+			onTrial = true
+			continue
+		}
+		s.opt.Count("refusal")
+		return false, &Refusal{Parts: b.Parts, Crashes: b.Crashes(), Since: time.Since(b.lastCrash())}
+	}
+	return onTrial, nil
+}
+
+// wouldCrashLocked reports whether a request with all parts of a ban has to be
+// refused. If the ban isn't proven, each of its crashes may as well be due to
+// some other part of those prompts. A request without any such part may then
+// pass: its answer or its crash settles which it is.
+func (s *Set) wouldCrashLocked(b *Ban, parts []uint64) bool {
+	if b.proven || len(b.Parts) > 1 {
+		return true
+	}
+	against := s.crashesByPartLocked(b.Customer)
+	return slices.ContainsFunc(parts, func(p uint64) bool {
+		return p != b.Parts[0] && (len(against[p]) > 0 || !s.everAnsweredLocked(b.Customer, p))
+	})
+}
+
+// everAnsweredLocked reports whether this entry knows of an answer on a part.
+func (s *Set) everAnsweredLocked(customer string, part uint64) bool {
+	return !s.answered.last(customer, part).IsZero() ||
+		slices.ContainsFunc(s.evidence.byCustomer[customer], func(c *crash) bool { return c.isAnswered(part) })
+}
+
+// Suspect reports whether a request with the given shared parts may have caused
+// the crash of a replica that had begun to answer it.
+func (s *Set) Suspect(customer string, parts []uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	against := s.crashesByPartLocked(customer)
+	return slices.ContainsFunc(parts, func(p uint64) bool {
+		return len(against[p]) >= announceFrom || s.answered.last(customer, p).IsZero()
+	})
+}
+
+// crashesByPartLocked returns the crashes that count against each part of a
+// customer.
+func (s *Set) crashesByPartLocked(customer string) map[uint64][]*crash {
+	return crashesByPart(s.evidence.byCustomer[customer], s.ownAnswers(customer))
+}
+
+// ownAnswers returns a function that returns when this entry last had an answer
+// on a part of a customer.
+func (s *Set) ownAnswers(customer string) func(part uint64) time.Time {
+	return func(part uint64) time.Time { return s.answered.last(customer, part) }
+}
+
+// Answered records that the answer to a request with these shared parts went on
+// after its beginning.
+func (s *Set) Answered(customer string, parts []uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	crashes := s.evidence.byCustomer[customer]
+	cleared := false
+	for _, p := range parts {
+		last := s.answered.last(customer, p)
+		s.answered.record(customer, p, now)
+		cleared = cleared || slices.ContainsFunc(crashes, func(c *crash) bool { return c.hasPart(p) && c.countsAgainst(p, last) })
+	}
+	if cleared {
+		s.rejudgeLocked(customer)
+		s.scheduleLocked(customer)
+	}
+}
+
+// Crashed records that a replica crashed as it began to answer a request with
+// these shared parts, and spreads that to the other entries.
+func (s *Set) Crashed(r *replica.Replica, customer string, parts []uint64) {
+	if len(parts) == 0 {
+		return
+	}
+	s.addCrash(&crash{
+		crashKey: crashKey{customer, r.ID, r.Incarnation}, service: r.Service, version: r.Version, domain: r.FailureDomain,
+		parts: union(parts[max(0, len(parts)-maxParts):], nil), at: time.Now(),
+	}, s.opt.ID)
+}
+
+// addCrash adds evidence and reports whether it was new.
+func (s *Set) addCrash(c *crash, source string) bool {
+	s.mu.Lock()
+	s.expireLocked(time.Now())
+	known := len(s.evidence.byCustomer[c.customer])
+	added := s.evidence.add(c)
+	var notify []func()
+	if added {
+		notify = s.onBroadcast
+	}
+	if added && len(s.evidence.byCustomer[c.customer]) != known {
+		s.opt.Count("crash")
+		s.opt.Log.WithFields(logrus.Fields{
+			"replica": c.replica, "born": c.incarnation, "service": c.service, "version": c.version,
+			"customer": c.customer, "parts": partNames(c.parts), "seen_by": source,
+		}).Warn("quarantine: replica crashed as it began an answer.")
+	}
+	if added {
+		s.rejudgeLocked(c.customer)
+		s.scheduleLocked(c.customer)
+	}
+	s.mu.Unlock()
+	for _, f := range notify {
+		f()
+	}
+	return added
+}
+
+// rejudgeLocked judges the evidence of a customer again and logs what changes.
+func (s *Set) rejudgeLocked(customer string) {
+	before := s.bans[customer]
+	bans := judge(customer, s.evidence.byCustomer[customer], s.ownAnswers(customer))
+	if len(bans) == 0 {
+		delete(s.bans, customer)
+	} else {
+		s.bans[customer] = bans
+	}
+	for _, b := range bans {
+		if !containsParts(before, b.Parts) {
+			s.opt.Count("ban")
+			s.logBan(b)
+		}
+	}
+	for _, b := range before {
+		if !containsParts(bans, b.Parts) {
+			s.opt.Count("lift")
+			delete(s.trials, b.key())
+			s.opt.Log.WithFields(logrus.Fields{"customer": customer, "parts": partNames(b.Parts)}).Info("quarantine: prompt parts are admitted again.")
+		}
+	}
+}
+
+func (s *Set) logBan(b *Ban) {
+	replicas := make([]string, 0, len(b.crashes))
+	first := b.crashes[0].at
+	for _, c := range b.crashes {
+		replicas = append(replicas, c.replica)
+		if c.at.Before(first) {
+			first = c.at
+		}
+	}
+	f := logrus.Fields{
+		"customer": b.Customer, "parts": partNames(b.Parts), "crashes": b.Crashes(), "replicas": replicas,
+		"first_crash_ms_ago": time.Since(first).Milliseconds(), "last_crash_ms_ago": time.Since(b.lastCrash()).Milliseconds(),
+	}
+	for _, p := range b.Parts {
+		if at := s.answered.last(b.Customer, p); !at.IsZero() {
+			f["last_answer_ms_ago"] = time.Since(at).Milliseconds()
+		}
+	}
+	s.opt.Log.WithFields(f).Warn("quarantine: prompt parts are banned.")
+}
+
+func containsParts(bans []*Ban, parts []uint64) bool {
+	return slices.ContainsFunc(bans, func(b *Ban) bool { return slices.Equal(b.Parts, parts) })
+}
+
+// expireLocked forgets old evidence.
+func (s *Set) expireLocked(now time.Time) {
+	for _, customer := range s.evidence.expire(now) {
+		s.rejudgeLocked(customer)
+	}
+}
+
+// admitOnTrialLocked reports whether this entry may admit a banned request now,
+// to learn whether it still crashes replicas.
+func (s *Set) admitOnTrialLocked(b *Ban) bool {
+	versions, replaced := s.replacedBy(b)
+	now, last := time.Now(), b.lastCrash()
+	previous := s.trials[b.key()]
+	due := last.Add(trialInterval)
+	switch {
+	case replaced && previous.versions != versions:
+		due = last
+	case previous.at.After(last):
+		due = previous.at.Add(trialInterval)
+	}
+	if now.Before(due) || !s.isTurn(b.key(), now.Sub(due)) {
+		return false
+	}
+	s.trials[b.key()] = trial{at: now, versions: versions}
+	s.opt.Count("trial")
+	s.opt.Log.WithFields(logrus.Fields{"customer": b.Customer, "parts": partNames(b.Parts), "replaced": replaced}).Info("quarantine: request is admitted on trial.")
+	return true
+}
+
+// replacedBy returns the versions of the replicas that now run the service on
+// which the parts of a ban crashed, and whether none of them has crashed on
+// them.
+func (s *Set) replacedBy(b *Ban) (versions string, replaced bool) {
+	crashed := make(map[string]bool)
+	for _, c := range b.crashes {
+		crashed[c.version] = true
+	}
+	ready := s.opt.Ready(b.crashes[0].service)
+	replaced = len(ready) > 0
+	var names []string
+	for _, r := range ready {
+		replaced = replaced && r.Version != "" && !crashed[r.Version]
+		names = append(names, r.Version)
+	}
+	slices.Sort(names)
+	return fmt.Sprint(slices.Compact(names)), replaced
+}
+
+// isTurn reports whether it is the turn of this entry to admit a request. All
+// entries with the same members and evidence agree on whose turn it is, but for
+// the moments at its ends.
+func (s *Set) isTurn(key string, since time.Duration) bool {
+	key += "/" + strconv.Itoa(int(since/trialTurn)) + "/"
+	best, highest := "", uint64(0)
+	for _, id := range s.opt.Members() {
+		if h := xxhash.Sum64String(key + id); best == "" || h > highest {
+			best, highest = id, h
+		}
+	}
+	return best == s.opt.ID
+}
+
+// key identifies the ban among all.
+func (b *Ban) key() string { return b.Customer + fmt.Sprint(b.Parts) }
+
+// partNames returns the IDs of parts as they are written in logs and messages.
+func partNames(parts []uint64) []string {
+	out := make([]string, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, strconv.FormatUint(p, 16))
+	}
+	return out
+}
+
+var _ peer.EvidenceLog = (*Set)(nil)
--- /dev/null
+++ b/gateway/quarantine/spread.go
@@ -0,0 +1,128 @@
+package quarantine
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+)
+
+const (
+	// announceFrom is the number of crashes against a part from which an entry
+	// that had it answered tells the others.
+	announceFrom = minCrashes - 1
+	// maxAnnounceDelay bounds the random delay of such an announcement.
+	maxAnnounceDelay = 800 * time.Millisecond
+)
+
+// OnBroadcast implements peer.EvidenceLog.
+func (s *Set) OnBroadcast(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onBroadcast = append(s.onBroadcast, f)
+}
+
+// Add implements peer.EvidenceLog.
+func (s *Set) Add(from string, e peer.CrashEvidence) bool {
+	c := &crash{
+		crashKey: crashKey{e.Customer, e.Endpoint, e.Incarnation}, service: e.Service, version: e.Version, domain: e.FailureDomain,
+		parts: parseParts(e.Parts), answered: parseParts(e.Answered),
+		at: time.Now().Add(-time.Duration(max(0, e.AgeMS)) * time.Millisecond),
+	}
+	if len(c.parts) == 0 || len(c.parts) > maxMergedParts || len(c.answered) > len(c.parts) {
+		return false
+	}
+	return s.addCrash(c, from)
+}
+
+func parseParts(names []string) []uint64 {
+	out := make([]uint64, 0, len(names))
+	for _, name := range names {
+		if p, err := strconv.ParseUint(name, 16, 64); err == nil {
+			out = append(out, p)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Since implements peer.EvidenceLog.
+func (s *Set) Since(position uint64, limit int) ([]peer.CrashEvidence, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var out []peer.CrashEvidence
+	for _, l := range s.evidence.since(position, limit) {
+		position = l.seq
+		out = append(out, peer.CrashEvidence{
+			Customer: l.crash.customer, Parts: partNames(l.crash.parts), Answered: partNames(l.crash.answered),
+			Endpoint: l.crash.replica, Incarnation: l.crash.incarnation,
+			Service: l.crash.service, Version: l.crash.version, FailureDomain: l.crash.domain, AgeMS: now.Sub(l.crash.at).Milliseconds(),
+		})
+	}
+	return out, position
+}
+
+// scheduleLocked schedules an announcement if there is an answer to announce.
+// Many entries may have one: the delay is distributed so that few of them send
+// it before the first of these announcements has reached the others.
+func (s *Set) scheduleLocked(customer string) {
+	if s.announcing[customer] || len(s.dueAnswersLocked(customer)) == 0 {
+		return
+	}
+	s.announcing[customer] = true
+	time.AfterFunc(announceDelay(len(s.opt.Members()), rand.Float64()), func() { s.announce(customer) })
+}
+
+// announceDelay returns the delay for a random number in [0, 1). Its density
+// grows exponentially, as that of the timers with which the receivers of a
+// multicast suppress each other's feedback (Nonnenmacher and Biersack, "Scalable
+// feedback for large groups", 1999).
+func announceDelay(members int, random float64) time.Duration {
+	lambda := math.Log(float64(max(members, 1))) + 1
+	return time.Duration(float64(maxAnnounceDelay) * math.Log(random*(math.Exp(lambda)-1)+1) / lambda)
+}
+
+// announce spreads the answers that are still due.
+func (s *Set) announce(customer string) {
+	s.mu.Lock()
+	delete(s.announcing, customer)
+	due := s.dueAnswersLocked(customer)
+	for _, c := range due {
+		s.evidence.add(c)
+	}
+	var notify []func()
+	if len(due) > 0 {
+		notify = s.onBroadcast
+	}
+	s.mu.Unlock()
+	for _, f := range notify {
+		f()
+	}
+}
+
+// dueAnswersLocked returns the crashes of a customer's prompts with the answers
+// that this entry had since, on parts that others may be about to ban, and on
+// all parts beside one whose ban isn't proven.
+func (s *Set) dueAnswersLocked(customer string) []*crash {
+	crashes := s.evidence.byCustomer[customer]
+	told := crashesByPart(crashes, func(uint64) time.Time { return time.Time{} })
+	from := announceFrom
+	if slices.ContainsFunc(s.bans[customer], func(b *Ban) bool { return !b.proven }) {
+		from = 1
+	}
+	var due []*crash
+	for _, c := range crashes {
+		tell := *c
+		tell.answered = slices.DeleteFunc(slices.Clone(c.parts), func(part uint64) bool {
+			return len(told[part]) < from || c.countsAgainst(part, s.answered.last(customer, part))
+		})
+		if merged, changed := c.merge(&tell); changed {
+			due = append(due, merged)
+		}
+	}
+	return due
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -57,9 +57,11 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBody+1))
 	if err != nil {
+		x.brokenAtStart = true
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer of replica %s: %w", x.replica, err)
 	}
 	t.FirstTokenReceived()
+	x.h.Quarantine.Answered(x.customerName(), x.sharedPartIDs())
 	if outcome == balance.Failed && len(body) <= maxBufferedBody && x.mayRunAgain() {
 		x.failedAnswer = &bufferedAnswer{replica: x.replica, answer: a, body: body}
 		return outcome, verdict.New(verdict.Ran, verdict.CodeUnavailable, "replica %s failed with status %d", x.replica, a.Status)
@@ -181,10 +183,11 @@
 }
 
 // run copies events until the stream ends or fails.
-func (s *streamCopy) run() error {
+func (s *streamCopy) run() (err error) {
 	buf := make([]byte, copyBufferSize)
 	defer func() {
 		s.x.events += s.events
+		s.x.brokenAtStart = err != nil && s.x.events == 0
 		s.x.partialEvent = len(s.splitter.remainder())
 	}()
 	for {
@@ -209,6 +212,9 @@
 func (s *streamCopy) writeEvents() error {
 	wrote := false
 	for event := s.splitter.next(); event != nil; event = s.splitter.next() {
+		if s.events == 0 {
+			s.x.h.Quarantine.Answered(s.x.customerName(), s.x.sharedPartIDs())
+		}
 		s.writeHeader()
 		if _, err := s.x.w.Write(event); err != nil {
 			s.clientWriteFailed = true
--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -14,6 +14,9 @@
 type Registration struct {
 	ID      string
 	Service string
+	// Version is the version of the software that the replica runs; empty if the
+	// row doesn't state it.
+	Version string
 	// Addr is "ip:port". Another replica may get the same address later.
 	Addr          string
 	FailureDomain string
@@ -164,6 +167,14 @@
 	s.publishLocked()
 }
 
+// IsLeaving reports whether an incarnation is draining or gone.
+func (s *Set) IsLeaving(r *Replica) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, draining := s.draining[incarnationKey{r.ID, r.Incarnation}]
+	return draining || s.registered[r.ID] == nil
+}
+
 func (s *Set) putLocked(reg Registration, newlyDraining []*Replica) []*Replica {
 	old := s.registered[reg.ID]
 	r := &Replica{Registration: reg, Seen: time.Now()}
--- a/peer/link.go
+++ b/peer/link.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/time/rate"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
@@ -23,6 +24,11 @@
 	// noticeBatch and stateBatch bound the notices and states in one message.
 	noticeBatch = 256
 	stateBatch  = 64
+	// evidencePerSecond and evidenceBurst bound the pieces of evidence on a
+	// connection, since a customer can cause any number of crashes. What waits
+	// is superseded by newer evidence of the customer.
+	evidencePerSecond = 2
+	evidenceBurst     = 40
 	// maxChangeCalls bounds the concurrent calls of one peer that wait for
 	// changes. A peer follows two feeds; the rest is for calls that the peer
 	// has cancelled and that still wait here.
@@ -81,7 +87,11 @@
 	// states up to which everything was sent.
 	noticePosition uint64
 	sentChange     uint64
-	sentTemplates  map[string]uint64
+	// evidencePosition is the position in the evidence up to which everything
+	// was sent.
+	evidencePosition uint64
+	evidenceLimiter  *rate.Limiter
+	sentTemplates    map[string]uint64
 	// requestedRelay is the last Relay that was sent to the peer.
 	requestedRelay bool
 	// relayedLast is set if the last state update relayed states.
@@ -102,6 +112,7 @@
 		peerStamps:      make(map[string]stamp),
 		receivedNotices: make(map[drain.Key]bool),
 		sentTemplates:   make(map[string]uint64),
+		evidenceLimiter: rate.NewLimiter(evidencePerSecond, evidenceBurst),
 	}
 	l.conn = jsonrpc2.NewConn(ctx, l.stream, l, jsonrpc2.SetLogger(m.discardLog))
 	close(l.connSet)
@@ -141,6 +152,12 @@
 			return err
 		}
 		l.handleNotices(n)
+	case methodEvidence:
+		var e crashEvidence
+		if err := params(req, &e); err != nil {
+			return err
+		}
+		l.handleEvidence(e)
 	case methodVersions:
 		var v versions
 		if err := params(req, &v); err != nil {
@@ -216,6 +233,15 @@
 	}
 }
 
+func (l *link) handleEvidence(e crashEvidence) {
+	if l.mesh.o.Evidence == nil {
+		return
+	}
+	for _, piece := range e.Evidence {
+		l.mesh.o.Evidence.Add(l.peer.ID, piece)
+	}
+}
+
 func (l *link) handleVersions(v versions) {
 	for name, version := range v.Templates {
 		l.mesh.o.Handlers.templateVersion(l.peer.ID, name, version)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -71,6 +71,20 @@
 	Handoff func(ctx context.Context, jobID string) error
 }
 
+// EvidenceLog holds evidence on prompt parts, which a Mesh spreads to all
+// entries. Implementations must be safe for concurrent use.
+type EvidenceLog interface {
+	// Add adds evidence from a peer and reports whether it was new. Only new
+	// evidence is passed on.
+	Add(from string, e CrashEvidence) bool
+	// Since returns up to limit pieces of evidence that were added after
+	// position, and the position after the last one returned.
+	Since(position uint64, limit int) ([]CrashEvidence, uint64)
+	// OnBroadcast registers f to be called when Since has more to return. f must
+	// not block.
+	OnBroadcast(f func())
+}
+
 // Options configures a Mesh.
 type Options struct {
 	// Deployment is the name of the deployment. Peers of other deployments are
@@ -78,10 +92,12 @@
 	Deployment string
 	Registry   *member.Registry
 	Notices    *drain.Set
-	Listener   net.Listener
-	Dial       func(ctx context.Context, network, addr string) (net.Conn, error)
-	Log        *logrus.Entry
-	Handlers   Handlers
+	// Evidence may be nil.
+	Evidence EvidenceLog
+	Listener net.Listener
+	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
+	Log      *logrus.Entry
+	Handlers Handlers
 }
 
 // Mesh connects this entry with its peers. It is safe for concurrent use.
@@ -127,6 +143,9 @@
 		publishNow:  make(chan struct{}, 1),
 	}
 	o.Notices.OnBroadcast(m.wakeAll)
+	if o.Evidence != nil {
+		o.Evidence.OnBroadcast(m.wakeAll)
+	}
 	return m
 }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -26,6 +26,7 @@
 	methodPlace       = "place"
 	methodLoads       = "loads"
 	methodPushCounts  = "push_counts"
+	methodEvidence    = "evidence"
 )
 
 // Demand is the demand of one customer at one entry.
@@ -255,6 +256,31 @@
 	}
 }
 
+// CrashEvidence is evidence against prompt parts: an endpoint crashed as it
+// began to answer requests with them.
+type CrashEvidence struct {
+	// Customer is the customer whose parts these are.
+	Customer string `json:"c,omitempty"`
+	// Endpoint and Incarnation are those of the endpoint that crashed.
+	Endpoint    string `json:"e"`
+	Incarnation int64  `json:"i,omitempty"`
+	Service     string `json:"s,omitempty"`
+	Version     string `json:"v,omitempty"`
+	// FailureDomain is that of the endpoint.
+	FailureDomain string `json:"d,omitempty"`
+	// Parts are the IDs of the parts, and Answered those that were answered
+	// since. They are text, because JSON numbers don't preserve 64 bits.
+	Parts    []string `json:"p"`
+	Answered []string `json:"a,omitempty"`
+	// AgeMS is the time since the crash.
+	AgeMS int64 `json:"t,omitempty"`
+}
+
+// crashEvidence broadcasts evidence. It is sent at once.
+type crashEvidence struct {
+	Evidence []CrashEvidence `json:"e"`
+}
+
 // versions reports template versions in force. It is sent at once.
 type versions struct {
 	Templates map[string]uint64 `json:"t"`
--- a/peer/send.go
+++ b/peer/send.go
@@ -48,8 +48,11 @@
 	}
 }
 
-// sendUrgent sends new notices and template versions.
+// sendUrgent sends new notices, evidence and template versions.
 func (l *link) sendUrgent(ctx context.Context) error {
+	if err := l.sendEvidence(ctx); err != nil {
+		return err
+	}
 	for {
 		batch, position := l.mesh.o.Notices.Since(l.noticePosition, noticeBatch)
 		if position == l.noticePosition {
@@ -87,6 +90,22 @@
 	return l.conn.Notify(ctx, methodVersions, versions{Templates: changed})
 }
 
+// sendEvidence sends the evidence that was added since the last call, within the
+// limit of its rate. The next state update continues.
+func (l *link) sendEvidence(ctx context.Context) error {
+	if l.mesh.o.Evidence == nil {
+		return nil
+	}
+	now := time.Now()
+	batch, position := l.mesh.o.Evidence.Since(l.evidencePosition, int(l.evidenceLimiter.TokensAt(now)))
+	if len(batch) == 0 {
+		return nil
+	}
+	l.evidenceLimiter.AllowN(now, len(batch))
+	l.evidencePosition = position
+	return l.conn.Notify(ctx, methodEvidence, crashEvidence{Evidence: batch})
+}
+
 // nextStateUpdate returns a state update with the states that the peer doesn't
 // have yet. The own state of this entry is sent to all neighbours. The states
 // of third members are sent only if either side requested relaying.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -40,6 +40,7 @@
 	recomputed  metric.Int64Counter
 	firstToken  metric.Float64Histogram
 	requestTime metric.Float64Histogram
+	quarantine  metric.Int64Counter
 	tableCalls  metric.Int64Counter
 	tableTime   metric.Float64Histogram
 }
@@ -60,7 +61,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [8]error
+	var errs [9]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -80,6 +81,8 @@
 	m.requestTime, errs[7] = m.meter.Float64Histogram("coltsfootcleat.request_time", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(firstTokenBounds...),
 		metric.WithDescription("Time from a request's arrival to the end of its answer, by route, outcome and status."))
+	m.quarantine, errs[8] = m.meter.Int64Counter("coltsfootcleat.quarantine",
+		metric.WithDescription("Events of the quarantine of prompt parts: crashes, bans, lifts, refusals and trials."))
 	return errors.Join(errs[:]...)
 }
 
@@ -115,6 +118,11 @@
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// Quarantined counts an event of the quarantine of prompt parts.
+func (m *Metrics) Quarantined(event string) {
+	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 // Resumed counts a stream that was resumed elsewhere; how is for example "kv"
 // or "prompt".
 func (m *Metrics) Resumed(how string) {
