--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -107,6 +107,10 @@
 	if err := x.refuseIfTooLate(choice); err != nil && lastEvent == "" {
 		return err
 	}
+	// The prompt may have crashed replicas since the request was admitted.
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	x.lastChoice, x.replica = choice, choice.Replica.ID
 	x.brokenAtStart = false
 	ticket := x.h.Balancer.Begin(q, choice)
@@ -145,11 +149,13 @@
 	if x.onTrial {
 		return nil
 	}
+	var err error
+	x.onTrial, err = x.h.Quarantine.Check(x.customerName(), x.sharedPartIDs())
 	var refusal *quarantine.Refusal
-	if x.onTrial, refusal = x.h.Quarantine.Check(x.customerName(), x.sharedPartIDs()); refusal != nil {
+	if errors.As(err, &refusal) {
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "quarantine: %w", refusal).WithRetryAfter(refusal.RetryAfter())
 	}
-	return nil
+	return err
 }
 
 // customerName returns the name of the request's customer, or "" if it has none.
@@ -212,10 +218,6 @@
 
 // send sends the request to a replica and waits for the header of its answer.
 func (x *exchange) send(ctx context.Context, r *replica.Replica, lastEvent string) (*upstream.Answer, error) {
-	// The prompt may have crashed replicas since the request was admitted.
-	if err := x.checkQuarantine(); err != nil {
-		return nil, err
-	}
 	remaining := time.Until(x.deadline)
 	if remaining < minTimeToSend {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeDeadline, "no time left to send")
--- a/gateway/quarantine/fleet_test.go
+++ b/gateway/quarantine/fleet_test.go
@@ -320,7 +320,7 @@
 		return
 	}
 	for _, e := range f.entries {
-		if _, refusal := e.set.Check(customer, f.play.crashing(1, f.random)); !e.cut && refusal == nil {
+		if _, err := e.set.Check(customer, f.play.crashing(1, f.random)); !e.cut && err == nil {
 			return
 		}
 	}
@@ -345,7 +345,7 @@
 // attempt offers a request to a replica.
 func (f *fleet) attempt(q *simRequest) {
 	q.attempt++
-	if _, refusal := q.entry.set.Check(customer, q.parts); f.guarded && refusal != nil {
+	if _, err := q.entry.set.Check(customer, q.parts); f.guarded && err != nil {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if !q.crashing {
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -68,7 +68,7 @@
 		explained := against[blamed]
 		b := &Ban{Customer: customer, crashes: explained}
 		for part, list := range against {
-			if slices.Equal(list, explained) {
+			if slices.Equal(list, explained) && countCrashes(list) >= crashesNeeded(part, crashes, ownAnswer(part)) {
 				b.Parts = append(b.Parts, part)
 			}
 		}
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -70,7 +70,7 @@
 	return &Set{opt: o, answered: newAnsweredParts(), evidence: newEvidence(), bans: make(map[string][]*Ban), trials: make(map[string]trial), announcing: make(map[string]bool)}
 }
 
-// Refusal is the reason why a request is kept from replicas.
+// Refusal is the error of a request that is kept from replicas.
 type Refusal struct {
 	Parts   []uint64
 	Crashes int
@@ -86,10 +86,10 @@
 // RetryAfter is the time after which such a request may be admitted again.
 func (r *Refusal) RetryAfter() time.Duration { return max(trialInterval-r.Since, trialTurn) }
 
-// Check returns why a request with the given shared parts must not reach a
-// replica, or nil. It reports whether the request is admitted on trial, in which
+// Check returns a *Refusal if a request with the given shared parts must not
+// reach a replica. It reports whether the request is admitted on trial, in which
 // case it must not be checked again.
-func (s *Set) Check(customer string, parts []uint64) (onTrial bool, refusal *Refusal) {
+func (s *Set) Check(customer string, parts []uint64) (onTrial bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.bans[customer]) == 0 {
@@ -118,10 +118,7 @@
 	if b.proven || len(b.Parts) > 1 {
 		return true
 	}
-	against := s.crashesByPartLocked(b.Customer)
-	return slices.ContainsFunc(parts, func(p uint64) bool {
-		return p != b.Parts[0] && (len(against[p]) > 0 || !s.everAnsweredLocked(b.Customer, p))
-	})
+	return slices.ContainsFunc(parts, func(p uint64) bool { return p != b.Parts[0] && !s.everAnsweredLocked(b.Customer, p) })
 }
 
 // everAnsweredLocked reports whether this entry knows of an answer on a part.
@@ -135,18 +132,12 @@
 func (s *Set) Suspect(customer string, parts []uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	against := s.crashesByPartLocked(customer)
+	against := crashesByPart(s.evidence.byCustomer[customer], s.ownAnswers(customer))
 	return slices.ContainsFunc(parts, func(p uint64) bool {
 		return len(against[p]) >= announceFrom || s.answered.last(customer, p).IsZero()
 	})
 }
 
-// crashesByPartLocked returns the crashes that count against each part of a
-// customer.
-func (s *Set) crashesByPartLocked(customer string) map[uint64][]*crash {
-	return crashesByPart(s.evidence.byCustomer[customer], s.ownAnswers(customer))
-}
-
 // ownAnswers returns a function that returns when this entry last had an answer
 // on a part of a customer.
 func (s *Set) ownAnswers(customer string) func(part uint64) time.Time {
