--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -13,6 +13,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
@@ -37,6 +39,7 @@
 	cluster  *cluster
 	registry *member.Registry
 	notices  *drain.Set
+	evidence *quarantine.Set
 	mesh     *peer.Mesh
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -105,6 +108,10 @@
 		Log:           quietLog(),
 	})
 	n.notices = drain.NewSet(quietLog())
+	n.evidence = quarantine.New(quarantine.Options{
+		ID: n.id, Members: func() []string { return n.registry.Live() }, Log: quietLog(),
+		Ready: func(string) []*replica.Replica { return nil }, Count: func(string) {},
+	})
 	listener, err := n.cluster.network.Listen(addr)
 	n.cluster.c.Assert(err, qt.IsNil)
 	n.mu.Lock()
@@ -115,6 +122,7 @@
 		Deployment: deployment,
 		Registry:   n.registry,
 		Notices:    n.notices,
+		Evidence:   n.evidence,
 		Listener:   listener,
 		Dial:       n.cluster.network.Dialer(n.host),
 		Log:        quietLog(),
