--- a/cmd/coltsfootcleat/serve.go
+++ b/cmd/coltsfootcleat/serve.go
@@ -29,11 +29,11 @@
 	return `serve -settings FILE | serve -platform:
   Runs one entry host until SIGTERM or SIGINT. The first signal drains it: it
   accepts no new requests and exits once those in progress have ended. A second
-  signal stops it at once.
+  signal stops it at once. SIGHUP makes the entry read its settings file again,
+  check it and log the result; changes take effect at the next start.
 
   With -platform the entry runs on the users' platform, with the settings file
-  that the variable ` + platform.SettingsVariable + ` names. SIGHUP, or a change of
-  that file, makes the entry read and check it again.
+  that the variable ` + platform.SettingsVariable + ` names.
 
   Examples:
     coltsfootcleat serve -settings deployments/karoo-wick/entry-midrand.toml
@@ -67,12 +67,12 @@
 	if err != nil {
 		return err
 	}
-	return runEntry(ctx, s)
+	return runEntry(ctx, c.settings, s)
 }
 
-// runEntry runs one entry host until the first SIGTERM or SIGINT, and then
-// drains it. A second signal ends the drain.
-func runEntry(ctx context.Context, s settings.Entry) error {
+// runEntry runs one entry host with settings from a file until the first SIGTERM
+// or SIGINT, and then drains it. A second signal ends the drain.
+func runEntry(ctx context.Context, path string, s settings.Entry) error {
 	log, err := telemetry.NewLogger(s.Log.Level, s.Log.Format, os.Stderr)
 	if err != nil {
 		return err
@@ -84,9 +84,15 @@
 	// Catch signals before Start, so that none is lost while the entry starts.
 	first, stopFirst := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stopFirst()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	if err := entry.Start(ctx); err != nil {
 		return err
 	}
+	go reloadSettings(reload, log, func() error {
+		_, err := settings.Load(path)
+		return err
+	})
 	<-first.Done()
 	second, stopSecond := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stopSecond()
--- a/cmd/coltsfootcleat/serve_platform.go
+++ b/cmd/coltsfootcleat/serve_platform.go
@@ -61,7 +61,10 @@
 	if err := entry.Start(ctx); err != nil {
 		return err
 	}
-	go reloadSettings(path, reload, log)
+	go reloadSettings(reload, log, func() error {
+		_, err := platform.LoadSettings(path)
+		return err
+	})
 	log.WithField("entry", s.Gateway.ID).Info("serve: started.")
 	<-stop
 	drainCtx, cancel := context.WithTimeout(ctx, s.Gateway.Grace-exitReserve)
@@ -95,12 +98,12 @@
 	return entry, func() { store.Close(); cloud.Close() }, err
 }
 
-// reloadSettings reads and checks the settings file on each signal, and logs
-// the result. It applies no change, because the settings that an entry uses are
-// fixed while the process runs.
-func reloadSettings(path string, reload <-chan os.Signal, log *logrus.Logger) {
+// reloadSettings loads the settings on each signal, and logs the result. It
+// applies no change, because the settings that an entry uses are fixed while the
+// process runs.
+func reloadSettings(reload <-chan os.Signal, log *logrus.Logger, load func() error) {
 	for range reload {
-		if _, err := platform.LoadSettings(path); err != nil {
+		if err := load(); err != nil {
 			log.WithError(err).Error("serve: settings can't be reloaded.")
 			continue
 		}
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -189,6 +190,22 @@
 	c.Logf("reply during the pause: %d, reply after the pause: %d, executions: %d", second.status, resumed.status, n)
 }
 
+// Guards against an entry that ends at once, without a drain and a line in its
+// log, when its terminal or the job that started it goes away.
+func TestHangupDoesNotEndAnEntry(t *testing.T) {
+	s := startSystem(t, 42, 1)
+	s.entries[0].signal(syscall.SIGHUP)
+	eventually(t, "line about the signal", func() error {
+		if !strings.Contains(s.entries[0].log.String(), "serve: settings reloaded.") {
+			return errors.New("no such line")
+		}
+		return nil
+	})
+	r, err := sendOrder(s.entries[0], "o-1", "{}")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+}
+
 func TestUnknownAPIKeyIsRefusedAsNotRun(t *testing.T) {
 	c := qt.New(t)
 	s := startSystem(t, 37, 1)
