--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -93,6 +93,9 @@
 	p.cmd = exec.Command(buildBinary(t), args...)
 	p.cmd.Stdout = p.log
 	p.cmd.Stderr = p.log
+	// Signals to the process group of the tests must not reach a process that is
+	// paused.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
