--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -123,7 +123,7 @@
 	}
 	defer answer.Close()
 	outcome, err = x.relay(ctx, ticket, answer, lastEvent)
-	if x.brokenAtStart && ctx.Err() == nil && x.replicaCrashed(ctx, choice.Replica) {
+	if x.brokenAtStart && len(x.sharedParts()) > 0 && ctx.Err() == nil && x.replicaCrashed(ctx, choice.Replica) {
 		outcome = balance.Crashed
 		x.recordCrash(choice.Replica)
 	}
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -18,21 +19,18 @@
 	simultaneous = 100 * time.Millisecond
 )
 
-// Ban keeps requests of a customer from replicas if they contain all of its
+// ban keeps requests of a customer from replicas if they contain all of its
 // parts.
-type Ban struct {
-	Customer string
-	Parts    []uint64
+type ban struct {
+	customer string
+	parts    []uint64
 	crashes  []*crash
 	// proven is set if one of the crashes can't be due to any part but these.
 	proven bool
 }
 
-// Crashes is the number of replicas that crashed on the parts.
-func (b *Ban) Crashes() int { return len(b.crashes) }
-
 // lastCrash is the time of the latest crash.
-func (b *Ban) lastCrash() time.Time {
+func (b *ban) lastCrash() time.Time {
 	last := time.Time{}
 	for _, c := range b.crashes {
 		if c.at.After(last) {
@@ -43,8 +41,8 @@
 }
 
 // appliesTo reports whether a prompt contains all parts of the ban.
-func (b *Ban) appliesTo(parts []uint64) bool {
-	for _, p := range b.Parts {
+func (b *ban) appliesTo(parts []uint64) bool {
+	for _, p := range b.parts {
 		if !slices.Contains(parts, p) {
 			return false
 		}
@@ -52,13 +50,16 @@
 	return true
 }
 
+// key identifies the ban among all.
+func (b *ban) key() string { return b.customer + fmt.Sprint(b.parts) }
+
 // judge returns the bans that explain the crashes of one customer's prompts.
 // ownAnswer returns when this entry last had an answer on a part, the zero time
 // for never. Each crash is explained by one ban at most: the parts that account
 // for most crashes are banned first, so that a sound part that is in the prompts
 // of some of these isn't banned with them.
-func judge(customer string, crashes []*crash, ownAnswer func(part uint64) time.Time) []*Ban {
-	var bans []*Ban
+func judge(customer string, crashes []*crash, ownAnswer func(part uint64) time.Time) []*ban {
+	var bans []*ban
 	for unexplained := crashes; ; {
 		against := crashesByPart(unexplained, ownAnswer)
 		blamed, ok := mostBlamed(against, crashes, ownAnswer)
@@ -66,14 +67,14 @@
 			return bans
 		}
 		explained := against[blamed]
-		b := &Ban{Customer: customer, crashes: explained}
+		b := &ban{customer: customer, crashes: explained}
 		for part, list := range against {
 			if slices.Equal(list, explained) && countCrashes(list) >= crashesNeeded(part, crashes, ownAnswer(part)) {
-				b.Parts = append(b.Parts, part)
+				b.parts = append(b.parts, part)
 			}
 		}
-		slices.Sort(b.Parts)
-		b.proven = slices.ContainsFunc(explained, func(c *crash) bool { return c.provenBy(b.Parts, ownAnswer) })
+		slices.Sort(b.parts)
+		b.proven = slices.ContainsFunc(explained, func(c *crash) bool { return c.provenBy(b.parts, ownAnswer) })
 		bans = append(bans, b)
 		unexplained = slices.DeleteFunc(slices.Clone(unexplained), func(c *crash) bool { return slices.Contains(explained, c) })
 	}
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
@@ -15,12 +14,6 @@
 )
 
 const (
-	// trialInterval is the time after the last crash in which banned requests
-	// get no trial.
-	trialInterval = 10 * time.Minute
-	// trialTurn is how long one entry may admit the request on trial, before it
-	// is another one's turn.
-	trialTurn = time.Minute
 	// maxParts is the number of shared parts of a prompt that are considered.
 	// Those at its end are shared with the fewest other prompts.
 	maxParts = 32
@@ -50,7 +43,7 @@
 	mu       sync.Mutex
 	answered answeredParts
 	evidence evidence
-	bans     map[string][]*Ban
+	bans     map[string][]*ban
 	// trials holds when this entry last admitted a request on trial, by ban.
 	trials map[string]trial
 	// announcing holds the customers for whose parts an announcement of answers
@@ -59,15 +52,9 @@
 	onBroadcast []func()
 }
 
-// trial is a request that was admitted although it is banned.
-type trial struct {
-	at       time.Time
-	versions string
-}
-
 // New returns an empty Set.
 func New(o Options) *Set {
-	return &Set{opt: o, answered: newAnsweredParts(), evidence: newEvidence(), bans: make(map[string][]*Ban), trials: make(map[string]trial), announcing: make(map[string]bool)}
+	return &Set{opt: o, answered: newAnsweredParts(), evidence: newEvidence(), bans: make(map[string][]*ban), trials: make(map[string]trial), announcing: make(map[string]bool)}
 }
 
 // Refusal is the error of a request that is kept from replicas.
@@ -105,7 +92,7 @@
 			continue
 		}
 		s.opt.Count("refusal")
-		return false, &Refusal{Parts: b.Parts, Crashes: b.Crashes(), Since: time.Since(b.lastCrash())}
+		return false, &Refusal{Parts: b.parts, Crashes: len(b.crashes), Since: time.Since(b.lastCrash())}
 	}
 	return onTrial, nil
 }
@@ -114,11 +101,11 @@
 // refused. If the ban isn't proven, each of its crashes may as well be due to
 // some other part of those prompts. A request without any such part may then
 // pass: its answer or its crash settles which it is.
-func (s *Set) wouldCrashLocked(b *Ban, parts []uint64) bool {
-	if b.proven || len(b.Parts) > 1 {
+func (s *Set) wouldCrashLocked(b *ban, parts []uint64) bool {
+	if b.proven || len(b.parts) > 1 {
 		return true
 	}
-	return slices.ContainsFunc(parts, func(p uint64) bool { return p != b.Parts[0] && !s.everAnsweredLocked(b.Customer, p) })
+	return slices.ContainsFunc(parts, func(p uint64) bool { return p != b.parts[0] && !s.everAnsweredLocked(b.customer, p) })
 }
 
 // everAnsweredLocked reports whether this entry knows of an answer on a part.
@@ -213,21 +200,21 @@
 		s.bans[customer] = bans
 	}
 	for _, b := range bans {
-		if !containsParts(before, b.Parts) {
+		if !containsParts(before, b.parts) {
 			s.opt.Count("ban")
 			s.logBan(b)
 		}
 	}
 	for _, b := range before {
-		if !containsParts(bans, b.Parts) {
+		if !containsParts(bans, b.parts) {
 			s.opt.Count("lift")
 			delete(s.trials, b.key())
-			s.opt.Log.WithFields(logrus.Fields{"customer": customer, "parts": partNames(b.Parts)}).Info("quarantine: prompt parts are admitted again.")
+			s.opt.Log.WithFields(logrus.Fields{"customer": customer, "parts": partNames(b.parts)}).Info("quarantine: prompt parts are admitted again.")
 		}
 	}
 }
 
-func (s *Set) logBan(b *Ban) {
+func (s *Set) logBan(b *ban) {
 	replicas := make([]string, 0, len(b.crashes))
 	first := b.crashes[0].at
 	for _, c := range b.crashes {
@@ -237,19 +224,19 @@
 		}
 	}
 	f := logrus.Fields{
-		"customer": b.Customer, "parts": partNames(b.Parts), "crashes": b.Crashes(), "replicas": replicas,
+		"customer": b.customer, "parts": partNames(b.parts), "crashes": len(b.crashes), "replicas": replicas,
 		"first_crash_ms_ago": time.Since(first).Milliseconds(), "last_crash_ms_ago": time.Since(b.lastCrash()).Milliseconds(),
 	}
-	for _, p := range b.Parts {
-		if at := s.answered.last(b.Customer, p); !at.IsZero() {
+	for _, p := range b.parts {
+		if at := s.answered.last(b.customer, p); !at.IsZero() {
 			f["last_answer_ms_ago"] = time.Since(at).Milliseconds()
 		}
 	}
 	s.opt.Log.WithFields(f).Warn("quarantine: prompt parts are banned.")
 }
 
-func containsParts(bans []*Ban, parts []uint64) bool {
-	return slices.ContainsFunc(bans, func(b *Ban) bool { return slices.Equal(b.Parts, parts) })
+func containsParts(bans []*ban, parts []uint64) bool {
+	return slices.ContainsFunc(bans, func(b *ban) bool { return slices.Equal(b.parts, parts) })
 }
 
 // expireLocked forgets old evidence.
@@ -259,64 +246,6 @@
 	}
 }
 
-// admitOnTrialLocked reports whether this entry may admit a banned request now,
-// to learn whether it still crashes replicas.
-func (s *Set) admitOnTrialLocked(b *Ban) bool {
-	versions, replaced := s.replacedBy(b)
-	now, last := time.Now(), b.lastCrash()
-	previous := s.trials[b.key()]
-	due := last.Add(trialInterval)
-	switch {
-	case replaced && previous.versions != versions:
-		due = last
-	case previous.at.After(last):
-		due = previous.at.Add(trialInterval)
-	}
-	if now.Before(due) || !s.isTurn(b.key(), now.Sub(due)) {
-		return false
-	}
-	s.trials[b.key()] = trial{at: now, versions: versions}
-	s.opt.Count("trial")
-	s.opt.Log.WithFields(logrus.Fields{"customer": b.Customer, "parts": partNames(b.Parts), "replaced": replaced}).Info("quarantine: request is admitted on trial.")
-	return true
-}
-
-// replacedBy returns the versions of the replicas that now run the service on
-// which the parts of a ban crashed, and whether none of them has crashed on
-// them.
-func (s *Set) replacedBy(b *Ban) (versions string, replaced bool) {
-	crashed := make(map[string]bool)
-	for _, c := range b.crashes {
-		crashed[c.version] = true
-	}
-	ready := s.opt.Ready(b.crashes[0].service)
-	replaced = len(ready) > 0
-	var names []string
-	for _, r := range ready {
-		replaced = replaced && r.Version != "" && !crashed[r.Version]
-		names = append(names, r.Version)
-	}
-	slices.Sort(names)
-	return fmt.Sprint(slices.Compact(names)), replaced
-}
-
-// isTurn reports whether it is the turn of this entry to admit a request. All
-// entries with the same members and evidence agree on whose turn it is, but for
-// the moments at its ends.
-func (s *Set) isTurn(key string, since time.Duration) bool {
-	key += "/" + strconv.Itoa(int(since/trialTurn)) + "/"
-	best, highest := "", uint64(0)
-	for _, id := range s.opt.Members() {
-		if h := xxhash.Sum64String(key + id); best == "" || h > highest {
-			best, highest = id, h
-		}
-	}
-	return best == s.opt.ID
-}
-
-// key identifies the ban among all.
-func (b *Ban) key() string { return b.Customer + fmt.Sprint(b.Parts) }
-
 // partNames returns the IDs of parts as they are written in logs and messages.
 func partNames(parts []uint64) []string {
 	out := make([]string, 0, len(parts))
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -171,7 +171,7 @@
 	})
 }
 
-func ban(t *testing.T, w *world) {
+func banPart(t *testing.T, w *world) {
 	for range 3 {
 		w.crash(0, 9)
 	}
@@ -207,7 +207,7 @@
 func TestOneBannedRequestIsAdmittedOnTrial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(5)
-		ban(t, w)
+		banPart(t, w)
 		qt.Check(t, w.trialsWithin(trialInterval-10*time.Second), qt.Equals, 0)
 		qt.Check(t, w.trialsWithin(20*time.Second), qt.Equals, 1)
 		qt.Check(t, w.trialsWithin(trialInterval-30*time.Second), qt.Equals, 0)
@@ -218,7 +218,7 @@
 func TestReplicasOfAnotherVersionBringTheTrialForward(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(5)
-		ban(t, w)
+		banPart(t, w)
 		old, next := newReplica("a"), newReplica("b")
 		next.Version = "v2"
 		w.ready = []*replica.Replica{old, next}
@@ -231,7 +231,7 @@
 func TestAnswerOnTrialEndsTheBan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(5)
-		ban(t, w)
+		banPart(t, w)
 		time.Sleep(trialInterval)
 		admitted := 0
 		for _, e := range w.entries {
@@ -252,7 +252,7 @@
 func TestEvidenceIsForgottenAfterItsRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1)
-		ban(t, w)
+		banPart(t, w)
 		time.Sleep(retention + time.Second)
 		qt.Check(t, w.refuses(0, 9), qt.IsFalse)
 		all, _ := w.entries[0].Since(0, 1000)
@@ -266,7 +266,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1)
 		s := w.entries[0]
-		ban(t, w)
+		banPart(t, w)
 		for i := range uint64(20_000) {
 			s.Answered("x", []uint64{i, 1 << 40 * i})
 			if i%20 == 0 {
--- a/gateway/quarantine/spread.go
+++ b/gateway/quarantine/spread.go
@@ -111,7 +111,7 @@
 	crashes := s.evidence.byCustomer[customer]
 	told := crashesByPart(crashes, func(uint64) time.Time { return time.Time{} })
 	from := announceFrom
-	if slices.ContainsFunc(s.bans[customer], func(b *Ban) bool { return !b.proven }) {
+	if slices.ContainsFunc(s.bans[customer], func(b *ban) bool { return !b.proven }) {
 		from = 1
 	}
 	var due []*crash
