--- a/gateway/quarantine/doc.go
+++ b/gateway/quarantine/doc.go
@@ -10,13 +10,13 @@
 //   - A crash counts against each shared part of the prompt that was not
 //     answered since. A replica that crashes counts once, and so do replicas of
 //     one failure domain that crash at the same time.
-//   - A part is banned from minCrashes crashes on, if no other part explains
-//     more of them. Parts that were in the same crashes can't be told apart: the
+//   - A part is banned from minCrashes crashes on, more if there are others
+//     meanwhile, if no other part explains more of them. Parts that were in the same crashes can't be told apart: the
 //     ban then applies to requests that contain all of them, until a crash or an
 //     answer tells more. A part that was never the only one that a crash can be
 //     due to is banned only beside another such part.
-//   - An answer on a part clears it of all earlier crashes. An entry that has one
-//     tells the others when they are close to banning the part.
+//   - An answer on a part clears it of all earlier crashes. The first entries
+//     that have one tell the others.
 //
 // A wrong ban costs the customer the requests with these parts until the first
 // answer on them anywhere. It takes several replicas that crash just as they
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -121,7 +121,7 @@
 	defer s.mu.Unlock()
 	against := crashesByPart(s.evidence.byCustomer[customer], s.ownAnswers(customer))
 	return slices.ContainsFunc(parts, func(p uint64) bool {
-		return len(against[p]) >= announceFrom || s.answered.last(customer, p).IsZero()
+		return len(against[p]) > 1 || s.answered.last(customer, p).IsZero()
 	})
 }
 
--- a/gateway/quarantine/spread.go
+++ b/gateway/quarantine/spread.go
@@ -11,10 +11,8 @@
 )
 
 const (
-	// announceFrom is the number of crashes against a part from which an entry
-	// that had it answered tells the others.
-	announceFrom = minCrashes - 1
-	// maxAnnounceDelay bounds the random delay of such an announcement.
+	// maxAnnounceDelay bounds the random delay with which an entry tells the
+	// others of answers.
 	maxAnnounceDelay = 800 * time.Millisecond
 )
 
@@ -105,20 +103,13 @@
 }
 
 // dueAnswersLocked returns the crashes of a customer's prompts with the answers
-// that this entry had since, on parts that others may be about to ban, and on
-// all parts beside one whose ban isn't proven.
+// that this entry had since, as far as the others don't know of any.
 func (s *Set) dueAnswersLocked(customer string) []*crash {
-	crashes := s.evidence.byCustomer[customer]
-	told := crashesByPart(crashes, func(uint64) time.Time { return time.Time{} })
-	from := announceFrom
-	if slices.ContainsFunc(s.bans[customer], func(b *ban) bool { return !b.proven }) {
-		from = 1
-	}
 	var due []*crash
-	for _, c := range crashes {
+	for _, c := range s.evidence.byCustomer[customer] {
 		tell := *c
 		tell.answered = slices.DeleteFunc(slices.Clone(c.parts), func(part uint64) bool {
-			return len(told[part]) < from || c.countsAgainst(part, s.answered.last(customer, part))
+			return c.countsAgainst(part, s.answered.last(customer, part))
 		})
 		if merged, changed := c.merge(&tell); changed {
 			due = append(due, merged)
--- a/peer/link.go
+++ b/peer/link.go
@@ -24,11 +24,12 @@
 	// noticeBatch and stateBatch bound the notices and states in one message.
 	noticeBatch = 256
 	stateBatch  = 64
-	// evidencePerSecond and evidenceBurst bound the pieces of evidence on a
-	// connection, since a customer can cause any number of crashes. What waits
-	// is superseded by newer evidence of the customer.
-	evidencePerSecond = 2
-	evidenceBurst     = 40
+	// evidencePerSecond bounds the pieces of evidence that an entry sends on all
+	// of its connections, and evidenceBurst those on one of them at once, since a
+	// customer can cause any number of crashes. What waits is superseded by newer
+	// evidence of the customer.
+	evidencePerSecond = 10
+	evidenceBurst     = 20
 	// maxChangeCalls bounds the concurrent calls of one peer that wait for
 	// changes. A peer follows two feeds; the rest is for calls that the peer
 	// has cancelled and that still wait here.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -212,6 +212,12 @@
 	return ids
 }
 
+func (m *Mesh) linkCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links)
+}
+
 // FetchTemplate fetches a version of a template from a peer. The second result
 // is false if the peer doesn't have it.
 func (m *Mesh) FetchTemplate(ctx context.Context, peer, name string, version uint64) (json.RawMessage, bool, error) {
--- a/peer/send.go
+++ b/peer/send.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
@@ -97,6 +99,7 @@
 		return nil
 	}
 	now := time.Now()
+	l.evidenceLimiter.SetLimitAt(now, rate.Limit(evidencePerSecond/float64(max(1, l.mesh.linkCount()))))
 	batch, position := l.mesh.o.Evidence.Since(l.evidencePosition, int(l.evidenceLimiter.TokensAt(now)))
 	if len(batch) == 0 {
 		return nil
