--- /dev/null
+++ b/gateway/entry_test.go
@@ -0,0 +1,280 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
+)
+
+// dialect is a minimal Dialect for tests.
+type dialect struct{}
+
+func (dialect) DecodeRequest(r *http.Request) (gateway.Request, error) {
+	out := gateway.Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last")}
+	for field := range strings.FieldsSeq(r.Header.Get("Parts")) {
+		id, err := strconv.ParseUint(field, 10, 64)
+		if err != nil {
+			return out, err
+		}
+		out.Parts = append(out.Parts, balance.Part{ID: id, Tokens: 100})
+	}
+	if ms := r.Header.Get("Patience"); ms != "" {
+		n, err := strconv.Atoi(ms)
+		if err != nil {
+			return out, err
+		}
+		out.ClientTimeout = time.Duration(n) * time.Millisecond
+	}
+	return out, nil
+}
+
+func (dialect) ReplicaHeader(r *http.Request, f gateway.Forwarding) http.Header {
+	h := http.Header{"Id": {r.Header.Get("Id")}, "Replica": {f.ReplicaID}, "Customer": {f.Customer}, "Parts": r.Header["Parts"]}
+	h.Set("Remaining", strconv.FormatInt(f.Remaining.Milliseconds(), 10))
+	h.Set("Last", f.LastEventID)
+	return h
+}
+
+func (dialect) DecodeReply(_ int, h http.Header) gateway.Reply {
+	return gateway.Reply{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+}
+
+func (dialect) ClientHeader(h http.Header) http.Header { return h.Clone() }
+
+// noPeers is the mesh of an entry without peers.
+type noPeers struct{}
+
+func (noPeers) Members() []string { return []string{"e"} }
+func (noPeers) Reserve(context.Context, string, string, float64, time.Duration) (rate.Reservation, error) {
+	return rate.Reservation{OK: true}, nil
+}
+func (noPeers) Place(context.Context, string, balance.Query) (balance.Placement, error) {
+	return balance.Placement{}, balance.ErrNoReplica
+}
+
+type recorder struct{}
+
+func (recorder) Ended(string, string, int, time.Duration) {}
+func (recorder) FirstToken(string, time.Duration)         {}
+func (recorder) Retried(string)                           {}
+
+// testEntry is an entry with scripted replicas and a client.
+type testEntry struct {
+	network *memnet.Network
+	set     *replica.Set
+	config  *config.Holder
+	handler *gateway.Handler
+	server  *http.Server
+	age     time.Duration
+	client  *http.Client
+
+	mu sync.Mutex
+	// received lists the requests that replicas have received, as "replica id
+	// last".
+	received []string
+}
+
+// script answers one request at a replica. The connection is closed if it
+// returns false.
+type script func(nc net.Conn, req *http.Request) bool
+
+func newTestEntry(t *testing.T, c *config.Configuration, scripts ...script) *testEntry {
+	e := &testEntry{network: memnet.New(), set: replica.NewSet(nolog.Or(nil)), config: &config.Holder{}}
+	if c != nil {
+		e.config.Offer(c.Compile())
+	}
+	clock := usage.NewClock()
+	pool := upstream.NewPool(e.network.Dialer("10.0.0.1"))
+	limiter := quota.NewLimiter(quota.Tolerance{})
+	if c != nil {
+		limiter.SetConfiguration(c)
+	}
+	e.handler = gateway.New(gateway.Deps{
+		Dialect: dialect{}, Config: e.config,
+		ConfigAge:   func() (time.Duration, bool) { return e.age, true },
+		RegistryAge: func() (time.Duration, bool) { return 0, true },
+		Balancer:    balance.NewGlobalBalancer(balance.New(e.set, balance.Options{FailureDomain: "d", Seed: 1, Log: nolog.Or(nil)}), "e", noPeers{}, nolog.Or(nil)), Pool: pool,
+		Quarantine: quarantine.New(quarantine.Options{
+			ID: "e", Members: noPeers{}.Members, Ready: func(service string) []*replica.Replica { return e.set.Current().Ready[service] },
+			Log: nolog.Or(nil), Count: func(string) {},
+		}),
+		Limiter: quota.NewGlobalLimiter(limiter, "e", noPeers{}, nolog.Or(nil)),
+		Retries: quota.NewRetryBudget(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
+		Usage:   usage.NewCounter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
+	})
+	for i, s := range scripts {
+		e.addReplica(t, fmt.Sprintf("r%d", i), s)
+	}
+	l, err := e.network.Listen("10.0.0.1:80")
+	qt.Assert(t, err, qt.IsNil)
+	e.server = &http.Server{Handler: e.handler}
+	go func() { _ = e.server.Serve(l) }()
+	transport := &http.Transport{DialContext: e.network.Dialer("10.0.0.2")}
+	e.client = &http.Client{Transport: transport}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		_ = e.server.Close()
+		pool.Close()
+	})
+	return e
+}
+
+func (e *testEntry) addReplica(t *testing.T, id string, s script) {
+	address := fmt.Sprintf("10.0.1.%d:80", 1+len(e.set.Current().All))
+	l, err := e.network.Listen(address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serveConn(nc, s)
+		}
+	}()
+	e.set.Put(replica.Registration{ID: id, Service: "s", Addr: address, FailureDomain: "d", Slots: 4})
+}
+
+func (e *testEntry) serveConn(nc net.Conn, s script) {
+	defer nc.Close()
+	reader := bufio.NewReader(nc)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.received = append(e.received, strings.TrimSpace(req.Header.Get("Replica")+" "+req.Header.Get("Id")+" "+req.Header.Get("Last")))
+		e.mu.Unlock()
+		if !s(nc, req) {
+			return
+		}
+	}
+}
+
+// receivedCount returns the number of requests that replicas have received.
+func (e *testEntry) receivedCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.received)
+}
+
+// get sends a request and returns its response and body. The error is not nil
+// if the response is incomplete.
+func (e *testEntry) get(t *testing.T, path string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://10.0.0.1:80"+path, strings.NewReader("body"))
+	qt.Assert(t, err, qt.IsNil)
+	req.Host = "h"
+	req.Header.Set("Id", "q1")
+	req.Header.Set("Patience", "3000")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func testConfiguration() *config.Configuration {
+	target := []config.Target{{Service: "s", Weight: 1}}
+	second := time.Second
+	return &config.Configuration{Version: 1, Routes: []config.Route{
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: config.Once, Timeout: second, Attempts: 2, Targets: target},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: config.Repeatable, Timeout: second, Attempts: 2, Targets: target},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: config.Stream, Timeout: second, Attempts: 2, Targets: target},
+		{Name: "resume", Host: "h", Prefix: "/resume/", Kind: config.Stream, Timeout: second, Attempts: 2, Targets: target, Resumable: true},
+	}, Services: map[string]config.Service{"s": {Name: "s"}}}
+}
+
+func answerOK(nc net.Conn, req *http.Request) bool {
+	_, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 4\r\n\r\ngood", req.Header.Get("Id"))
+	return err == nil
+}
+
+func answerStatus(code int, extra string) script {
+	return func(nc net.Conn, req *http.Request) bool {
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: 3\r\n\r\nbad", code, req.Header.Get("Id"), extra)
+		return err == nil
+	}
+}
+
+// closeUnanswered closes the connection without an answer.
+func closeUnanswered(net.Conn, *http.Request) bool { return false }
+
+// neverAnswer waits until the entry closes the connection.
+func neverAnswer(nc net.Conn, _ *http.Request) bool {
+	_, _ = nc.Read(make([]byte, 1))
+	return false
+}
+
+// answerTruncated closes the connection in the middle of the body.
+func answerTruncated(nc net.Conn, req *http.Request) bool {
+	_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 400\r\n\r\npart", req.Header.Get("Id"))
+	return false
+}
+
+// answerEvents sends the events of a stream, from the one after Last-Event-ID
+// up to last. It then ends the stream properly if complete is set, or else
+// aborts it in the middle of the next event.
+func answerEvents(last int, complete bool) script {
+	return func(nc net.Conn, req *http.Request) bool {
+		from, _ := strconv.Atoi(req.Header.Get("Last"))
+		var b strings.Builder
+		fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
+		for i := from + 1; i <= last; i++ {
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(event), event)
+		}
+		if complete {
+			b.WriteString("0\r\n\r\n")
+		} else {
+			b.WriteString("5\r\nid: 9\r\n")
+		}
+		_, _ = io.WriteString(nc, b.String())
+		return complete
+	}
+}
+
+func eventText(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
+
+// guaranteesNotRun reports whether the status guarantees that the request has
+// not run.
+func guaranteesNotRun(code int) bool {
+	return code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable || code == http.StatusRequestTimeout
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -131,7 +131,7 @@
 }
 
 // replicaCrashed reports whether the replica that broke off an answer has
-// crashed. One that was told to leave has not.
+// crashed. A draining replica ends as planned.
 func (x *exchange) replicaCrashed(ctx context.Context, r *replica.Replica) bool {
 	return !x.h.Balancer.IsLeaving(r) && x.h.Pool.Refuses(ctx, r.Addr)
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -401,8 +400,8 @@
 		f["first_ms"], f["events"], f["partial_event_bytes"] = x.firstEventLatency.Milliseconds(), x.events, x.partialEvent
 	}
 	if err != nil {
-		if shared := x.sharedParts(); len(shared) > 0 {
-			f["parts"] = partNames(shared)
+		if shared := x.sharedPartIDs(); len(shared) > 0 {
+			f["parts"] = quarantine.PartNames(shared)
 		}
 		addAgeField(f, "configuration_age_ms", x.h.ConfigAge)
 		if wait := verdict.RetryAfterOf(err); wait > 0 {
@@ -421,12 +420,3 @@
 		f[name] = d.Milliseconds()
 	}
 }
-
-// partNames returns the IDs of prompt parts as text.
-func partNames(parts []balance.Part) []string {
-	out := make([]string, 0, len(parts))
-	for _, p := range parts {
-		out = append(out, strconv.FormatUint(p.ID, 16))
-	}
-	return out
-}
--- a/gateway/quarantine/evidence.go
+++ b/gateway/quarantine/evidence.go
@@ -26,9 +26,9 @@
 	crashKey
 	service, version, domain string
 	// parts are the shared parts of all requests whose answers the replica
-	// began to write when it crashed, and answered those of them that were
-	// answered at some entry since, as far as entries have told each other. Both
-	// are sorted and without duplicates.
+	// began to write when it crashed. answered are those of them for which an
+	// entry has announced an answer after the crash. Both are sorted and without
+	// duplicates.
 	parts, answered []uint64
 	// at is the time of the crash by the clock of this process.
 	at time.Time
@@ -41,8 +41,7 @@
 	return found
 }
 
-// isAnswered reports whether entries have told each other that a part was
-// answered since.
+// isAnswered reports whether an answer on a part after the crash was announced.
 func (c *crash) isAnswered(part uint64) bool {
 	_, found := slices.BinarySearch(c.answered, part)
 	return found
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -15,12 +15,12 @@
 	// minCrashesIfAnswered is that number for a part that was answered before
 	// the last of these crashes.
 	minCrashesIfAnswered = 5
-	// othersPerCrash is the number of crashes without the part meanwhile for
-	// which one more with it is needed: where replicas crash for other reasons,
-	// some part is in several of their prompts by chance.
+	// othersPerCrash is the number of crashes without the part, in the same
+	// period, that raise the number of crashes needed by one. If replicas crash
+	// for other reasons, a part may be in several of the prompts by chance.
 	othersPerCrash = 8
 	// simultaneous is the time within which replicas of one failure domain that
-	// crash count as one: what ended all of them wasn't in their prompts.
+	// crash count as one, because they have a common cause other than a prompt.
 	simultaneous = 100 * time.Millisecond
 )
 
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -67,7 +67,7 @@
 
 // Error implements error.
 func (r *Refusal) Error() string {
-	return fmt.Sprintf("prompt parts %v crashed %d replicas, the last one %v ago", partNames(r.Parts), r.Crashes, r.Since.Round(time.Second))
+	return fmt.Sprintf("prompt parts %v crashed %d replicas, the last one %v ago", PartNames(r.Parts), r.Crashes, r.Since.Round(time.Second))
 }
 
 // RetryAfter is the time after which such a request may be admitted again.
@@ -176,7 +176,7 @@
 		s.opt.Count("crash")
 		s.opt.Log.WithFields(logrus.Fields{
 			"replica": c.replica, "born": c.incarnation, "service": c.service, "version": c.version,
-			"customer": c.customer, "parts": partNames(c.parts), "seen_by": source,
+			"customer": c.customer, "parts": PartNames(c.parts), "seen_by": source,
 		}).Warn("quarantine: replica crashed as it began an answer.")
 	}
 	if added {
@@ -209,7 +209,7 @@
 		if !containsParts(bans, b.parts) {
 			s.opt.Count("lift")
 			delete(s.trials, b.key())
-			s.opt.Log.WithFields(logrus.Fields{"customer": customer, "parts": partNames(b.parts)}).Info("quarantine: prompt parts are admitted again.")
+			s.opt.Log.WithFields(logrus.Fields{"customer": customer, "parts": PartNames(b.parts)}).Info("quarantine: prompt parts are admitted again.")
 		}
 	}
 }
@@ -224,7 +224,7 @@
 		}
 	}
 	f := logrus.Fields{
-		"customer": b.customer, "parts": partNames(b.parts), "crashes": len(b.crashes), "replicas": replicas,
+		"customer": b.customer, "parts": PartNames(b.parts), "crashes": len(b.crashes), "replicas": replicas,
 		"first_crash_ms_ago": time.Since(first).Milliseconds(), "last_crash_ms_ago": time.Since(b.lastCrash()).Milliseconds(),
 	}
 	for _, p := range b.parts {
@@ -246,8 +246,8 @@
 	}
 }
 
-// partNames returns the IDs of parts as they are written in logs and messages.
-func partNames(parts []uint64) []string {
+// PartNames returns the IDs of parts as they are written in logs and messages.
+func PartNames(parts []uint64) []string {
 	out := make([]string, 0, len(parts))
 	for _, p := range parts {
 		out = append(out, strconv.FormatUint(p, 16))
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -13,7 +13,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
-// world is a deployment of entries that tell each other everything at once.
+// world is a deployment of entries that exchange their evidence on demand.
 type world struct {
 	ready   []*replica.Replica
 	entries []*Set
@@ -36,7 +36,7 @@
 	return w
 }
 
-// exchange lets all entries tell each other what they know.
+// exchange sends the evidence of each entry to all others.
 func (w *world) exchange() {
 	for range 2 {
 		for _, from := range w.entries {
--- a/gateway/quarantine/simulation_test.go
+++ b/gateway/quarantine/simulation_test.go
@@ -1,15 +1,12 @@
 package quarantine
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
 )
@@ -42,8 +39,8 @@
 	disturb func(f *fleet)
 	// noBan is set if nothing may be banned.
 	noBan bool
-	// unbounded is set if the crashing parts can't be told, because no two are
-	// the same.
+	// unbounded is set if no two crashing requests have the same part, so that
+	// no part can be identified.
 	unbounded bool
 }
 
@@ -104,16 +101,6 @@
 	cut   bool
 }
 
-// simLink carries the evidence of one entry to another, as a link of package
-// peer does.
-type simLink struct {
-	from, to  *simEntry
-	position  uint64
-	scheduled bool
-	readyAt   time.Time
-	limiter   *rate.Limiter
-}
-
 type simReplica struct {
 	*replica.Replica
 	up bool
@@ -181,88 +168,6 @@
 	return e
 }
 
-func (f *fleet) connectBoth(x, y *simEntry) {
-	f.connect(x, y)
-	f.connect(y, x)
-}
-
-func (f *fleet) connect(from, to *simEntry) {
-	l := &simLink{from: from, to: to, limiter: rate.NewLimiter(linkEvidencePerSecond, linkEvidenceBurst)}
-	from.links = append(from.links, l)
-}
-
-// wake sends what the peers of an entry don't have yet.
-func (e *simEntry) wake() {
-	e.f.mu.Lock()
-	defer e.f.mu.Unlock()
-	for _, l := range e.links {
-		e.f.schedule(l)
-	}
-}
-
-func (f *fleet) schedule(l *simLink) {
-	if l.scheduled || f.ended {
-		return
-	}
-	l.scheduled = true
-	time.AfterFunc(max(0, time.Until(l.readyAt))+linkLatency, l.send)
-}
-
-func (l *simLink) send() {
-	f := l.from.f
-	f.mu.Lock()
-	l.scheduled = false
-	l.readyAt = time.Now().Add(linkPause)
-	if l.from.cut || l.to.cut || f.ended {
-		f.mu.Unlock()
-		return
-	}
-	position := l.position
-	l.limiter.SetLimit(rate.Limit(linkEvidencePerSecond / float64(len(l.from.links))))
-	f.mu.Unlock()
-	batch, position := l.from.set.Since(position, int(l.limiter.Tokens()))
-	l.limiter.AllowN(time.Now(), len(batch))
-	text, err := json.Marshal(batch)
-	rest, _ := l.from.set.Since(position, 1)
-	f.mu.Lock()
-	l.position = position
-	if err == nil && len(batch) > 0 {
-		f.result.bytes += 2 * (len(text) + 60) // sent and received, with the envelope
-	}
-	if len(rest) > 0 {
-		l.readyAt = time.Now().Add(linkRetry)
-		f.schedule(l)
-	}
-	f.mu.Unlock()
-	for _, e := range batch {
-		l.to.set.Add(l.from.id, e)
-	}
-}
-
-// setCut cuts an entry off, or connects it again. A new connection starts from
-// the beginning.
-func (f *fleet) setCut(e *simEntry, cut bool) {
-	f.mu.Lock()
-	e.cut = cut
-	var reconnected []*simLink
-	for _, x := range f.entries {
-		for _, l := range x.links {
-			if !cut && (l.from == e || l.to == e) {
-				l.position = 0
-				reconnected = append(reconnected, l)
-			}
-		}
-	}
-	f.mu.Unlock()
-	time.AfterFunc(200*time.Millisecond, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		for _, l := range reconnected {
-			f.schedule(l)
-		}
-	})
-}
-
 const customer = "c"
 
 // run plays the load.
--- a/gateway/quarantine/spread.go
+++ b/gateway/quarantine/spread.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// maxAnnounceDelay bounds the random delay with which an entry tells the
-	// others of answers.
+	// maxAnnounceDelay bounds the random delay before an entry announces answers.
 	maxAnnounceDelay = 800 * time.Millisecond
 )
 
@@ -56,7 +55,7 @@
 	for _, l := range s.evidence.since(position, limit) {
 		position = l.seq
 		out = append(out, peer.CrashEvidence{
-			Customer: l.crash.customer, Parts: partNames(l.crash.parts), Answered: partNames(l.crash.answered),
+			Customer: l.crash.customer, Parts: PartNames(l.crash.parts), Answered: PartNames(l.crash.answered),
 			Endpoint: l.crash.replica, Incarnation: l.crash.incarnation,
 			Service: l.crash.service, Version: l.crash.version, FailureDomain: l.crash.domain, AgeMS: now.Sub(l.crash.at).Milliseconds(),
 		})
@@ -103,7 +102,7 @@
 }
 
 // dueAnswersLocked returns the crashes of a customer's prompts with the answers
-// that this entry had since, as far as the others don't know of any.
+// that this entry received since then and that no entry has announced yet.
 func (s *Set) dueAnswersLocked(customer string) []*crash {
 	var due []*crash
 	for _, c := range s.evidence.byCustomer[customer] {
--- a/gateway/quarantine/trial.go
+++ b/gateway/quarantine/trial.go
@@ -44,7 +44,7 @@
 	}
 	s.trials[b.key()] = trial{at: now, versions: versions}
 	s.opt.Count("trial")
-	s.opt.Log.WithFields(logrus.Fields{"customer": b.customer, "parts": partNames(b.parts), "replaced": replaced}).Info("quarantine: request is admitted on trial.")
+	s.opt.Log.WithFields(logrus.Fields{"customer": b.customer, "parts": PartNames(b.parts), "replaced": replaced}).Info("quarantine: request is admitted on trial.")
 	return true
 }
 
