--- a/peer/calls.go
+++ b/peer/calls.go
@@ -20,7 +20,11 @@
 func (m *Mesh) FetchTemplate(ctx context.Context, peer, name string, version uint64) (json.RawMessage, bool, error) {
 	var result templateResult
 	err := m.call(ctx, peer, methodTemplate, templateParams{Name: name, Version: version}, &result)
-	return result.Body, result.Found, err
+	if err != nil {
+		return nil, false, err
+	}
+	body, err := unpack(result.Body, result.Packed)
+	return body, result.Found, wrapCall(peer, err)
 }
 
 // Handoff hands a durable request off to a peer. After an error the peer may
@@ -52,7 +56,8 @@
 	case result.Unavailable:
 		return infra.Update{}, follow.ErrUnavailable
 	default:
-		return result.update(), nil
+		update, err := result.update()
+		return update, wrapCall(peer, err)
 	}
 }
 
--- a/peer/changes_test.go
+++ b/peer/changes_test.go
@@ -18,6 +18,7 @@
 	versionCompacted   = 1
 	versionUnavailable = 2
 	versionSlow        = 3
+	versionLong        = 4
 )
 
 var someUpdate = infra.Update{
@@ -44,6 +45,8 @@
 		case <-ctx.Done():
 		}
 		return infra.Update{Version: versionSlow}, ctx.Err()
+	case versionLong:
+		return infra.Update{Changes: []infra.Change{{Row: infra.Row{Key: "a", Value: n.longValue, Version: 9}}}, Version: 9}, nil
 	default:
 		return someUpdate, nil
 	}
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -45,6 +45,8 @@
 	done     sync.WaitGroup
 	up       bool
 	starts   int
+	// longValue is what onChanges and onFetch return for long values.
+	longValue []byte
 
 	mu       sync.Mutex
 	versions map[string]uint64
@@ -187,6 +189,9 @@
 }
 
 func (n *node) onFetch(name string, version uint64) (json.RawMessage, bool) {
+	if name == "long" {
+		return n.longValue, true
+	}
 	if version != n.version(name) {
 		return nil, false
 	}
--- a/peer/link.go
+++ b/peer/link.go
@@ -255,7 +255,9 @@
 		return err
 	}
 	body, ok := l.mesh.o.Handlers.templateFetch(p.Name, p.Version)
-	return l.conn.Reply(ctx, req.ID, templateResult{Found: ok, Body: body})
+	result := templateResult{Found: ok}
+	result.Body, result.Packed = l.mesh.packer.pack(body)
+	return l.conn.Reply(ctx, req.ID, result)
 }
 
 func (l *link) handleReserve(ctx context.Context, req *jsonrpc2.Request) error {
@@ -297,7 +299,7 @@
 		case err != nil:
 			_ = l.replyError(ctx, req.ID, err)
 		default:
-			_ = l.conn.Reply(ctx, req.ID, changesOf(update))
+			_ = l.conn.Reply(ctx, req.ID, changesOf(update, &l.mesh.packer))
 		}
 	})
 	return nil
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -64,6 +64,7 @@
 	o          Options
 	states     *states
 	traffic    traffic
+	packer     packer
 	discardLog *log.Logger
 	// calls counts the goroutines that serve calls of peers or set up cached
 	// connections.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -297,6 +297,8 @@
 type templateResult struct {
 	Found bool            `json:"found"`
 	Body  json.RawMessage `json:"body,omitempty"`
+	// Packed replaces Body if the body is long. See packer.
+	Packed []byte `json:"z,omitempty"`
 }
 
 // handoffParams hands off a durable request.
@@ -375,26 +377,34 @@
 
 // changeRecord is an infra.Change on the wire.
 type changeRecord struct {
-	Key     string `json:"k"`
-	Value   []byte `json:"b,omitempty"`
+	Key   string `json:"k"`
+	Value []byte `json:"b,omitempty"`
+	// Packed replaces Value if it is long. See packer.
+	Packed  []byte `json:"z,omitempty"`
 	Version uint64 `json:"v"`
 	Deleted bool   `json:"d,omitempty"`
 }
 
-func changesOf(u infra.Update) changesResult {
+func changesOf(u infra.Update, p *packer) changesResult {
 	out := changesResult{Version: u.Version, AgeMS: u.Age.Milliseconds()}
 	for _, c := range u.Changes {
-		out.Changes = append(out.Changes, changeRecord{Key: c.Key, Value: c.Value, Version: c.Version, Deleted: c.Deleted})
+		record := changeRecord{Key: c.Key, Version: c.Version, Deleted: c.Deleted}
+		record.Value, record.Packed = p.pack(c.Value)
+		out.Changes = append(out.Changes, record)
 	}
 	return out
 }
 
-func (r changesResult) update() infra.Update {
+func (r changesResult) update() (infra.Update, error) {
 	u := infra.Update{Version: r.Version, Age: time.Duration(r.AgeMS) * time.Millisecond}
 	for _, c := range r.Changes {
-		u.Changes = append(u.Changes, infra.Change{Row: infra.Row{Key: c.Key, Value: c.Value, Version: c.Version}, Deleted: c.Deleted})
+		value, err := unpack(c.Value, c.Packed)
+		if err != nil {
+			return infra.Update{}, fmt.Errorf("change of %q: %w", c.Key, err)
+		}
+		u.Changes = append(u.Changes, infra.Change{Row: infra.Row{Key: c.Key, Value: value, Version: c.Version}, Deleted: c.Deleted})
 	}
-	return u
+	return u, nil
 }
 
 // IncarnationCounts are the requests that began to run at one incarnation of
