--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -58,7 +58,7 @@
 }
 
 func (dialect) DecodeReply(_ int, h http.Header) gateway.Reply {
-	return gateway.Reply{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+	return gateway.Reply{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
 }
 
 func (dialect) ClientHeader(h http.Header) http.Header { return h.Clone() }
@@ -79,6 +79,7 @@
 func (recorder) Ended(string, string, int, time.Duration) {}
 func (recorder) FirstToken(string, time.Duration)         {}
 func (recorder) Retried(string)                           {}
+func (recorder) Stated(string, bool)                      {}
 
 // testEntry is an entry with scripted replicas and a client.
 type testEntry struct {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -122,6 +122,7 @@
 		return err
 	}
 	defer answer.Close()
+	x.observe(choice.Replica, answer)
 	outcome, err = x.relay(ctx, ticket, answer, lastEvent)
 	if x.brokenAtStart && len(x.sharedParts()) > 0 && ctx.Err() == nil && x.replicaCrashed(ctx, choice.Replica) {
 		outcome = balance.Crashed
@@ -130,6 +131,19 @@
 	return err
 }
 
+// observe records what the header of an answer states about its replica. An
+// answer with StatusMisdirectedRequest comes from another replica, which has
+// taken over the address.
+func (x *exchange) observe(r *replica.Replica, a *upstream.Answer) {
+	reply := x.h.Dialect.DecodeReply(a.Status, a.Header)
+	x.leaving = reply.Leaving && a.Status != http.StatusMisdirectedRequest
+	if !x.leaving {
+		return
+	}
+	x.knownLeaving = x.h.Balancer.IsLeaving(r)
+	x.h.Recorder.Stated("leaving", x.knownLeaving)
+}
+
 // replicaCrashed reports whether the replica that broke off an answer has
 // crashed. A draining replica ends as planned.
 func (x *exchange) replicaCrashed(ctx context.Context, r *replica.Replica) bool {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -87,6 +87,9 @@
 	FirstToken(route string, took time.Duration)
 	// Retried is called for each retry.
 	Retried(reason string)
+	// Stated is called for each answer that states something about its replica,
+	// such as "leaving". known is set if the entry knew that before.
+	Stated(statement string, known bool)
 }
 
 // Handler forwards requests to replicas. It is safe for concurrent use.
@@ -166,6 +169,9 @@
 	brokenAtStart, crashSuspect bool
 	// onTrial is set if the request was admitted although its parts are banned.
 	onTrial bool
+	// leaving is set if the last answer stated that its replica is leaving, and
+	// knownLeaving if the entry knew that before.
+	leaving, knownLeaving bool
 	// firstEventLatency is the time from the arrival of the request to the
 	// first event of a stream.
 	firstEventLatency time.Duration
@@ -396,6 +402,9 @@
 	if x.framing != "" {
 		f["framing"] = x.framing
 	}
+	if x.leaving {
+		f["replica_leaving"], f["leaving_was_known"] = true, x.knownLeaving
+	}
 	if x.firstEventLatency > 0 {
 		f["first_ms"], f["events"], f["partial_event_bytes"] = x.firstEventLatency.Milliseconds(), x.events, x.partialEvent
 	}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -55,6 +55,8 @@
 	RequestID string
 	// NotRun is the replica's guarantee that the request has not run.
 	NotRun bool
+	// Leaving is set if the replica only finishes the requests that it has.
+	Leaving bool
 }
 
 // Dialect translates between the headers of clients and replicas and the types
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -41,6 +41,7 @@
 	firstToken  metric.Float64Histogram
 	requestTime metric.Float64Histogram
 	quarantine  metric.Int64Counter
+	statements  metric.Int64Counter
 	tableCalls  metric.Int64Counter
 	tableTime   metric.Float64Histogram
 }
@@ -61,7 +62,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [9]error
+	var errs [10]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -83,6 +84,8 @@
 		metric.WithDescription("Time from a request's arrival to the end of its answer, by route, outcome and status."))
 	m.quarantine, errs[8] = m.meter.Int64Counter("coltsfootcleat.quarantine",
 		metric.WithDescription("Events of the quarantine of prompt parts: crashes, bans, lifts, refusals and trials."))
+	m.statements, errs[9] = m.meter.Int64Counter("coltsfootcleat.replica_statements",
+		metric.WithDescription("Answers that state something about their replica, by statement and whether it was known."))
 	return errors.Join(errs[:]...)
 }
 
@@ -118,6 +121,12 @@
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// Stated counts an answer that states something about its replica. known is set
+// if the entry knew that before.
+func (m *Metrics) Stated(statement string, known bool) {
+	m.statements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("statement", statement), attribute.Bool("known", known)))
+}
+
 // Quarantined counts an event of the quarantine of prompt parts.
 func (m *Metrics) Quarantined(event string) {
 	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
