--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -253,7 +253,7 @@
 	notices.OnLeaving(func(n drain.Notice) {
 		incarnation, err := strconv.ParseInt(n.Incarnation, 10, 64)
 		if err == nil {
-			set.MarkLeaving(n.HostID, incarnation, "peer")
+			set.MarkLeaving(n.HostID, incarnation, replica.SourcePeer)
 		}
 	})
 }
--- a/gateway/balance/global_test.go
+++ b/gateway/balance/global_test.go
@@ -102,3 +102,16 @@
 		})
 	}
 }
+
+// Guards against long prompts that the owner of a service, whose registry is
+// behind, places on a replica that this entry knows to be leaving.
+func TestPlacementOnALeavingReplicaIsIgnored(t *testing.T) {
+	set := newReplicas(8)
+	s := NewGlobalBalancer(newBalancer(set, 2), "e", &placer{answer: &Placement{Replica: "r1"}}, nolog.Or(nil))
+	set.MarkLeaving("r1", 0, "test")
+	for range 20 {
+		c, err := s.ChooseGlobal(t.Context(), longQuery)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.Replica.ID, qt.Not(qt.Equals), "r1")
+	}
+}
--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -80,6 +80,15 @@
 	incarnation int64
 }
 
+// Source is where an entry learnt that a replica is leaving.
+type Source string
+
+// Sources of a leaving.
+const (
+	SourcePeer   Source = "peer"
+	SourceAnswer Source = "answer"
+)
+
 // missingGrace is the time after a recovery of the registry in which a replica
 // without a row is still used. The row may have expired while the registry was
 // unavailable, and a live replica writes it again within two seconds.
@@ -155,7 +164,7 @@
 
 // MarkLeaving records that an incarnation is draining. The source of that
 // report is logged.
-func (s *Set) MarkLeaving(id string, incarnation int64, source string) {
+func (s *Set) MarkLeaving(id string, incarnation int64, source Source) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := incarnationKey{id, incarnation}
--- a/gateway/replica/set_test.go
+++ b/gateway/replica/set_test.go
@@ -81,3 +81,55 @@
 	s.Replace(nil)
 	qt.Assert(t, ready(s), qt.Equals, 0)
 }
+
+// Guards against a leaving replica that is taken for ready again because of
+// what the registry says of it later.
+func TestLeavingReplicaStaysOutWhateverRowsFollow(t *testing.T) {
+	withoutStart := registration("a", 0)
+	for _, test := range []struct {
+		name string
+		rows func(s *replica.Set)
+		want int
+	}{
+		{"late row", func(s *replica.Set) { s.Put(registration("a", 7)) }, 0},
+		{"row without the start of the replica", func(s *replica.Set) { s.Put(withoutStart) }, 0},
+		{"the same after the row was deleted", func(s *replica.Set) { s.Remove("a"); s.Put(withoutStart) }, 0},
+		{"row deleted for longer than a minute", func(s *replica.Set) {
+			s.Remove("a")
+			time.Sleep(5 * time.Minute)
+			s.Put(registration("b", 1))
+			s.Remove("b")
+			s.Put(registration("a", 7))
+		}, 0},
+		{"full read", func(s *replica.Set) { s.Replace([]replica.Registration{registration("a", 7)}) }, 0},
+		{"next incarnation", func(s *replica.Set) { s.Put(registration("a", 8)) }, 1},
+		{"next incarnation, later a row without its start", func(s *replica.Set) { s.Put(registration("a", 8)); s.Put(withoutStart) }, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := replica.NewSet(nolog.Or(nil))
+				s.Put(registration("a", 7))
+				s.MarkLeaving("a", 7, "test")
+				test.rows(s)
+				qt.Assert(t, ready(s), qt.Equals, test.want)
+			})
+		})
+	}
+}
+
+// Guards against a leaving that a replica states to one entry and no other
+// entry learns of.
+func TestLeavingThatAReplicaStatesIsPassedOn(t *testing.T) {
+	s := replica.NewSet(nolog.Or(nil))
+	var passedOn []string
+	s.OnDrain(func(r *replica.Replica) { passedOn = append(passedOn, r.ID) })
+	for _, id := range []string{"a", "b"} {
+		s.Put(registration(id, 1))
+	}
+	s.MarkLeaving("a", 1, replica.SourceAnswer)
+	s.MarkLeaving("a", 1, replica.SourceAnswer)
+	// Peers pass on what they learn themselves.
+	s.MarkLeaving("b", 1, replica.SourcePeer)
+	s.Put(draining(registration("a", 1)))
+	qt.Assert(t, passedOn, qt.DeepEquals, []string{"a"})
+}
