Send nothing more to a replica whose answers say that it is leaving

Callers' requests went on to a replica that had said that it was leaving, and were cut or answered late when it left.

Cause: only the registry's rows were read. An entry whose registry is behind, because the store is down or slow for it or because the replica never writes that it leaves, had nothing else to go by; what each answer of the replica states was ignored.

The header of each answer that belongs to its request is now read before its body, and the incarnation is marked as leaving, as by a notice of a peer. Entries that the replica doesn't answer learn it over the peers' connections, with the store down too. An answer with status 421 comes from the next owner of the address and states nothing about the replica. Answers to other requests aren't read.

--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -244,10 +244,14 @@
 // marks those that peers report as draining. An entry that cannot read the
 // registry thus stops using them as well.
 func exchangeDrains(notices *drain.Set, set *replica.Set, m *peer.Mesh) {
-	set.OnDrain(func(r *replica.Replica) {
+	set.OnDrain(func(r *replica.Replica, from replica.Source) {
+		reason := drain.ReasonHostList
+		if from == replica.SourceAnswer {
+			reason = drain.ReasonEngine
+		}
 		m.BroadcastNotice(drain.Notice{
 			HostID: r.ID, Incarnation: strconv.FormatInt(r.Incarnation, 10),
-			FailureDomain: r.FailureDomain, Reason: drain.ReasonHostList, Remaining: r.Remaining,
+			FailureDomain: r.FailureDomain, Reason: reason, Remaining: r.Remaining,
 		})
 	})
 	notices.OnLeaving(func(n drain.Notice) {
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -188,6 +188,11 @@
 // IsLeaving reports whether a replica is draining or gone.
 func (b *Balancer) IsLeaving(r *replica.Replica) bool { return b.set.IsLeaving(r) }
 
+// MarkLeaving records that a replica has stated in an answer that it is leaving.
+func (b *Balancer) MarkLeaving(r *replica.Replica) {
+	b.set.MarkLeaving(r.ID, r.Incarnation, replica.SourceAnswer)
+}
+
 // New returns a Balancer over a set of replicas.
 func New(set *replica.Set, o Options) *Balancer {
 	parts, err := lru.New[uint64, []partLocation](maxCachedParts)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -142,6 +142,7 @@
 	}
 	x.knownLeaving = x.h.Balancer.IsLeaving(r)
 	x.h.Recorder.Stated("leaving", x.knownLeaving)
+	x.h.Balancer.MarkLeaving(r)
 }
 
 // replicaCrashed reports whether the replica that broke off an answer has
--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -71,7 +71,7 @@
 	// missingSince holds, by ID, when a replica was first found to be missing
 	// after the registry recovered.
 	missingSince map[string]time.Time
-	onDrain      []func(r *Replica)
+	onDrain      []func(r *Replica, from Source)
 }
 
 // incarnationKey identifies one incarnation of a replica.
@@ -85,8 +85,9 @@
 
 // Sources of a leaving.
 const (
-	SourcePeer   Source = "peer"
-	SourceAnswer Source = "answer"
+	SourceRegistry Source = "registry"
+	SourceAnswer   Source = "answer"
+	SourcePeer     Source = "peer"
 )
 
 // missingGrace is the time after a recovery of the registry in which a replica
@@ -109,10 +110,10 @@
 // Current returns the latest snapshot.
 func (s *Set) Current() *Snapshot { return s.snapshot.Load() }
 
-// OnDrain registers f, which is called for each incarnation whose row reports
-// that it is draining, unless MarkLeaving reported it before. f must not block.
-// All calls of OnDrain must precede the first change of the set.
-func (s *Set) OnDrain(f func(r *Replica)) {
+// OnDrain registers f, which is called once for each incarnation that this entry
+// learns to be leaving from a row or an answer. f must not block. All calls of
+// OnDrain must precede the first change of the set.
+func (s *Set) OnDrain(f func(r *Replica, from Source)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.onDrain = append(s.onDrain, f)
@@ -134,7 +135,7 @@
 	}
 	s.publishLocked()
 	s.mu.Unlock()
-	s.notifyDrain(newlyDraining)
+	s.notifyDrain(newlyDraining, SourceRegistry)
 }
 
 // Put adds or updates one row.
@@ -143,7 +144,7 @@
 	newlyDraining := s.putLocked(reg, nil)
 	s.publishLocked()
 	s.mu.Unlock()
-	s.notifyDrain(newlyDraining)
+	s.notifyDrain(newlyDraining, SourceRegistry)
 }
 
 // Remove removes a replica whose row was deleted from the registry.
@@ -162,18 +163,24 @@
 	s.recoveredAt = time.Now()
 }
 
-// MarkLeaving records that an incarnation is draining. The source of that
-// report is logged.
+// MarkLeaving records that an incarnation is leaving. The source of that report
+// is logged.
 func (s *Set) MarkLeaving(id string, incarnation int64, source Source) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	k := incarnationKey{id, incarnation}
 	if _, marked := s.draining[k]; marked {
+		s.mu.Unlock()
 		return
 	}
 	s.draining[k] = time.Now()
-	s.log.WithFields(logrus.Fields{"replica": id, "source": source}).Info("replica: leaves.")
+	s.log.WithFields(logrus.Fields{"replica": id, "born": incarnation, "source": source}).Info("replica: leaves.")
 	s.publishLocked()
+	var newlyDraining []*Replica
+	if r := s.registered[id]; r != nil && r.Incarnation == incarnation && source != SourcePeer {
+		newlyDraining = append(newlyDraining, r)
+	}
+	s.mu.Unlock()
+	s.notifyDrain(newlyDraining, source)
 }
 
 // IsLeaving reports whether an incarnation is draining or gone.
@@ -269,10 +276,10 @@
 	s.snapshot.Store(next)
 }
 
-func (s *Set) notifyDrain(newlyDraining []*Replica) {
+func (s *Set) notifyDrain(newlyDraining []*Replica, from Source) {
 	for _, r := range newlyDraining {
 		for _, f := range s.onDrain {
-			f(r)
+			f(r, from)
 		}
 	}
 }
--- a/gateway/replica/set_test.go
+++ b/gateway/replica/set_test.go
@@ -25,7 +25,7 @@
 func TestDrainingIncarnationGetsNoNewWork(t *testing.T) {
 	s := replica.NewSet(nolog.Or(nil))
 	drains := 0
-	s.OnDrain(func(*replica.Replica) { drains++ })
+	s.OnDrain(func(*replica.Replica, replica.Source) { drains++ })
 	s.Put(registration("a", 1))
 	qt.Assert(t, ready(s), qt.Equals, 1)
 	s.Put(draining(registration("a", 1)))
@@ -122,7 +122,7 @@
 func TestLeavingThatAReplicaStatesIsPassedOn(t *testing.T) {
 	s := replica.NewSet(nolog.Or(nil))
 	var passedOn []string
-	s.OnDrain(func(r *replica.Replica) { passedOn = append(passedOn, r.ID) })
+	s.OnDrain(func(r *replica.Replica, _ replica.Source) { passedOn = append(passedOn, r.ID) })
 	for _, id := range []string{"a", "b"} {
 		s.Put(registration(id, 1))
 	}
