Don't use a placement on a replica that is known to be leaving

A long prompt could reach a leaving replica from an entry that knew it: the owner of the service, whose registry was behind, had placed it there.

Cause: whether a placement can be used was checked by the row of the replica alone, not by the notices of peers and the answers that say the same earlier.

Evidence: TestPlacementOnALeavingReplicaIsIgnored failed. The placement is now checked by all that this entry knows of the replica, as its own choices are.

--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -89,7 +89,7 @@
 // becomes the runner-up.
 func (b *Balancer) ChoiceOf(q Query, p Placement, local Choice) (Choice, bool) {
 	r := b.set.Current().All[p.Replica]
-	if r == nil || r.Incarnation != p.Incarnation || r.Draining || q.Exclude[r.ID] || r.Service != q.Service {
+	if r == nil || r.Incarnation != p.Incarnation || b.set.IsLeaving(r) || q.Exclude[r.ID] || r.Service != q.Service {
 		return Choice{}, false
 	}
 	b.mu.Lock()
