Never take a leaving replica for ready again

Requests could reach a leaving replica again after a while, or after a row of another writer.

Cause: what an entry knew of a leaving incarnation was dropped a minute after its last row, and a row without the start of the replica counted as another incarnation, which nothing was known of.

Evidence: TestLeavingReplicaStaysOutWhateverRowsFollow failed in 3 of 7 cases. Leaving incarnations are now kept in a cache that is bounded by their number, since one that has said that it is leaving never takes new work again; and a row that doesn't state the start is one of the incarnation known last. Late rows of the same incarnation and full reads were ruled out: these cases passed before.

--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/sirupsen/logrus"
 )
 
@@ -62,9 +63,11 @@
 	// registered holds the replicas whose rows are in the registry, by ID, and
 	// those within missingGrace.
 	registered map[string]*Replica
-	// draining holds the incarnations that are draining, and when that was last
-	// recorded.
-	draining map[incarnationKey]time.Time
+	// leaving holds the time at which this entry learnt that an incarnation is
+	// leaving.
+	leaving *lru.Cache[incarnationKey, time.Time]
+	// lastLeaving holds the last incarnation in leaving, by ID.
+	lastLeaving *lru.Cache[string, int64]
 	// recoveredAt is the time at which the registry last recovered after it was
 	// unavailable.
 	recoveredAt time.Time
@@ -95,14 +98,22 @@
 // unavailable, and a live replica writes it again within two seconds.
 const missingGrace = 2 * time.Second
 
-// drainingRetention is the time after its last report for which a draining
-// incarnation stays recorded even without a row, so that a late row of the same
-// incarnation doesn't make the replica ready again.
-const drainingRetention = time.Minute
+// maxLeaving is the number of leaving incarnations that are remembered. An
+// incarnation that has said that it is leaving never accepts new work again, so
+// they aren't forgotten after a time.
+const maxLeaving = 1 << 14
 
 // NewSet returns an empty Set.
 func NewSet(log *logrus.Entry) *Set {
-	s := &Set{log: log, registered: make(map[string]*Replica), draining: make(map[incarnationKey]time.Time), missingSince: make(map[string]time.Time)}
+	leaving, err := lru.New[incarnationKey, time.Time](maxLeaving)
+	if err != nil {
+		panic(err) // only for a size below 1
+	}
+	lastLeaving, err := lru.New[string, int64](maxLeaving)
+	if err != nil {
+		panic(err) // only for a size below 1
+	}
+	s := &Set{log: log, registered: make(map[string]*Replica), leaving: leaving, lastLeaving: lastLeaving, missingSince: make(map[string]time.Time)}
 	s.snapshot.Store(&Snapshot{})
 	return s
 }
@@ -167,12 +178,10 @@
 // is logged.
 func (s *Set) MarkLeaving(id string, incarnation int64, source Source) {
 	s.mu.Lock()
-	k := incarnationKey{id, incarnation}
-	if _, marked := s.draining[k]; marked {
+	if !s.markLeavingLocked(incarnationKey{id, incarnation}) {
 		s.mu.Unlock()
 		return
 	}
-	s.draining[k] = time.Now()
 	s.log.WithFields(logrus.Fields{"replica": id, "born": incarnation, "source": source}).Info("replica: leaves.")
 	s.publishLocked()
 	var newlyDraining []*Replica
@@ -187,12 +196,14 @@
 func (s *Set) IsLeaving(r *Replica) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, draining := s.draining[incarnationKey{r.ID, r.Incarnation}]
-	return draining || s.registered[r.ID] == nil
+	return s.leaving.Contains(incarnationKey{r.ID, r.Incarnation}) || s.registered[r.ID] == nil
 }
 
 func (s *Set) putLocked(reg Registration, newlyDraining []*Replica) []*Replica {
 	old := s.registered[reg.ID]
+	if reg.Incarnation == 0 {
+		reg.Incarnation = s.knownIncarnationLocked(reg.ID)
+	}
 	r := &Replica{Registration: reg, Seen: time.Now()}
 	if old != nil && old.Incarnation == reg.Incarnation && old.Addr == reg.Addr {
 		r.Seen = old.Seen
@@ -201,7 +212,7 @@
 	delete(s.missingSince, reg.ID)
 	fields := logrus.Fields{"replica": reg.ID, "service": reg.Service, "address": reg.Addr, "domain": reg.FailureDomain, "born": reg.Incarnation, "reclaimable": reg.Reclaimable}
 	if reg.Draining {
-		if s.markDrainingLocked(r) {
+		if s.markLeavingLocked(incarnationKey{r.ID, r.Incarnation}) {
 			s.log.WithFields(fields).WithField("remaining_ms", reg.Remaining.Milliseconds()).Info("replica: draining.")
 			newlyDraining = append(newlyDraining, r)
 		}
@@ -213,13 +224,25 @@
 	return newlyDraining
 }
 
-// markDrainingLocked records that an incarnation is draining, and reports
-// whether this was not recorded before.
-func (s *Set) markDrainingLocked(r *Replica) bool {
-	k := incarnationKey{r.ID, r.Incarnation}
-	_, marked := s.draining[k]
-	s.draining[k] = time.Now()
-	return !marked
+// knownIncarnationLocked returns the incarnation of a replica whose row doesn't
+// state one: that of its last row, or else the last one that was leaving.
+func (s *Set) knownIncarnationLocked(id string) int64 {
+	if r := s.registered[id]; r != nil {
+		return r.Incarnation
+	}
+	incarnation, _ := s.lastLeaving.Peek(id)
+	return incarnation
+}
+
+// markLeavingLocked records that an incarnation is leaving, and reports whether
+// this was not recorded before.
+func (s *Set) markLeavingLocked(k incarnationKey) bool {
+	if _, marked := s.leaving.Get(k); marked {
+		return false
+	}
+	s.leaving.Add(k, time.Now())
+	s.lastLeaving.Add(k.id, k.incarnation)
+	return true
 }
 
 // removeLocked removes a replica. Within missingGrace after a recovery of the
@@ -257,16 +280,10 @@
 
 // publishLocked replaces the snapshot.
 func (s *Set) publishLocked() {
-	now := time.Now()
-	for k, at := range s.draining {
-		if s.registered[k.id] == nil && now.Sub(at) > drainingRetention {
-			delete(s.draining, k)
-		}
-	}
 	next := &Snapshot{Ready: make(map[string][]*Replica), All: make(map[string]*Replica, len(s.registered))}
 	for id, r := range s.registered {
 		next.All[id] = r
-		if _, draining := s.draining[incarnationKey{id, r.Incarnation}]; !draining {
+		if !s.leaving.Contains(incarnationKey{id, r.Incarnation}) {
 			next.Ready[r.Service] = append(next.Ready[r.Service], r)
 		}
 	}
