Check that a replica isn't leaving before the first byte is sent

A request could reach a replica that had said that it was leaving while the connection to it was being opened, which takes up to 0.7 s on a lossy link.

Cause: the replica was checked when it was chosen only.

Evidence: TestRequestIsNotSentIfItsReplicaLeavesWhileConnecting failed. The check runs once the connection is ready; the request then goes to another replica as not run, and nothing counts against the first one.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -184,12 +184,11 @@
 // outcomeOfError returns the outcome that is recorded for the replica of a
 // request without an answer.
 func outcomeOfError(err error) balance.Outcome {
-	switch verdict.CodeOf(err) {
-	case verdict.CodeCancelled, verdict.CodeDeadline:
+	code := verdict.CodeOf(err)
+	if code == verdict.CodeCancelled || code == verdict.CodeDeadline || errors.Is(err, errReplicaLeft) {
 		return balance.Neutral
-	default:
-		return balance.Failed
 	}
+	return balance.Failed
 }
 
 // refuseIfTooLate refuses a request whose first token is expected after the
@@ -256,6 +255,7 @@
 			reply := x.h.Dialect.DecodeReply(status, header)
 			return reply.RequestID == x.req.ID || reply.RequestID == "" && status >= http.StatusBadRequest
 		},
+		Check: func() error { return x.checkReplica(r) },
 	})
 	if err == nil || verdict.Of(err) != verdict.NotRun {
 		x.sends++
@@ -266,6 +266,18 @@
 	return a, err
 }
 
+// errReplicaLeft reports that a replica started to leave after it was chosen.
+var errReplicaLeft = errors.New("replica is leaving")
+
+// checkReplica reports whether the chosen replica still accepts the request,
+// because opening a connection to it may have taken some time.
+func (x *exchange) checkReplica(r *replica.Replica) error {
+	if x.h.Balancer.IsLeaving(r) {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "replica %s: %w", r.ID, errReplicaLeft)
+	}
+	return nil
+}
+
 // urgency returns the priority of the request at an engine. The urgency of the
 // customer, if it has one, overrides that of the route.
 func (x *exchange) urgency() int {
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -53,6 +53,9 @@
 	// Matches reports whether the answer with this status and header belongs to
 	// this request.
 	Matches func(status int, header http.Header) bool
+	// Check is called when the connection is ready, before the first byte is
+	// written. The request isn't sent if it returns an error. It may be nil.
+	Check func() error
 }
 
 // Framing is how the end of an answer's body is marked.
@@ -114,7 +117,8 @@
 }
 
 // Send sends a request once and waits for the header of its answer. An error
-// has the verdict NotRun if no byte was written, else MayHaveRun. When ctx
+// has the verdict NotRun if no byte was written, else MayHaveRun; that of
+// r.Check is returned unchanged. When ctx
 // ends, the connection is closed at once, even while the body of the answer is
 // being read.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Answer, error) {
@@ -122,6 +126,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			p.put(c)
+			return nil, err
+		}
+	}
 	// Closing the connection makes all pending and later calls of its methods
 	// fail.
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
