Tell callers when a replacement is expected if all replicas of a service leave

While all replicas of a service were leaving, callers were refused at once but asked to come back after a second, although a replacement takes several, so that they spent their retry in vain.

Retry-After is now the boot time of the service since the first of them began to leave, at least a second as before; services whose replicas aren't ordered keep the second.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -193,6 +193,10 @@
 	b.set.MarkLeaving(r.ID, r.Incarnation, replica.SourceAnswer)
 }
 
+// LeavingSince returns the time at which this entry learnt of the first of a
+// service's replicas that are leaving, or the zero time.
+func (b *Balancer) LeavingSince(service string) time.Time { return b.set.LeavingSince(service) }
+
 // New returns a Balancer over a set of replicas.
 func New(set *replica.Set, o Options) *Balancer {
 	parts, err := lru.New[uint64, []partLocation](maxCachedParts)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -26,8 +26,8 @@
 	// retryAfterOverload is the Retry-After of a request that was refused by
 	// every replica it was offered to, or that reached no replica.
 	retryAfterOverload = 400 * time.Millisecond
-	// retryAfterNoReplica is the Retry-After of a request whose service has no
-	// replica: a new one takes seconds to start.
+	// retryAfterNoReplica is the least Retry-After of a request whose service
+	// has no replica: a new one takes seconds to start.
 	retryAfterNoReplica = time.Second
 )
 
@@ -102,7 +102,7 @@
 	q := x.balanceQuery()
 	choice, err := x.h.Balancer.ChooseGlobal(ctx, q)
 	if err != nil {
-		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q: %w", x.service, err).WithRetryAfter(retryAfterNoReplica)
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q: %w", x.service, err).WithRetryAfter(x.replicaExpectedIn(choice.Candidates))
 	}
 	if err := x.refuseIfTooLate(choice); err != nil && lastEvent == "" {
 		return err
@@ -131,6 +131,17 @@
 	return err
 }
 
+// replicaExpectedIn returns the time until a replica of the service is expected
+// to accept requests, given how many do now. If all of them are leaving, that is
+// when a replacement which was ordered as the first began to leave has started.
+func (x *exchange) replicaExpectedIn(candidates int) time.Duration {
+	since, scaling := x.h.Balancer.LeavingSince(x.service), x.cfg.Services[x.service].Scaling
+	if candidates > 0 || since.IsZero() || scaling == nil {
+		return retryAfterNoReplica
+	}
+	return max(retryAfterNoReplica, scaling.Boot-time.Since(since))
+}
+
 // observe records what the header of an answer states about its replica. An
 // answer with StatusMisdirectedRequest comes from another replica, which has
 // taken over the address.
--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -199,6 +199,21 @@
 	return s.leaving.Contains(incarnationKey{r.ID, r.Incarnation}) || s.registered[r.ID] == nil
 }
 
+// LeavingSince returns the time at which this entry learnt of the first of a
+// service's registered replicas that are leaving, or the zero time.
+func (s *Set) LeavingSince(service string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first time.Time
+	for id, r := range s.registered {
+		at, leaving := s.leaving.Peek(incarnationKey{id, r.Incarnation})
+		if r.Service == service && leaving && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first
+}
+
 func (s *Set) putLocked(reg Registration, newlyDraining []*Replica) []*Replica {
 	old := s.registered[reg.ID]
 	if reg.Incarnation == 0 {
