--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -58,7 +58,11 @@
 }
 
 func (dialect) DecodeReply(_ int, h http.Header) gateway.Reply {
-	return gateway.Reply{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
+	r := gateway.Reply{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
+	r.Limit, _ = strconv.ParseFloat(h.Get("Limit"), 64)
+	ms, _ := strconv.Atoi(h.Get("Pause"))
+	r.Pause = time.Duration(ms) * time.Millisecond
+	return r
 }
 
 func (dialect) ClientHeader(h http.Header) http.Header { return h.Clone() }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -146,14 +146,25 @@
 // answer with StatusMisdirectedRequest comes from another replica, which has
 // taken over the address.
 func (x *exchange) observe(r *replica.Replica, a *upstream.Answer) {
-	reply := x.h.Dialect.DecodeReply(a.Status, a.Header)
-	x.leaving = reply.Leaving && a.Status != http.StatusMisdirectedRequest
-	if !x.leaving {
+	x.stated = Reply{}
+	if a.Status == http.StatusMisdirectedRequest {
 		return
 	}
-	x.knownLeaving = x.h.Balancer.IsLeaving(r)
-	x.h.Recorder.Stated("leaving", x.knownLeaving)
-	x.h.Balancer.MarkLeaving(r)
+	x.stated = x.h.Dialect.DecodeReply(a.Status, a.Header)
+	if len(x.stated.Invalid) > 0 {
+		x.h.Log.WithFields(logrus.Fields{"replica": r.ID, "statements": x.stated.Invalid}).Warn("gateway: statements of a replica are ignored.")
+	}
+	if x.stated.Leaving {
+		x.knownLeaving = x.h.Balancer.IsLeaving(r)
+		x.h.Recorder.Stated("leaving", x.knownLeaving)
+		x.h.Balancer.MarkLeaving(r)
+	}
+	if x.stated.Limit > 0 {
+		x.h.Recorder.Stated("limit", false)
+	}
+	if x.stated.Pause > 0 {
+		x.h.Recorder.Stated("pause", false)
+	}
 }
 
 // replicaCrashed reports whether the replica that broke off an answer has
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -169,9 +169,10 @@
 	brokenAtStart, crashSuspect bool
 	// onTrial is set if the request was admitted although its parts are banned.
 	onTrial bool
-	// leaving is set if the last answer stated that its replica is leaving, and
-	// knownLeaving if the entry knew that before.
-	leaving, knownLeaving bool
+	// stated is what the last answer stated about its replica. knownLeaving is
+	// set if the entry knew before that the replica is leaving.
+	stated       Reply
+	knownLeaving bool
 	// firstEventLatency is the time from the arrival of the request to the
 	// first event of a stream.
 	firstEventLatency time.Duration
@@ -402,9 +403,15 @@
 	if x.framing != "" {
 		f["framing"] = x.framing
 	}
-	if x.leaving {
+	if x.stated.Leaving {
 		f["replica_leaving"], f["leaving_was_known"] = true, x.knownLeaving
 	}
+	if x.stated.Limit > 0 {
+		f["replica_limit"] = x.stated.Limit
+	}
+	if x.stated.Pause > 0 {
+		f["replica_pause_ms"] = x.stated.Pause.Milliseconds()
+	}
 	if x.firstEventLatency > 0 {
 		f["first_ms"], f["events"], f["partial_event_bytes"] = x.firstEventLatency.Milliseconds(), x.events, x.partialEvent
 	}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -57,6 +57,15 @@
 	NotRun bool
 	// Leaving is set if the replica only finishes the requests that it has.
 	Leaving bool
+	// Limit is the number of requests per second that the replica accepts from
+	// all entries together; 0 if it states none.
+	Limit float64
+	// Pause is the time in which the replica accepts no requests from this
+	// entry; 0 if it states none.
+	Pause time.Duration
+	// Invalid lists statements that can't be understood. Those of them that
+	// would set Limit say neither that there is a limit nor that there is none.
+	Invalid []string
 }
 
 // Dialect translates between the headers of clients and replicas and the types
