--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -87,7 +87,10 @@
 
 // testEntry is an entry with scripted replicas and a client.
 type testEntry struct {
+	id      string
 	network *memnet.Network
+	// host is the address of the entry.
+	host    string
 	set     *replica.Set
 	config  *config.Holder
 	handler *gateway.Handler
@@ -106,12 +109,33 @@
 type script func(nc net.Conn, req *http.Request) bool
 
 func newTestEntry(t *testing.T, c *config.Configuration, scripts ...script) *testEntry {
-	e := &testEntry{network: memnet.New(), set: replica.NewSet(nolog.Or(nil)), config: &config.Holder{}}
+	return newTestFleet(t, c, 1, scripts...)[0]
+}
+
+// newTestFleet starts entries that share their replicas.
+func newTestFleet(t *testing.T, c *config.Configuration, entries int, scripts ...script) []*testEntry {
+	network := memnet.New()
+	var fleet []*testEntry
+	for i := range entries {
+		fleet = append(fleet, newTestEntryOn(t, network, i, c))
+	}
+	for i, s := range scripts {
+		first := fleet[0]
+		first.addReplica(t, fmt.Sprintf("r%d", i), s)
+		for _, e := range fleet[1:] {
+			e.set.Put(first.set.Current().All[fmt.Sprintf("r%d", i)].Registration)
+		}
+	}
+	return fleet
+}
+
+func newTestEntryOn(t *testing.T, network *memnet.Network, number int, c *config.Configuration) *testEntry {
+	e := &testEntry{id: fmt.Sprint("e", number), network: network, host: fmt.Sprintf("10.0.0.%d", number+1), set: replica.NewSet(nolog.Or(nil)), config: &config.Holder{}}
 	if c != nil {
 		e.config.Offer(c.Compile())
 	}
 	clock := usage.NewClock()
-	pool := upstream.NewPool(e.network.Dialer("10.0.0.1"))
+	pool := upstream.NewPool(e.network.Dialer(e.host))
 	limiter := quota.NewLimiter(quota.Tolerance{})
 	if c != nil {
 		limiter.SetConfiguration(c)
@@ -120,7 +144,7 @@
 		Dialect: dialect{}, Config: e.config,
 		ConfigAge:   func() (time.Duration, bool) { return e.age, true },
 		RegistryAge: func() (time.Duration, bool) { return 0, true },
-		Balancer:    balance.NewGlobalBalancer(balance.New(e.set, balance.Options{FailureDomain: "d", Seed: 1, Log: nolog.Or(nil)}), "e", noPeers{}, nolog.Or(nil)), Pool: pool,
+		Balancer:    balance.NewGlobalBalancer(balance.New(e.set, balance.Options{FailureDomain: "d", Seed: uint64(number + 1), Log: nolog.Or(nil)}), "e", noPeers{}, nolog.Or(nil)), Pool: pool,
 		Quarantine: quarantine.New(quarantine.Options{
 			ID: "e", Members: noPeers{}.Members, Ready: func(service string) []*replica.Replica { return e.set.Current().Ready[service] },
 			Log: nolog.Or(nil), Count: func(string) {},
@@ -129,10 +153,7 @@
 		Retries: quota.NewRetryBudget(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
 		Usage:   usage.NewCounter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
 	})
-	for i, s := range scripts {
-		e.addReplica(t, fmt.Sprintf("r%d", i), s)
-	}
-	l, err := e.network.Listen("10.0.0.1:80")
+	l, err := e.network.Listen(e.host + ":80")
 	qt.Assert(t, err, qt.IsNil)
 	e.server = &http.Server{Handler: e.handler}
 	go func() { _ = e.server.Serve(l) }()
@@ -193,7 +214,7 @@
 // get sends a request and returns its response and body. The error is not nil
 // if the response is incomplete.
 func (e *testEntry) get(t *testing.T, path string, header ...string) (*http.Response, string, error) {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://10.0.0.1:80"+path, strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+e.host+":80"+path, strings.NewReader("body"))
 	qt.Assert(t, err, qt.IsNil)
 	req.Host = "h"
 	req.Header.Set("Id", "q1")
@@ -226,6 +247,14 @@
 	return err == nil
 }
 
+// answerAfter answers like answerOK, after a time.
+func answerAfter(d time.Duration) script {
+	return func(nc net.Conn, req *http.Request) bool {
+		time.Sleep(d)
+		return answerOK(nc, req)
+	}
+}
+
 func answerStatus(code int, extra string) script {
 	return func(nc net.Conn, req *http.Request) bool {
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: 3\r\n\r\nbad", code, req.Header.Get("Id"), extra)
