Keep the requests of all entries within the limits that replicas name

A replica in need that named a limit in its answers went on getting what its load made it get, several times the limit: callers of the requests that it had accepted waited with all others, and a replica that can't recover is one that they lose.

Cause: nothing read the statement, and nothing divides a limit of a replica over entries. Limits of customers are divided by demand; a part of 2.5 requests a second over 195 entries is nothing, and a first try for each of them is 195.

The new package gateway/throttle is the decision; its package comment says how. In short: the first entry that reads a limit spreads it to all, the member that the replica's ID hashes to grants a permit for each request, a second one grants less if the first isn't reached, and entries without an owner use their equal part. Short permits are divided by urgency and customer. It works because the owner counts what is sent, not what was seen to arrive, and because no set of owners that entries may ask at the same time grants more than 1.45 times the limit.

Weighed: shares by demand (need a part of a request a second and entry), few entries for each replica (the callers of all others are refused although there is room), a polling of replicas (not needed: requests that are permitted tell when a limit ends).

Choices treat a limited replica as loaded like the least loaded of the others: by its own load each request would ask there first. If all replicas are limited, a request waits for a permit no longer than for its customer's limit, else it is refused at once with the time at which a permit is expected; it counts as demand when replicas are ordered.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/scaling"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
@@ -112,7 +113,7 @@
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
 			newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
-			newLimiter, newOwnerPeers, newQuarantine, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
+			newLimiter, newOwnerPeers, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
 		),
 		fx.Invoke(runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
@@ -175,8 +176,8 @@
 
 func newConfigHolder() *config.Holder { return &config.Holder{} }
 
-func newBalancer(set *replica.Set, s gateway.Settings, log *logrus.Entry) *balance.Balancer {
-	return balance.New(set, balance.Options{FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Log: log})
+func newBalancer(set *replica.Set, s gateway.Settings, t *throttle.Throttle, log *logrus.Entry) *balance.Balancer {
+	return balance.New(set, balance.Options{FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Throttle: t, Log: log})
 }
 
 func newPool(lc fx.Lifecycle, n Network) *upstream.Pool {
@@ -212,13 +213,30 @@
 	})
 }
 
-// ownerPeers implements quota.Peers and balance.Peers.
+func newThrottle(s gateway.Settings, peers *ownerPeers, m *telemetry.Metrics, log *logrus.Entry) *throttle.Throttle {
+	return throttle.New(throttle.Options{ID: s.ID, Peers: peers, Log: log, Count: m.Throttled})
+}
+
+// ownerPeers implements quota.Peers, balance.Peers and throttle.Peers.
 type ownerPeers struct {
 	view *peerView
 	mesh *peer.Mesh
 }
 
-// Members implements quota.Peers and balance.Peers.
+// MemberCount implements throttle.Peers.
+func (p *ownerPeers) MemberCount() int {
+	if !p.view.registry.IsSettled() {
+		return 0
+	}
+	return p.view.registry.Count()
+}
+
+// Permit implements throttle.Peers.
+func (p *ownerPeers) Permit(ctx context.Context, id string, r peer.PermitRequest) (peer.PermitResult, error) {
+	return p.mesh.Permit(ctx, id, r)
+}
+
+// Members implements quota.Peers, balance.Peers and throttle.Peers.
 func (p *ownerPeers) Members() []string { return p.view.reachable(p.mesh.UpdatePeriod()) }
 
 // Reserve implements quota.Peers.
@@ -273,6 +291,7 @@
 	Balancer   *balance.GlobalBalancer
 	Pool       *upstream.Pool
 	Quarantine *quarantine.Set
+	Throttle   *throttle.Throttle
 	Limiter    *quota.GlobalLimiter
 	Retries    *quota.RetryBudget
 	Usage      *usage.Counter
@@ -284,7 +303,7 @@
 	return gateway.New(gateway.Deps{
 		Dialect: d.Deps.Dialect, Config: d.Config, ConfigAge: d.Followers.config.Age,
 		RegistryAge: d.Followers.registry.Age,
-		Balancer:    d.Balancer, Pool: d.Pool, Quarantine: d.Quarantine, Limiter: d.Limiter, Retries: d.Retries,
+		Balancer:    d.Balancer, Pool: d.Pool, Quarantine: d.Quarantine, Throttle: d.Throttle, Limiter: d.Limiter, Retries: d.Retries,
 		Usage: d.Usage, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
 		Loaded: []<-chan struct{}{d.Followers.config.Loaded(), d.Followers.registry.Loaded()},
 	})
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollup"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
@@ -190,6 +191,7 @@
 	Registry   *member.Registry
 	Notices    *drain.Set
 	Quarantine *quarantine.Set
+	Throttle   *throttle.Throttle
 	Followers  *followers
 	Config     *config.Holder
 	Replicas   *replica.Set
@@ -211,13 +213,14 @@
 	lc.Append(fx.StopHook(func() { closeQuietly(l) }))
 	var m *peer.Mesh
 	m = peer.New(peer.Options{
-		Deployment: gatewayDeployment, Registry: d.Registry, Notices: d.Notices, Evidence: d.Quarantine,
+		Deployment: gatewayDeployment, Registry: d.Registry, Notices: d.Notices, Evidence: d.Quarantine, Limits: d.Throttle,
 		Listener: l, Dial: d.Network.Dial, Log: d.Log,
 		Handlers: peer.Handlers{
 			EntryState: d.View.receive,
 			Counts:     d.View.counts, CountsPushed: d.View.receiveCounts,
 			Place:   func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, p) },
 			Reserve: d.Limits.ReserveOwned,
+			Permit:  d.Throttle.Grant,
 			Loads:   d.Rollup.Serve,
 			Changes: d.Followers.changesSince,
 			TemplateVersion: func(from, _ string, version uint64) {
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
@@ -65,6 +68,18 @@
 // ErrNoReplica reports that no replica of the service accepts new requests.
 var ErrNoReplica = errors.New("no replica takes work")
 
+// BlockedError reports that replicas of the service accept new requests, but that
+// none of them accepts this one now.
+type BlockedError struct {
+	// Expected is the time at which the first one is expected to.
+	Expected time.Time
+}
+
+// Error implements error.
+func (e *BlockedError) Error() string {
+	return fmt.Sprintf("no replica takes the request for %v", time.Until(e.Expected).Round(time.Millisecond))
+}
+
 // Part is one part of a prompt. Lists of parts are in the order of the prompt.
 type Part struct {
 	ID     uint64
@@ -86,6 +101,8 @@
 	LatencyObjective time.Duration
 	// Exclude holds the IDs of the replicas that earlier attempts were sent to.
 	Exclude map[string]bool
+	// Class is the request's class for replicas that have a limit.
+	Class throttle.Class
 }
 
 // sharedTokens returns how many tokens of the prompt are in shared parts.
@@ -113,6 +130,9 @@
 	InFlight int
 	// RunnerUp is the second best replica; nil if there is none.
 	RunnerUp *replica.Replica
+	// Alternatives is set if the request could be sent to a replica without a
+	// limit.
+	Alternatives bool
 	// Candidates is the number of replicas of the service that were ready.
 	Candidates int
 	// PlacedBy is the entry that placed a long prompt; empty if this entry
@@ -182,7 +202,9 @@
 	// Seed seeds the random part of the costs. It should differ between
 	// entries.
 	Seed uint64
-	Log  *logrus.Entry
+	// Throttle holds the limits of replicas. It may be nil.
+	Throttle *throttle.Throttle
+	Log      *logrus.Entry
 }
 
 // IsLeaving reports whether a replica is draining or gone.
@@ -261,24 +283,31 @@
 	return out
 }
 
-// Choose returns the replica with the lowest cost for a request, or
-// ErrNoReplica.
+// Choose returns the replica with the lowest cost for a request. It returns
+// ErrNoReplica, or a BlockedError if limits of replicas are the reason.
 func (b *Balancer) Choose(q Query) (Choice, error) {
 	ready := b.set.Current().Ready[q.Service]
+	a := b.admittable(q, ready)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	ejected := b.ejectedLocked(ready, now)
+	if len(a.blocked) > 0 && !slices.ContainsFunc(a.replicas, func(r *replica.Replica) bool { return !ejected[r.ID] }) {
+		ejected = nil // a replica that fails often is better than none
+	}
+	least := b.leastLoadLocked(a)
 	long := b.longPromptReplicas(q, ready, now)
 	best, second := Choice{}, Choice{}
 	bestCost, secondCost := math.Inf(1), math.Inf(1)
-	for _, r := range ready {
-		if q.Exclude[r.ID] || ejected[r.ID] {
+	for _, r := range a.replicas {
+		if ejected[r.ID] {
 			continue
 		}
 		c, cost := b.costLocked(q, r, ready, now)
 		cost += b.misplacementCost(q, q.PromptTokens-c.CachedTokens, r.ID, long)
-		c.Candidates = len(ready)
+		if a.limited[r.ID] {
+			cost += b.limitedCostLocked(q, c, least)
+		}
 		switch {
 		case cost < bestCost:
 			second, secondCost = best, bestCost
@@ -288,9 +317,9 @@
 		}
 	}
 	if best.Replica == nil {
-		return Choice{Candidates: len(ready)}, ErrNoReplica
+		return Choice{Candidates: len(ready)}, a.err()
 	}
-	best.RunnerUp = second.Replica
+	best.RunnerUp, best.Candidates, best.Alternatives = second.Replica, len(ready), len(a.replicas) > len(a.limited)
 	return best, nil
 }
 
--- a/gateway/balance/global.go
+++ b/gateway/balance/global.go
@@ -69,7 +69,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	p, err := g.peers.Place(callCtx, owner, q)
+	p, err := g.peers.Place(callCtx, owner, g.excludeBlocked(q))
 	if err != nil && !errors.Is(err, ErrNoReplica) && ctx.Err() == nil {
 		g.owners.MarkUnreachable(owner, err)
 	}
--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -39,18 +39,23 @@
 // prefill time there, or returns ErrNoReplica.
 func (b *Balancer) Place(q Query) (Placement, error) {
 	ready := b.set.Current().Ready[q.Service]
+	a := b.admittable(q, ready)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	ejected := b.ejectedLocked(ready, now)
+	least := b.leastReservationLocked(a, now)
 	long := b.longPromptReplicas(q, ready, now)
 	best, bestCost := Placement{}, math.Inf(1)
-	for _, r := range ready {
-		if q.Exclude[r.ID] || ejected[r.ID] {
+	for _, r := range a.replicas {
+		if ejected[r.ID] {
 			continue
 		}
 		p, cost := b.placementLocked(q, r, ready, now)
 		cost += b.misplacementCost(q, q.PromptTokens-p.CachedTokens, r.ID, long)
+		if a.limited[r.ID] {
+			cost += max(0, least-b.reservedLocked(r.ID, now))
+		}
 		if cost < bestCost {
 			best, bestCost = p, cost
 		}
@@ -67,12 +72,33 @@
 func (b *Balancer) placementLocked(q Query, r *replica.Replica, ready []*replica.Replica, now time.Time) (Placement, float64) {
 	fit := b.prefillRateLocked(q.Service)
 	cached := b.cachedLocked(q, r, ready, now)
-	wait := max(0, b.reservedUntil[r.ID].Sub(now).Seconds())
+	wait := b.reservedLocked(r.ID, now)
 	prefill := float64(max(0, q.PromptTokens-cached)) / fit.perSecond
 	firstToken, cost := b.engineCostLocked(q, r, wait+prefill+fit.base, cached, now)
 	return Placement{Replica: r.ID, Incarnation: r.Incarnation, CachedTokens: cached, FirstToken: firstToken}, cost
 }
 
+// reservedLocked returns the prefill time that is reserved on a replica, in
+// seconds.
+func (b *Balancer) reservedLocked(id string, now time.Time) float64 {
+	return max(0, b.reservedUntil[id].Sub(now).Seconds())
+}
+
+// leastReservationLocked returns the least prefill time that is reserved on a
+// replica without a limit, in seconds.
+func (b *Balancer) leastReservationLocked(a admittable, now time.Time) float64 {
+	if len(a.limited) == len(a.replicas) {
+		return 0
+	}
+	least := math.Inf(1)
+	for _, r := range a.replicas {
+		if !a.limited[r.ID] {
+			least = min(least, b.reservedLocked(r.ID, now))
+		}
+	}
+	return least
+}
+
 // reserveLocked reserves the prefill time of a prompt on its replica.
 func (b *Balancer) reserveLocked(q Query, p Placement, now time.Time) {
 	from := b.reservedUntil[p.Replica]
@@ -97,8 +123,13 @@
 	if st := b.states[r.ID]; st != nil && st.ejected {
 		return Choice{}, false
 	}
+	if b.opt.Throttle != nil {
+		if until, _ := b.opt.Throttle.BlockedUntil(r, q.Class); !until.IsZero() {
+			return Choice{}, false
+		}
+	}
 	c := Choice{
-		Replica: r, FirstToken: p.FirstToken, CachedTokens: p.CachedTokens,
+		Alternatives: local.Alternatives, Replica: r, FirstToken: p.FirstToken, CachedTokens: p.CachedTokens,
 		Candidates: local.Candidates, RunnerUp: local.Replica,
 	}
 	if st := b.states[r.ID]; st != nil {
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -144,6 +144,23 @@
 	return m
 }
 
+// RecordUnserved counts a request that the limits of replicas didn't admit as the
+// demand for engines that it would have been.
+func (b *Balancer) RecordUnserved(q Query) {
+	if q.Slots == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	running := 0.0
+	if d := b.durationsLocked(q.Service).running; d.weight > 0 {
+		running = d.sum / d.weight / float64(q.Slots)
+	}
+	cached := int(homeCachedFraction * float64(q.sharedTokens()))
+	prefill := float64(max(0, q.PromptTokens-cached)) / b.prefillRateLocked(q.Service).perSecond
+	b.busyLocked(q.Service).Add(time.Now(), prefill+running)
+}
+
 // Begin counts a request as in flight to the chosen replica.
 func (b *Balancer) Begin(q Query, c Choice) *Ticket {
 	b.mu.Lock()
--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -120,6 +120,8 @@
 	// minObjective holds the minimum latency objective by service.
 	minObjective      map[string]time.Duration
 	minObjectiveOfAll time.Duration
+	// highestUrgency holds the urgency of the most urgent route by service.
+	highestUrgency map[string]int
 }
 
 // Compile builds the indexes of the configuration and returns it.
@@ -128,10 +130,14 @@
 	c.byKey = make(map[string]*Customer)
 	c.byName = make(map[string]*Customer)
 	c.minObjective = make(map[string]time.Duration)
+	c.highestUrgency = make(map[string]int)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 		for _, t := range r.Targets {
+			if old, ok := c.highestUrgency[t.Service]; !ok || r.Urgency < old {
+				c.highestUrgency[t.Service] = r.Urgency
+			}
 			if old := c.minObjective[t.Service]; r.Objective > 0 && (old == 0 || r.Objective < old) {
 				c.minObjective[t.Service] = r.Objective
 			}
@@ -172,6 +178,10 @@
 	return c.minObjective[service]
 }
 
+// HighestUrgency returns the urgency of the most urgent of the routes to a service;
+// 0 is the most urgent of all.
+func (c *Configuration) HighestUrgency(service string) int { return c.highestUrgency[service] }
+
 // MinLatencyObjectiveOfAll returns the minimum latency objective of all routes,
 // or 0 if none has one.
 func (c *Configuration) MinLatencyObjectiveOfAll() time.Duration { return c.minObjectiveOfAll }
--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -21,11 +22,13 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 // dialect is a minimal Dialect for tests.
@@ -78,6 +81,43 @@
 	return balance.Placement{}, balance.ErrNoReplica
 }
 
+// testPeers connects the entries of a fleet without a network.
+type testPeers struct{ entries []*testEntry }
+
+func (p *testPeers) Members() []string {
+	var ids []string
+	for _, e := range p.entries {
+		ids = append(ids, e.id)
+	}
+	return ids
+}
+
+func (p *testPeers) MemberCount() int { return len(p.entries) }
+
+func (p *testPeers) Permit(_ context.Context, id string, r peer.PermitRequest) (peer.PermitResult, error) {
+	time.Sleep(2 * time.Millisecond)
+	for _, e := range p.entries {
+		if e.id == id {
+			return e.throttle.Grant("peer", r), nil
+		}
+	}
+	return peer.PermitResult{}, errors.New("no such entry")
+}
+
+// spread sends the limits that an entry knows to all others.
+func (p *testPeers) spread(from *testEntry) {
+	limits, _ := from.throttle.Since(0, 100)
+	time.AfterFunc(2*time.Millisecond, func() {
+		for _, e := range p.entries {
+			for _, l := range limits {
+				if e != from {
+					e.throttle.Add(from.id, l)
+				}
+			}
+		}
+	})
+}
+
 type recorder struct{}
 
 func (recorder) Ended(string, string, int, time.Duration) {}
@@ -90,13 +130,14 @@
 	id      string
 	network *memnet.Network
 	// host is the address of the entry.
-	host    string
-	set     *replica.Set
-	config  *config.Holder
-	handler *gateway.Handler
-	server  *http.Server
-	age     time.Duration
-	client  *http.Client
+	host     string
+	set      *replica.Set
+	config   *config.Holder
+	handler  *gateway.Handler
+	server   *http.Server
+	throttle *throttle.Throttle
+	age      time.Duration
+	client   *http.Client
 
 	mu sync.Mutex
 	// received lists the requests that replicas have received, as "replica id
@@ -115,10 +156,13 @@
 // newTestFleet starts entries that share their replicas.
 func newTestFleet(t *testing.T, c *config.Configuration, entries int, scripts ...script) []*testEntry {
 	network := memnet.New()
-	var fleet []*testEntry
+	peers := &testPeers{}
 	for i := range entries {
-		fleet = append(fleet, newTestEntryOn(t, network, i, c))
+		e := newTestEntryOn(t, network, i, c, peers)
+		e.throttle.OnBroadcast(func() { peers.spread(e) })
+		peers.entries = append(peers.entries, e)
 	}
+	fleet := peers.entries
 	for i, s := range scripts {
 		first := fleet[0]
 		first.addReplica(t, fmt.Sprintf("r%d", i), s)
@@ -129,12 +173,13 @@
 	return fleet
 }
 
-func newTestEntryOn(t *testing.T, network *memnet.Network, number int, c *config.Configuration) *testEntry {
+func newTestEntryOn(t *testing.T, network *memnet.Network, number int, c *config.Configuration, peers *testPeers) *testEntry {
 	e := &testEntry{id: fmt.Sprint("e", number), network: network, host: fmt.Sprintf("10.0.0.%d", number+1), set: replica.NewSet(nolog.Or(nil)), config: &config.Holder{}}
 	if c != nil {
 		e.config.Offer(c.Compile())
 	}
 	clock := usage.NewClock()
+	e.throttle = throttle.New(throttle.Options{ID: e.id, Peers: peers, Log: nolog.Or(nil), Count: func(string) {}})
 	pool := upstream.NewPool(e.network.Dialer(e.host))
 	limiter := quota.NewLimiter(quota.Tolerance{})
 	if c != nil {
@@ -144,14 +189,15 @@
 		Dialect: dialect{}, Config: e.config,
 		ConfigAge:   func() (time.Duration, bool) { return e.age, true },
 		RegistryAge: func() (time.Duration, bool) { return 0, true },
-		Balancer:    balance.NewGlobalBalancer(balance.New(e.set, balance.Options{FailureDomain: "d", Seed: uint64(number + 1), Log: nolog.Or(nil)}), "e", noPeers{}, nolog.Or(nil)), Pool: pool,
+		Balancer:    balance.NewGlobalBalancer(balance.New(e.set, balance.Options{FailureDomain: "d", Seed: uint64(number + 1), Throttle: e.throttle, Log: nolog.Or(nil)}), "e", noPeers{}, nolog.Or(nil)), Pool: pool,
 		Quarantine: quarantine.New(quarantine.Options{
 			ID: "e", Members: noPeers{}.Members, Ready: func(service string) []*replica.Replica { return e.set.Current().Ready[service] },
 			Log: nolog.Or(nil), Count: func(string) {},
 		}),
-		Limiter: quota.NewGlobalLimiter(limiter, "e", noPeers{}, nolog.Or(nil)),
-		Retries: quota.NewRetryBudget(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
-		Usage:   usage.NewCounter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
+		Throttle: e.throttle,
+		Limiter:  quota.NewGlobalLimiter(limiter, "e", noPeers{}, nolog.Or(nil)),
+		Retries:  quota.NewRetryBudget(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
+		Usage:    usage.NewCounter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
 	})
 	l, err := e.network.Listen(e.host + ":80")
 	qt.Assert(t, err, qt.IsNil)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
@@ -68,6 +69,7 @@
 	Balancer    *balance.GlobalBalancer
 	Pool        *upstream.Pool
 	Quarantine  *quarantine.Set
+	Throttle    *throttle.Throttle
 	Limiter     *quota.GlobalLimiter
 	Retries     *quota.RetryBudget
 	Usage       *usage.Counter
@@ -155,6 +157,8 @@
 	tried      map[string]bool
 	lastChoice balance.Choice
 	replica    string
+	// permit is the decision on the last choice by the limit of its replica.
+	permit throttle.Decision
 	// failedAnswer is the answer of a replica that ran the request and failed.
 	// It is relayed to the client if no retry gets a better one.
 	failedAnswer *bufferedAnswer
@@ -406,8 +410,8 @@
 	if x.stated.Leaving {
 		f["replica_leaving"], f["leaving_was_known"] = true, x.knownLeaving
 	}
-	if x.stated.Limit > 0 {
-		f["replica_limit"] = x.stated.Limit
+	if limit := max(x.stated.Limit, x.permit.Limit); limit > 0 {
+		f["replica_limit"], f["permit_by"], f["permit_ms"] = limit, x.permit.By, x.permit.Delay.Milliseconds()
 	}
 	if x.stated.Pause > 0 {
 		f["replica_pause_ms"] = x.stated.Pause.Milliseconds()
--- a/gateway/ownership/ownership.go
+++ b/gateway/ownership/ownership.go
@@ -9,6 +9,7 @@
 package ownership
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,32 @@
 	return best
 }
 
+// Ranked returns the first n members for a key, the owner first. All entries with
+// the same reachable members get the same.
+func (o *Owners) Ranked(key string, n int) []string {
+	type weighted struct {
+		id     string
+		weight uint64
+	}
+	members := o.members()
+	ranked := make([]weighted, 0, len(members))
+	for _, id := range members {
+		ranked = append(ranked, weighted{id, xxhash.Sum64String(key + "/" + id)})
+	}
+	var out []string
+	for range min(n, len(ranked)) {
+		best := 0
+		for i, m := range ranked {
+			if m.weight > ranked[best].weight {
+				best = i
+			}
+		}
+		out = append(out, ranked[best].id)
+		ranked = slices.Delete(ranked, best, best+1)
+	}
+	return out
+}
+
 // Available reports whether an owner may be called now, which is the case
 // unless it is backed off.
 func (o *Owners) Available(id string) bool {
--- a/peer/handlers.go
+++ b/peer/handlers.go
@@ -33,6 +33,8 @@
 	Changes func(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error)
 	// Place chooses the endpoint of a centrally placed prompt for a peer.
 	Place func(PlaceRequest) PlaceResult
+	// Permit decides on a peer's request for a permit.
+	Permit func(from string, r PermitRequest) PermitResult
 	// Loads receives the load report of a peer and returns the sum for it.
 	Loads func(from string, r LoadReport) LoadSum
 	// CountsPushed receives the counts of a peer's own requests.
@@ -84,6 +86,13 @@
 	return h.Place(p)
 }
 
+func (h Handlers) permit(from string, r PermitRequest) PermitResult {
+	if h.Permit == nil {
+		return PermitResult{NotOwner: true}
+	}
+	return h.Permit(from, r)
+}
+
 func (h Handlers) loads(from string, r LoadReport) LoadSum {
 	if h.Loads == nil {
 		return LoadSum{}
--- a/peer/link.go
+++ b/peer/link.go
@@ -30,6 +30,12 @@
 	// evidence of the customer.
 	evidencePerSecond = 10
 	evidenceBurst     = 20
+	// limitsPerSecond bounds the limits that an entry sends on all of its
+	// connections, and limitsBurst those on one of them at once: the limits of
+	// any number of endpoints may change with each answer. What waits is
+	// superseded by newer values.
+	limitsPerSecond = 40
+	limitsBurst     = 256
 	// maxChangeCalls bounds the concurrent calls of one peer that wait for
 	// changes. A peer follows two feeds; the rest is for calls that the peer
 	// has cancelled and that still wait here.
@@ -92,7 +98,11 @@
 	// was sent.
 	evidencePosition uint64
 	evidenceLimiter  *rate.Limiter
-	sentTemplates    map[string]uint64
+	// limitPosition is the position in the limits up to which everything was
+	// sent.
+	limitPosition uint64
+	limitLimiter  *rate.Limiter
+	sentTemplates map[string]uint64
 	// requestedRelay is the last Relay that was sent to the peer.
 	requestedRelay bool
 	// relayedLast is set if the last state update relayed states.
@@ -114,6 +124,7 @@
 		receivedNotices: make(map[drain.Key]bool),
 		sentTemplates:   make(map[string]uint64),
 		evidenceLimiter: rate.NewLimiter(evidencePerSecond, evidenceBurst),
+		limitLimiter:    rate.NewLimiter(limitsPerSecond, limitsBurst),
 	}
 	l.conn = jsonrpc2.NewConn(ctx, l.stream, l, jsonrpc2.SetLogger(m.discardLog))
 	close(l.connSet)
@@ -159,6 +170,12 @@
 			return err
 		}
 		l.handleEvidence(e)
+	case methodLimits:
+		var n replicaLimits
+		if err := params(req, &n); err != nil {
+			return err
+		}
+		l.handleLimits(n)
 	case methodVersions:
 		var v versions
 		if err := params(req, &v); err != nil {
@@ -179,6 +196,12 @@
 			return err
 		}
 		return l.conn.Reply(ctx, req.ID, l.mesh.o.Handlers.place(p))
+	case methodPermit:
+		var r PermitRequest
+		if err := params(req, &r); err != nil {
+			return err
+		}
+		return l.conn.Reply(ctx, req.ID, l.mesh.o.Handlers.permit(l.peer.ID, r))
 	case methodLoads:
 		var r LoadReport
 		if err := params(req, &r); err != nil {
@@ -243,6 +266,15 @@
 	}
 }
 
+func (l *link) handleLimits(n replicaLimits) {
+	if l.mesh.o.Limits == nil {
+		return
+	}
+	for _, limit := range n.Limits {
+		l.mesh.o.Limits.Add(l.peer.ID, limit)
+	}
+}
+
 func (l *link) handleVersions(v versions) {
 	for name, version := range v.Templates {
 		l.mesh.o.Handlers.templateVersion(l.peer.ID, name, version)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -44,6 +44,20 @@
 	OnBroadcast(f func())
 }
 
+// LimitLog holds the limits that endpoints have stated, which a Mesh spreads to
+// all entries. Implementations must be safe for concurrent use.
+type LimitLog interface {
+	// Add adds a limit from a peer and reports whether it was new. Only new ones
+	// are passed on.
+	Add(from string, l ReplicaLimit) bool
+	// Since returns up to limit limits that changed after position, and the
+	// position after the last one returned.
+	Since(position uint64, limit int) ([]ReplicaLimit, uint64)
+	// OnBroadcast registers f to be called when Since has more to return. f must
+	// not block.
+	OnBroadcast(f func())
+}
+
 // Options configures a Mesh.
 type Options struct {
 	// Deployment is the name of the deployment. Peers of other deployments are
@@ -51,8 +65,9 @@
 	Deployment string
 	Registry   *member.Registry
 	Notices    *drain.Set
-	// Evidence may be nil.
+	// Evidence and Limits may be nil.
 	Evidence EvidenceLog
+	Limits   LimitLog
 	Listener net.Listener
 	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	Log      *logrus.Entry
@@ -106,6 +121,9 @@
 	if o.Evidence != nil {
 		o.Evidence.OnBroadcast(m.wakeAll)
 	}
+	if o.Limits != nil {
+		o.Limits.OnBroadcast(m.wakeAll)
+	}
 	return m
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -42,6 +42,7 @@
 	requestTime metric.Float64Histogram
 	quarantine  metric.Int64Counter
 	statements  metric.Int64Counter
+	throttle    metric.Int64Counter
 	tableCalls  metric.Int64Counter
 	tableTime   metric.Float64Histogram
 }
@@ -62,7 +63,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [10]error
+	var errs [11]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -86,6 +87,8 @@
 		metric.WithDescription("Events of the quarantine of prompt parts: crashes, bans, lifts, refusals and trials."))
 	m.statements, errs[9] = m.meter.Int64Counter("coltsfootcleat.replica_statements",
 		metric.WithDescription("Answers that state something about their replica, by statement and whether it was known."))
+	m.throttle, errs[10] = m.meter.Int64Counter("coltsfootcleat.throttle",
+		metric.WithDescription("Events of the limits of replicas: limits, their ends, permits and denials."))
 	return errors.Join(errs[:]...)
 }
 
@@ -121,6 +124,11 @@
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// Throttled counts an event of the limits of replicas.
+func (m *Metrics) Throttled(event string) {
+	m.throttle.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 // Stated counts an answer that states something about its replica. known is set
 // if the entry knew that before.
 func (m *Metrics) Stated(statement string, known bool) {
