Send a replica nothing for as long as it asks this entry not to

A replica that turned requests away with a time after which it takes more got more at once, from each request that chose it: callers spent their second send, and the shared budget of retries, on a replica that had said no.

Cause: the Retry-After of a replica was replaced by our own and not used.

It counts as no failure, the next replica gets the request as not run, and the replica is looked at again before the first byte. If all replicas pause, requests are refused at once with the end of the first pause.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -224,7 +224,7 @@
 		}
 	}
 	if x.stated.Pause > 0 {
-		x.h.Recorder.Stated("pause", false)
+		x.h.Recorder.Stated("pause", x.h.Throttle.Pause(r, x.stated.Pause))
 	}
 }
 
@@ -268,10 +268,14 @@
 // request without an answer.
 func outcomeOfError(err error) balance.Outcome {
 	code := verdict.CodeOf(err)
-	if code == verdict.CodeCancelled || code == verdict.CodeDeadline || errors.Is(err, errReplicaLeft) || errors.Is(err, errReplicaLimited) {
+	switch {
+	case code == verdict.CodeCancelled, code == verdict.CodeDeadline:
+		return balance.Neutral
+	case errors.Is(err, errReplicaLeft), errors.Is(err, errReplicaLimited), errors.Is(err, errReplicaPaused):
 		return balance.Neutral
+	default:
+		return balance.Failed
 	}
-	return balance.Failed
 }
 
 // refuseIfTooLate refuses a request whose first token is expected after the
@@ -370,6 +374,7 @@
 var (
 	errReplicaLeft    = errors.New("replica is leaving")
 	errReplicaLimited = errors.New("replica has a limit")
+	errReplicaPaused  = errors.New("replica pauses")
 )
 
 // checkReplica reports whether the chosen replica still accepts the request,
@@ -381,6 +386,8 @@
 		err = errReplicaLeft
 	case x.permit.Limit == 0 && x.h.Throttle.Limited(r):
 		err = errReplicaLimited
+	case x.h.Throttle.Paused(r):
+		err = errReplicaPaused
 	default:
 		return nil
 	}
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,3 +152,27 @@
 		qt.Check(t, f[0].receivedCount(), qt.Equals, 2)
 	})
 }
+
+// Guards against a pause that counts as a failure of the replica, which would keep
+// it out after its end.
+func TestPauseIsNoFailureOfTheReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var turned atomic.Int64
+		turnAwayFirst := func(nc net.Conn, req *http.Request) bool {
+			if turned.Add(1) <= 3 {
+				return withHeader("Pause: 300\r\n", answerStatus(503, "Not-Run: 1\r\n"))(nc, req)
+			}
+			return answerOK(nc, req)
+		}
+		f := newTestFleet(t, testConfiguration(), 1, turnAwayFirst)
+		for i := range 3 {
+			resp, _, err := f[0].get(t, "/once/x", "Id", fmt.Sprint("q", i))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			time.Sleep(400 * time.Millisecond)
+		}
+		resp, _, err := f[0].get(t, "/once/x", "Id", "last")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	})
+}
--- a/gateway/throttle/throttle.go
+++ b/gateway/throttle/throttle.go
@@ -56,29 +56,32 @@
 	ID    string
 	Peers Peers
 	Log   *logrus.Entry
-	// Count counts events: "limit", "limit ended", "permit", "denial" and
-	// "no owner".
+	// Count counts events: "limit", "limit ended", "permit", "denial", "no
+	// owner" and "pause".
 	Count func(event string)
 }
 
 // errBackedOff reports that an owner did not answer recently.
 var errBackedOff = errors.New("owner is backed off after a failed call")
 
-// Throttle holds the limits of replicas. It is safe for concurrent
+// Throttle holds the limits and pauses of replicas. It is safe for concurrent
 // use.
 type Throttle struct {
 	opt    Options
 	owners *ownership.Owners
 
-	mu          sync.Mutex
-	limits      limits
+	mu     sync.Mutex
+	limits limits
+	// pausedUntil holds the end of the pauses for which replicas asked this
+	// entry.
+	pausedUntil map[incarnation]time.Time
 	onBroadcast []func()
 }
 
 // New returns a Throttle without limits.
 func New(o Options) *Throttle {
 	return &Throttle{
-		opt: o, limits: newLimits(),
+		opt: o, limits: newLimits(), pausedUntil: make(map[incarnation]time.Time),
 		owners: ownership.New(time.Now, o.Peers.Members, o.Log.WithField("decides", "replica limits")),
 	}
 }
@@ -127,6 +130,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	if paused := t.pausedUntil[incarnationOf(r)]; now.Before(paused) {
+		return paused, paused
+	}
 	if l := t.limits.current(incarnationOf(r)); l != nil && now.Before(l.asks.next[c]) {
 		return l.asks.next[c], l.asks.expected[c]
 	}
