--- a/gateway/throttle/fleet_test.go
+++ b/gateway/throttle/fleet_test.go
@@ -34,7 +34,10 @@
 	// refused.
 	maxRefusalTime = 500 * time.Millisecond
 
-	namedAt, playTime = 5 * time.Second, 25 * time.Second
+	namedAt = 5 * time.Second
+	// usualTime and lowTime are how long a play lasts; limits below one a second
+	// need longer for as many requests.
+	usualTime, lowTime = 25 * time.Second, 65 * time.Second
 	// perReplica is the number of requests per second for each replica.
 	perReplica = 6.0
 )
@@ -124,6 +127,14 @@
 	}},
 }
 
+// lasts returns how long the play lasts.
+func (p play) lasts() time.Duration {
+	if p.limit < 1 {
+		return lowTime
+	}
+	return usualTime
+}
+
 // run plays one play.
 func (p play) run(entries int, seed uint64, throttled bool) *fleet {
 	requests := max(p.requests, perReplica)
@@ -145,7 +156,7 @@
 		}
 	}
 	if throttled {
-		go f.watch()
+		go f.watch(p.lasts())
 	}
 	if p.disturb != nil {
 		go p.disturb(f)
@@ -154,7 +165,7 @@
 	if customers == nil {
 		customers = []int{0, 1, 2, 3, 4}
 	}
-	f.load(requests*float64(replicas)*max(1, p.load), playTime, customers)
+	f.load(requests*float64(replicas)*max(1, p.load), p.lasts(), customers)
 	time.Sleep(10 * time.Second) // the end of disturbances
 	return f
 }
@@ -193,8 +204,8 @@
 	f := p.run(entries, seed, true)
 	allowed := int(limitTolerance*p.limit*limitWindow.Seconds()) + limitSlack
 	most, mostBefore := 0, 0
-	end := playTime
-	if p.change != nil && p.change(playTime) == 0 {
+	end := p.lasts()
+	if p.change != nil && p.change(end) == 0 {
 		end = 15 * time.Second
 	}
 	for i := range f.replicas {
@@ -204,7 +215,7 @@
 		}
 	}
 	used := f.used(p, end)
-	bytes := float64(f.bytes) / float64(entries) / (playTime - namedAt).Seconds()
+	bytes := float64(f.bytes) / float64(entries) / (p.lasts() - namedAt).Seconds()
 	t.Logf("most in %v: %d, before %d, allowed %d; used %.2f; answered at the first try %.3f of urgent, %.3f of other requests; refused %.3f and %.3f, at most after %v; known to all after %v; %.0f B/s an entry",
 		limitWindow, most, mostBefore, allowed, used, f.part(f.result.firstTry, 0), f.part(f.result.firstTry, 1),
 		f.part(f.result.refused, 0), f.part(f.result.refused, 1), f.result.refusedAfter.Round(time.Millisecond), f.result.knownAfter, bytes)
--- a/gateway/throttle/grants.go
+++ b/gateway/throttle/grants.go
@@ -14,6 +14,9 @@
 	// It is longer than entries with different views of the members ask
 	// different owners.
 	handoverPeriod = 4 * time.Second
+	// unaskedPermits is the number of permits in whose time an owner of a low
+	// limit may not be asked although no other owner is.
+	unaskedPermits = 5
 	// reducedPart is the part of a limit that a new owner and the second member
 	// by hash grant.
 	reducedPart = 0.45
@@ -25,9 +28,12 @@
 	// than there are. Requests with alternatives are fewer, and lose nothing by a
 	// denial.
 	asksPerPermit, asksWithAlternatives = 2, 4
+	// sparePermits is the number of saved permits from which on one is granted
+	// whatever the part that a customer got.
+	sparePermits = 1.5
 	// shareDenialPermits is the time for which a request is denied whose class or
 	// customer got more than its part, in permits of the limit.
-	shareDenialPermits = 3
+	shareDenialPermits = 2
 	// deniedMemory is how long a member that was denied counts as one that asks.
 	deniedMemory = 10 * time.Second
 )
@@ -39,7 +45,7 @@
 	// burst is the number of permits that can be saved up.
 	burst float64
 	// ownedSince is when this entry began to be asked as the first owner without
-	// a break of handoverPeriod. askedAt is when it was last asked.
+	// a long break. askedAt is when it was last asked.
 	ownedSince, askedAt time.Time
 	// deniedTo holds when each member was last denied.
 	deniedTo map[string]time.Time
@@ -88,7 +94,7 @@
 	perSecond := l.resizeOwned(t.ownerPart(l.rate())*l.rate(), rank > 0, now)
 	g := &l.owner
 	var wait time.Duration
-	if q.Alternatives || g.shares.mayTake(q, now, perSecond) || g.isFull(now) {
+	if g.mayTake(q, now, perSecond) {
 		r := g.bucket.ReserveWithin(now, 1, q.Within)
 		if r.OK {
 			g.shares.grant(q, now, perSecond)
@@ -107,10 +113,16 @@
 	return peer.PermitResult{WaitMS: wait.Milliseconds() + 1, AskInMS: askIn.Milliseconds() + 1}
 }
 
-// isFull reports whether no more permits can be saved up.
-func (g *grants) isFull(now time.Time) bool {
+// mayTake reports whether a request may get the next permit. Permits that are
+// saved up because those whose part they would be don't ask go to others.
+func (g *grants) mayTake(q Request, now time.Time, perSecond float64) bool {
 	g.bucket.AddTokens(now, 0)
-	return g.bucket.Tokens() >= g.burst
+	saved := g.bucket.Tokens()
+	if q.Alternatives || saved >= g.burst {
+		return true
+	}
+	return g.shares.classMayTake(q.Class, now, perSecond) &&
+		(saved >= sparePermits || g.shares.customerMayTake(q.Customer, now, perSecond))
 }
 
 // resizeOwned applies the rate at which this entry grants permits as an owner,
@@ -120,7 +132,7 @@
 	switch {
 	case second:
 		g.ownedSince = time.Time{}
-	case g.ownedSince.IsZero() || now.Sub(g.askedAt) > handoverPeriod:
+	case g.ownedSince.IsZero() || now.Sub(g.askedAt) > max(handoverPeriod, rate.Seconds(unaskedPermits/perSecond)):
 		g.ownedSince = now
 		if now.Sub(l.since) < handoverPeriod {
 			// Nobody else can have granted permits of such a young limit.
@@ -135,7 +147,8 @@
 	if second || now.Sub(g.ownedSince) < handoverPeriod {
 		perSecond, g.burst = reducedPart*perSecond, reducedPart*g.burst
 	}
-	g.bucket.Resize(now, perSecond, max(1, g.burst))
+	g.burst = max(1, g.burst)
+	g.bucket.Resize(now, perSecond, g.burst)
 	return perSecond
 }
 
--- a/gateway/throttle/shares.go
+++ b/gateway/throttle/shares.go
@@ -74,32 +74,35 @@
 	return s.byCustomer[name]
 }
 
-// mayTake reports whether a request may get the next permit. It may not if its
-// class or its customer got more than its part of the last ones while others
-// were denied, or if it is a repeat and first sends were denied.
-func (s *shares) mayTake(q Request, now time.Time, perSecond float64) bool {
-	own, total, weight, weights := 0.0, 0.0, classWeights[q.Class], 0.0
-	for class := Urgent; class <= Normal; class++ {
-		c := &s.byClass[class]
+// classMayTake reports whether a request may get the next permit by its class. It
+// may not if the class got more than its part of the last ones while another one
+// was denied, or if it is a repeat and first sends were denied.
+func (s *shares) classMayTake(class Class, now time.Time, perSecond float64) bool {
+	own, total, weights := 0.0, 0.0, 0.0
+	for other := Urgent; other <= Normal; other++ {
+		c := &s.byClass[other]
 		granted := c.decayed(now, perSecond)
 		switch {
-		case class == q.Class:
+		case other == class:
 			own = granted
 		case !c.wants(now, perSecond):
 			continue
-		case q.Class == Repeat:
+		case class == Repeat:
 			return false
 		}
 		total += granted
-		weights += classWeights[class]
-	}
-	if q.Class != Repeat && own+0.5 > weight/weights*(total+1) {
-		return false
+		weights += classWeights[other]
 	}
+	return class == Repeat || own+0.5 <= classWeights[class]/weights*(total+1)
+}
+
+// customerMayTake reports the same by the request's customer, all of which have
+// equal parts.
+func (s *shares) customerMayTake(customer string, now time.Time, perSecond float64) bool {
 	own, total, n := 0.0, 0.0, 0.0
 	for name, c := range s.byCustomer {
 		granted := c.decayed(now, perSecond)
-		if name == q.Customer {
+		if name == customer {
 			own = granted
 		} else if !c.wants(now, perSecond) {
 			continue
@@ -107,7 +110,7 @@
 		total += granted
 		n++
 	}
-	return n <= 1 || own <= (total+1)/n+0.5
+	return n <= 1 || own+0.5 <= (total+1)/n+1
 }
 
 func (s *shares) grant(q Request, now time.Time, perSecond float64) {
--- a/gateway/throttle/simulation_test.go
+++ b/gateway/throttle/simulation_test.go
@@ -413,9 +413,9 @@
 
 // watch measures how long it takes until all entries know the limit of the first
 // replica.
-func (f *fleet) watch() {
+func (f *fleet) watch(until time.Duration) {
 	var first time.Time
-	for time.Since(f.start) < playTime {
+	for time.Since(f.start) < until {
 		time.Sleep(5 * time.Millisecond)
 		f.mu.Lock()
 		r, entries := &replica.Replica{Registration: f.replicas[0].Registration}, slices.Clone(f.entries)
--- a/gateway/throttle/throttle.go
+++ b/gateway/throttle/throttle.go
@@ -24,9 +24,13 @@
 	// assumedMembers is the number of entries that is assumed until the members
 	// are known.
 	assumedMembers = 100
-	// unownedPause is the time until a request is considered again for a replica
-	// whose permits nobody grants to this entry.
-	unownedPause = 300 * time.Millisecond
+	// unaskedPause is the time until a request is considered again for a replica
+	// for which this entry could not ask for a permit.
+	unaskedPause = 300 * time.Millisecond
+	// deniedCallsPerSecond and deniedCallsBurst bound the calls of an entry that
+	// are denied, over all limits. With hundreds of limited replicas, an entry
+	// could otherwise ask a different owner each time.
+	deniedCallsPerSecond, deniedCallsBurst = 8, 20
 	// localPart is the part of a limit that the entries use without permits if
 	// each one's part of it is at least minLocalRate, in requests per second.
 	localPart    = 0.9
@@ -75,6 +79,8 @@
 	// pausedUntil holds the end of the pauses for which replicas asked this
 	// entry.
 	pausedUntil map[incarnation]time.Time
+	// deniedCalls holds the calls to peers that may still be denied.
+	deniedCalls rate.Bucket
 	onBroadcast []func()
 }
 
@@ -150,10 +156,14 @@
 	}
 	perSecond, statement := l.perSecond, l.statement()
 	local := t.takeLocalLocked(l, t.localRate(l.rate()))
+	mayAsk := local || t.mayAskLocked(l, q.Class)
 	t.mu.Unlock()
-	if local {
+	switch {
+	case local:
 		t.opt.Count("permit")
 		return Decision{OK: true, Limit: perSecond}
+	case !mayAsk:
+		return Decision{Limit: perSecond}
 	}
 	for _, owner := range t.owners.Ranked(ownerKey(r.ID), ownerRanks) {
 		result, err := t.ask(ctx, owner, statement, q)
@@ -168,6 +178,20 @@
 	return t.decideAlone(l, q.Class)
 }
 
+// mayAskLocked reports whether this entry may ask for a permit. If too many of its
+// calls were denied, it blocks the replica for a while instead.
+func (t *Throttle) mayAskLocked(l *limit, c Class) bool {
+	now := time.Now()
+	t.deniedCalls.Resize(now, deniedCallsPerSecond, deniedCallsBurst)
+	t.deniedCalls.AddTokens(now, 0)
+	if t.deniedCalls.Tokens() >= 1 {
+		return true
+	}
+	until := now.Add(unaskedPause)
+	l.asks.next[c], l.asks.expected[c] = until, until
+	return false
+}
+
 // ask asks one owner for a permit. It returns errBackedOff if the owner didn't
 // answer recently.
 func (t *Throttle) ask(ctx context.Context, owner string, s peer.ReplicaLimit, q Request) (peer.PermitResult, error) {
@@ -204,6 +228,9 @@
 	}
 	t.opt.Count("denial")
 	now := time.Now()
+	if owner != t.opt.ID {
+		t.deniedCalls.Take(now, 1)
+	}
 	l.asks.next[c], l.asks.expected[c] = now.Add(milliseconds(result.AskInMS)), now.Add(milliseconds(result.WaitMS))
 	return d
 }
@@ -216,7 +243,7 @@
 	if t.takeLocalLocked(l, l.rate()/float64(t.memberCount())) {
 		return Decision{OK: true, Limit: l.perSecond}
 	}
-	until := time.Now().Add(unownedPause)
+	until := time.Now().Add(unaskedPause)
 	l.asks.next[c], l.asks.expected[c] = until, until
 	return Decision{Limit: l.perSecond}
 }
