Check each event before it joins a stream

Ruled out were failures and refusals with their own status, which end the stream as cut.

Cause: whatever stood before a blank line was passed on as an event, in the middle of a stream and after a resumption too.

Evidence: TestFailureAfterAStreamHasBegunIsNotJoinedToIt. A line of an event must be a field or a comment, IDs that are numbers must increase, and the first event of a replica that resumes a stream must have an ID. What fails this breaks the stream off, which is resumed if its route allows it, or cut. Events that came before are still delivered.

--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -141,3 +141,37 @@
 		})
 	}
 }
+
+// Guards against bytes of a failure that reach the client in the middle of a stream
+// that had begun, or end it as complete.
+func TestFailureAfterAStreamHasBegunIsNotJoinedToIt(t *testing.T) {
+	const failure = "HTTP/1.1 500 X\r\nId: q1\r\nContent-Length: 3\r\n\r\nbad"
+	begun := eventText(1, 3)
+	resumeWith := func(s script) script { return inTurn(answerEvents(3, false), s) }
+	for _, test := range []struct {
+		name, path string
+		answer     script
+	}{
+		{"failure of the next replica", "/resume/x", resumeWith(answerStatus(500, ""))},
+		{"refusal of the next replica", "/resume/x", resumeWith(answerStatus(503, "Not-Run: 1\r\n"))},
+		{"next owner of the address", "/resume/x", resumeWith(answerStatus(421, "Not-Run: 1\r\n"))},
+		{"refusal with a time", "/resume/x", resumeWith(withHeader("Pause: 2000\r\n", answerStatus(503, "Not-Run: 1\r\n")))},
+		{"text of a failure as success", "/resume/x", resumeWith(answerFramed(framedByLength, "upstream failed"))},
+		{"text of a failure as an event", "/resume/x", resumeWith(answerFramed(framedByLength, "upstream failed\n\n"))},
+		{"JSON of a failure as an event", "/resume/x", resumeWith(answerFramed(framedByChunks, `{"error":"failed"}`+"\n\n"))},
+		{"stream that begins anew", "/resume/x", resumeWith(answerFramed(framedByChunks, eventText(1, 5)))},
+		{"head of a failure in the stream", "/stream/x", answerFramed(framedByConnection, begun+failure)},
+		{"head of a failure within an event", "/stream/x", answerFramed(framedByConnection, begun+"id: 4\nda"+failure)},
+		{"head of a failure in the resumed stream", "/resume/x", resumeWith(answerFramed(framedByConnection, failure))},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestEntry(t, testConfiguration(), test.answer, test.answer)
+				resp, body, err := e.get(t, test.path)
+				qt.Assert(t, resp, qt.IsNotNil, qt.Commentf("%v", err))
+				qt.Check(t, err, qt.IsNotNil)
+				qt.Check(t, body, qt.Equals, begun)
+			})
+		})
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"strconv"
 )
 
 // eventSplitter splits a stream of server-sent events into complete events.
@@ -48,6 +50,50 @@
 	}
 }
 
+// Errors of bytes that are no event, or not the next event of a stream.
+var (
+	errNoEvent    = errors.New("bytes are no event")
+	errOutOfOrder = errors.New("event is not the next one of the stream")
+)
+
+// checkEvent reports whether an event may follow the event with the ID last, which
+// is empty at the start of a stream. resumes is set for the first event of a replica
+// that resumes the stream.
+func checkEvent(event []byte, last string, resumes bool) error {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && !bytes.Contains(line, []byte(":")) && !fieldNames[string(line)] {
+			return errNoEvent
+		}
+	}
+	id := eventID(event)
+	if id == "" {
+		if resumes && !isComment(event) {
+			return errOutOfOrder
+		}
+		return nil
+	}
+	number, err := strconv.ParseUint(id, 10, 64)
+	previous, previousErr := strconv.ParseUint(last, 10, 64)
+	if err == nil && previousErr == nil && number <= previous || resumes && id == last {
+		return errOutOfOrder
+	}
+	return nil
+}
+
+// fieldNames are the fields of an event, which may stand on a line alone.
+var fieldNames = map[string]bool{"data": true, "event": true, "id": true, "retry": true}
+
+// isComment reports whether an event has no fields.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if len(bytes.TrimRight(line, "\r\n")) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the ID of an event, or "" if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -141,7 +141,7 @@
 // the route allows it, the stream is resumed at another replica after its last
 // complete event.
 func (x *exchange) relayStream(ctx context.Context, t *balance.Ticket, a *upstream.Answer, lastEvent string) (balance.Outcome, error) {
-	s := &streamCopy{x: x, t: t, a: a, lastEventID: lastEvent}
+	s := &streamCopy{x: x, t: t, a: a, lastEventID: lastEvent, resumes: lastEvent != ""}
 	err := s.run()
 	if err == nil {
 		return balance.Answered, nil
@@ -174,6 +174,8 @@
 	a *upstream.Answer
 	// lastEventID is the ID of the last event that was sent to the client.
 	lastEventID string
+	// resumes is set if the answer continues the stream of another replica.
+	resumes bool
 	// clientWriteFailed is set once a write to the client has failed, after
 	// which the stream isn't resumed.
 	clientWriteFailed bool
@@ -193,8 +195,8 @@
 	for {
 		n, err := s.a.Read(buf)
 		s.splitter.feed(buf[:n])
-		if writeErr := s.writeEvents(); writeErr != nil {
-			return writeErr
+		if eventErr := s.writeEvents(); eventErr != nil {
+			return eventErr
 		}
 		if len(s.splitter.remainder()) > maxEventBytes {
 			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s: event without an end", s.x.replica)
@@ -208,10 +210,27 @@
 	}
 }
 
-// writeEvents sends the complete events that have arrived to the client.
+// writeEvents sends the complete events that have arrived to the client. It fails
+// at bytes that are not the next event, and if the client can't be written to.
 func (s *streamCopy) writeEvents() error {
-	wrote := false
+	before := s.events
+	err := s.writeArrived()
+	if s.events == before || s.clientWriteFailed {
+		return err
+	}
+	if flushErr := http.NewResponseController(s.x.w).Flush(); flushErr != nil {
+		s.clientWriteFailed = true
+		return flushErr
+	}
+	return err
+}
+
+// writeArrived writes the complete events that have arrived.
+func (s *streamCopy) writeArrived() error {
 	for event := s.splitter.next(); event != nil; event = s.splitter.next() {
+		if err := checkEvent(event, s.lastEventID, s.resumes && s.events == 0); err != nil {
+			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s: %w", s.x.replica, err)
+		}
 		if s.events == 0 {
 			s.x.h.Quarantine.Answered(s.x.customerName(), s.x.sharedPartIDs())
 		}
@@ -224,14 +243,6 @@
 			s.lastEventID = id
 		}
 		s.events++
-		wrote = true
-	}
-	if !wrote {
-		return nil
-	}
-	if err := http.NewResponseController(s.x.w).Flush(); err != nil {
-		s.clientWriteFailed = true
-		return err
 	}
 	return nil
 }
