--- a/cmd/coltsfootcleat/explain.go
+++ b/cmd/coltsfootcleat/explain.go
@@ -145,8 +145,23 @@
 	return out, scanner.Err()
 }
 
+// lastStatements returns, for each replica of a request, the last line before a
+// time in which an entry of the request recorded a limit, a pause or a leaving of
+// the replica, as these hold until the next one.
+func lastStatements(lines []logLine, before time.Time, entries, replicas map[string]bool) []logLine {
+	last := make(map[string]logLine)
+	for _, l := range lines {
+		r := l.text("replica")
+		states := strings.HasPrefix(l.text("msg"), "throttle: ") || l.text("msg") == "replica: leaves."
+		if states && r != "" && replicas[r] && entries[l.text("entry")] && l.at.Before(before) && !l.at.Before(last[r].at) {
+			last[r] = l
+		}
+	}
+	return slices.Collect(maps.Values(last))
+}
+
 // explain returns the lines about a request and the state changes around it, in
-// order of time. A line without a request ID is a state change. It is included
+// order of time, with the last statements of its replicas before them. A line without a request ID is a state change. It is included
 // if it was written between explainBefore before the start and explainAfter
 // after the end of the request, by an entry of the request, and names either no
 // replica or a replica of the request. If all is set, the entry and the replica
@@ -174,7 +189,7 @@
 	if first.IsZero() {
 		return nil
 	}
-	var out []logLine
+	out := lastStatements(lines, first.Add(-explainBefore), entries, replicas)
 	for _, l := range lines {
 		matches := l.text("request") == id
 		_, hasRequest := l.fields["request"]
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -73,11 +73,14 @@
 type BlockedError struct {
 	// Expected is the time at which the first one is expected to.
 	Expected time.Time
+	// Limited and Paused are the numbers of replicas that have a limit, and that
+	// asked this entry for a pause.
+	Limited, Paused int
 }
 
 // Error implements error.
 func (e *BlockedError) Error() string {
-	return fmt.Sprintf("no replica takes the request for %v", time.Until(e.Expected).Round(time.Millisecond))
+	return fmt.Sprintf("no replica takes the request for %v: %d have a limit, %d pause", time.Until(e.Expected).Round(time.Millisecond), e.Limited, e.Paused)
 }
 
 // Part is one part of a prompt. Lists of parts are in the order of the prompt.
--- a/gateway/balance/limited.go
+++ b/gateway/balance/limited.go
@@ -3,9 +3,9 @@
 import (
 	"maps"
 	"math"
-	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 )
 
 // A replica with a limit runs few requests, so by its load alone each request
@@ -18,9 +18,9 @@
 	replicas []*replica.Replica
 	// limited holds the IDs of those that have a limit.
 	limited map[string]bool
-	// blocked holds when each of the other replicas is expected to accept the
-	// request, if its limit doesn't admit it now.
-	blocked []time.Time
+	// blocked holds why the other replicas that accept new work don't accept the
+	// request now.
+	blocked []throttle.Block
 }
 
 // err returns the error if none of the replicas can be used.
@@ -28,13 +28,18 @@
 	if len(a.blocked) == 0 {
 		return ErrNoReplica
 	}
-	first := a.blocked[0]
-	for _, at := range a.blocked {
-		if at.Before(first) {
-			first = at
+	err := &BlockedError{Expected: a.blocked[0].Expected}
+	for _, b := range a.blocked {
+		if b.Expected.Before(err.Expected) {
+			err.Expected = b.Expected
+		}
+		if b.Paused {
+			err.Paused++
+		} else {
+			err.Limited++
 		}
 	}
-	return &BlockedError{Expected: first}
+	return err
 }
 
 // admittable returns the replicas that a request can be sent to, by its earlier
@@ -46,9 +51,8 @@
 			continue
 		}
 		if b.opt.Throttle != nil {
-			until, expected := b.opt.Throttle.BlockedUntil(r, q.Class)
-			if !until.IsZero() {
-				a.blocked = append(a.blocked, expected)
+			if block := b.opt.Throttle.BlockOf(r, q.Class); !block.Until.IsZero() {
+				a.blocked = append(a.blocked, block)
 				continue
 			}
 			if b.opt.Throttle.Limited(r) {
@@ -71,7 +75,7 @@
 	}
 	exclude := maps.Clone(q.Exclude)
 	for _, r := range b.set.Current().Ready[q.Service] {
-		if until, _ := b.opt.Throttle.BlockedUntil(r, q.Class); !until.IsZero() {
+		if !b.opt.Throttle.BlockOf(r, q.Class).Until.IsZero() {
 			if exclude == nil {
 				exclude = make(map[string]bool)
 			}
--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -123,10 +123,8 @@
 	if st := b.states[r.ID]; st != nil && st.ejected {
 		return Choice{}, false
 	}
-	if b.opt.Throttle != nil {
-		if until, _ := b.opt.Throttle.BlockedUntil(r, q.Class); !until.IsZero() {
-			return Choice{}, false
-		}
+	if b.opt.Throttle != nil && !b.opt.Throttle.BlockOf(r, q.Class).Until.IsZero() {
+		return Choice{}, false
 	}
 	c := Choice{
 		Alternatives: local.Alternatives, Replica: r, FirstToken: p.FirstToken, CachedTokens: p.CachedTokens,
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -157,8 +157,8 @@
 		case ctx.Err() != nil:
 			return choice, verdict.New(verdict.NotRun, verdict.CodeCancelled, "client left while its request waited for a permit")
 		case asked == maxPermitCalls:
-			_, expected := x.h.Throttle.BlockedUntil(choice.Replica, q.Class)
-			return choice, x.noReplica(q, choice, &balance.BlockedError{Expected: expected})
+			block := x.h.Throttle.BlockOf(choice.Replica, q.Class)
+			return choice, x.noReplica(q, choice, &balance.BlockedError{Expected: block.Expected, Limited: asked})
 		}
 	}
 }
--- a/gateway/throttle/throttle.go
+++ b/gateway/throttle/throttle.go
@@ -129,20 +129,31 @@
 	return t.limits.current(incarnationOf(r)) != nil
 }
 
-// BlockedUntil returns the time until which a request of a class can't be sent to
-// a replica, or the zero time. expected is the time at which the replica is
-// expected to accept one, which may be earlier.
-func (t *Throttle) BlockedUntil(r *replica.Replica, c Class) (until, expected time.Time) {
+// Block is the reason why a replica doesn't accept a request now.
+type Block struct {
+	// Until is the time until which the request can't be sent to the replica; the
+	// zero time if it can.
+	Until time.Time
+	// Expected is the time at which the replica is expected to accept a request,
+	// which may be earlier.
+	Expected time.Time
+	// Paused is set if the replica asked this entry for a pause. Otherwise its
+	// limit is the reason.
+	Paused bool
+}
+
+// BlockOf returns whether a request of a class can be sent to a replica now.
+func (t *Throttle) BlockOf(r *replica.Replica, c Class) Block {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	if paused := t.pausedUntil[incarnationOf(r)]; now.Before(paused) {
-		return paused, paused
+		return Block{Until: paused, Expected: paused, Paused: true}
 	}
 	if l := t.limits.current(incarnationOf(r)); l != nil && now.Before(l.asks.next[c]) {
-		return l.asks.next[c], l.asks.expected[c]
+		return Block{Until: l.asks.next[c], Expected: l.asks.expected[c]}
 	}
-	return time.Time{}, time.Time{}
+	return Block{}
 }
 
 // Acquire asks for a permit to send a request to a replica. Without one, the
