--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/drain"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
@@ -40,6 +41,7 @@
 	registry *member.Registry
 	notices  *drain.Set
 	evidence *quarantine.Set
+	limits   *throttle.Throttle
 	mesh     *peer.Mesh
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -114,6 +116,7 @@
 		ID: n.id, Members: func() []string { return n.registry.Live() }, Log: quietLog(),
 		Ready: func(string) []*replica.Replica { return nil }, Count: func(string) {},
 	})
+	n.limits = throttle.New(throttle.Options{ID: n.id, Peers: limitPeers{n}, Log: quietLog(), Count: func(string) {}})
 	listener, err := n.cluster.network.Listen(addr)
 	n.cluster.c.Assert(err, qt.IsNil)
 	n.mu.Lock()
@@ -125,6 +128,7 @@
 		Registry:   n.registry,
 		Notices:    n.notices,
 		Evidence:   n.evidence,
+		Limits:     n.limits,
 		Listener:   listener,
 		Dial:       n.cluster.network.Dialer(n.host),
 		Log:        quietLog(),
@@ -139,6 +143,7 @@
 				return peer.PlaceResult{Endpoint: p.Parts[0].ID, Incarnation: 1 << 60}
 			},
 			Reserve: reserveForTest,
+			Permit:  n.limits.Grant,
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
