--- a/app/gateway.go
+++ b/app/gateway.go
@@ -324,7 +324,9 @@
 func (r gatewayRecorder) Retried(reason string) { r.m.Retried(reason) }
 
 // Stated implements gateway.Recorder.
-func (r gatewayRecorder) Stated(statement string, known bool) { r.m.Stated(statement, known) }
+func (r gatewayRecorder) Stated(replica, statement string, known bool) {
+	r.m.Stated(replica, statement, known)
+}
 
 func runSweeps(lc fx.Lifecycle, l *Loops, pool *upstream.Pool, b *balance.Balancer) {
 	l.Every(lc, sweepPeriod, func(context.Context) {
--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -123,7 +123,7 @@
 func (recorder) Ended(string, string, int, time.Duration) {}
 func (recorder) FirstToken(string, time.Duration)         {}
 func (recorder) Retried(string)                           {}
-func (recorder) Stated(string, bool)                      {}
+func (recorder) Stated(string, string, bool)              {}
 
 // testEntry is an entry with scripted replicas and a client.
 type testEntry struct {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -214,17 +214,17 @@
 	}
 	if x.stated.Leaving {
 		x.knownLeaving = x.h.Balancer.IsLeaving(r)
-		x.h.Recorder.Stated("leaving", x.knownLeaving)
+		x.h.Recorder.Stated(r.ID, "leaving", x.knownLeaving)
 		x.h.Balancer.MarkLeaving(r)
 	}
 	if x.stated.Limit > 0 || !invalid {
 		known := x.h.Throttle.Observe(r, x.stated.Limit, sent)
 		if x.stated.Limit > 0 {
-			x.h.Recorder.Stated("limit", known)
+			x.h.Recorder.Stated(r.ID, "limit", known)
 		}
 	}
 	if x.stated.Pause > 0 {
-		x.h.Recorder.Stated("pause", x.h.Throttle.Pause(r, x.stated.Pause))
+		x.h.Recorder.Stated(r.ID, "pause", x.h.Throttle.Pause(r, x.stated.Pause))
 	}
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -91,7 +91,7 @@
 	Retried(reason string)
 	// Stated is called for each answer that states something about its replica,
 	// such as "leaving". known is set if the entry knew that before.
-	Stated(statement string, known bool)
+	Stated(replica, statement string, known bool)
 }
 
 // Handler forwards requests to replicas. It is safe for concurrent use.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -43,6 +44,7 @@
 	quarantine  metric.Int64Counter
 	statements  metric.Int64Counter
 	throttle    metric.Int64Counter
+	replicas    names
 	tableCalls  metric.Int64Counter
 	tableTime   metric.Float64Histogram
 }
@@ -130,9 +132,35 @@
 }
 
 // Stated counts an answer that states something about its replica. known is set
-// if the entry knew that before.
-func (m *Metrics) Stated(statement string, known bool) {
-	m.statements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("statement", statement), attribute.Bool("known", known)))
+// if the entry knew that before. Replicas after the first maxNamedReplicas are
+// counted together.
+func (m *Metrics) Stated(replica, statement string, known bool) {
+	m.statements.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("replica", m.replicas.bounded(replica)), attribute.String("statement", statement), attribute.Bool("known", known)))
+}
+
+// maxNamedReplicas bounds the replicas that have counters of their own.
+const maxNamedReplicas = 100
+
+// names is a set of names of bounded size. It is safe for concurrent use.
+type names struct {
+	mu    sync.Mutex
+	known map[string]bool
+}
+
+// bounded returns the name if it is one of the first maxNamedReplicas, else
+// "other".
+func (n *names) bounded(name string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.known == nil {
+		n.known = make(map[string]bool)
+	}
+	if !n.known[name] && len(n.known) >= maxNamedReplicas {
+		return "other"
+	}
+	n.known[name] = true
+	return name
 }
 
 // Quarantined counts an event of the quarantine of prompt parts.
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -94,3 +95,16 @@
 		c.Check(strings.Contains(answer.Body.String(), line+"\n"), qt.IsTrue, qt.Commentf("%s in\n%s", line, answer.Body))
 	}
 }
+
+// Guards against a counter for each of any number of replicas.
+func TestCountersByReplicaAreBounded(t *testing.T) {
+	m, err := telemetry.NewMetrics()
+	qt.Assert(t, err, qt.IsNil)
+	for i := range 500 {
+		m.Stated(fmt.Sprint("replica-", i), "limit", false)
+	}
+	rec := httptest.NewRecorder()
+	m.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	lines := strings.Count(rec.Body.String(), "\ncoltsfootcleat_replica_statements_total{")
+	qt.Check(t, lines, qt.Equals, 101)
+}
