--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -13,9 +12,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
-	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
-	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -32,14 +29,6 @@
 	// retryAfterNoReplica is the least Retry-After of a request whose service
 	// has no replica: a new one takes seconds to start.
 	retryAfterNoReplica = time.Second
-	// maxPermitCalls is the number of limited replicas for which a permit is
-	// asked for before the request is refused.
-	maxPermitCalls = 3
-	// A request that no replica accepts is asked back after the first one is
-	// expected to, plus minBlockedSpread and a random part of up to the wait
-	// divided by blockedSpreadDivisor.
-	minBlockedSpread     = 20 * time.Millisecond
-	blockedSpreadDivisor = 4
 )
 
 // forward offers the request to replicas until one answers it, or until it may
@@ -136,98 +125,6 @@
 	return err
 }
 
-// choose chooses a replica and acquires a permit if it has a limit.
-func (x *exchange) choose(ctx context.Context, q balance.Query, lastEvent string) (balance.Choice, error) {
-	for asked := 1; ; asked++ {
-		choice, err := x.h.Balancer.ChooseGlobal(ctx, q)
-		if err != nil {
-			return choice, x.noReplica(q, choice, err)
-		}
-		if err := x.refuseIfTooLate(choice); err != nil && lastEvent == "" {
-			return choice, err
-		}
-		// The prompt may have crashed replicas since the request was admitted.
-		if err := x.checkQuarantine(); err != nil {
-			return choice, err
-		}
-		x.permit = x.h.Throttle.Acquire(ctx, choice.Replica, x.permitRequest(q, choice))
-		switch {
-		case x.permit.OK && ctxtime.Sleep(ctx, x.permit.Delay):
-			return choice, nil
-		case ctx.Err() != nil:
-			return choice, verdict.New(verdict.NotRun, verdict.CodeCancelled, "client left while its request waited for a permit")
-		case asked == maxPermitCalls:
-			block := x.h.Throttle.BlockOf(choice.Replica, q.Class)
-			return choice, x.noReplica(q, choice, &balance.BlockedError{Expected: block.Expected, Limited: asked})
-		}
-	}
-}
-
-// permitRequest returns what decides on a permit for the request. It waits for one
-// only if it has to, and then no longer than for its customer's limit.
-func (x *exchange) permitRequest(q balance.Query, c balance.Choice) throttle.Request {
-	r := throttle.Request{Class: q.Class, Customer: x.customerName(), Alternatives: c.Alternatives}
-	if !c.Alternatives && q.Class != throttle.Repeat {
-		r.Within = x.cfg.MinLatencyObjective(x.service) / limitDelayDivisor
-	}
-	return r
-}
-
-// noReplica returns the refusal of a request that no replica accepts.
-func (x *exchange) noReplica(q balance.Query, c balance.Choice, err error) error {
-	var blocked *balance.BlockedError
-	if !errors.As(err, &blocked) {
-		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q: %w", x.service, err).WithRetryAfter(x.replicaExpectedIn(c.Candidates))
-	}
-	if x.sends == 0 {
-		x.h.Balancer.RecordUnserved(q)
-	}
-	wait := max(0, time.Until(blocked.Expected))
-	// Others wait for the same moment.
-	wait += minBlockedSpread + time.Duration(rand.Float64()*float64(wait)/blockedSpreadDivisor)
-	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "service %q: %w", x.service, err).WithRetryAfter(wait)
-}
-
-// replicaExpectedIn returns the time until a replica of the service is expected
-// to accept requests, given how many do now. If all of them are leaving, that is
-// when a replacement which was ordered as the first began to leave has started.
-func (x *exchange) replicaExpectedIn(candidates int) time.Duration {
-	since, scaling := x.h.Balancer.LeavingSince(x.service), x.cfg.Services[x.service].Scaling
-	if candidates > 0 || since.IsZero() || scaling == nil {
-		return retryAfterNoReplica
-	}
-	return max(retryAfterNoReplica, scaling.Boot-time.Since(since))
-}
-
-// observe records what the header of an answer states about its replica. An
-// answer with StatusMisdirectedRequest comes from another replica, which has
-// taken over the address.
-func (x *exchange) observe(r *replica.Replica, a *upstream.Answer, sent time.Time) {
-	x.stated = Reply{}
-	if a.Status == http.StatusMisdirectedRequest {
-		return
-	}
-	x.stated = x.h.Dialect.DecodeReply(a.Status, a.Header)
-	invalid := len(x.stated.Invalid) > 0
-	if invalid {
-		x.h.Log.WithFields(logrus.Fields{"replica": r.ID, "statements": x.stated.Invalid}).Warn("gateway: statements of a replica are ignored.")
-	}
-	if x.stated.Leaving {
-		x.knownLeaving = x.h.Balancer.IsLeaving(r)
-		x.h.Recorder.Stated(r.ID, "leaving", x.knownLeaving)
-		x.h.Balancer.MarkLeaving(r)
-	}
-	if x.stated.Limit > 0 || !invalid {
-		known := x.h.Throttle.Observe(r, x.stated.Limit, sent)
-		if x.stated.Limit > 0 {
-			x.h.Recorder.Stated(r.ID, "limit", known)
-		}
-	}
-	if x.stated.Pause > 0 {
-		x.h.Recorder.Stated(r.ID, "pause", x.h.Throttle.Pause(r, x.stated.Pause))
-	}
-}
-
 // replicaCrashed reports whether the replica that broke off an answer has
 // crashed. A draining replica ends as planned.
 func (x *exchange) replicaCrashed(ctx context.Context, r *replica.Replica) bool {
@@ -303,20 +200,6 @@
 	return q
 }
 
-// class returns the class of the request for the limits of replicas. A stream
-// that is resumed is as urgent as it was at first, because its client has seen a
-// part of the answer.
-func (x *exchange) class(lastEvent string) throttle.Class {
-	switch {
-	case x.sends > 0 && lastEvent == "":
-		return throttle.Repeat
-	case x.urgency() <= x.cfg.HighestUrgency(x.service):
-		return throttle.Urgent
-	default:
-		return throttle.Normal
-	}
-}
-
 // sharedParts returns the prompt parts that other requests may have as well.
 func (x *exchange) sharedParts() []balance.Part {
 	return x.req.Parts[:max(0, len(x.req.Parts)-1)]
@@ -370,30 +253,6 @@
 	return a, err
 }
 
-// Errors of a request whose replica stopped accepting it after it was chosen.
-var (
-	errReplicaLeft    = errors.New("replica is leaving")
-	errReplicaLimited = errors.New("replica has a limit")
-	errReplicaPaused  = errors.New("replica pauses")
-)
-
-// checkReplica reports whether the chosen replica still accepts the request,
-// because opening a connection to it may have taken some time.
-func (x *exchange) checkReplica(r *replica.Replica) error {
-	var err error
-	switch {
-	case x.h.Balancer.IsLeaving(r):
-		err = errReplicaLeft
-	case x.permit.Limit == 0 && x.h.Throttle.Limited(r):
-		err = errReplicaLimited
-	case x.h.Throttle.Paused(r):
-		err = errReplicaPaused
-	default:
-		return nil
-	}
-	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "replica %s: %w", r.ID, err)
-}
-
 // urgency returns the priority of the request at an engine. The urgency of the
 // customer, if it has one, overrides that of the route.
 func (x *exchange) urgency() int {
--- a/gateway/throttle/doc.go
+++ b/gateway/throttle/doc.go
@@ -20,8 +20,8 @@
 // below one and a half times the limit:
 //
 //   - The second member by hash grants permits to entries that don't reach the
-//     first, at half the rate. An owner that was not asked before does the same
-//     for handoverPeriod, because another one may still be asked.
+//     first, at less than half the rate. An owner that was not asked before does
+//     the same for handoverPeriod, because another one may still be asked.
 //   - An entry that reaches neither uses its equal part of the limit. An entry
 //     that reaches less than half of the members grants none.
 //
--- a/gateway/throttle/grants.go
+++ b/gateway/throttle/grants.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// handoverPeriod is how long a new owner of a limit grants half of it only.
-	// It is longer than entries with different views of the members ask
+	// handoverPeriod is how long a new owner of a limit grants reducedPart of it
+	// only. It is longer than entries with different views of the members ask
 	// different owners.
 	handoverPeriod = 4 * time.Second
 	// unaskedPermits is the number of permits in whose time an owner of a low
--- a/gateway/throttle/limits.go
+++ b/gateway/throttle/limits.go
@@ -24,9 +24,12 @@
 	// announcedChange is the relative change of a limit below which the other
 	// entries are not told.
 	announcedChange = 0.05
-	// maxLimits bounds the incarnations whose limits are kept, ended ones
-	// included.
-	maxLimits = 4096
+	// maxLimits bounds the incarnations whose limits are kept. endedRetention and
+	// limitRetention are how long they are kept after the limit has ended, and
+	// after it was last stated: the replica may be gone.
+	maxLimits      = 4096
+	endedRetention = 10 * time.Minute
+	limitRetention = time.Hour
 )
 
 // incarnation identifies one incarnation of a replica.
@@ -87,24 +90,33 @@
 func (s *limits) getOrAdd(k incarnation) *limit {
 	l := s.byIncarnation[k]
 	if l == nil {
-		if len(s.byIncarnation) >= maxLimits {
-			s.dropOldest()
-		}
+		s.makeRoom(time.Now())
 		l = &limit{incarnation: k}
 		s.byIncarnation[k] = l
 	}
 	return l
 }
 
-func (s *limits) dropOldest() {
+// makeRoom forgets old limits, and the oldest one if there are too many.
+func (s *limits) makeRoom(now time.Time) {
 	var oldest *limit
 	for _, l := range s.byIncarnation {
-		if oldest == nil || l.statedAt.Before(oldest.statedAt) {
+		age := now.Sub(l.statedAt)
+		switch {
+		case age > limitRetention, age > endedRetention && l.perSecond == 0:
+			s.drop(l)
+		case oldest == nil || l.statedAt.Before(oldest.statedAt):
 			oldest = l
 		}
 	}
-	s.unlog(oldest)
-	delete(s.byIncarnation, oldest.incarnation)
+	if len(s.byIncarnation) >= maxLimits {
+		s.drop(oldest)
+	}
+}
+
+func (s *limits) drop(l *limit) {
+	s.unlog(l)
+	delete(s.byIncarnation, l.incarnation)
 }
 
 func (s *limits) unlog(l *limit) {
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -68,13 +68,6 @@
 	return result, err
 }
 
-// Permit asks a peer, as an owner of a limit, for a permit.
-func (m *Mesh) Permit(ctx context.Context, peer string, r PermitRequest) (PermitResult, error) {
-	var result PermitResult
-	err := m.callCached(ctx, peer, methodPermit, r, &result)
-	return result, err
-}
-
 // ExchangeLoads sends a load report to a peer, which returns the sum of the
 // loads of other entries.
 func (m *Mesh) ExchangeLoads(ctx context.Context, peer string, r LoadReport) (LoadSum, error) {
--- a/peer/link.go
+++ b/peer/link.go
@@ -30,12 +30,6 @@
 	// evidence of the customer.
 	evidencePerSecond = 10
 	evidenceBurst     = 20
-	// limitsPerSecond bounds the limits that an entry sends on all of its
-	// connections, and limitsBurst those on one of them at once: the limits of
-	// any number of endpoints may change with each answer. What waits is
-	// superseded by newer values.
-	limitsPerSecond = 40
-	limitsBurst     = 256
 	// maxChangeCalls bounds the concurrent calls of one peer that wait for
 	// changes. A peer follows two feeds; the rest is for calls that the peer
 	// has cancelled and that still wait here.
@@ -266,15 +260,6 @@
 	}
 }
 
-func (l *link) handleLimits(n replicaLimits) {
-	if l.mesh.o.Limits == nil {
-		return
-	}
-	for _, limit := range n.Limits {
-		l.mesh.o.Limits.Add(l.peer.ID, limit)
-	}
-}
-
 func (l *link) handleVersions(v versions) {
 	for name, version := range v.Templates {
 		l.mesh.o.Handlers.templateVersion(l.peer.ID, name, version)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -44,20 +44,6 @@
 	OnBroadcast(f func())
 }
 
-// LimitLog holds the limits that endpoints have stated, which a Mesh spreads to
-// all entries. Implementations must be safe for concurrent use.
-type LimitLog interface {
-	// Add adds a limit from a peer and reports whether it was new. Only new ones
-	// are passed on.
-	Add(from string, l ReplicaLimit) bool
-	// Since returns up to limit limits that changed after position, and the
-	// position after the last one returned.
-	Since(position uint64, limit int) ([]ReplicaLimit, uint64)
-	// OnBroadcast registers f to be called when Since has more to return. f must
-	// not block.
-	OnBroadcast(f func())
-}
-
 // Options configures a Mesh.
 type Options struct {
 	// Deployment is the name of the deployment. Peers of other deployments are
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -283,53 +283,6 @@
 	Evidence []CrashEvidence `json:"e"`
 }
 
-// ReplicaLimit is the limit that an endpoint has stated.
-type ReplicaLimit struct {
-	Endpoint    string `json:"e"`
-	Incarnation int64  `json:"i,omitempty"`
-	// PerSecond is the number of requests per second that the endpoint accepts
-	// from all entries together, 0 if it doesn't state a limit any more.
-	PerSecond float64 `json:"l,omitempty"`
-	// Version orders the values that entries announce. Each entry that changes a
-	// value increases it.
-	Version uint64 `json:"v"`
-}
-
-// replicaLimits broadcasts limits. It is sent at once.
-type replicaLimits struct {
-	Limits []ReplicaLimit `json:"l"`
-}
-
-// PermitRequest asks an owner of a limit for a permit to send one request.
-type PermitRequest struct {
-	// Limit is the limit as the sender knows it.
-	Limit ReplicaLimit `json:"l"`
-	// Class is a throttle.Class.
-	Class    int    `json:"k,omitempty"`
-	Customer string `json:"c,omitempty"`
-	// Alternatives is set if another endpoint accepts the request without a
-	// permit.
-	Alternatives bool `json:"a,omitempty"`
-	// WithinMS is how long the request can wait for a permit.
-	WithinMS int64 `json:"p,omitempty"`
-}
-
-// PermitResult is the reply to PermitRequest.
-type PermitResult struct {
-	// Granted is set if the request may be sent after DelayMS.
-	Granted bool  `json:"g,omitempty"`
-	DelayMS int64 `json:"d,omitempty"`
-	// WaitMS is the time until a permit is expected to be available, AskInMS the
-	// time after which the sender may ask again.
-	WaitMS  int64 `json:"w,omitempty"`
-	AskInMS int64 `json:"n,omitempty"`
-	// NotOwner is set if the peer doesn't grant permits of the limit.
-	NotOwner bool `json:"e,omitempty"`
-	// Newer is the limit as the peer knows it, if that is newer than what the
-	// sender knows.
-	Newer *ReplicaLimit `json:"l,omitempty"`
-}
-
 // versions reports template versions in force. It is sent at once.
 type versions struct {
 	Templates map[string]uint64 `json:"t"`
--- a/peer/send.go
+++ b/peer/send.go
@@ -112,23 +112,6 @@
 	return l.conn.Notify(ctx, methodEvidence, crashEvidence{Evidence: batch})
 }
 
-// sendLimits sends the limits that changed since the last call, within the limit
-// of their rate. The next state update continues.
-func (l *link) sendLimits(ctx context.Context) error {
-	if l.mesh.o.Limits == nil {
-		return nil
-	}
-	now := time.Now()
-	l.limitLimiter.SetLimitAt(now, rate.Limit(limitsPerSecond/float64(max(1, l.mesh.linkCount()))))
-	batch, position := l.mesh.o.Limits.Since(l.limitPosition, int(l.limitLimiter.TokensAt(now)))
-	if len(batch) == 0 {
-		return nil
-	}
-	l.limitLimiter.AllowN(now, len(batch))
-	l.limitPosition = position
-	return l.conn.Notify(ctx, methodLimits, replicaLimits{Limits: batch})
-}
-
 // nextStateUpdate returns a state update with the states that the peer doesn't
 // have yet. The own state of this entry is sent to all neighbours. The states
 // of third members are sent only if either side requested relaying.
