Divide customers' limits by all members on record while the table is unavailable

Cause: peers refuse the new incarnation of a live member that they can't look up, so each restarted entry reached nobody; after a few seconds it took the others for failed, itself for the only member, and the whole limit for its own. Three entries did so at once.

While the table is unavailable, limits and the retry budget are now divided by all members on record: it can't be told whether members that aren't reached have failed or share with each other. What it costs: if they have failed, their part isn't used until the store is back.

--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -271,7 +271,7 @@
 	l.Go(lc, func(ctx context.Context) { view.inherit(ctx, m.Counts, log) })
 	update := func() {
 		states := view.liveStates(maxLoadAge)
-		members := len(r.Live())
+		members := r.SharingCount()
 		if members == 1 && !isClosed(r.Scanned()) {
 			members = 0 // membership not read yet
 		}
@@ -289,7 +289,7 @@
 		started := counter.Recent(s.Usage.Due + maxCountsDelay)
 		state := gatewayState(limiter, started, h, i)
 		state.BusyEngines, state.PrefillLoad = b.BusyEngines(), b.PrefillLoad()
-		if members > maxDirectReaders {
+		if len(r.Live()) > maxDirectReaders {
 			state.Services = b.OwnLoadByService()
 		} else {
 			state.Endpoints = b.OwnLoad()
--- a/member/member.go
+++ b/member/member.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -78,6 +79,10 @@
 	// entry at its start.
 	rejoined bool
 
+	// tableFailed is set while the last call to the table, a scan or a heartbeat,
+	// has failed.
+	tableFailed atomic.Bool
+
 	// lastScan is the time at which the last successful scan began. Only the
 	// goroutine that scans uses it.
 	lastScan time.Time
@@ -194,6 +199,16 @@
 	return len(r.others) + 1
 }
 
+// SharingCount returns the number of members that limits are divided between.
+// While the table is unavailable, these are all on record: members that this
+// entry doesn't reach may have failed, or may share the limits with each other.
+func (r *Registry) SharingCount() int {
+	if r.tableFailed.Load() {
+		return r.Count()
+	}
+	return len(r.Live())
+}
+
 // Live returns the IDs of the members in state Live, sorted.
 func (r *Registry) Live() []string {
 	var ids []string
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -279,3 +279,31 @@
 		})
 	}
 }
+
+// Guards against an entry that reaches nobody while the table is unavailable, and
+// takes the limits of the whole deployment for its own.
+func TestUnreachableMembersShareLimitsWhileTheTableIsUnavailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		var others []func() error
+		for _, id := range []string{"b", "c", "d"} {
+			others = append(others, run(newRegistry(table, id, "1")))
+		}
+		r := newRegistry(table, "a", "1")
+		defer run(r)()
+		time.Sleep(3 * time.Second)
+		c.Assert(r.SharingCount(), qt.Equals, 4)
+		table.SetFaults(standin.TableFaults{Outage: true})
+		for _, stop := range others {
+			c.Assert(stop(), qt.IsNil)
+		}
+		time.Sleep(2 * r.FailureTimeout())
+		c.Assert(r.Live(), qt.HasLen, 1)
+		// They may share limits with each other, and the table can't tell.
+		c.Assert(r.SharingCount(), qt.Equals, 4)
+		table.SetFaults(standin.TableFaults{})
+		time.Sleep(2 * r.FailureTimeout())
+		c.Assert(r.SharingCount(), qt.Equals, 1)
+	})
+}
--- a/member/scan.go
+++ b/member/scan.go
@@ -26,6 +26,7 @@
 	phase := StaggeredDelays()
 	for {
 		err := r.scan(ctx)
+		r.tableFailed.Store(err != nil)
 		if err != nil && ctx.Err() == nil {
 			r.log.WithError(err).Warn("member: scan failed.")
 		}
--- a/member/table.go
+++ b/member/table.go
@@ -48,6 +48,7 @@
 	phase := StaggeredDelays()
 	for first := true; ; first = false {
 		err := r.writeHeartbeat(ctx, r.Self())
+		r.tableFailed.Store(err != nil)
 		if errors.Is(err, ErrReplaced) {
 			r.markReplaced()
 			return err
