--- a/gateway/repeated_refusal_test.go
+++ b/gateway/repeated_refusal_test.go
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a refusal that a replica wrote before being taken for the answer
-// to a later request on the same connection, which would be told to be not run, or
+// Guards against an earlier refusal of a replica being taken for the answer to a
+// later request on the same connection, which would be refused although it runs, or
 // run a second time.
 func TestRefusalWrittenAgainIsNoAnswerToALaterRequest(t *testing.T) {
 	for _, test := range []struct {
--- a/gateway/throttle/limits.go
+++ b/gateway/throttle/limits.go
@@ -18,11 +18,11 @@
 	// that it states, in requests per second. Without any, nothing would tell
 	// that the limit has ended.
 	minRate = 0.1
-	// silentAnswers is the number of answers in a row that don't state a limit
+	// unstatedAnswers is the number of answers in a row that don't state a limit
 	// any more after which it has ended.
-	silentAnswers = 2
-	// announcedChange is the relative change of a limit below which the other
-	// entries are not told.
+	unstatedAnswers = 2
+	// announcedChange is the relative change of a limit up to which it is not
+	// announced to the other entries.
 	announcedChange = 0.05
 	// maxLimits bounds the incarnations whose limits are kept. endedRetention and
 	// limitRetention are how long they are kept after the limit has ended, and
@@ -52,8 +52,8 @@
 	// announced it. since is the start of the time in which this entry has known
 	// of a limit.
 	statedAt, since time.Time
-	// silent counts the answers in a row that didn't state the limit.
-	silent int
+	// unstated counts the answers in a row that didn't state the limit.
+	unstated int
 	// seq is the position of the value in the announcements.
 	seq uint64
 
@@ -136,7 +136,7 @@
 	if l.perSecond == 0 {
 		l.since = now
 	}
-	l.perSecond, l.statedAt, l.silent = perSecond, now, 0
+	l.perSecond, l.statedAt, l.unstated = perSecond, now, 0
 }
 
 // observe applies what an answer stated, 0 for nothing, to a request that was
@@ -145,13 +145,13 @@
 	lower := stated > 0 && (l.perSecond == 0 || stated < l.perSecond)
 	switch {
 	case stated == l.perSecond:
-		l.statedAt, l.silent = now, 0
+		l.statedAt, l.unstated = now, 0
 		return false
 	case lower:
 	case sent.Before(l.statedAt):
 		return false // may have been overtaken by the answer that stated the limit
 	case stated == 0:
-		if l.silent++; l.silent < silentAnswers {
+		if l.unstated++; l.unstated < unstatedAnswers {
 			return false
 		}
 	}
