Repeat calls of the feeds that met an outage as soon as the store is back

Cause: a call of the registry's feed that was made as the store fell silent hung until it timed out, seven seconds after the store's return; a replica that left meanwhile was then taken for one whose row had lapsed in the outage, and used for two seconds more. The feed of the configuration had been back for six seconds.

The first call of any kind that is answered after an outage now begins the grace for rows that lapsed, and repeats the calls of both feeds that are older than half a second. A single failed heartbeat is no outage.

--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -99,9 +99,19 @@
 	f := &followers{source: source, members: r, histories: map[string]*follow.History{
 		configFeed: follow.NewHistory(0), registryFeed: follow.NewHistory(registryIdleTimeout),
 	}}
-	f.config = follow.New(f.sharedFeed(configFeed, deps.Config, feedWait, log), source, f.options(configFeed, log))
-	o := f.options(registryFeed, log)
-	o.OnRecovered = set.RegistryRecovered
+	// A call that met an outage may hang long after it. The first call of any kind
+	// that is answered again shows that the store is back.
+	storeBack := func() {
+		set.RegistryRecovered()
+		f.config.Refresh()
+		f.registry.Refresh()
+	}
+	r.OnTableBack(storeBack)
+	o := f.options(configFeed, log)
+	o.OnRecovered = storeBack
+	f.config = follow.New(f.sharedFeed(configFeed, deps.Config, feedWait, log), source, o)
+	o = f.options(registryFeed, log)
+	o.OnRecovered = storeBack
 	f.registry = follow.New(f.sharedFeed(registryFeed, deps.Registry, registryReaderWait, log), rows, o)
 	return f
 }
--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -26,6 +26,8 @@
 	callSlack = 1500 * time.Millisecond
 	// snapshotTimeout bounds one snapshot.
 	snapshotTimeout = 2 * time.Second
+	// minRefreshAge is the age of a call from which on Refresh repeats it.
+	minRefreshAge = 500 * time.Millisecond
 	// minBackoff is the mean delay before the first retry, and maxBackoff the
 	// longest delay, jitter included. Readers deny requests by the age of the
 	// copy, which must be known within a second of the end of an outage.
@@ -77,6 +79,10 @@
 	confirmed   atomic.Int64
 	start       time.Time
 	unavailable bool
+	// refresh ends the call in progress, which began at callSince in nanoseconds
+	// since start; 0 if there is none.
+	refresh   chan struct{}
+	callSince atomic.Int64
 	// loaded is closed after the first snapshot.
 	loaded chan struct{}
 }
@@ -86,7 +92,7 @@
 	if o.Wait <= 0 {
 		o.Wait = defaultWait
 	}
-	return &Follower{feed: feed, handler: handler, opt: o, start: time.Now(), loaded: make(chan struct{})}
+	return &Follower{feed: feed, handler: handler, opt: o, start: time.Now(), refresh: make(chan struct{}, 1), loaded: make(chan struct{})}
 }
 
 // Age returns how long ago the copy was last known to be complete, and false
@@ -102,6 +108,21 @@
 // Loaded returns a channel that is closed after the first snapshot.
 func (f *Follower) Loaded() <-chan struct{} { return f.loaded }
 
+// Refresh repeats the call that is in progress, unless it has just begun. The call
+// may have met an outage of the service and never be answered, although other calls
+// show that it is over. Refresh is safe for concurrent use with Run and doesn't
+// block.
+func (f *Follower) Refresh() {
+	since := f.callSince.Load()
+	if since == 0 || time.Since(f.start)-time.Duration(since) < minRefreshAge {
+		return
+	}
+	select {
+	case f.refresh <- struct{}{}:
+	default:
+	}
+}
+
 // Run reads the feed until ctx ends. It logs failures and retries with backoff.
 func (f *Follower) Run(ctx context.Context) {
 	if f.opt.StartJitter > 0 && !ctxtime.Sleep(ctx, rand.N(f.opt.StartJitter)) {
@@ -115,6 +136,9 @@
 			retryDelay.Reset()
 			continue
 		}
+		if errors.Is(err, errRefreshed) {
+			continue
+		}
 		if errors.Is(err, infra.ErrCompacted) {
 			f.opt.Log.WithField("feed", f.opt.Name).Info("follow: history compacted, reading a snapshot.")
 			synced = false
@@ -146,8 +170,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
+	callCtx, stop := f.endOnRefresh(callCtx)
 	update, err := f.feed.Changes(callCtx, *version, wait)
-	if err != nil {
+	refreshed := stop()
+	switch {
+	case err != nil && refreshed:
+		return errRefreshed
+	case err != nil:
 		return err
 	}
 	f.recordSuccess()
@@ -164,6 +193,31 @@
 	return nil
 }
 
+// errRefreshed reports that a call was ended by Refresh.
+var errRefreshed = errors.New("call is repeated")
+
+// endOnRefresh returns a context that Refresh ends. The returned function stops
+// that, and reports whether it has happened.
+func (f *Follower) endOnRefresh(ctx context.Context) (context.Context, func() bool) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	f.callSince.Store(int64(max(1, time.Since(f.start))))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-f.refresh:
+			cancel(errRefreshed)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() bool {
+		f.callSince.Store(0)
+		cancel(nil)
+		<-done
+		return errors.Is(context.Cause(ctx), errRefreshed)
+	}
+}
+
 func (f *Follower) readSnapshot(ctx context.Context, version *uint64, synced *bool) error {
 	callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
--- a/infra/follow/follow_test.go
+++ b/infra/follow/follow_test.go
@@ -150,3 +150,27 @@
 		qt.Assert(t, f.calls-before <= 3, qt.IsTrue, qt.Commentf("%d calls", f.calls-before))
 	})
 }
+
+// Guards against a follower that waits for a call which met an outage, until it
+// times out, although the outage is known to be over.
+func TestCallThatMetAnOutageIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &feed{}
+		follower, s := run(t, f, follow.Options{})
+		f.put("a")
+		time.Sleep(time.Second)
+		before := f.calls
+		follower.Refresh()
+		time.Sleep(100 * time.Millisecond)
+		qt.Assert(t, f.calls, qt.Equals, before+1)
+		// The call has just begun.
+		follower.Refresh()
+		time.Sleep(100 * time.Millisecond)
+		qt.Assert(t, f.calls, qt.Equals, before+1)
+		f.put("b")
+		time.Sleep(100 * time.Millisecond)
+		qt.Assert(t, s.events[len(s.events)-1], qt.Equals, "b")
+		_, known := follower.Age()
+		qt.Assert(t, known, qt.IsTrue)
+	})
+}
--- a/member/member.go
+++ b/member/member.go
@@ -79,9 +79,10 @@
 	// entry at its start.
 	rejoined bool
 
-	// tableFailed is set while the last call to the table, a scan or a heartbeat,
-	// has failed.
-	tableFailed atomic.Bool
+	// tableFailures is the number of the last calls to the table, scans and
+	// heartbeats, that failed in a row.
+	tableFailures atomic.Int32
+	onTableBack   func()
 
 	// lastScan is the time at which the last successful scan began. Only the
 	// goroutine that scans uses it.
@@ -199,11 +200,30 @@
 	return len(r.others) + 1
 }
 
+// outageFailures is the number of failed calls in a row from which on the table
+// was unavailable, and not just one answer lost.
+const outageFailures = 2
+
+// OnTableBack registers f, which is called when the table answers again after it
+// was unavailable. f must not block. It must be registered before Run.
+func (r *Registry) OnTableBack(f func()) { r.onTableBack = f }
+
+// recordCall records the result of a call to the table.
+func (r *Registry) recordCall(err error) {
+	if err != nil {
+		r.tableFailures.Add(1)
+		return
+	}
+	if r.tableFailures.Swap(0) >= outageFailures && r.onTableBack != nil {
+		r.onTableBack()
+	}
+}
+
 // SharingCount returns the number of members that limits are divided between.
 // While the table is unavailable, these are all on record: members that this
 // entry doesn't reach may have failed, or may share the limits with each other.
 func (r *Registry) SharingCount() int {
-	if r.tableFailed.Load() {
+	if r.tableFailures.Load() > 0 {
 		return r.Count()
 	}
 	return len(r.Live())
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -307,3 +307,23 @@
 		c.Assert(r.SharingCount(), qt.Equals, 1)
 	})
 }
+
+// Guards against a return of the table that nobody learns of, and against taking
+// one lost answer for an outage.
+func TestReturnOfTheTableIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := standin.NewTable(1)
+		r := newRegistry(table, "a", "1")
+		returns := 0
+		r.OnTableBack(func() { returns++ })
+		defer run(r)()
+		time.Sleep(5 * time.Second)
+		c.Assert(returns, qt.Equals, 0)
+		table.SetFaults(standin.TableFaults{Outage: true})
+		time.Sleep(10 * time.Second)
+		table.SetFaults(standin.TableFaults{})
+		time.Sleep(10 * time.Second)
+		c.Assert(returns, qt.Equals, 1)
+	})
+}
--- a/member/scan.go
+++ b/member/scan.go
@@ -26,7 +26,7 @@
 	phase := StaggeredDelays()
 	for {
 		err := r.scan(ctx)
-		r.tableFailed.Store(err != nil)
+		r.recordCall(err)
 		if err != nil && ctx.Err() == nil {
 			r.log.WithError(err).Warn("member: scan failed.")
 		}
--- a/member/table.go
+++ b/member/table.go
@@ -48,7 +48,7 @@
 	phase := StaggeredDelays()
 	for first := true; ; first = false {
 		err := r.writeHeartbeat(ctx, r.Self())
-		r.tableFailed.Store(err != nil)
+		r.recordCall(err)
 		if errors.Is(err, ErrReplaced) {
 			r.markReplaced()
 			return err
