Bound direct calls of feeds by the time that they wait for changes

Cause: calls of the registry's feed that met a silent store hung for 10.5 s, the time limit of the longest wait, although readers wait for 1.2 s; the entries that read through them then asked the store themselves, in the outage, and hung as long. Seven seconds after the store was back, no entry knew what had left since.

TestDirectCallThatMeetsAnOutageEndsSoon failed: 10 s.

--- a/infra/follow/shared.go
+++ b/infra/follow/shared.go
@@ -33,9 +33,10 @@
 	Readers func() []string
 	// ChangesFrom returns the changes that History.Since returns at a peer.
 	ChangesFrom func(ctx context.Context, peer string, after uint64, wait time.Duration) (infra.Update, error)
-	// ReaderWait bounds the wait of a direct call while this process has no
-	// readers, which it may then be for others: they take the feed for
-	// unavailable if it confirms nothing for longer. Nil means no bound.
+	// ReaderWait bounds the wait of a direct call. Others may read through this
+	// process, and take the feed for unavailable if it confirms nothing for
+	// longer; and while no reader is available, a call that meets an outage of
+	// the service must not hang long after it. Nil means no bound.
 	ReaderWait func() time.Duration
 	Log        *logrus.Entry
 }
@@ -61,13 +62,9 @@
 
 // Changes implements infra.Feed.
 func (s *Shared) Changes(ctx context.Context, after uint64, wait time.Duration) (infra.Update, error) {
-	readers := s.opt.Readers()
-	if len(readers) == 0 && s.opt.ReaderWait != nil {
-		wait = min(wait, s.opt.ReaderWait())
-	}
-	peer, ok := s.firstAvailable(readers)
+	peer, ok := s.firstAvailable(s.opt.Readers())
 	if !ok {
-		return s.Feed.Changes(ctx, after, wait)
+		return s.direct(ctx, after, wait)
 	}
 	began := time.Now()
 	u, err := s.callPeer(ctx, peer, after, min(wait, peerWait))
@@ -80,7 +77,18 @@
 	s.backOff(peer, err)
 	// If the service itself is down, and the peer is not the only one that
 	// can't read it, this call fails as well and the follower records that.
-	return s.Feed.Changes(ctx, after, max(minDirectWait, wait-time.Since(began)))
+	return s.direct(ctx, after, max(minDirectWait, wait-time.Since(began)))
+}
+
+// direct reads the service. A call that meets an outage may never be answered, so
+// it ends soon after the time that it may wait for a change.
+func (s *Shared) direct(ctx context.Context, after uint64, wait time.Duration) (infra.Update, error) {
+	if s.opt.ReaderWait != nil {
+		wait = min(wait, s.opt.ReaderWait())
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
+	return s.Feed.Changes(ctx, after, wait)
 }
 
 func (s *Shared) callPeer(ctx context.Context, peer string, after uint64, wait time.Duration) (infra.Update, error) {
--- a/infra/follow/shared_test.go
+++ b/infra/follow/shared_test.go
@@ -243,3 +243,29 @@
 		qt.Assert(t, p.recoveries, qt.Equals, 0)
 	})
 }
+
+// Guards against the calls of readers, and of followers whose readers are
+// unavailable, that meet an outage of the service and hang long after its end.
+func TestDirectCallThatMeetsAnOutageEndsSoon(t *testing.T) {
+	for name, readers := range map[string][]string{"reader": nil, "follower without an available reader": {"reader"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hangs, refused := true, false
+				s := follow.NewShared(&hanging{feed: &feed{}, hangs: &hangs, refused: &refused}, follow.SharedOptions{
+					Readers:    func() []string { return readers },
+					ReaderWait: func() time.Duration { return time.Second },
+					ChangesFrom: func(context.Context, string, uint64, time.Duration) (infra.Update, error) {
+						return infra.Update{}, follow.ErrUnavailable
+					},
+					Log: nolog.Or(nil),
+				})
+				began := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				_, err := s.Changes(ctx, 0, 9*time.Second)
+				qt.Assert(t, err, qt.IsNotNil)
+				qt.Assert(t, time.Since(began) <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+			})
+		})
+	}
+}
