review: case of entries whose memory grows with each configuration

Show with real entry processes that storms of changes of a grown configuration drive all entries over their memory limit at the same time, and that the streams in progress are cut.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,7 +19,8 @@
 // cases holds the scripted cases by name. Each returns what broke the rule, or
 // nothing.
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
-	"stale-orders": staleOrders,
+	"stale-orders":  staleOrders,
+	"config-growth": configGrowth,
 }
 
 func main() {
--- a/review/standins/replica.go
+++ b/review/standins/replica.go
@@ -90,6 +90,7 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
+	r.w.noteRun(id)
 	r.w.note("run     %s at %s (%s, %s)", id, r.id, r.service, r.zone)
 	seal := sha256.Sum256([]byte(id))
 	w.Header().Set("X-Response-Seal", hex.EncodeToString(seal[:8]))
@@ -113,3 +114,9 @@
 	}
 	r.w.note("ended   %s at %s", id, r.id)
 }
+
+func (w *world) noteRun(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ran[id] = true
+}
--- a/review/standins/stale_orders.go
+++ b/review/standins/stale_orders.go
@@ -161,16 +161,25 @@
 	return "", false
 }
 
-// configure writes the configuration.
+// configure writes the next version of the configuration. Each changes the timeout
+// of a route that gets no requests.
 func (w *world) configure() {
 	type object = map[string]any
+	w.mu.Lock()
+	w.version += 3
+	version, added := w.version, w.routes
+	w.configuredAt = time.Now()
+	w.mu.Unlock()
 	var routes, services []object
-	for _, name := range modelServices {
-		routes = append(routes, object{
-			"name": "r-" + name, "host": "ficu95.example", "prefix": "/" + name + "/", "kind": "streaming",
-			"timeout_ms": 15000, "target_latency_ms": 1000, "priority": 1, "service": name, "max_attempts": 1,
+	route := func(name, prefix, service string, timeout int) object {
+		return object{
+			"name": name, "host": "ficu95.example", "prefix": prefix, "kind": "streaming",
+			"timeout_ms": timeout, "target_latency_ms": 1000, "priority": 1, "service": service, "max_attempts": 1,
 			"public": false, "session_affinity": true, "stream_resume": false, "gap_aim_ms": 300,
-		})
+		}
+	}
+	for _, name := range modelServices {
+		routes = append(routes, route("r-"+name, "/"+name+"/", name, 15000))
 		services = append(services, object{
 			"name": name, "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
 			"engine": object{"slots": slots, "kv_tokens": 774511},
@@ -178,10 +187,20 @@
 				"zone_prices": object{"midrand": 0.85, "centurion": 1.2, "kempton": 1.0}},
 		})
 	}
+	for i := range added {
+		timeout := 14000
+		if i == version%added {
+			timeout = 13000
+		}
+		routes = append(routes, route(fmt.Sprintf("r-%06d", i), fmt.Sprintf("/added%06d/", i), modelServices[0], timeout))
+	}
 	w.store.put("op", "config", object{
-		"version": 7, "routes": routes, "services": services,
+		"version": version, "routes": routes, "services": services,
 		"limits": object{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []object{{"name": "huka270", "api_keys": []string{"key-huka270"}, "unit": "tokens", "plain_tokens": 200,
 			"rate_per_s": 250152, "burst": 250152}},
 	})
+	if added > 0 {
+		w.note("config  version %d with %d routes", version, len(routes))
+	}
 }
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -39,12 +39,24 @@
 	mu      sync.Mutex
 	ver     uint64
 	rows    map[rowKey]row
-	history []row
-	changed chan struct{}
+	history []change
+	// compacted is the version up to which the history is no longer kept.
+	compacted uint64
+	changed   chan struct{}
 }
 
-// answerTime is how long a call of the store takes.
-const answerTime = 4 * time.Millisecond
+// change is a row of the history with the time at which it was written.
+type change struct {
+	row
+	at time.Time
+}
+
+const (
+	// answerTime is how long a call of the store takes.
+	answerTime = 4 * time.Millisecond
+	// historyTime is history_s.
+	historyTime = 20 * time.Second
+)
 
 func newStore() *store {
 	return &store{began: time.Now(), rows: make(map[rowKey]row), changed: make(chan struct{})}
@@ -78,7 +90,12 @@
 	} else {
 		s.rows[r.rowKey] = r
 	}
-	s.history = append(s.history, r)
+	now := time.Now()
+	s.history = append(s.history, change{r, now})
+	for now.Sub(s.history[0].at) > historyTime {
+		s.compacted = s.history[0].Ver
+		s.history = s.history[1:]
+	}
 }
 
 func (s *store) notifyLocked() {
@@ -186,10 +203,14 @@
 	defer timer.Stop()
 	for last := false; ; {
 		s.mu.Lock()
+		if since < s.compacted {
+			s.mu.Unlock()
+			return http.StatusGone, page{}
+		}
 		answer := s.pageLocked()
 		for _, h := range s.history {
 			if h.Table == q.Get("table") && h.Ver > since {
-				answer.Rows = append(answer.Rows, h)
+				answer.Rows = append(answer.Rows, h.row)
 			}
 		}
 		changed := s.changed
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -41,6 +41,17 @@
 	mu     sync.Mutex
 	record *os.File
 	number int
+	// version is the last version of the configuration, routes the number of
+	// routes that were added to it.
+	version, routes int
+	// configuredAt is when it was last written.
+	configuredAt time.Time
+	// ran holds the requests that a replica ran, cut those of them whose channel
+	// ended without a complete answer beside a change of the configuration, and
+	// cutElsewhere the number of those that were cut at other times.
+	ran          map[string]bool
+	cut          []string
+	cutElsewhere int
 }
 
 func newWorld(binary, record, dir string) (*world, error) {
@@ -48,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{began: time.Now(), dir: dir, binary: binary, record: f, store: newStore()}
+	w := &world{began: time.Now(), dir: dir, binary: binary, record: f, store: newStore(), ran: make(map[string]bool)}
 	w.cloud = newCloud(w)
 	for w.octet = 1 + os.Getpid()%200; !free(w.ip(10)+":9464") || !free(w.ip(1)+":8361"); w.octet++ {
 		if w.octet > 250 {
@@ -127,6 +138,8 @@
 	termAt  time.Time
 	ready   bool
 	misses  int
+	// killedAt holds when the platform killed the process for its memory.
+	killedAt []time.Time
 }
 
 func (w *world) addEntry(number int) *entry {
@@ -296,6 +309,7 @@
 
 // send sends a request on a new channel and reads its answer.
 func (e *entry) send(r request) {
+	sent := time.Now()
 	e.w.note("send    %s to %s, %d events", r.id, e.name, r.events)
 	body := strings.Repeat("x", 2000)
 	conn, err := net.DialTimeout("tcp", e.ip+":8360", time.Second)
@@ -315,12 +329,14 @@
 	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
 	if err != nil {
 		e.w.note("answer  %s: none, %v", r.id, err)
+		e.w.noteCut(r, sent, e.name, "no answer")
 		return
 	}
 	text, err := io.ReadAll(resp.Body)
 	complete := "complete"
 	if err != nil {
 		complete = "cut"
+		e.w.noteCut(r, sent, e.name, "an incomplete answer")
 	}
 	e.w.note("answer  %s: %d, %d events, %s", r.id, resp.StatusCode, strings.Count(string(text), "id: "), complete)
 }
