--- a/review/standins/config_growth.go
+++ b/review/standins/config_growth.go
@@ -19,8 +19,9 @@
 	stormChanges = 25
 	stormGap     = 80 * time.Millisecond
 	stormPeriod  = 3 * time.Second
-	// storms is the number of storms.
-	storms = 28
+	// storms is the number of storms. None begins later than lastStorm.
+	storms    = 28
+	lastStorm = 100 * time.Second
 	// memoryLimit is memory_mb.
 	memoryLimit = 284 << 20
 	// configApply is config_apply_ms.
@@ -65,13 +66,13 @@
 		clients.Go(func() { e.traffic(sending, &clients, modelServices[0]) })
 	}
 	for range bigConfigs {
-		w.mu.Lock()
-		w.routes += addedRoutes
-		w.mu.Unlock()
-		w.configure()
+		w.grow(addedRoutes)
 		time.Sleep(500 * time.Millisecond)
 	}
 	for range storms {
+		if time.Since(w.began) > lastStorm {
+			break
+		}
 		if trouble {
 			for range stormChanges {
 				w.configure()
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -41,9 +42,11 @@
 	mu     sync.Mutex
 	record *os.File
 	number int
-	// version is the last version of the configuration, routes the number of
-	// routes that were added to it.
-	version, routes int
+	// added holds the routes that were added to the configuration. It is used by
+	// the goroutine of the case only.
+	added []json.RawMessage
+	// version is the last version of the configuration.
+	version int
 	// configuredAt is when it was last written.
 	configuredAt time.Time
 	// ran holds the requests that a replica ran, cut those of them whose channel
