--- a/review/standins/config_growth.go
+++ b/review/standins/config_growth.go
@@ -13,7 +13,7 @@
 const (
 	// bigConfigs is the number of changes of big_config, which each add as many
 	// routes as the largest one in the site file does.
-	bigConfigs, addedRoutes = 6, 400
+	bigConfigs, addedRoutes = 10, 400
 	// stormChanges and stormGap are the dose of config_storm in the site file: a
 	// change each 0.08 s for 2 s. A storm comes every stormPeriod.
 	stormChanges = 25
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit statuses of a case.
@@ -44,6 +46,13 @@
 		return exitNotRun
 	}
 	defer w.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := run(w, trouble)
 	switch {
 	case err != nil:
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -37,6 +39,8 @@
 	store   *store
 	cloud   *cloud
 	entries []*entry
+	// closed keeps processes from being started any more.
+	closed  atomic.Bool
 	closers []func()
 
 	mu     sync.Mutex
@@ -106,6 +110,7 @@
 }
 
 func (w *world) close() {
+	w.closed.Store(true)
 	for _, e := range w.entries {
 		e.end()
 	}
@@ -222,13 +227,16 @@
 	cmd := exec.Command(e.w.binary, "serve", "-platform")
 	cmd.Env = append(os.Environ(), "COLTSFOOTCLEAT_NODE_FILE="+path)
 	cmd.Stdout, cmd.Stderr = log, log
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.w.closed.Load() {
+		return errors.New("the case has ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
-	e.mu.Lock()
 	e.cmd, e.exited, e.started = cmd, exited, time.Now()
-	e.mu.Unlock()
 	e.w.note("process %s starts", e.name)
 	go func() {
 		_ = cmd.Wait()
