--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Builds the stand-ins that the scripts start.
 set -eu
-cd "$(dirname "$0")/standins"
+cd "$(dirname "$0")/platform"
 go build -o ../../target/review-standins .
