Log what a broken answer was taken for, what is held against parts, and who refused

The log could tell none of the hypotheses from another: a look at the port of a replica that broke off an answer left no line, nor did the reason why a part with crashes isn't banned, and a refused request didn't name its refusal. No logic is changed; the number of crashes that a ban needs is a function of its own, so that both the decision and the log use it.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -128,7 +128,13 @@
 // replicaCrashed reports whether the replica that broke off an answer has
 // crashed. A draining replica ends as planned.
 func (x *exchange) replicaCrashed(ctx context.Context, r *replica.Replica) bool {
-	return !x.h.Balancer.IsLeaving(r) && x.h.Pool.Refuses(ctx, r.Addr)
+	leaving := x.h.Balancer.IsLeaving(r)
+	crashed := !leaving && x.h.Pool.Refuses(ctx, r.Addr)
+	x.h.Log.WithFields(logrus.Fields{
+		"request": x.req.ID, "replica": r.ID, "born": r.Incarnation, "customer": x.customerName(),
+		"parts": quarantine.PartNames(x.sharedPartIDs()), "leaving": leaving, "crashed": crashed,
+	}).Warn("gateway: answer broke off before its first event.")
+	return crashed
 }
 
 // recordCrash records that the replica crashed as it began to answer the
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -177,6 +177,9 @@
 	// set if the entry knew before that the replica is leaving.
 	stated       Reply
 	knownLeaving bool
+	// refusal describes the last answer that stated that the request has not
+	// run, nil if there was none.
+	refusal *refusal
 	// firstEventLatency is the time from the arrival of the request to the
 	// first event of a stream.
 	firstEventLatency time.Duration
@@ -186,6 +189,14 @@
 	status     int
 }
 
+// refusal is an answer that states that the request has not run. requestID is
+// the request that it names, empty if none.
+type refusal struct {
+	replica   string
+	status    int
+	requestID string
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
@@ -407,6 +418,9 @@
 	if x.framing != "" {
 		f["framing"] = x.framing
 	}
+	if x.refusal != nil {
+		f["refused_by"], f["refused_with"], f["refusal_names"] = x.refusal.replica, x.refusal.status, x.refusal.requestID
+	}
 	if x.stated.Leaving {
 		f["replica_leaving"], f["leaving_was_known"] = true, x.knownLeaving
 	}
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -68,7 +68,7 @@
 	for unexplained := crashes; ; {
 		against := crashesByPart(unexplained, ownAnswer)
 		maps.DeleteFunc(against, func(part uint64, list []*crash) bool {
-			return countCrashes(list) < crashesNeeded(part, crashes, ownAnswer(part))+countOthers(list, unexplained)/othersPerCrash
+			return countCrashes(list) < neededForBan(part, list, unexplained, crashes, ownAnswer)
 		})
 		if len(against) == 0 {
 			return bans
@@ -145,7 +145,18 @@
 	return n
 }
 
-// crashesNeeded returns the number of crashes after which a part is banned.
+// neededForBan returns the number of crashes after which a part is banned, given
+// those that count against it and those that no other ban explains.
+func neededForBan(part uint64, against, unexplained, all []*crash, ownAnswer func(part uint64) time.Time) int {
+	n := crashesNeeded(part, all, ownAnswer(part))
+	if len(against) > 0 {
+		n += countOthers(against, unexplained) / othersPerCrash
+	}
+	return n
+}
+
+// crashesNeeded returns the number of crashes after which a part is banned if
+// nothing else crashes replicas.
 func crashesNeeded(part uint64, all []*crash, ownAnswer time.Time) int {
 	if ownAnswer.IsZero() && !slices.ContainsFunc(all, func(c *crash) bool { return c.isAnswered(part) }) {
 		return minCrashes
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -177,6 +177,7 @@
 		s.opt.Log.WithFields(logrus.Fields{
 			"replica": c.replica, "born": c.incarnation, "service": c.service, "version": c.version,
 			"customer": c.customer, "parts": PartNames(c.parts), "seen_by": source,
+			"age_ms": time.Since(c.at).Milliseconds(), "held": s.heldLocked(c),
 		}).Warn("quarantine: replica crashed as it began an answer.")
 	}
 	if added {
@@ -190,6 +191,22 @@
 	return added
 }
 
+// heldLocked describes for each part of a crash how many crashes count against
+// it, how many a ban needs, and when the part was last answered here.
+func (s *Set) heldLocked(c *crash) []string {
+	all, ownAnswer := s.evidence.byCustomer[c.customer], s.ownAnswers(c.customer)
+	against := crashesByPart(all, ownAnswer)
+	out := make([]string, 0, len(c.parts))
+	for _, p := range c.parts {
+		text := fmt.Sprintf("%s: %d of %d", PartNames([]uint64{p})[0], countCrashes(against[p]), neededForBan(p, against[p], all, all, ownAnswer))
+		if at := ownAnswer(p); !at.IsZero() {
+			text += fmt.Sprintf(", answered %d ms ago", time.Since(at).Milliseconds())
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
 // rejudgeLocked judges the evidence of a customer again and logs what changes.
 func (s *Set) rejudgeLocked(customer string) {
 	before := s.bans[customer]
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -32,6 +32,7 @@
 func (x *exchange) relay(ctx context.Context, t *balance.Ticket, a *upstream.Answer, lastEvent string) (balance.Outcome, error) {
 	reply := x.h.Dialect.DecodeReply(a.Status, a.Header)
 	if reply.NotRun || a.Status == http.StatusMisdirectedRequest {
+		x.refusal = &refusal{replica: x.replica, status: a.Status, requestID: reply.RequestID}
 		if err := a.Discard(); err != nil {
 			x.h.Log.WithField("request", x.req.ID).WithError(err).Debug("gateway: body of a refusal can't be read.")
 		}
