--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -104,6 +104,20 @@
 	return peer.PermitResult{}, errors.New("no such entry")
 }
 
+// spreadCrashes sends the evidence of an entry to all others.
+func (p *testPeers) spreadCrashes(from *testEntry) {
+	crashes, _ := from.quarantine.Since(0, 1000)
+	time.AfterFunc(2*time.Millisecond, func() {
+		for _, e := range p.entries {
+			for _, c := range crashes {
+				if e != from {
+					e.quarantine.Add(from.id, c)
+				}
+			}
+		}
+	})
+}
+
 // spread sends the limits that an entry knows to all others.
 func (p *testPeers) spread(from *testEntry) {
 	limits, _ := from.throttle.Since(0, 100)
@@ -136,8 +150,10 @@
 	handler  *gateway.Handler
 	server   *http.Server
 	throttle *throttle.Throttle
-	age      time.Duration
-	client   *http.Client
+	// quarantine shares its evidence with the other entries of a fleet.
+	quarantine *quarantine.Set
+	age        time.Duration
+	client     *http.Client
 
 	mu sync.Mutex
 	// received lists the requests that replicas have received, as "replica id
@@ -160,6 +176,7 @@
 	for i := range entries {
 		e := newTestEntryOn(t, network, i, c, peers)
 		e.throttle.OnBroadcast(func() { peers.spread(e) })
+		e.quarantine.OnBroadcast(func() { peers.spreadCrashes(e) })
 		peers.entries = append(peers.entries, e)
 	}
 	fleet := peers.entries
@@ -185,19 +202,20 @@
 	if c != nil {
 		limiter.SetConfiguration(c)
 	}
+	e.quarantine = quarantine.New(quarantine.Options{
+		ID: e.id, Members: peers.Members, Ready: func(service string) []*replica.Replica { return e.set.Current().Ready[service] },
+		Log: nolog.Or(nil), Count: func(string) {},
+	})
 	e.handler = gateway.New(gateway.Deps{
 		Dialect: dialect{}, Config: e.config,
 		ConfigAge:   func() (time.Duration, bool) { return e.age, true },
 		RegistryAge: func() (time.Duration, bool) { return 0, true },
 		Balancer:    balance.NewGlobalBalancer(balance.New(e.set, balance.Options{FailureDomain: "d", Seed: uint64(number + 1), Throttle: e.throttle, Log: nolog.Or(nil)}), "e", noPeers{}, nolog.Or(nil)), Pool: pool,
-		Quarantine: quarantine.New(quarantine.Options{
-			ID: "e", Members: noPeers{}.Members, Ready: func(service string) []*replica.Replica { return e.set.Current().Ready[service] },
-			Log: nolog.Or(nil), Count: func(string) {},
-		}),
-		Throttle: e.throttle,
-		Limiter:  quota.NewGlobalLimiter(limiter, "e", noPeers{}, nolog.Or(nil)),
-		Retries:  quota.NewRetryBudget(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
-		Usage:    usage.NewCounter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
+		Quarantine: e.quarantine,
+		Throttle:   e.throttle,
+		Limiter:    quota.NewGlobalLimiter(limiter, "e", noPeers{}, nolog.Or(nil)),
+		Retries:    quota.NewRetryBudget(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
+		Usage:      usage.NewCounter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
 	})
 	l, err := e.network.Listen(e.host + ":80")
 	qt.Assert(t, err, qt.IsNil)
@@ -260,7 +278,12 @@
 // get sends a request and returns its response and body. The error is not nil
 // if the response is incomplete.
 func (e *testEntry) get(t *testing.T, path string, header ...string) (*http.Response, string, error) {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+e.host+":80"+path, strings.NewReader("body"))
+	return e.send(t, path, "body", header...)
+}
+
+// send sends a request with a given body, as get does.
+func (e *testEntry) send(t *testing.T, path, text string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+e.host+":80"+path, strings.NewReader(text))
 	qt.Assert(t, err, qt.IsNil)
 	req.Host = "h"
 	req.Header.Set("Id", "q1")
@@ -356,5 +379,10 @@
 // guaranteesNotRun reports whether the status guarantees that the request has
 // not run.
 func guaranteesNotRun(code int) bool {
-	return code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable || code == http.StatusRequestTimeout
+	switch code {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
 }
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -154,6 +154,15 @@
 	}
 }
 
+// Reset resets every connection of a host. Its listeners remain.
+func (n *Network) Reset(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.resetLocked(func(p *pair) bool {
+		return p.a.local.host() == host || p.a.remote.host() == host
+	})
+}
+
 // Kill resets every connection of a host and closes its listeners.
 func (n *Network) Kill(host string) {
 	n.mu.Lock()
