Watch a replica that broke off an answer until it is known whether it crashed

Cause: a crash counted only if a single dial, made in the moment in which the answer broke off, was refused. The class: evidence that is looked for once, in the instant in which it is least likely to exist, and lost if it isn't there. A process closes its sockets one after the other; a supervisor holds the port; a new process listens at once; a lost host refuses nothing. Then the replica counted as alive, the request was sent to the next one, and no entry heard of the crash.

Why it works: gateway/liveness keeps looking, at the port for 2.5 s and at the registry for 10 s. A connection that a dying process accepted ends with it, so a look follows at once. A request waits 0.1 s for the decision; a crash that is known later still counts as evidence. Pool.Refuses is gone.

Not covered: a supervisor that holds a port for longer than about two seconds before the next process is registered delays the evidence by that time.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/liveness"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
@@ -113,7 +114,7 @@
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
 			newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
-			newLimiter, newOwnerPeers, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
+			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
 		),
 		fx.Invoke(runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
@@ -213,6 +214,12 @@
 	})
 }
 
+func newLiveness(lc fx.Lifecycle, n Network, set *replica.Set, m *telemetry.Metrics, log *logrus.Entry) *liveness.Watcher {
+	w := liveness.New(liveness.Options{Dial: n.Dial, Registry: set, Log: log, Count: m.Suspected})
+	lc.Append(fx.StopHook(w.Close))
+	return w
+}
+
 func newThrottle(s gateway.Settings, peers *ownerPeers, m *telemetry.Metrics, log *logrus.Entry) *throttle.Throttle {
 	return throttle.New(throttle.Options{ID: s.ID, Peers: peers, Log: log, Count: m.Throttled})
 }
@@ -290,6 +297,7 @@
 	Followers  *followers
 	Balancer   *balance.GlobalBalancer
 	Pool       *upstream.Pool
+	Liveness   *liveness.Watcher
 	Quarantine *quarantine.Set
 	Throttle   *throttle.Throttle
 	Limiter    *quota.GlobalLimiter
@@ -303,7 +311,7 @@
 	return gateway.New(gateway.Deps{
 		Dialect: d.Deps.Dialect, Config: d.Config, ConfigAge: d.Followers.config.Age,
 		RegistryAge: d.Followers.registry.Age,
-		Balancer:    d.Balancer, Pool: d.Pool, Quarantine: d.Quarantine, Throttle: d.Throttle, Limiter: d.Limiter, Retries: d.Retries,
+		Balancer:    d.Balancer, Pool: d.Pool, Liveness: d.Liveness, Quarantine: d.Quarantine, Throttle: d.Throttle, Limiter: d.Limiter, Retries: d.Retries,
 		Usage: d.Usage, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
 		Loaded: []<-chan struct{}{d.Followers.config.Loaded(), d.Followers.registry.Loaded()},
 	})
--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/liveness"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
@@ -202,6 +203,7 @@
 	if c != nil {
 		limiter.SetConfiguration(c)
 	}
+	watcher := liveness.New(liveness.Options{Dial: e.network.Dialer(e.host), Registry: e.set, Log: nolog.Or(nil), Count: func(string) {}})
 	e.quarantine = quarantine.New(quarantine.Options{
 		ID: e.id, Members: peers.Members, Ready: func(service string) []*replica.Replica { return e.set.Current().Ready[service] },
 		Log: nolog.Or(nil), Count: func(string) {},
@@ -211,11 +213,11 @@
 		ConfigAge:   func() (time.Duration, bool) { return e.age, true },
 		RegistryAge: func() (time.Duration, bool) { return 0, true },
 		Balancer:    balance.NewGlobalBalancer(balance.New(e.set, balance.Options{FailureDomain: "d", Seed: uint64(number + 1), Throttle: e.throttle, Log: nolog.Or(nil)}), "e", noPeers{}, nolog.Or(nil)), Pool: pool,
-		Quarantine: e.quarantine,
-		Throttle:   e.throttle,
-		Limiter:    quota.NewGlobalLimiter(limiter, "e", noPeers{}, nolog.Or(nil)),
-		Retries:    quota.NewRetryBudget(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
-		Usage:      usage.NewCounter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
+		Liveness: watcher, Quarantine: e.quarantine,
+		Throttle: e.throttle,
+		Limiter:  quota.NewGlobalLimiter(limiter, "e", noPeers{}, nolog.Or(nil)),
+		Retries:  quota.NewRetryBudget(quota.RetryOptions{Extra: 20, Window: 10 * time.Second}),
+		Usage:    usage.NewCounter(5*time.Second, clock), Log: nolog.Or(nil), Recorder: recorder{},
 	})
 	l, err := e.network.Listen(e.host + ":80")
 	qt.Assert(t, err, qt.IsNil)
@@ -227,6 +229,7 @@
 		transport.CloseIdleConnections()
 		_ = e.server.Close()
 		pool.Close()
+		watcher.Close()
 	})
 	return e
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -120,29 +120,25 @@
 	outcome, err = x.relay(ctx, ticket, answer, lastEvent)
 	if x.brokenAtStart && len(x.sharedParts()) > 0 && ctx.Err() == nil && x.replicaCrashed(ctx, choice.Replica) {
 		outcome = balance.Crashed
-		x.recordCrash(choice.Replica)
 	}
 	return err
 }
 
-// replicaCrashed reports whether the replica that broke off an answer has
-// crashed. A draining replica ends as planned.
+// replicaCrashed reports whether the replica that broke off the beginning of the
+// answer is known to have crashed. The crash is recorded also if it becomes known
+// later.
 func (x *exchange) replicaCrashed(ctx context.Context, r *replica.Replica) bool {
-	leaving := x.h.Balancer.IsLeaving(r)
-	crashed := !leaving && x.h.Pool.Refuses(ctx, r.Addr)
+	customer, parts := x.customerName(), x.sharedPartIDs()
 	x.h.Log.WithFields(logrus.Fields{
-		"request": x.req.ID, "replica": r.ID, "born": r.Incarnation, "customer": x.customerName(),
-		"parts": quarantine.PartNames(x.sharedPartIDs()), "leaving": leaving, "crashed": crashed,
+		"request": x.req.ID, "replica": r.ID, "born": r.Incarnation, "customer": customer,
+		"parts": quarantine.PartNames(parts), "leaving": x.h.Balancer.IsLeaving(r),
 	}).Warn("gateway: answer broke off before its first event.")
-	return crashed
-}
-
-// recordCrash records that the replica crashed as it began to answer the
-// request.
-func (x *exchange) recordCrash(r *replica.Replica) {
-	parts := x.sharedPartIDs()
-	x.crashSuspect = x.h.Quarantine.Suspect(x.customerName(), parts)
-	x.h.Quarantine.Crashed(r, x.customerName(), parts)
+	suspect := x.h.Quarantine.Suspect(customer, parts)
+	if !x.h.Liveness.Crashed(ctx, r, func() { x.h.Quarantine.Crashed(r, customer, parts) }) {
+		return false
+	}
+	x.crashSuspect = suspect
+	return true
 }
 
 // checkQuarantine refuses the request if its prompt would crash a replica.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/liveness"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
@@ -68,6 +69,7 @@
 	RegistryAge func() (time.Duration, bool)
 	Balancer    *balance.GlobalBalancer
 	Pool        *upstream.Pool
+	Liveness    *liveness.Watcher
 	Quarantine  *quarantine.Set
 	Throttle    *throttle.Throttle
 	Limiter     *quota.GlobalLimiter
--- /dev/null
+++ b/gateway/liveness/doc.go
@@ -0,0 +1,20 @@
+// Package liveness decides whether a replica that broke off an answer has
+// crashed.
+//
+// One look at its port is not enough. A process that ends closes its sockets one
+// after the other, so the port may accept connections for a moment longer. A
+// supervisor may hold the port for the next process, which may run at once. A
+// host that is lost refuses nothing. A Watcher therefore watches a suspect for
+// some seconds, and takes it for crashed at the first of these signs:
+//
+//   - Its port refuses a connection. A connection that the port accepts is kept
+//     open as long as the replica keeps it, so that the next look follows when
+//     it ends.
+//   - Its address can't be reached several times in a row.
+//   - The registry no longer lists the incarnation, which never said that it
+//     was leaving.
+//
+// A replica that says meanwhile that it is leaving ends as planned.
+//
+// A Watcher is safe for concurrent use. One goroutine watches each suspect.
+package liveness
--- /dev/null
+++ b/gateway/liveness/liveness.go
@@ -0,0 +1,257 @@
+package liveness
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
+)
+
+const (
+	// portPeriod is how long the port of a suspect is watched, and watchPeriod how
+	// long what the registry lists: a replica whose port is held for the next
+	// process may take some time to start.
+	portPeriod  = 2500 * time.Millisecond
+	watchPeriod = 10 * time.Second
+	// decideWithin is how long a request waits for the decision on its replica
+	// before it is offered to the next one.
+	decideWithin = 100 * time.Millisecond
+	// dialTimeout bounds one look at the port. maxUnreachable looks in a row
+	// without any reply show that the host is lost: single packets may be.
+	dialTimeout    = 300 * time.Millisecond
+	maxUnreachable = 3
+	// minPause and maxPause bound the time between two looks.
+	minPause, maxPause = 2 * time.Millisecond, 200 * time.Millisecond
+	// registryPeriod is the time between two looks at the registry while the port
+	// accepts connections.
+	registryPeriod = 50 * time.Millisecond
+	// maxSuspects bounds the replicas that are watched at once.
+	maxSuspects = 256
+)
+
+// Sign is what showed that a replica has crashed.
+type Sign string
+
+// Signs of a crash. Alive is the lack of any.
+const (
+	Alive       Sign = "none"
+	Refused     Sign = "refused"
+	Unreachable Sign = "unreachable"
+	Replaced    Sign = "replaced"
+)
+
+// Registry tells what the registry lists. Implementations must be safe for
+// concurrent use.
+type Registry interface {
+	// IsLeaving reports whether an incarnation is draining or gone.
+	IsLeaving(r *replica.Replica) bool
+	// IsReplaced reports whether the registry has dropped an incarnation that never
+	// said that it was leaving.
+	IsReplaced(r *replica.Replica) bool
+}
+
+// Options configure a Watcher.
+type Options struct {
+	// Dial opens a connection, as net.Dialer.DialContext does.
+	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
+	Registry Registry
+	Log      *logrus.Entry
+	// Count counts the decisions on suspects by their sign.
+	Count func(sign string)
+}
+
+// Watcher watches suspects.
+type Watcher struct {
+	opt    Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	suspects map[suspectKey]*suspect
+}
+
+type suspectKey struct {
+	id          string
+	incarnation int64
+	addr        string
+}
+
+// suspect is a replica that is being watched.
+type suspect struct {
+	replica *replica.Replica
+	// decided is closed after sign is set.
+	decided chan struct{}
+	sign    Sign
+	// onCrash holds what is called if the replica has crashed.
+	onCrash []func()
+}
+
+// New returns a Watcher. Close ends it.
+func New(o Options) *Watcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Watcher{opt: o, ctx: ctx, cancel: cancel, suspects: make(map[suspectKey]*suspect)}
+}
+
+// Close stops watching. It returns when all goroutines have ended.
+func (w *Watcher) Close() {
+	w.cancel()
+	w.wg.Wait()
+}
+
+// Crashed watches a replica that broke off an answer. onCrash is called once if
+// the replica turns out to have crashed, on any goroutine and possibly after
+// Crashed has returned. The result is true if that is known before ctx ends and
+// before a request should wait no longer.
+func (w *Watcher) Crashed(ctx context.Context, r *replica.Replica, onCrash func()) bool {
+	if w.opt.Registry.IsLeaving(r) {
+		return false
+	}
+	s := w.watch(r, onCrash)
+	if s == nil {
+		return false
+	}
+	timer := time.NewTimer(decideWithin)
+	defer timer.Stop()
+	select {
+	case <-s.decided:
+		return s.sign != Alive
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// watch starts to watch a replica, unless it is being watched. It returns nil if
+// there are too many suspects.
+func (w *Watcher) watch(r *replica.Replica, onCrash func()) *suspect {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	key := suspectKey{r.ID, r.Incarnation, r.Addr}
+	if s := w.suspects[key]; s != nil {
+		s.onCrash = append(s.onCrash, onCrash)
+		return s
+	}
+	if len(w.suspects) >= maxSuspects || w.ctx.Err() != nil {
+		w.opt.Log.WithFields(logrus.Fields{"replica": r.ID, "suspects": len(w.suspects)}).Warn("liveness: replica is not watched.")
+		return nil
+	}
+	s := &suspect{replica: r, decided: make(chan struct{}), onCrash: []func(){onCrash}}
+	w.suspects[key] = s
+	w.wg.Go(func() { w.decide(key, s) })
+	return s
+}
+
+// decide watches a suspect, and reports its crash.
+func (w *Watcher) decide(key suspectKey, s *suspect) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(w.ctx, watchPeriod)
+	defer cancel()
+	sign := w.look(ctx, s.replica)
+	if sign == Alive {
+		sign = w.awaitRegistry(ctx, s.replica)
+	}
+	w.mu.Lock()
+	delete(w.suspects, key)
+	s.sign = sign
+	onCrash := s.onCrash
+	w.mu.Unlock()
+	w.opt.Count(string(sign))
+	w.opt.Log.WithFields(logrus.Fields{
+		"replica": s.replica.ID, "born": s.replica.Incarnation, "sign": sign, "ms": time.Since(began).Milliseconds(), "answers": len(onCrash),
+	}).Warn("liveness: replica that broke off an answer.")
+	if sign != Alive {
+		for _, f := range onCrash {
+			f()
+		}
+	}
+	close(s.decided)
+}
+
+// look looks at a suspect until ctx ends, portPeriod has passed or there is a
+// sign.
+func (w *Watcher) look(ctx context.Context, r *replica.Replica) Sign {
+	ctx, cancel := context.WithTimeout(ctx, portPeriod)
+	defer cancel()
+	unreachable := 0
+	for pause := minPause; ; pause = min(2*pause, maxPause) {
+		if sign, decided := w.lookAtRegistry(r); decided {
+			return sign
+		}
+		switch w.lookAtPort(ctx, r) {
+		case Refused:
+			return Refused
+		case Unreachable:
+			if unreachable++; unreachable == maxUnreachable {
+				return Unreachable
+			}
+		default:
+			unreachable = 0
+		}
+		if !ctxtime.Sleep(ctx, pause) {
+			return Alive
+		}
+	}
+}
+
+// awaitRegistry waits until the registry decides or ctx ends.
+func (w *Watcher) awaitRegistry(ctx context.Context, r *replica.Replica) Sign {
+	for {
+		if sign, decided := w.lookAtRegistry(r); decided {
+			return sign
+		}
+		if !ctxtime.Sleep(ctx, maxPause) {
+			return Alive
+		}
+	}
+}
+
+// lookAtRegistry returns what the registry says of a suspect, and false if that
+// decides nothing.
+func (w *Watcher) lookAtRegistry(r *replica.Replica) (Sign, bool) {
+	switch {
+	case w.opt.Registry.IsReplaced(r):
+		return Replaced, true
+	case w.opt.Registry.IsLeaving(r):
+		return Alive, true
+	default:
+		return Alive, false
+	}
+}
+
+// lookAtPort opens a connection. If it is accepted, lookAtPort returns Alive as
+// soon as the connection ends, ctx ends or the registry decides.
+func (w *Watcher) lookAtPort(ctx context.Context, r *replica.Replica) Sign {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := w.opt.Dial(dialCtx, "tcp", r.Addr)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	case ctx.Err() != nil:
+		return Alive
+	case err != nil:
+		return Unreachable
+	}
+	defer func() { _ = nc.Close() }()
+	var b [1]byte
+	for ctx.Err() == nil {
+		_ = nc.SetReadDeadline(time.Now().Add(registryPeriod))
+		_, err := nc.Read(b[:])
+		var timeout net.Error
+		if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+			return Alive
+		}
+		if _, decided := w.lookAtRegistry(r); decided {
+			return Alive
+		}
+	}
+	return Alive
+}
--- /dev/null
+++ b/gateway/liveness/liveness_test.go
@@ -0,0 +1,122 @@
+package liveness_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/liveness"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/memnet"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+)
+
+const (
+	entryHost, replicaHost = "10.0.0.1", "10.0.1.1"
+	replicaAddr            = replicaHost + ":80"
+)
+
+// world is a replica at a port, as a Watcher of one entry sees it.
+type world struct {
+	network  *memnet.Network
+	listener net.Listener
+	set      *replica.Set
+	replica  *replica.Replica
+}
+
+func (w *world) register(incarnation int64, draining bool) {
+	w.set.Put(replica.Registration{ID: "r", Service: "s", Addr: replicaAddr, Incarnation: incarnation, Draining: draining})
+}
+
+// serve accepts connections and closes each after a time.
+func serve(l net.Listener, open time.Duration) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		time.AfterFunc(open, func() { _ = nc.Close() })
+	}
+}
+
+func TestSuspectIsTakenForCrashedOnlyAtASign(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// open is how long the replica keeps connections open.
+		open time.Duration
+		// then is what happens right after the answer has broken off.
+		then func(w *world)
+		// crashed is set if the replica must be taken for crashed, and at once if
+		// the request must know.
+		crashed, atOnce bool
+	}{
+		{name: "port is closed", open: time.Minute, then: func(w *world) { w.network.Kill(replicaHost) }, crashed: true, atOnce: true},
+		{name: "port closes later", open: time.Minute, then: func(w *world) {
+			time.AfterFunc(time.Second, func() { w.network.Kill(replicaHost) })
+		}, crashed: true},
+		{name: "host is lost", open: time.Minute, then: func(w *world) { w.network.SetCut(entryHost, replicaHost, true) }, crashed: true},
+		{name: "next incarnation is registered", open: time.Minute, then: func(w *world) {
+			time.AfterFunc(5*time.Second, func() { w.register(2, false) })
+		}, crashed: true},
+		{name: "row is removed", open: time.Minute, then: func(w *world) {
+			time.AfterFunc(3*time.Second, func() { w.set.Remove("r") })
+		}, crashed: true},
+		{name: "alive", open: time.Minute, then: func(*world) {}},
+		{name: "alive, resets further connections", then: func(*world) {}},
+		{name: "alive, link lost for a moment", open: time.Minute, then: func(w *world) {
+			w.network.SetCut(entryHost, replicaHost, true)
+			time.AfterFunc(500*time.Millisecond, func() { w.network.SetCut(entryHost, replicaHost, false) })
+		}},
+		{name: "drains and ends", open: time.Minute, then: func(w *world) {
+			w.register(1, true)
+			time.AfterFunc(500*time.Millisecond, func() { w.network.Kill(replicaHost) })
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := memnet.New()
+				l, err := network.Listen(replicaAddr)
+				qt.Assert(t, err, qt.IsNil)
+				defer l.Close()
+				go serve(l, test.open)
+				w := &world{network: network, listener: l, set: replica.NewSet(nolog.Or(nil))}
+				w.register(1, false)
+				w.replica = w.set.Current().All["r"]
+				watcher := liveness.New(liveness.Options{Dial: network.Dialer(entryHost), Registry: w.set, Log: nolog.Or(nil), Count: func(string) {}})
+				var crashes atomic.Int64
+				test.then(w)
+				atOnce := watcher.Crashed(context.Background(), w.replica, func() { crashes.Add(1) })
+				qt.Check(t, atOnce, qt.Equals, test.atOnce)
+				time.Sleep(15 * time.Second)
+				qt.Check(t, crashes.Load() == 1, qt.Equals, test.crashed, qt.Commentf("%d", crashes.Load()))
+				watcher.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// Guards against goroutines that outlive their entry.
+func TestCloseEndsWatching(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		l, err := network.Listen(replicaAddr)
+		qt.Assert(t, err, qt.IsNil)
+		defer l.Close()
+		go serve(l, time.Hour)
+		set := replica.NewSet(nolog.Or(nil))
+		set.Put(replica.Registration{ID: "r", Addr: replicaAddr, Incarnation: 1})
+		watcher := liveness.New(liveness.Options{Dial: network.Dialer(entryHost), Registry: set, Log: nolog.Or(nil), Count: func(string) {}})
+		crashed := false
+		watcher.Crashed(context.Background(), set.Current().All["r"], func() { crashed = true })
+		began := time.Now()
+		watcher.Close()
+		qt.Check(t, time.Since(began) < time.Second, qt.IsTrue)
+		qt.Check(t, crashed, qt.IsFalse)
+	})
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"math"
 	"net"
@@ -20,9 +19,6 @@
 	// dialTimeout bounds the time to open a connection. A lost SYN is
 	// retransmitted only after a second, so a longer timeout rarely helps.
 	dialTimeout = 700 * time.Millisecond
-	// refusalTimeout is the time within which a connection to an address without
-	// a process is refused.
-	refusalTimeout = 200 * time.Millisecond
 	// defaultIdleTimeout is the time that a connection may be idle if the
 	// replica states none.
 	defaultIdleTimeout = 4 * time.Second
@@ -132,19 +128,6 @@
 	return &conn{Conn: nc, addr: addr, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout}, nil
 }
 
-// Refuses reports whether connections to an address are refused, as they are
-// after the process there has crashed.
-func (p *Pool) Refuses(ctx context.Context, addr string) bool {
-	dialCtx, cancel := context.WithTimeout(ctx, refusalTimeout)
-	defer cancel()
-	nc, err := p.dial(dialCtx, "tcp", addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = nc.Close()
-	return false
-}
-
 // boundedReader reads from a connection and fails with errTooLong after a
 // number of bytes. It is used by one goroutine at a time.
 type boundedReader struct {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -42,6 +42,7 @@
 	firstToken  metric.Float64Histogram
 	requestTime metric.Float64Histogram
 	quarantine  metric.Int64Counter
+	suspects    metric.Int64Counter
 	statements  metric.Int64Counter
 	throttle    metric.Int64Counter
 	replicas    names
@@ -65,7 +66,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [11]error
+	var errs [12]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -91,6 +92,8 @@
 		metric.WithDescription("Answers that state something about their replica, by statement and whether it was known."))
 	m.throttle, errs[10] = m.meter.Int64Counter("coltsfootcleat.throttle",
 		metric.WithDescription("Events of the limits of replicas: limits, their ends, permits and denials."))
+	m.suspects, errs[11] = m.meter.Int64Counter("coltsfootcleat.suspects",
+		metric.WithDescription("Replicas that broke off an answer, by the sign that they have crashed."))
 	return errors.Join(errs[:]...)
 }
 
@@ -163,6 +166,11 @@
 	return name
 }
 
+// Suspected counts a decision on a replica that broke off an answer.
+func (m *Metrics) Suspected(sign string) {
+	m.suspects.Add(context.Background(), 1, metric.WithAttributes(attribute.String("sign", sign)))
+}
+
 // Quarantined counts an event of the quarantine of prompt parts.
 func (m *Metrics) Quarantined(event string) {
 	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
