Count crashes of one failure domain by fixed periods, not by chains

Cause: crashes in a domain within 0.1 s of the one before counted as one, so that a part that crashed its replicas more often than ten times a second there counted once for ever, and wasn't banned. The larger the deployment, the sooner.

Evidence: TestSeriesOfCrashesInADomainIsNotOneCrash, 40 crashes 90 ms apart, failed before. The 0.1 s now begin with the first crash that counts.

--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -130,17 +130,17 @@
 	}))
 }
 
-// countCrashes returns the number of crashes, of which those at the same time in
-// the same failure domain count as one.
+// countCrashes returns the number of crashes, of which those in the same failure
+// domain within the time that begins with the first of them count as one.
 func countCrashes(crashes []*crash) int {
 	sorted := slices.SortedFunc(slices.Values(crashes), func(x, y *crash) int { return x.at.Compare(y.at) })
-	last := make(map[string]time.Time)
+	counted := make(map[string]time.Time)
 	n := 0
 	for _, c := range sorted {
-		if at, ok := last[c.domain]; !ok || c.at.Sub(at) > simultaneous {
+		if at, ok := counted[c.domain]; !ok || c.at.Sub(at) > simultaneous {
+			counted[c.domain] = c.at
 			n++
 		}
-		last[c.domain] = c.at
 	}
 	return n
 }
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -132,6 +132,21 @@
 	})
 }
 
+// Guards against a part that crashes replicas of one failure domain faster than
+// they can be told apart counting as one crash for ever.
+func TestSeriesOfCrashesInADomainIsNotOneCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		for i := range 40 {
+			r := newReplica(fmt.Sprintf("r%d", i))
+			r.FailureDomain = "d"
+			w.entries[0].Crashed(r, "c", []uint64{9})
+			time.Sleep(simultaneous * 9 / 10)
+		}
+		qt.Check(t, w.refuses(0, 9), qt.IsTrue)
+	})
+}
+
 // Guards against each entry seeing too few crashes to decide.
 func TestEntriesDecideFromTheCrashesOfAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
