Clear prompt parts only by successful answers

Cause: any answer cleared the parts of its prompt, a 500, a 404 or a comment in a stream too. A replica that fails some requests while their part crashes others kept the part from being banned, and lifted its bans.

Only a success clears now, a stream's from its first event that is no comment on; up to there a stream that breaks off is evidence.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -169,7 +169,9 @@
 	// answer after its last complete event.
 	framing              upstream.Framing
 	events, partialEvent int
-	// brokenAtStart is set if the last answer broke off before its first event.
+	// begun is set once an event that is no comment was relayed.
+	begun bool
+	// brokenAtStart is set if the last answer broke off before such an event.
 	// crashSuspect is set once a replica crashed with such an answer, and the
 	// request may have caused that.
 	brokenAtStart, crashSuspect bool
--- a/gateway/quarantine/doc.go
+++ b/gateway/quarantine/doc.go
@@ -8,7 +8,7 @@
 //
 //   - A crash counts against each shared part of the prompt until the part is
 //     answered. A replica that crashes counts once, and so do replicas of one
-//     failure domain that crash at the same time.
+//     failure domain that crash within simultaneous.
 //   - A part is banned after minCrashes crashes, or more if other prompts crash
 //     replicas in the same period. The part that most crashes count against is
 //     banned first, and explains these crashes.
@@ -17,8 +17,9 @@
 //     distinguishes them.
 //   - If each crash of a part could also be due to another part of its prompt,
 //     the ban applies only to requests that contain such a part as well.
-//   - An answer on a part clears it of all earlier crashes. The first entries
-//     that receive one announce it to the others.
+//   - An answer on a part clears it of all earlier crashes, if it is a success
+//     and not a mere comment. The first entries that receive one announce it to
+//     the others.
 //
 // A wrong ban costs the customer the requests with these parts until the first
 // answer on them at any entry. It requires that several replicas crash for other
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -62,7 +62,9 @@
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer of replica %s: %w", x.replica, err)
 	}
 	t.FirstTokenReceived()
-	x.h.Quarantine.Answered(x.customerName(), x.sharedPartIDs())
+	if a.Status < http.StatusMultipleChoices {
+		x.h.Quarantine.Answered(x.customerName(), x.sharedPartIDs())
+	}
 	if outcome == balance.Failed && len(body) <= maxBufferedBody && x.mayRunAgain() {
 		x.failedAnswer = &bufferedAnswer{replica: x.replica, answer: a, body: body}
 		return outcome, verdict.New(verdict.Ran, verdict.CodeUnavailable, "replica %s failed with status %d", x.replica, a.Status)
@@ -181,8 +183,10 @@
 	// which the stream isn't resumed.
 	clientWriteFailed bool
 	splitter          eventSplitter
-	// events is the number of complete events of this answer.
+	// events is the number of complete events of this answer. begun is set after
+	// the first of them that is no comment.
 	events int
+	begun  bool
 }
 
 // run copies events until the stream ends or fails.
@@ -190,7 +194,7 @@
 	buf := make([]byte, copyBufferSize)
 	defer func() {
 		s.x.events += s.events
-		s.x.brokenAtStart = err != nil && s.x.events == 0
+		s.x.brokenAtStart = err != nil && !s.x.begun
 		s.x.partialEvent = len(s.splitter.remainder())
 	}()
 	for {
@@ -232,7 +236,8 @@
 		if err := checkEvent(event, s.lastEventID, s.resumes && s.events == 0); err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s: %w", s.x.replica, err)
 		}
-		if s.events == 0 {
+		if !s.begun && !isComment(event) {
+			s.begun, s.x.begun = true, true
 			s.x.h.Quarantine.Answered(s.x.customerName(), s.x.sharedPartIDs())
 		}
 		s.writeHeader()
