Take only an answer that names its request for its answer

Cause: a failure without an ID counted as the answer if it was the first one on its connection. The class: an answer attributed by where it stands instead of by what it names. What stands first on a connection needn't belong to the request: a faulty replica writes a refusal of another connection, or one of nobody, and runs the request.

A request of a client that has no ID can't get an answer that names it, and is refused as invalid before it is sent (TestRequestWithoutAnIDIsRefused).

TestRefusalWithoutAnIDOnANewConnectionIsBelieved was wrong: it took the position for proof. It is replaced by TestRefusalWithoutAnIDOnANewConnectionIsNoProof, which checks what clients get instead. TestClientDisconnectCancelsRequestAtReplica now sends an ID, as clients do.

What callers lose: a replica that refuses without naming the request costs a client of an unsafe request a 502 in place of a 503 that it could have repeated; one that may be repeated is sent to the next replica out of the retry budget.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -237,9 +237,8 @@
 	a, err := x.h.Pool.Send(ctx, &upstream.Request{
 		Addr: r.Addr, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: x.h.Dialect.ReplicaHeader(x.r, f), Body: x.body, Deadline: x.deadline.Add(writeSlack),
-		Matches: func(status int, header http.Header, first bool) bool {
-			reply := x.h.Dialect.DecodeReply(status, header)
-			return reply.RequestID == x.req.ID || first && reply.RequestID == "" && status >= http.StatusBadRequest
+		Matches: func(status int, header http.Header) bool {
+			return x.h.Dialect.DecodeReply(status, header).RequestID == x.req.ID
 		},
 		Check: func() error { return x.checkReplica(r) },
 	})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -149,6 +149,7 @@
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://10.0.0.1:80/once/x", strings.NewReader("b"))
 		qt.Assert(t, err, qt.IsNil)
 		req.Host = "h"
+		req.Header.Set("Id", "q1")
 		_, err = e.client.Do(req)
 		qt.Assert(t, err, qt.IsNotNil)
 		began := time.Now()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -226,6 +226,9 @@
 	if x.req, err = x.h.Dialect.DecodeRequest(x.r); err != nil {
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "request: %w", err)
 	}
+	if x.req.ID == "" {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "request has no ID by which its answer could be told from others")
+	}
 	if since, _ := x.h.drainingFor(); since > drainAcceptPeriod {
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "entry stops").WithRetryAfter(retryAfterDrain)
 	}
--- a/gateway/repeated_refusal_test.go
+++ b/gateway/repeated_refusal_test.go
@@ -73,16 +73,37 @@
 	}
 }
 
-// Guards against a refusal of a replica that hasn't read the request's ID counting
-// as no answer, although nothing can have been written on the connection before.
-func TestRefusalWithoutAnIDOnANewConnectionIsBelieved(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		e := newTestEntry(t, testConfiguration(), func(nc net.Conn, _ *http.Request) bool {
-			_, _ = io.WriteString(nc, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 3\r\n\r\nbad")
-			return false
+// Guards against a refusal that doesn't name its request being taken for proof, on a
+// new connection too. The client of a request that may be repeated gets its answer
+// from the next replica.
+func TestRefusalWithoutAnIDOnANewConnectionIsNoProof(t *testing.T) {
+	for _, test := range []struct {
+		path   string
+		status int
+	}{{"/once/x", 502}, {"/safe/x", 200}} {
+		t.Run(test.path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				both := inTurn(func(nc net.Conn, _ *http.Request) bool {
+					_, _ = io.WriteString(nc, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 3\r\n\r\nbad")
+					return false
+				}, answerOK)
+				e := newTestEntry(t, testConfiguration(), both, both)
+				resp, _, err := e.get(t, test.path)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+			})
 		})
-		resp, _, err := e.get(t, "/once/x")
+	}
+}
+
+// Guards against answers being taken for those of a request that has no ID, for
+// which any answer without one would do.
+func TestRequestWithoutAnIDIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t, testConfiguration(), answerOK)
+		resp, _, err := e.get(t, "/once/x", "Id", "")
 		qt.Assert(t, err, qt.IsNil)
-		qt.Check(t, resp.StatusCode, qt.Equals, 503)
+		qt.Check(t, resp.StatusCode, qt.Equals, 400)
+		qt.Check(t, e.receivedCount(), qt.Equals, 0)
 	})
 }
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -60,8 +60,6 @@
 	// idleDeadline the time at which it expires if it stays idle.
 	idleTimeout  time.Duration
 	idleDeadline time.Time
-	// answered is set once an answer has arrived on the connection.
-	answered bool
 }
 
 // Close closes the idle connections. Connections that are returned later are
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -51,9 +51,8 @@
 	// Deadline is the deadline of all reads and writes.
 	Deadline time.Time
 	// Matches reports whether the answer with this status and header belongs to
-	// this request. first is set if it is the first answer on its connection,
-	// which can't belong to an earlier request.
-	Matches func(status int, header http.Header, first bool) bool
+	// this request.
+	Matches func(status int, header http.Header) bool
 	// Check is called when the connection is ready, before the first byte is
 	// written. The request isn't sent if it returns an error. It may be nil.
 	Check func() error
@@ -228,9 +227,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		first := !c.answered
-		c.answered = true
-		if r.Matches(resp.StatusCode, resp.Header, first) {
+		if r.Matches(resp.StatusCode, resp.Header) {
 			c.bound.clear()
 			return p.newAnswer(c, resp, clean), nil
 		}
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -84,7 +84,7 @@
 		Addr: addr, Method: "POST", Target: "/a%2Fb?q", Host: "h",
 		Header: http.Header{"Id": {id}}, Body: []byte(body),
 		Deadline: time.Now().Add(5 * time.Second),
-		Matches:  func(_ int, h http.Header, _ bool) bool { return h.Get("Id") == id },
+		Matches:  func(_ int, h http.Header) bool { return h.Get("Id") == id },
 	}
 }
 
