Believe a claim not to have run only in a refusal that names one request

Cause: the mark of not having run counted beside any status, and the first of several IDs was taken for the ID of the answer. A replica that runs a request and answers 200, 500 or 504 with a stray mark, or a refusal with two IDs, had its request sent to a second replica, or refused.

Believed are now 421, and 503 and other client errors with the mark. An answer with several IDs names no request.

--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -62,7 +62,10 @@
 }
 
 func (dialect) DecodeReply(_ int, h http.Header) gateway.Reply {
-	r := gateway.Reply{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
+	r := gateway.Reply{NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
+	if len(h["Id"]) == 1 {
+		r.RequestID = h.Get("Id")
+	}
 	r.Limit, _ = strconv.ParseFloat(h.Get("Limit"), 64)
 	ms, _ := strconv.Atoi(h.Get("Pause"))
 	r.Pause = time.Duration(ms) * time.Millisecond
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -31,7 +31,7 @@
 // the replica, and an error if the answer can't be used.
 func (x *exchange) relay(ctx context.Context, t *balance.Ticket, a *upstream.Answer, lastEvent string) (balance.Outcome, error) {
 	reply := x.h.Dialect.DecodeReply(a.Status, a.Header)
-	if reply.NotRun || a.Status == http.StatusMisdirectedRequest {
+	if isRefusal(reply, a.Status) {
 		x.refusal = &refusal{replica: x.replica, status: a.Status, requestID: reply.RequestID}
 		if err := a.Discard(); err != nil {
 			x.h.Log.WithField("request", x.req.ID).WithError(err).Debug("gateway: body of a refusal can't be read.")
@@ -49,6 +49,19 @@
 	return x.relayAnswer(t, a)
 }
 
+// isRefusal reports whether an answer proves that its request has not run. A
+// replica that has run it may fail with another status, whatever else it states.
+func isRefusal(r Reply, status int) bool {
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return true
+	case status == http.StatusServiceUnavailable, status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return r.NotRun
+	default:
+		return false
+	}
+}
+
 // relayAnswer relays an answer that is not a stream.
 func (x *exchange) relayAnswer(t *balance.Ticket, a *upstream.Answer) (balance.Outcome, error) {
 	x.countStart()
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -51,7 +51,7 @@
 // Reply holds what the header of a replica's answer states.
 type Reply struct {
 	// RequestID is the ID of the attempt that the answer belongs to; empty if
-	// not stated.
+	// none or several are stated.
 	RequestID string
 	// NotRun is the replica's guarantee that the request has not run.
 	NotRun bool
