Don't pass on a replica's status that promises what it doesn't claim

Cause: a replica's failure was passed on with its status, whether or not the replica claimed not to have run the request. The class: a statement passed on to someone for whom it means more.

Such a failure now counts as one that may have run: repeated if the route allows it, else 502, without the replica's seal, as the status isn't the replica's.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -43,6 +43,10 @@
 	if x.route.Kind == config.Stream && a.Status < http.StatusMultipleChoices {
 		return x.relayStream(ctx, t, a, lastEvent)
 	}
+	if promisesNotRun(a.Status) {
+		x.countStart()
+		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "replica %s failed with status %d, without a claim that the request has not run", x.replica, a.Status)
+	}
 	if x.headerSent {
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "replica %s didn't resume the stream: status %d", x.replica, a.Status)
 	}
@@ -62,6 +66,17 @@
 	}
 }
 
+// promisesNotRun reports whether a status promises to a client that its request
+// has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // relayAnswer relays an answer that is not a stream.
 func (x *exchange) relayAnswer(t *balance.Ticket, a *upstream.Answer) (balance.Outcome, error) {
 	x.countStart()
