Pass nothing on late in a stop, and answer what can't finish before its end

Cause: whether it is too late was looked at once, when the header of a request had arrived. The class: a decision that is taken before a wait and holds only at that moment. A body that arrives later, a wait for a limit or a permit, a refusal of a replica or a dial come in between. At the end of the grace the listener was closed with requests inside.

The look is now taken again as the last thing before the first byte, for requests that have not run; repeats and resumed streams go on. 0.3 s before the end all requests are ended: 502 if they may have run, 503 if not, the failure of an earlier replica if there is one. Replicas are given no more time than until then.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -134,11 +134,12 @@
 }
 
 // Drain takes the entry out of rotation and waits until all requests have
-// finished. Keep-alive connections of clients are served until the load
-// balancer has detected the drain.
+// finished, or ctx ends. Keep-alive connections of clients are served until the
+// load balancer has detected the drain. Requests that would not finish before the
+// deadline of ctx are ended with an answer.
 func (g *Gateway) Drain(ctx context.Context) {
 	g.ready.drain()
-	g.handler.Drain()
+	g.handler.Drain(g.drainEnd(ctx))
 	g.registry.SetLeaving()
 	g.lease.Release()
 	g.log.WithField("inside", g.handler.InFlight()).Info("app: entry drains.")
@@ -151,6 +152,14 @@
 	}
 }
 
+// drainEnd returns the time at which a drain must be over.
+func (g *Gateway) drainEnd(ctx context.Context) time.Time {
+	if end, ok := ctx.Deadline(); ok {
+		return end
+	}
+	return time.Now().Add(g.settings.Grace)
+}
+
 // Stop ends listeners and loops.
 func (g *Gateway) Stop(ctx context.Context) error {
 	if err := g.app.Stop(ctx); err != nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -141,9 +141,13 @@
 	errReplicaPaused  = errors.New("replica pauses")
 )
 
-// checkReplica reports whether the chosen replica still accepts the request,
-// because opening a connection to it may have taken some time.
+// checkReplica reports whether the chosen replica still accepts the request, and
+// this entry still sends it, because it may have waited and opening a connection
+// takes some time.
 func (x *exchange) checkReplica(r *replica.Replica) error {
+	if since, _ := x.h.drainingFor(); since > drainSendPeriod && !x.mayHaveRun {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "request is late: %w", errDrainEnds).WithRetryAfter(retryAfterDrain)
+	}
 	var err error
 	switch {
 	case x.h.Balancer.IsLeaving(r):
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -73,7 +73,7 @@
 		return false
 	}
 	var quarantined *quarantine.Refusal
-	if errors.Is(err, balance.ErrNoReplica) || verdict.CodeOf(err) == verdict.CodeOverloaded || errors.As(err, &quarantined) || x.crashSuspect {
+	if errors.Is(err, errDrainEnds) || errors.Is(err, balance.ErrNoReplica) || verdict.CodeOf(err) == verdict.CodeOverloaded || errors.As(err, &quarantined) || x.crashSuspect {
 		return false
 	}
 	reason := "not run"
@@ -170,7 +170,7 @@
 	switch {
 	case code == verdict.CodeCancelled, code == verdict.CodeDeadline:
 		return balance.Neutral
-	case errors.Is(err, errReplicaLeft), errors.Is(err, errReplicaLimited), errors.Is(err, errReplicaPaused):
+	case errors.Is(err, errDrainEnds), errors.Is(err, errReplicaLeft), errors.Is(err, errReplicaLimited), errors.Is(err, errReplicaPaused):
 		return balance.Neutral
 	default:
 		return balance.Failed
@@ -218,7 +218,7 @@
 
 // send sends the request to a replica and waits for the header of its answer.
 func (x *exchange) send(ctx context.Context, r *replica.Replica, lastEvent string) (*upstream.Answer, error) {
-	remaining := time.Until(x.deadline)
+	remaining := x.h.untilLast(time.Until(x.deadline))
 	if remaining < minTimeToSend {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeDeadline, "no time left to send")
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -195,7 +195,7 @@
 func TestDrainingEntryClosesClientConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newTestEntry(t, testConfiguration(), answerOK)
-		e.handler.Drain()
+		e.handler.Drain(time.Now().Add(drainTime))
 		resp, body, err := e.get(t, "/once/x")
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, body, qt.Equals, "good")
@@ -236,7 +236,7 @@
 func TestRequestLateInDrainIsRefusedAsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newTestEntry(t, testConfiguration(), answerOK)
-		e.handler.Drain()
+		e.handler.Drain(time.Now().Add(drainTime))
 		time.Sleep(2900 * time.Millisecond)
 		resp, _, err := e.get(t, "/once/x")
 		qt.Assert(t, err, qt.IsNil)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -33,13 +32,6 @@
 	// retryAfterTransient is the Retry-After of failures that end soon, such as
 	// a configuration that is not loaded yet.
 	retryAfterTransient = 500 * time.Millisecond
-	// drainAcceptPeriod is the time after a stop signal in which requests on
-	// open client connections are still accepted. Streams take seconds, and the
-	// process is killed eight seconds after the signal.
-	drainAcceptPeriod = 2500 * time.Millisecond
-	// retryAfterDrain is the Retry-After of a draining entry: other entries can
-	// serve the request at once.
-	retryAfterDrain = 20 * time.Millisecond
 	// maxLoadWait is the maximum time that a request waits for a starting
 	// process to load its state. If the client states a timeout, the request
 	// waits at most the client timeout divided by loadWaitDivisor.
@@ -99,30 +91,19 @@
 // Handler forwards requests to replicas. It is safe for concurrent use.
 type Handler struct {
 	Deps
-	// drainStart is the time at which the drain began, nil before.
-	drainStart atomic.Pointer[time.Time]
-	inFlight   atomic.Int64
+	// drain is nil until the drain begins.
+	drain    atomic.Pointer[drainTimes]
+	inFlight atomic.Int64
+	// requestsEnd ends, by a call of endRequests, when a drain ends all requests.
+	requestsEnd context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a Handler.
-func New(d Deps) *Handler { return &Handler{Deps: d} }
-
-// Drain starts the drain of the entry. From now on, answers have the header
-// "Connection: close". Requests on open connections are still accepted for
-// drainAcceptPeriod. Later ones are refused, because they might not finish
-// before the process is killed.
-func (h *Handler) Drain() {
-	now := time.Now()
-	h.drainStart.Store(&now)
-}
-
-// drainingFor returns the time since the drain began, and false before it.
-func (h *Handler) drainingFor() (time.Duration, bool) {
-	began := h.drainStart.Load()
-	if began == nil {
-		return 0, false
-	}
-	return time.Since(*began), true
+func New(d Deps) *Handler {
+	h := &Handler{Deps: d}
+	h.requestsEnd, h.endRequests = context.WithCancel(context.Background())
+	return h
 }
 
 // InFlight returns the number of requests in progress.
@@ -208,11 +189,17 @@
 	if _, draining := h.drainingFor(); draining {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{h: h, w: w, r: r, arrived: time.Now()}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(h.requestsEnd, func() { cancel(errDrainEnds) })()
+	x := &exchange{h: h, w: w, r: r.WithContext(ctx), arrived: time.Now()}
 	err := x.admit()
 	if err == nil {
 		err = x.forward()
 	}
+	if err != nil && errors.Is(context.Cause(ctx), errDrainEnds) {
+		err = verdict.New(verdict.Of(err), verdict.CodeUnavailable, "%w: %w", errDrainEnds, err).WithRetryAfter(retryAfterDrain)
+	}
 	if err != nil && x.failedAnswer != nil && !x.headerSent && r.Context().Err() == nil {
 		err = x.writeFailedAnswer()
 	}
@@ -322,6 +309,10 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	// A client that never completes its request must not hold a drain.
+	defer context.AfterFunc(x.r.Context(), func() {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
+	})()
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	if err == nil {
 		x.body = body
@@ -331,6 +322,9 @@
 	if errors.As(err, &tooLarge) {
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body: %w", err)
 	}
+	if x.r.Context().Err() != nil {
+		return verdict.New(verdict.NotRun, verdict.CodeCancelled, "body: %w", err)
+	}
 	return verdict.New(verdict.NotRun, verdict.CodeInvalid, "body: %w", err)
 }
 
@@ -405,59 +399,3 @@
 	}
 	return "failed"
 }
-
-// log logs the outcome of the request with the inputs of the decisions on it.
-func (x *exchange) log(outcome string, err error) {
-	f := logrus.Fields{"request": x.req.ID, "outcome": outcome, "status": x.status, "ms": time.Since(x.arrived).Milliseconds()}
-	if x.route != nil {
-		f["route"], f["configuration"] = x.route.Name, x.cfg.Version
-	}
-	if x.customer != nil {
-		f["customer"], f["units"] = x.customer.Name, x.units
-		if x.limitDecision.Local || x.limitDecision.Owner != "" {
-			f["limit_kept_by"] = cmp.Or(x.limitDecision.Owner, "own part")
-		}
-	}
-	if x.replica != "" {
-		f["replica"], f["sends"] = x.replica, x.sends
-		x.addChoiceFields(f)
-	}
-	if x.framing != "" {
-		f["framing"] = x.framing
-	}
-	if x.refusal != nil {
-		f["refused_by"], f["refused_with"], f["refusal_names"] = x.refusal.replica, x.refusal.status, x.refusal.requestID
-	}
-	if x.stated.Leaving {
-		f["replica_leaving"], f["leaving_was_known"] = true, x.knownLeaving
-	}
-	if limit := max(x.stated.Limit, x.permit.Limit); limit > 0 {
-		f["replica_limit"], f["permit_by"], f["permit_ms"] = limit, x.permit.By, x.permit.Delay.Milliseconds()
-	}
-	if x.stated.Pause > 0 {
-		f["replica_pause_ms"] = x.stated.Pause.Milliseconds()
-	}
-	if x.firstEventLatency > 0 {
-		f["first_ms"], f["events"], f["partial_event_bytes"] = x.firstEventLatency.Milliseconds(), x.events, x.partialEvent
-	}
-	if err != nil {
-		if shared := x.sharedPartIDs(); len(shared) > 0 {
-			f["parts"] = quarantine.PartNames(shared)
-		}
-		addAgeField(f, "configuration_age_ms", x.h.ConfigAge)
-		if wait := verdict.RetryAfterOf(err); wait > 0 {
-			f["retry_after_ms"] = wait.Milliseconds()
-		}
-		x.h.Log.WithFields(f).WithError(err).WithField("verdict", verdict.Of(err).String()).Warn("gateway: request ended.")
-		return
-	}
-	x.h.Log.WithFields(f).Info("gateway: request ended.")
-}
-
-// addAgeField adds the age of the state that a decision was based on to the
-// fields of a log line.
-func addAgeField(f logrus.Fields, name string, age func() (time.Duration, bool)) {
-	if d, ok := age(); ok {
-		f[name] = d.Milliseconds()
-	}
-}
