Bound the memory for bodies and events over all requests together

For one request each reader was bounded (TestBytesWithoutEnd), but not for all together. TestMemoryIsBoundedOverAllRequestsTogether: 300 events without an end of 900 KB each were held at once, 267 MB; headers, bodies and trailers stayed below 100 MB. TestBodiesOfAllClientsTogetherAreBounded: 100 bodies of 4 MB, the largest that a deployment allows, were accepted at once, each kept twice while it was written.

Cause: a bound for each that is none for all, as their number is up to others. An entry now counts bodies and unfinished events, 64 MB for all, half of it for one customer, so that one doesn't take the others' part; 16 KB of each request are free, so that short ones go on meanwhile. A body of known length is counted before it is read: what can't be held is refused at once, as not run. A long body isn't copied to be written, and must arrive within the deadline of its request.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -94,6 +94,7 @@
 	// drain is nil until the drain begins.
 	drain    atomic.Pointer[drainTimes]
 	inFlight atomic.Int64
+	memory   *memory
 	// requestsEnd ends, by a call of endRequests, when a drain ends all requests.
 	requestsEnd context.Context
 	endRequests context.CancelFunc
@@ -101,7 +102,7 @@
 
 // New returns a Handler.
 func New(d Deps) *Handler {
-	h := &Handler{Deps: d}
+	h := &Handler{Deps: d, memory: newMemory()}
 	h.requestsEnd, h.endRequests = context.WithCancel(context.Background())
 	return h
 }
@@ -121,7 +122,9 @@
 	customer *config.Customer
 	service  string
 	body     []byte
-	arrived  time.Time
+	// holding is the memory that the request and its answers hold.
+	holding holding
+	arrived time.Time
 	// clientDeadline is the time at which the client stops waiting. deadline is
 	// the earlier of clientDeadline and the end of the route's timeout.
 	clientDeadline, deadline time.Time
@@ -192,7 +195,8 @@
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	defer context.AfterFunc(h.requestsEnd, func() { cancel(errDrainEnds) })()
-	x := &exchange{h: h, w: w, r: r.WithContext(ctx), arrived: time.Now()}
+	x := &exchange{h: h, w: w, r: r.WithContext(ctx), arrived: time.Now(), holding: holding{memory: h.memory}}
+	defer x.holding.release()
 	err := x.admit()
 	if err == nil {
 		err = x.forward()
@@ -304,28 +308,41 @@
 	return verdict.New(verdict.NotRun, code, "%s", reason)
 }
 
+// readBody reads the body within the deadline, the size limit and the memory of
+// the entry.
 func (x *exchange) readBody() error {
 	limit := x.cfg.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	// A client that never completes its request must not hold a drain.
-	defer context.AfterFunc(x.r.Context(), func() {
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
-	})()
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	x.holding.customer = x.customerName()
+	control := http.NewResponseController(x.w)
+	// Response writers in tests may not support deadlines.
+	_ = control.SetReadDeadline(x.deadline)
+	stop := context.AfterFunc(x.r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
+	// A body that is longer than the limit fails when the limit is reached.
+	body, err := x.holding.readAll(http.MaxBytesReader(x.w, x.r.Body, limit), min(x.r.ContentLength, limit+1))
+	if stop() {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	if err == nil {
 		x.body = body
 		return nil
 	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body: %w", err)
-	}
-	if x.r.Context().Err() != nil {
-		return verdict.New(verdict.NotRun, verdict.CodeCancelled, "body: %w", err)
-	}
-	return verdict.New(verdict.NotRun, verdict.CodeInvalid, "body: %w", err)
+	var timeout net.Error
+	code, wait := verdict.CodeInvalid, time.Duration(0)
+	switch {
+	case errors.As(err, &tooLarge):
+		code = verdict.CodeTooLarge
+	case errors.Is(err, errMemoryFull):
+		code, wait = verdict.CodeUnavailable, retryAfterOverload
+	case x.r.Context().Err() != nil:
+		code = verdict.CodeCancelled
+	case errors.As(err, &timeout) && timeout.Timeout():
+		code = verdict.CodeDeadline
+	}
+	return verdict.New(verdict.NotRun, code, "body: %w", err).WithRetryAfter(wait)
 }
 
 // charge reserves the request's units of its customer's limit and waits for the
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -84,7 +84,7 @@
 	if a.Status >= http.StatusInternalServerError {
 		outcome = balance.Failed
 	}
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBody+1))
+	body, err := io.ReadAll(x.holding.reader(io.LimitReader(a, maxBufferedBody+1)))
 	if err != nil {
 		x.brokenAtStart = true
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer of replica %s: %w", x.replica, err)
@@ -211,6 +211,8 @@
 	// which the stream isn't resumed.
 	clientWriteFailed bool
 	splitter          eventSplitter
+	// held is the length of the longest incomplete event so far.
+	held int64
 	// events is the number of complete events of this answer. begun is set after
 	// the first of them that is no comment.
 	events int
@@ -231,6 +233,9 @@
 		if eventErr := s.writeEvents(); eventErr != nil {
 			return eventErr
 		}
+		if err := s.holdRemainder(); err != nil {
+			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "event of replica %s: %w", s.x.replica, err)
+		}
 		if len(s.splitter.remainder()) > maxEventBytes {
 			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s: event without an end", s.x.replica)
 		}
@@ -243,6 +248,16 @@
 	}
 }
 
+// holdRemainder counts the bytes of the event that has not arrived completely.
+func (s *streamCopy) holdRemainder() error {
+	more := int64(len(s.splitter.remainder())) - s.held
+	if more <= 0 {
+		return nil
+	}
+	s.held += more
+	return s.x.holding.add(more)
+}
+
 // writeEvents sends the complete events that have arrived to the client. It fails
 // at bytes that are not the next event, and if the client can't be written to.
 func (s *streamCopy) writeEvents() error {
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -172,38 +172,38 @@
 // write writes the request. A long one is written on another goroutine.
 func (p *Pool) write(c *conn, r *Request) *requestWrite {
 	w := &requestWrite{done: make(chan struct{})}
-	text := encode(r)
+	text := encodeHead(r)
 	if len(r.Body) <= maxInlineBody {
-		w.run(c, text)
+		w.run(c, net.Buffers{append(text, r.Body...)})
 	} else {
-		go w.run(c, text)
+		// A copy of a long body would take as much memory again.
+		go w.run(c, net.Buffers{text, r.Body})
 	}
 	return w
 }
 
 // run writes the request to the connection.
-func (w *requestWrite) run(c *conn, text []byte) {
+func (w *requestWrite) run(c *conn, text net.Buffers) {
 	defer close(w.done)
 	// Set before the write, because a failed write may have sent some bytes.
 	w.written.Store(1)
-	n, err := c.Write(text)
+	n, err := text.WriteTo(c.Conn)
 	w.err = err
 	if err != nil && n == 0 {
 		w.written.Store(0)
 	}
 }
 
-// encode returns the request in its HTTP/1.1 form.
-func encode(r *Request) []byte {
+// encodeHead returns the request in its HTTP/1.1 form, up to its body.
+func encodeHead(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), maxInlineBody))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	_ = r.Header.Write(&b)
 	if len(r.Body) > 0 || methodHasBody(r.Method) {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
