Take a port that ends each connection at once for that of a crashed replica

Evidence: 'port of a proxy' in TestCrashIsEvidenceHoweverTheProcessEnds failed before, as the crash was taken for one only when the registry listed the next incarnation.

All connections must end within 50 ms for a second, as a replica with many connections resets further ones too, for a moment ('alive, resets further connections for a moment').

--- a/gateway/liveness/doc.go
+++ b/gateway/liveness/doc.go
@@ -11,6 +11,8 @@
 //     open as long as the replica keeps it, so that the next look follows when
 //     it ends.
 //   - Its address can't be reached several times in a row.
+//   - Its port ends each connection at once for a while, as one does behind which
+//     no process is left.
 //   - The registry no longer lists the incarnation, which never said that it
 //     was leaving.
 //
--- a/gateway/liveness/liveness.go
+++ b/gateway/liveness/liveness.go
@@ -27,6 +27,11 @@
 	// without any reply show that the host is lost: single packets may be.
 	dialTimeout    = 300 * time.Millisecond
 	maxUnreachable = 3
+	// closedAtOnce is the life of a connection that shows that nothing answers at a
+	// port which accepts it. closedPeriod is how long every connection must end so,
+	// as a replica with many connections also resets further ones for a moment.
+	closedAtOnce = 50 * time.Millisecond
+	closedPeriod = time.Second
 	// minPause and maxPause bound the time between two looks.
 	minPause, maxPause = 2 * time.Millisecond, 200 * time.Millisecond
 	// registryPeriod is the time between two looks at the registry while the port
@@ -44,6 +49,7 @@
 	Alive       Sign = "none"
 	Refused     Sign = "refused"
 	Unreachable Sign = "unreachable"
+	Closed      Sign = "closed"
 	Replaced    Sign = "replaced"
 )
 
@@ -181,19 +187,33 @@
 	ctx, cancel := context.WithTimeout(ctx, portPeriod)
 	defer cancel()
 	unreachable := 0
+	var closedSince time.Time
 	for pause := minPause; ; pause = min(2*pause, maxPause) {
 		if sign, decided := w.lookAtRegistry(r); decided {
 			return sign
 		}
-		switch w.lookAtPort(ctx, r) {
+		began := time.Now()
+		sign := w.lookAtPort(ctx, r)
+		if sign != Unreachable {
+			unreachable = 0
+		}
+		if sign != Closed {
+			closedSince = time.Time{}
+		}
+		switch sign {
 		case Refused:
 			return Refused
 		case Unreachable:
 			if unreachable++; unreachable == maxUnreachable {
 				return Unreachable
 			}
-		default:
-			unreachable = 0
+		case Closed:
+			if closedSince.IsZero() {
+				closedSince = began
+			}
+			if time.Since(closedSince) >= closedPeriod {
+				return Closed
+			}
 		}
 		if !ctxtime.Sleep(ctx, pause) {
 			return Alive
@@ -226,8 +246,9 @@
 	}
 }
 
-// lookAtPort opens a connection. If it is accepted, lookAtPort returns Alive as
-// soon as the connection ends, ctx ends or the registry decides.
+// lookAtPort opens a connection. If it is accepted, lookAtPort returns as soon as
+// the connection ends, with Closed if that is at once, ctx ends or the registry
+// decides.
 func (w *Watcher) lookAtPort(ctx context.Context, r *replica.Replica) Sign {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -241,12 +262,16 @@
 		return Unreachable
 	}
 	defer func() { _ = nc.Close() }()
+	opened := time.Now()
 	var b [1]byte
 	for ctx.Err() == nil {
 		_ = nc.SetReadDeadline(time.Now().Add(registryPeriod))
 		_, err := nc.Read(b[:])
 		var timeout net.Error
 		if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+			if time.Since(opened) < closedAtOnce {
+				return Closed
+			}
 			return Alive
 		}
 		if _, decided := w.lookAtRegistry(r); decided {
