--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -340,7 +340,7 @@
 	case x.r.Context().Err() != nil:
 		code = verdict.CodeCancelled
 	case errors.As(err, &timeout) && timeout.Timeout():
-		code = verdict.CodeDeadline
+		code, wait = verdict.CodeDeadline, retryAfterTransient
 	}
 	return verdict.New(verdict.NotRun, code, "body: %w", err).WithRetryAfter(wait)
 }
