--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -287,3 +288,59 @@
 		}
 	})
 }
+
+// failingConn fails each write after a number of bytes in all.
+type failingConn struct {
+	net.Conn
+	left int
+}
+
+func (c *failingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b[:min(len(b), c.left)])
+	c.left -= n
+	if err == nil && n < len(b) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// Guards against a request counting as not run although some bytes of it have left.
+func TestRequestWhoseWriteFailsHasNotRunOnlyIfNoByteHasLeft(t *testing.T) {
+	for _, body := range []int{0, 100, 300 << 10} {
+		for _, bytes := range []int{0, 1, 50, 200, 1 << 10, 200 << 10} {
+			t.Run(fmt.Sprintf("%d of a body of %d", bytes, body), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					network := memnet.New()
+					l, err := network.Listen(addr)
+					qt.Assert(t, err, qt.IsNil)
+					defer l.Close()
+					var received atomic.Int64
+					go func() {
+						nc, err := l.Accept()
+						if err != nil {
+							return
+						}
+						n, _ := io.Copy(io.Discard, nc)
+						received.Store(n)
+					}()
+					dial := network.Dialer("10.0.0.1")
+					pool := upstream.NewPool(func(ctx context.Context, network, addr string) (net.Conn, error) {
+						nc, err := dial(ctx, network, addr)
+						return &failingConn{nc, bytes}, err
+					})
+					defer pool.Close()
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					_, err = pool.Send(ctx, request("a", strings.Repeat("x", body)))
+					qt.Assert(t, err, qt.IsNotNil)
+					synctest.Wait()
+					want := verdict.MayHaveRun
+					if received.Load() == 0 {
+						want = verdict.NotRun
+					}
+					qt.Check(t, verdict.Of(err), qt.Equals, want, qt.Commentf("%d bytes were received", received.Load()))
+				})
+			})
+		}
+	}
+}
