Keep of each row only its last change in the history of a feed

Cause: the history of a feed kept 2,048 changes with their values. The class: a bound in entries of something whose size others decide.

Why it works: a reader that is behind needs what a row is now. The history then holds the values of the table and no others.

--- a/infra/follow/history.go
+++ b/infra/follow/history.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
-// maxRetainedChanges bounds the changes that a History retains. A reader that
-// is further behind must take a snapshot.
+// maxRetainedChanges bounds the changes that a History retains, one for each row.
+// A reader that is further behind must take a snapshot.
 const maxRetainedChanges = 2048
 
 // ErrUnavailable means that a History is not up to date, because its follower
@@ -18,10 +19,11 @@
 var ErrUnavailable = errors.New("feed is unavailable")
 
 // History retains the recent changes that one Follower has read of a feed, so
-// that other processes can read the feed through it. Its versions are those of
-// the feed, so a reader may switch at any time between the histories of
-// several processes and the feed itself. It is safe for concurrent use; a nil
-// History retains nothing.
+// that other processes can read the feed through it. Of each row it retains the
+// last change only, so that it holds no more values than the table has rows. Its
+// versions are those of the feed, so a reader may switch at any time between the
+// histories of several processes and the feed itself. It is safe for concurrent
+// use; a nil History retains nothing.
 type History struct {
 	// staleAfter is how long the feed may return nothing before it counts as
 	// unavailable; 0 means no limit.
@@ -94,7 +96,7 @@
 }
 
 func (h *History) appendLocked(changes []infra.Change, version uint64, at time.Time) {
-	h.changes = append(h.changes, changes...)
+	h.changes = lastOfEachRow(append(h.changes, changes...))
 	if over := len(h.changes) - maxRetainedChanges; over > 0 {
 		for _, c := range h.changes[:over] {
 			h.floor = max(h.floor, c.Version)
@@ -105,6 +107,23 @@
 	h.notifyLocked()
 }
 
+// lastOfEachRow removes the changes that a later one of the same row replaces, and
+// returns the others in their order.
+func lastOfEachRow(changes []infra.Change) []infra.Change {
+	seen := make(map[string]bool, len(changes))
+	first := len(changes)
+	for i := len(changes) - 1; i >= 0; i-- {
+		if seen[changes[i].Key] {
+			continue
+		}
+		seen[changes[i].Key] = true
+		first--
+		changes[first] = changes[i]
+	}
+	// The values that are replaced must not stay reachable.
+	return slices.Clone(changes[first:])
+}
+
 // markUnavailable ends the waiting calls with an error, so that their callers
 // don't mistake the failure of the feed for the absence of changes.
 func (h *History) markUnavailable() {
