Begin no effect of a duty without the lease, and release it after all of them

Cause: the lease was looked at once for all calls of a step. The class: a permission checked before work of unknown length.

lease.Do begins an effect only with the lease, ends it when the lease lapses or is lost, and a release waits for those in progress. Orders and usage reports go through it.

--- a/gateway/scaling/control.go
+++ b/gateway/scaling/control.go
@@ -16,10 +16,13 @@
 // planPeriod is the time between two plans.
 const planPeriod = 400 * time.Millisecond
 
-// Lease reports whether this entry may give orders, and with which fencing
-// token.
+// Lease decides whether this entry may give orders.
 type Lease interface {
+	// Held reports whether this entry holds the lease now, and its fencing token.
 	Held() (fence uint64, ok bool)
+	// Do calls effect if this entry holds the lease, which isn't released before it
+	// returns.
+	Do(ctx context.Context, effect func(ctx context.Context, fence uint64) error) error
 }
 
 // Orderer gives orders to the platform. A refusal is verdict.NotRun with
@@ -60,7 +63,7 @@
 }
 
 func (c *Controller) step(ctx context.Context) {
-	fence, held := c.Lease.Held()
+	_, held := c.Lease.Held()
 	current := c.Config.Current()
 	if !held || current == nil {
 		clear(c.planners)
@@ -68,12 +71,12 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(current.Services)) {
 		if bounds := current.Services[name].Scaling; bounds != nil {
-			c.plan(ctx, fence, name, *bounds)
+			c.plan(ctx, name, *bounds)
 		}
 	}
 }
 
-func (c *Controller) plan(ctx context.Context, fence uint64, service string, bounds config.Scaling) {
+func (c *Controller) plan(ctx context.Context, service string, bounds config.Scaling) {
 	supply := c.supply(service)
 	if len(supply) == 0 {
 		return
@@ -85,17 +88,20 @@
 	}
 	in := Input{Now: time.Now(), Busy: c.Busy(service), Supply: supply, Bounds: bounds}
 	for _, o := range p.Plan(in) {
-		c.order(ctx, fence, service, p, o, in)
+		c.order(ctx, service, p, o, in)
 	}
 }
 
-func (c *Controller) order(ctx context.Context, fence uint64, service string, p *Planner, o Order, in Input) {
+func (c *Controller) order(ctx context.Context, service string, p *Planner, o Order, in Input) {
 	log := c.Log.WithFields(logrus.Fields{
 		"service": service, "domain": o.Domain, "reclaimable": o.Reclaimable, "count": o.Count,
 		"need": p.Need(), "busy": in.Busy, "on_demand": in.Supply[o.Domain].OnDemand,
-		"reclaimable_now": in.Supply[o.Domain].Reclaimable, "fence": fence,
+		"reclaimable_now": in.Supply[o.Domain].Reclaimable,
+	})
+	err := c.Lease.Do(ctx, func(ctx context.Context, fence uint64) error {
+		log = log.WithField("fence", fence)
+		return c.Orders.Order(ctx, fence, service, o.Domain, o.Count, o.Reclaimable)
 	})
-	err := c.Orders.Order(ctx, fence, service, o.Domain, o.Count, o.Reclaimable)
 	if err == nil {
 		log.Info("scaling: ordered.")
 		return
--- a/gateway/scaling/control_test.go
+++ b/gateway/scaling/control_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -11,14 +15,29 @@
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
 )
 
-type fixedLease struct{ held bool }
+// testLease is a lease that is held until it ends.
+type testLease struct{ ended atomic.Bool }
 
-func (l fixedLease) Held() (uint64, bool) { return 3, l.held }
+func (l *testLease) Held() (uint64, bool) { return 3, !l.ended.Load() }
 
-type orders struct{ received []Order }
+func (l *testLease) Do(ctx context.Context, effect func(ctx context.Context, fence uint64) error) error {
+	if l.ended.Load() {
+		return errors.New("not held")
+	}
+	return effect(ctx, 3)
+}
+
+// orders records orders. begun is called for each, unless it is nil.
+type orders struct {
+	received []Order
+	begun    func()
+}
 
 func (o *orders) Order(_ context.Context, _ uint64, _, domain string, count int, reclaimable bool) error {
 	o.received = append(o.received, Order{domain, reclaimable, count})
+	if o.begun != nil {
+		o.begun()
+	}
 	return nil
 }
 
@@ -28,8 +47,10 @@
 	holder := &config.Holder{}
 	b := bounds()
 	holder.Offer((&config.Configuration{Version: 1, Services: map[string]config.Service{"s": {Name: "s", Scaling: &b}}}).Compile())
+	l := &testLease{}
+	l.ended.Store(!held)
 	return &Controller{
-		Lease: fixedLease{held}, Orders: given, Config: holder, Replicas: set, Domains: domains,
+		Lease: l, Orders: given, Config: holder, Replicas: set, Domains: domains,
 		Busy: func(string) float64 { return 1 }, Log: nolog.Or(nil), planners: make(map[string]*Planner),
 	}, given, set
 }
@@ -54,3 +75,21 @@
 	qt.Assert(t, given.received, qt.HasLen, 0)
 	qt.Assert(t, c.planners, qt.HasLen, 0)
 }
+
+// Guards against a former holder going on with the orders of a step beside those of
+// its successor.
+func TestNoOrderBeginsAfterTheLeaseHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, given, set := controller(true)
+		for _, domain := range domains {
+			set.Put(replica.Registration{ID: domain, Service: "s", Addr: "10.0.0.1:1", FailureDomain: domain, Slots: 1})
+		}
+		c.Busy = func(string) float64 { return 30 }
+		given.begun = func() { c.Lease.(*testLease).ended.Store(true) }
+		for range 50 {
+			c.step(context.Background())
+			time.Sleep(planPeriod)
+		}
+		qt.Check(t, given.received, qt.HasLen, 1)
+	})
+}
--- a/gateway/usage/report.go
+++ b/gateway/usage/report.go
@@ -29,10 +29,13 @@
 	checkPeriod = 500 * time.Millisecond
 )
 
-// Lease reports whether this entry holds the lease and may report, and with
-// which fencing token.
+// Lease decides whether this entry may report.
 type Lease interface {
+	// Held reports whether this entry holds the lease now, and its fencing token.
 	Held() (fence uint64, ok bool)
+	// Do calls effect if this entry holds the lease, which isn't released before it
+	// returns.
+	Do(ctx context.Context, effect func(ctx context.Context, fence uint64) error) error
 }
 
 // Sender sends the report of one window. An exact repeat has no effect.
@@ -111,7 +114,8 @@
 	if !complete && since < time.Duration(incompleteWaitFraction*float64(r.Due)) {
 		return
 	}
-	if err := r.send(ctx, k, counts); err != nil {
+	err := r.Lease.Do(ctx, func(ctx context.Context, fence uint64) error { return r.send(ctx, fence, k, counts) })
+	if err != nil {
 		r.Log.WithField("window", k).WithError(err).Warn("usage: window not reported yet.")
 		return
 	}
@@ -119,15 +123,11 @@
 	r.Log.WithFields(logrus.Fields{"window": k, "complete": complete, "age_ms": since.Milliseconds()}).Info("usage: window reported.")
 }
 
-func (r *Reporter) send(ctx context.Context, k int64, counts Counts) error {
+func (r *Reporter) send(ctx context.Context, fence uint64, k int64, counts Counts) error {
 	committed, err := r.commitCounts(ctx, k, counts)
 	if err != nil || len(committed) == 0 {
 		return err
 	}
-	fence, ok := r.Lease.Held()
-	if !ok {
-		return fmt.Errorf("lease was lost before window %d was sent", k)
-	}
 	return r.Sender.Report(ctx, fence, k, committed)
 }
 
--- a/gateway/usage/usage_test.go
+++ b/gateway/usage/usage_test.go
@@ -17,6 +17,13 @@
 
 func (h *leaseHolder) Held() (uint64, bool) { return 7, h.held }
 
+func (h *leaseHolder) Do(ctx context.Context, effect func(ctx context.Context, fence uint64) error) error {
+	if !h.held {
+		return errors.New("not held")
+	}
+	return effect(ctx, 7)
+}
+
 // sender records reports, and fails while fail is set.
 type sender struct {
 	fail    bool
--- a/lease/contend.go
+++ b/lease/contend.go
@@ -68,6 +68,9 @@
 	}
 	if r == nil || !l.isOwn(*r) || r.Fence != h.fence {
 		l.clearHold()
+		l.mu.Lock()
+		l.hold.lost = true
+		l.mu.Unlock()
 		l.log.WithField("fence", h.fence).Warn("lease: lost.")
 		return
 	}
@@ -134,13 +137,14 @@
 	l.log.WithField("fence", h.fence).Info("lease: acquired.")
 }
 
-// releaseRow marks the row as released, so that a successor need not wait for
-// the lease to expire. It only logs a failure, because the lease then expires.
+// releaseRow marks the row as released once no effect is in progress, so that a
+// successor need not wait for the lease to expire. It only logs a failure, because the lease then expires.
 func (l *Lease) releaseRow(ctx context.Context) {
 	h := l.clearHold()
 	if h.version == 0 {
 		return
 	}
+	l.effects.Wait()
 	released := record{Fence: l.HighestFence(), Duration: l.opt.Duration}
 	if _, err := l.write(context.WithoutCancel(ctx), released, h.version); err != nil {
 		l.log.WithError(err).Debug("lease: release failed.")
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -9,9 +9,10 @@
 // process may take over, as long as the clocks of two hosts drift apart by
 // less than the margin during one lease duration.
 //
-// Every takeover increments the fencing token. The holder calls Held before
-// every effect and sends the token to endpoints that check it. For endpoints
-// that don't, orders are idempotent: they state the desired result. A new
+// Every takeover increments the fencing token. The holder sends it to endpoints
+// that check it, through Do, which begins no effect without the lease and ends
+// those in progress when it lapses; a release waits for them. For endpoints that
+// don't check it, orders are idempotent: they state the desired result. A new
 // holder sends them no orders until SuccessorWait has passed since its takeover
 // (see MayOrder). By then every order of its predecessor has timed out.
 package lease
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -27,6 +27,9 @@
 	// candidacyCheckPeriod is the time between two checks whether this process
 	// has become a candidate, which need no call.
 	candidacyCheckPeriod = 200 * time.Millisecond
+	// effectCheckPeriod is the time after which an effect in progress ends if
+	// another process is found to hold the lease.
+	effectCheckPeriod = 100 * time.Millisecond
 	// maxNonCandidateReads bounds the reads per second of all contenders that
 	// are not candidates.
 	maxNonCandidateReads = 2
@@ -76,7 +79,7 @@
 	return o
 }
 
-// Lease is one process's contender for a lease. Held, MayOrder, HighestFence
+// Lease is one process's contender for a lease. Do, Held, MayOrder, HighestFence
 // and Release are safe for concurrent use with Run.
 type Lease struct {
 	table  infra.Table
@@ -87,6 +90,9 @@
 	releaseOnce sync.Once
 	released    chan struct{}
 
+	// effects counts the effects in progress.
+	effects sync.WaitGroup
+
 	mu   sync.Mutex
 	hold hold
 	// highestFence is the highest fencing token seen in the row.
@@ -109,6 +115,8 @@
 	// renewedAt is the time before the last confirmed renewal was sent,
 	// acquiredAt the time before the takeover was sent.
 	renewedAt, acquiredAt time.Time
+	// lost is set once another process has been found to hold the lease.
+	lost bool
 }
 
 // observedRow is the version of another holder's row and the time at which this
@@ -149,15 +157,16 @@
 	}
 }
 
-// Release makes Run release the lease and return. Held returns false from now
-// on.
+// Release makes Run release the lease and return, once all effects of Do have
+// returned. Held returns false from now on.
 func (l *Lease) Release() {
 	l.releaseOnce.Do(func() { close(l.released) })
 	l.clearHold()
 }
 
 // Held returns the fencing token and whether this process holds the lease now.
-// It must be called before every effect.
+// The lease may be lost at any time afterwards; effects that must not take place
+// then are called through Do.
 func (l *Lease) Held() (fence uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
