Take a crash within the header of an answer for evidence

Cause: an answer that broke off within its status line or header ended the request without any look at the replica.

A replica that resumes a stream and crashes at its start counts as well now, and the stream isn't taken to a third one if its prompt is suspect.

A replica that crashes before the first byte of its answer still is no evidence.

--- a/gateway/crash_endings_test.go
+++ b/gateway/crash_endings_test.go
@@ -47,12 +47,21 @@
 	{name: "host lost", hostLost: true, downtime: crashDowntime},
 }
 
+// beginnings are what a replica has written of its answer when it crashes.
+var beginnings = map[string]string{
+	"header and half an event": "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n",
+	"header":                   "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"half a header":            "HTTP/1.1 200 OK\r\nId: %s\r\nTransf",
+	"half a status line":       "HTTP/1.1 2",
+}
+
 // endingReplicas are replicas that crash, with a given ending, as they begin to
 // write an answer on crashingPart. They are back under the same ID and address.
 type endingReplicas struct {
-	fleet   []*testEntry
-	ending  ending
-	network interface {
+	fleet     []*testEntry
+	ending    ending
+	beginning string
+	network   interface {
 		Listen(string) (net.Listener, error)
 		Reset(host string)
 		Kill(host string)
@@ -130,7 +139,7 @@
 		c.late++
 	}
 	c.mu.Unlock()
-	_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nId: "+req.Header.Get("Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n")
+	_, _ = io.WriteString(nc, strings.Replace(c.beginning, "%s", req.Header.Get("Id"), 1))
 	time.Sleep(20 * time.Millisecond)
 	p.crash()
 	return false
@@ -183,37 +192,51 @@
 // Guards against crashes that no entry takes for evidence, because the sockets of a
 // process don't all close in the same instant.
 func TestCrashIsEvidenceHoweverTheProcessEnds(t *testing.T) {
-	const requests, every = 80, 150 * time.Millisecond
 	for _, end := range endings {
 		for _, entries := range []int{1, 3} {
 			t.Run(fmt.Sprintf("%s/entries=%d", end.name, entries), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					fleet := newTestFleet(t, testConfiguration(), entries)
-					c := &endingReplicas{fleet: fleet, ending: end, network: fleet[0].network}
-					for i := range 24 {
-						c.start(t, fmt.Sprintf("r%d", i), fmt.Sprintf("10.0.2.%d", i+1), 1)
-					}
-					sound, soundSent := 0, 0
-					for i := range requests {
-						e := fleet[i%entries]
-						go func() {
-							_, _, _ = e.get(t, "/resume/x", "Parts", fmt.Sprintf("1 2 %s %d", crashingPart, 1000+i))
-						}()
-						resp, _, err := e.get(t, "/resume/x", "Parts", fmt.Sprintf("1 2 %d", 2000+i))
-						if i >= requests/2 {
-							soundSent++
-						}
-						if i >= requests/2 && err == nil && resp.StatusCode == http.StatusOK {
-							sound++
-						}
-						time.Sleep(every)
-					}
-					time.Sleep(10 * time.Second)
-					t.Logf("%d crashes, %d requests received, %d late; %d of %d sound requests", c.crashes, c.received, c.late, sound, soundSent)
-					qt.Check(t, c.late <= maxSendsAfter, qt.IsTrue, qt.Commentf("%d requests later than %v after the fifth crash", c.late, limitKnown))
-					qt.Check(t, sound >= soundSent*95/100, qt.IsTrue, qt.Commentf("%d of %d sound requests were answered", sound, soundSent))
-				})
+				playCrashes(t, entries, end, beginnings["header and half an event"])
 			})
 		}
 	}
 }
+
+// Guards against crashes that are no evidence, because the replica had written too
+// little of its answer.
+func TestCrashIsEvidenceHoweverLittleOfTheAnswerHasArrived(t *testing.T) {
+	for name, beginning := range beginnings {
+		t.Run(name, func(t *testing.T) { playCrashes(t, 3, endings[1], beginning) })
+	}
+}
+
+// playCrashes sends requests of which every second one crashes its replica, and
+// checks how many of these reach replicas and how many of the others are answered.
+func playCrashes(t *testing.T, entries int, end ending, beginning string) {
+	const requests, every = 80, 150 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, testConfiguration(), entries)
+		c := &endingReplicas{fleet: fleet, ending: end, beginning: beginning, network: fleet[0].network}
+		for i := range 24 {
+			c.start(t, fmt.Sprintf("r%d", i), fmt.Sprintf("10.0.2.%d", i+1), 1)
+		}
+		sound, soundSent := 0, 0
+		for i := range requests {
+			e := fleet[i%entries]
+			go func() {
+				_, _, _ = e.get(t, "/resume/x", "Parts", fmt.Sprintf("1 2 %s %d", crashingPart, 1000+i))
+			}()
+			resp, _, err := e.get(t, "/resume/x", "Parts", fmt.Sprintf("1 2 %d", 2000+i))
+			if i >= requests/2 {
+				soundSent++
+			}
+			if i >= requests/2 && err == nil && resp.StatusCode == http.StatusOK {
+				sound++
+			}
+			time.Sleep(every)
+		}
+		time.Sleep(10 * time.Second)
+		t.Logf("%d crashes, %d requests received, %d late; %d of %d sound requests", c.crashes, c.received, c.late, sound, soundSent)
+		qt.Check(t, c.late <= maxSendsAfter, qt.IsTrue, qt.Commentf("%d requests later than %v after the fifth crash", c.late, limitKnown))
+		qt.Check(t, sound >= soundSent*95/100, qt.IsTrue, qt.Commentf("%d of %d sound requests were answered", sound, soundSent))
+	})
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -105,23 +105,36 @@
 		return err
 	}
 	x.lastChoice, x.replica = choice, choice.Replica.ID
-	x.brokenAtStart = false
 	ticket := x.h.Balancer.Begin(q, choice)
 	outcome := balance.Neutral
 	defer func() { ticket.End(outcome) }()
+	outcome, err = x.exchangeWith(ctx, ticket, choice.Replica, lastEvent)
+	if x.crashedAtStart(ctx) {
+		outcome = balance.Crashed
+	}
+	return err
+}
+
+// crashedAtStart reports whether the last answer broke off at its start because its
+// replica crashed. It reports that once for each answer.
+func (x *exchange) crashedAtStart(ctx context.Context) bool {
+	broken := x.brokenAtStart
+	x.brokenAtStart = false
+	return broken && len(x.sharedParts()) > 0 && ctx.Err() == nil && x.replicaCrashed(ctx, x.lastChoice.Replica)
+}
+
+// exchangeWith sends the request to a replica and relays its answer. It returns the
+// outcome to record for the replica.
+func (x *exchange) exchangeWith(ctx context.Context, t *balance.Ticket, r *replica.Replica, lastEvent string) (balance.Outcome, error) {
 	sent := time.Now()
-	answer, err := x.send(ctx, choice.Replica, lastEvent)
+	answer, err := x.send(ctx, r, lastEvent)
 	if err != nil {
-		outcome = outcomeOfError(err)
-		return err
+		x.brokenAtStart = errors.Is(err, upstream.ErrAnswerBegun)
+		return outcomeOfError(err), err
 	}
 	defer answer.Close()
-	x.observe(choice.Replica, answer, sent)
-	outcome, err = x.relay(ctx, ticket, answer, lastEvent)
-	if x.brokenAtStart && len(x.sharedParts()) > 0 && ctx.Err() == nil && x.replicaCrashed(ctx, choice.Replica) {
-		outcome = balance.Crashed
-	}
-	return err
+	x.observe(r, answer, sent)
+	return x.relay(ctx, t, answer, lastEvent)
 }
 
 // replicaCrashed reports whether the replica that broke off the beginning of the
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -153,9 +153,8 @@
 	// answer after its last complete event.
 	framing              upstream.Framing
 	events, partialEvent int
-	// begun is set once an event that is no comment was relayed.
-	begun bool
-	// brokenAtStart is set if the last answer broke off before such an event.
+	// brokenAtStart is set while an attempt whose answer broke off in its header, or
+	// before an event that is no comment, is handled.
 	// crashSuspect is set once a replica crashed with such an answer, and the
 	// request may have caused that.
 	brokenAtStart, crashSuspect bool
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -180,18 +180,23 @@
 	if ctx.Err() != nil {
 		return balance.Neutral, err
 	}
+	outcome := balance.Failed
 	if s.lastEventID != "" && x.headerSent && !s.clientWriteFailed {
-		err = x.resume(ctx, s, err)
+		if x.crashedAtStart(ctx) {
+			outcome = balance.Crashed
+		}
+		err = x.resume(ctx, s, outcome, err)
 	}
-	return balance.Failed, err
+	return outcome, err
 }
 
-// resume continues a broken stream at another replica.
-func (x *exchange) resume(ctx context.Context, s *streamCopy, cause error) error {
-	if !x.route.Resumable || x.sends >= max(1, x.route.Attempts) || !x.h.Retries.TryWithdraw(x.service) {
+// resume continues a broken stream at another replica. outcome is that of the
+// replica that broke it off.
+func (x *exchange) resume(ctx context.Context, s *streamCopy, outcome balance.Outcome, cause error) error {
+	if x.crashSuspect || !x.route.Resumable || x.sends >= max(1, x.route.Attempts) || !x.h.Retries.TryWithdraw(x.service) {
 		return cause
 	}
-	s.t.End(balance.Failed)
+	s.t.End(outcome)
 	s.a.Close()
 	x.h.Recorder.Retried("resumed")
 	x.h.Log.WithField("request", x.req.ID).WithField("after_event", s.lastEventID).WithError(cause).Info("gateway: stream resumes.")
@@ -224,7 +229,7 @@
 	buf := make([]byte, copyBufferSize)
 	defer func() {
 		s.x.events += s.events
-		s.x.brokenAtStart = err != nil && !s.x.begun
+		s.x.brokenAtStart = err != nil && !s.begun
 		s.x.partialEvent = len(s.splitter.remainder())
 	}()
 	for {
@@ -280,7 +285,7 @@
 			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s: %w", s.x.replica, err)
 		}
 		if !s.begun && !isComment(event) {
-			s.begun, s.x.begun = true, true
+			s.begun = true
 			s.x.h.Quarantine.Answered(s.x.customerName(), s.x.sharedPartIDs())
 		}
 		s.writeHeader()
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -36,6 +36,10 @@
 // of an answer is expected, or in the body of one that is not used.
 var errTooLong = errors.New("replica sends bytes without an end")
 
+// ErrAnswerBegun is wrapped by the error of a request whose answer broke off in its
+// status line or header.
+var ErrAnswerBegun = errors.New("answer broke off in its header")
+
 // errMisdelivered is returned if too many answers belong to other requests, or
 // if the end of such an answer can't be found.
 var errMisdelivered = errors.New("answer belongs to another request")
@@ -117,10 +121,10 @@
 }
 
 // Send sends a request once and waits for the header of its answer. An error
-// has the verdict NotRun if no byte was written, else MayHaveRun; that of
-// r.Check is returned unchanged. When ctx
-// ends, the connection is closed at once, even while the body of the answer is
-// being read.
+// has the verdict NotRun if no byte was written, else MayHaveRun; it wraps
+// ErrAnswerBegun if a part of the header has arrived. That of r.Check is returned
+// unchanged. When ctx ends, the connection is closed at once, even while the body of
+// the answer is being read.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Answer, error) {
 	c, err := p.get(ctx, r.Addr)
 	if err != nil {
@@ -221,6 +225,9 @@
 	c.bound.set(maxHeadBytes)
 	for skipped := 0; ; {
 		resp, err := http.ReadResponse(c.reader, req)
+		if err != nil && c.bound.left < maxHeadBytes {
+			return nil, fmt.Errorf("%w: %w", ErrAnswerBegun, err)
+		}
 		if err != nil {
 			return nil, err
 		}
