Look at the quarantine again as the last thing before a request is sent

Cause: whether a prompt is banned was looked at before the wait for a permit and for a connection, which takes up to some hundred milliseconds.

Evidence: TestRequestIsNotSentIfItsPromptIsBannedWhileItWaits got 200 before. The look is now taken with those at the replica, and such a refusal isn't counted against the replica.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -142,12 +142,15 @@
 )
 
 // checkReplica reports whether the chosen replica still accepts the request, and
-// this entry still sends it, because it may have waited and opening a connection
-// takes some time.
+// this entry still sends it: it may have waited, opening a connection takes some
+// time, and meanwhile its prompt may have crashed replicas.
 func (x *exchange) checkReplica(r *replica.Replica) error {
 	if since, _ := x.h.drainingFor(); since > drainSendPeriod && !x.mayHaveRun {
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "request is late: %w", errDrainEnds).WithRetryAfter(retryAfterDrain)
 	}
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	var err error
 	switch {
 	case x.h.Balancer.IsLeaving(r):
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 )
 
 const (
@@ -107,3 +109,28 @@
 		qt.Check(t, lastRetryAfter == "" || len(lastRetryAfter) >= len("30.000"), qt.IsTrue, qt.Commentf("%q", lastRetryAfter))
 	})
 }
+
+// Guards against a request being sent although its prompt was found to crash replicas
+// while it waited for a connection.
+func TestRequestIsNotSentIfItsPromptIsBannedWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t, testConfiguration(), answerOK)
+		dial := e.network.Dialer(e.host)
+		e.handler.Pool = upstream.NewPool(func(ctx context.Context, network, addr string) (net.Conn, error) {
+			time.Sleep(200 * time.Millisecond)
+			return dial(ctx, network, addr)
+		})
+		defer e.handler.Pool.Close()
+		time.AfterFunc(100*time.Millisecond, func() {
+			for i := range 3 {
+				r := &replica.Replica{Registration: replica.Registration{ID: fmt.Sprint("x", i), Service: "s", FailureDomain: fmt.Sprint("d", i), Incarnation: 1}}
+				e.quarantine.Crashed(r, "", []uint64{666})
+			}
+		})
+		resp, _, err := e.get(t, "/safe/x", "Parts", crashingPart+" 1")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, e.receivedCount(), qt.Equals, 0)
+		time.Sleep(time.Minute)
+	})
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -180,7 +180,10 @@
 // request without an answer.
 func outcomeOfError(err error) balance.Outcome {
 	code := verdict.CodeOf(err)
+	var quarantined *quarantine.Refusal
 	switch {
+	case errors.As(err, &quarantined):
+		return balance.Neutral
 	case code == verdict.CodeCancelled, code == verdict.CodeDeadline:
 		return balance.Neutral
 	case errors.Is(err, errDrainEnds), errors.Is(err, errReplicaLeft), errors.Is(err, errReplicaLimited), errors.Is(err, errReplicaPaused):
