--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -146,8 +146,8 @@
 		"request": x.req.ID, "replica": r.ID, "born": r.Incarnation, "customer": customer,
 		"parts": quarantine.PartNames(parts), "leaving": x.h.Balancer.IsLeaving(r),
 	}).Warn("gateway: answer broke off before its first event.")
-	suspect := x.h.Quarantine.Suspect(customer, parts)
-	if !x.h.Liveness.Crashed(ctx, r, func() { x.h.Quarantine.Crashed(r, customer, parts) }) {
+	suspect, brokenAt := x.h.Quarantine.Suspect(customer, parts), time.Now()
+	if !x.h.Liveness.Crashed(ctx, r, func() { x.h.Quarantine.Crashed(r, customer, parts, brokenAt) }) {
 		return false
 	}
 	x.crashSuspect = suspect
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -150,15 +150,15 @@
 	}
 }
 
-// Crashed records that a replica crashed as it began to answer a request with
-// these shared parts, and spreads that to the other entries.
-func (s *Set) Crashed(r *replica.Replica, customer string, parts []uint64) {
+// Crashed records that a replica crashed at a time, as it began to answer a request
+// with these shared parts, and spreads that to the other entries.
+func (s *Set) Crashed(r *replica.Replica, customer string, parts []uint64, at time.Time) {
 	if len(parts) == 0 {
 		return
 	}
 	s.addCrash(&crash{
 		crashKey: crashKey{customer, r.ID, r.Incarnation}, service: r.Service, version: r.Version, domain: r.FailureDomain,
-		parts: union(parts[max(0, len(parts)-maxParts):], nil), at: time.Now(),
+		parts: union(parts[max(0, len(parts)-maxParts):], nil), at: at,
 	}, s.opt.ID)
 }
 
--- a/gateway/quarantine/simulation_test.go
+++ b/gateway/quarantine/simulation_test.go
@@ -349,7 +349,7 @@
 		suspect := false
 		if f.guarded {
 			suspect = q.entry.set.Suspect(customer, q.parts)
-			q.entry.set.Crashed(crashed, customer, q.parts)
+			q.entry.set.Crashed(crashed, customer, q.parts, time.Now())
 		}
 		if !suspect && q.attempt < 2 {
 			f.attempt(q)
--- a/peer/evidence_test.go
+++ b/peer/evidence_test.go
@@ -25,7 +25,7 @@
 func (n *node) crash(number int) {
 	n.evidence.Crashed(&replica.Replica{Registration: replica.Registration{
 		ID: fmt.Sprint("replica-", number), Service: "s", Version: "v1", FailureDomain: fmt.Sprint("domain-", number), Incarnation: 1,
-	}}, "customer", []uint64{1, crashingPart})
+	}}, "customer", []uint64{1, crashingPart}, time.Now())
 }
 
 func (n *node) refuses() bool {
