Divide a limit by the members that its owner reaches

Cause: two horizons of one thing. An entry stops counting a silent peer as an owner after 1.2 s, and then owns every limit itself; but it counted that peer as reaching it, and the peer's part as its own to hand out, for as long as the load that the peer last reported is used, 4 s.

An owner now divides by the members that count for the choice of owners.

--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -282,7 +282,7 @@
 			demand[id] = demandOf(s.state)
 		}
 		if members > 0 {
-			limiter.SetPeers(members, demand)
+			limiter.SetPeers(members, len(view.reachable(m.UpdatePeriod())), demand)
 			retries.SetMemberCount(members)
 		}
 		// Older windows are no longer reported.
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -73,6 +73,9 @@
 	mu        sync.Mutex
 	customers map[string]*customer
 	members   int
+	// reached is the number of members, this entry included, that reach the owners
+	// of limits as this entry sees it.
+	reached int
 	// peersSet is set by the first SetPeers.
 	peersSet bool
 	// peers holds the demand of each peer by customer, in units per second.
@@ -122,7 +125,7 @@
 
 // NewLimiter returns a Limiter without customers.
 func NewLimiter(t Tolerance) *Limiter {
-	return &Limiter{now: time.Now, tolerance: t, customers: make(map[string]*customer), members: assumedMembers}
+	return &Limiter{now: time.Now, tolerance: t, customers: make(map[string]*customer), members: assumedMembers, reached: 1}
 }
 
 // SetConfiguration applies the customers' limits of a configuration.
@@ -146,12 +149,13 @@
 	}
 }
 
-// SetPeers sets the number of members and the demand that each peer reported,
-// by peer and customer, and recomputes the shares of all limits.
-func (l *Limiter) SetPeers(members int, peers map[string]map[string]float64) {
+// SetPeers sets the number of members, the number of them that can reach each
+// other, this entry included, and the demand that each peer reported, by peer and
+// customer, and recomputes the shares of all limits.
+func (l *Limiter) SetPeers(members, reached int, peers map[string]map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members, l.peers, l.peersSet = max(1, members), peers, true
+	l.members, l.reached, l.peers, l.peersSet = max(1, members), max(1, reached), peers, true
 	now := l.now()
 	for name, cu := range l.customers {
 		l.resizeLocked(name, cu, now)
@@ -252,7 +256,7 @@
 		cu.initialFillMembers = 0
 	}
 	cu.owned = owned
-	reached := min(1, float64(len(l.peers)+1)/float64(l.members))
+	reached := min(1, float64(l.reached)/float64(l.members))
 	cu.global.Resize(now, perSecond*reached, burst*reached)
 	if owned && l.peersSet && now.Sub(cu.since) <= demandWarmup && reached > cu.initialFillMembers {
 		// Of members that start together, each may hand out its share of the
@@ -272,11 +276,11 @@
 
 // takeoverFillLocked returns the assumed fill level of a limit that another
 // entry owned until now. The level is higher the lower the recent demand is. It
-// is 0 for a process without peers, which may be partitioned from entries that
+// is 0 for a process that reaches no peers, which may be partitioned from entries that
 // still hand out the limit. It is also 0 for a process that has just started,
 // which adds the initial fill as it reaches the members.
 func (l *Limiter) takeoverFillLocked(cu *customer, others, perSecond float64, now time.Time) float64 {
-	if len(l.peers) == 0 || now.Sub(cu.since) <= demandWarmup {
+	if l.reached <= 1 || now.Sub(cu.since) <= demandWarmup {
 		return 0
 	}
 	return maxTakeoverFill * cu.headroom(others, perSecond, now)
--- a/gateway/quota/quota_test.go
+++ b/gateway/quota/quota_test.go
@@ -38,7 +38,7 @@
 func (f *fleet) newLimiter(t Tolerance, c *config.Configuration) *Limiter {
 	l := NewLimiter(t)
 	l.now = func() time.Time { return f.now }
-	l.SetPeers(max(1, len(f.limiters)), nil)
+	l.SetPeers(max(1, len(f.limiters)), 1, nil)
 	l.SetConfiguration(c)
 	return l
 }
@@ -59,7 +59,7 @@
 				peers[fmt.Sprint(j)] = d
 			}
 		}
-		l.SetPeers(len(f.limiters), peers)
+		l.SetPeers(len(f.limiters), len(peers)+1, peers)
 	}
 }
 
@@ -155,7 +155,7 @@
 	now := time.Unix(1000, 0)
 	l := NewLimiter(Tolerance{})
 	l.now = func() time.Time { return now }
-	l.SetPeers(5, nil)
+	l.SetPeers(5, 1, nil)
 	l.SetConfiguration(limitedConfiguration(1000, 1000))
 	now = now.Add(time.Minute)
 	taken := 0
