Count a silent member as sharing the limits for ten seconds

Evidence: TestSilentMemberSharesLimitsForAWhile failed before.

What it costs: an entry that fails and doesn't come back leaves its part of each limit unused for 10 s. One that leaves as planned doesn't (TestMemberThatLeavesSharesNoLimits).

--- a/member/member.go
+++ b/member/member.go
@@ -219,14 +219,29 @@
 	}
 }
 
-// SharingCount returns the number of members that limits are divided between.
-// While the table is unavailable, these are all on record: members that this
-// entry doesn't reach may have failed, or may share the limits with each other.
+// sharingRetention is how long a member that nothing arrives from counts as sharing
+// the limits. It may only be cut off, and hands out its part of them.
+const sharingRetention = 10 * time.Second
+
+// SharingCount returns the number of members that limits are divided between:
+// those that are not leaving and from which something arrived within
+// sharingRetention. While the table is unavailable, these are all on record: members
+// that this entry doesn't reach may have failed, or may share the limits with each
+// other.
 func (r *Registry) SharingCount() int {
 	if r.tableFailures.Load() > 0 {
 		return r.Count()
 	}
-	return len(r.Live())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, now := 1, time.Now()
+	for _, rec := range r.others {
+		_, alive := r.stateLocked(rec, now)
+		if rec.member.State == Live && (alive || now.Sub(rec.lastContact) <= sharingRetention) {
+			n++
+		}
+	}
+	return n
 }
 
 // Live returns the IDs of the members in state Live, sorted.
