--- a/app/gateway.go
+++ b/app/gateway.go
@@ -215,20 +215,6 @@
 	return balance.NewGlobalBalancer(b, s.ID, peers, log)
 }
 
-func newQuarantine(s gateway.Settings, peers *ownerPeers, set *replica.Set, m *telemetry.Metrics, log *logrus.Entry) *quarantine.Set {
-	return quarantine.New(quarantine.Options{
-		ID: s.ID, Members: peers.Members,
-		Ready: func(service string) []*replica.Replica { return set.Current().Ready[service] },
-		Log:   log, Count: m.Quarantined,
-	})
-}
-
-func newLiveness(lc fx.Lifecycle, n Network, set *replica.Set, m *telemetry.Metrics, log *logrus.Entry) *liveness.Watcher {
-	w := liveness.New(liveness.Options{Dial: n.Dial, Registry: set, Log: log, Count: m.Suspected})
-	lc.Append(fx.StopHook(w.Close))
-	return w
-}
-
 func newThrottle(s gateway.Settings, peers *ownerPeers, m *telemetry.Metrics, log *logrus.Entry) *throttle.Throttle {
 	return throttle.New(throttle.Options{ID: s.ID, Peers: peers, Log: log, Count: m.Throttled})
 }
