Don't look for a crash if the client's connection failed; plainer texts

A comment of a stream may be written to the client before the stream has begun, so that a client that left made its replica a suspect. Requests that wait also end with a stop, which their errors didn't say.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -47,7 +47,7 @@
 		case x.permit.OK && ctxtime.Sleep(ctx, x.permit.Delay):
 			return choice, nil
 		case ctx.Err() != nil:
-			return choice, verdict.New(verdict.NotRun, verdict.CodeCancelled, "client left while its request waited for a permit")
+			return choice, verdict.New(verdict.NotRun, verdict.CodeCancelled, "request ended while it waited for a permit")
 		case asked == maxPermitCalls:
 			block := x.h.Throttle.BlockOf(choice.Replica, q.Class)
 			return choice, x.noReplica(q, choice, &balance.BlockedError{Expected: block.Expected, Limited: asked})
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -357,7 +357,7 @@
 		return verdict.New(verdict.NotRun, verdict.CodeLimited, "customer %q is over its limit", x.customer.Name).WithRetryAfter(x.limitDecision.Delay)
 	}
 	if !ctxtime.Sleep(x.r.Context(), x.limitDecision.Delay) {
-		return verdict.New(verdict.NotRun, verdict.CodeCancelled, "client left while its request waited for its limit")
+		return verdict.New(verdict.NotRun, verdict.CodeCancelled, "request ended while it waited for its limit")
 	}
 	return nil
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -229,7 +229,7 @@
 	buf := make([]byte, copyBufferSize)
 	defer func() {
 		s.x.events += s.events
-		s.x.brokenAtStart = err != nil && !s.begun
+		s.x.brokenAtStart = err != nil && !s.begun && !s.clientWriteFailed
 		s.x.partialEvent = len(s.splitter.remainder())
 	}()
 	for {
