Make the simulated fleets of gateway/throttle a function of their seed

Cause: goroutines that wake in the same instant of virtual time drew from one source of random numbers, messages on many links arrived in the same instant, and the package itself drew from the global source. Which draw a request got depended on the scheduler, so that each run played another seed.

Change: each request and entry has a source of its own, links have a skew of up to 0.5 ms, the throttle takes its random numbers from its options, and adds up customers in a fixed order.

--- a/gateway/throttle/grants.go
+++ b/gateway/throttle/grants.go
@@ -1,7 +1,6 @@
 package throttle
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -109,7 +108,7 @@
 		asks = asksPerPermit
 		g.shares.deny(q, now)
 	}
-	askIn := wait + g.askSpread(from, asks*perSecond, now)
+	askIn := wait + time.Duration(t.opt.Random()*float64(g.askSpread(from, asks*perSecond, now)))
 	return peer.PermitResult{WaitMS: wait.Milliseconds() + 1, AskInMS: askIn.Milliseconds() + 1}
 }
 
@@ -152,8 +151,9 @@
 	return perSecond
 }
 
-// askSpread returns a random time that a member which was denied waits longer, so
-// that all such members together make the given number of calls per second.
+// askSpread returns the most that a member which was denied waits longer. If all
+// such members wait a random part of it, they make the given number of calls per
+// second together.
 func (g *grants) askSpread(member string, perSecond float64, now time.Time) time.Duration {
 	if g.deniedTo == nil {
 		g.deniedTo = make(map[string]time.Time)
@@ -164,5 +164,5 @@
 			delete(g.deniedTo, id)
 		}
 	}
-	return rate.Seconds(2 * rand.Float64() * float64(len(g.deniedTo)) / perSecond)
+	return rate.Seconds(2 * float64(len(g.deniedTo)) / perSecond)
 }
--- a/gateway/throttle/pauses.go
+++ b/gateway/throttle/pauses.go
@@ -1,7 +1,6 @@
 package throttle
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,7 +28,7 @@
 		}
 	}
 	k := incarnationOf(r)
-	until := now.Add(d + time.Duration(rand.Float64()*min(pauseSpread*float64(d), float64(maxPauseSpread))))
+	until := now.Add(d + time.Duration(t.opt.Random()*min(pauseSpread*float64(d), float64(maxPauseSpread))))
 	old, known := t.pausedUntil[k]
 	if until.After(old) {
 		t.pausedUntil[k] = until
--- a/gateway/throttle/shares.go
+++ b/gateway/throttle/shares.go
@@ -1,7 +1,9 @@
 package throttle
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -100,7 +102,9 @@
 // equal parts.
 func (s *shares) customerMayTake(customer string, now time.Time, perSecond float64) bool {
 	own, total, n := 0.0, 0.0, 0.0
-	for name, c := range s.byCustomer {
+	// Sums of floating-point numbers depend on their order.
+	for _, name := range slices.Sorted(maps.Keys(s.byCustomer)) {
+		c := s.byCustomer[name]
 		granted := c.decayed(now, perSecond)
 		if name == customer {
 			own = granted
--- a/gateway/throttle/simulation_links_test.go
+++ b/gateway/throttle/simulation_links_test.go
@@ -10,6 +10,17 @@
 	from, to  *simEntry
 	position  uint64
 	scheduled bool
+	// skew is added to each delay, so that hardly any two links deliver in the same
+	// instant: the order of goroutines that wake at once isn't that of the seed.
+	skew time.Duration
+}
+
+// maxSkew bounds the skew of a link.
+const maxSkew = 500 * time.Microsecond
+
+// link connects an entry to another one.
+func (f *fleet) link(from, to *simEntry) {
+	from.links = append(from.links, &simLink{from: from, to: to, skew: time.Duration(f.random.Int64N(int64(maxSkew)))})
 }
 
 // count counts the bytes of a message at its sender and its receiver.
@@ -35,7 +46,7 @@
 func (f *fleet) schedule(l *simLink, after time.Duration) {
 	if !l.scheduled && !f.ended && f.throttled {
 		l.scheduled = true
-		time.AfterFunc(after, l.send)
+		time.AfterFunc(after+l.skew, l.send)
 	}
 }
 
--- a/gateway/throttle/simulation_test.go
+++ b/gateway/throttle/simulation_test.go
@@ -32,6 +32,9 @@
 	callTimeout = time.Second
 	// maxPermitCalls is that of package gateway.
 	maxPermitCalls = 3
+	// entryStream and requestStream are the first of the random streams of entries
+	// and of requests.
+	entryStream, requestStream = 1 << 20, 1 << 40
 	// linkPause is the time between two messages with limits on a link.
 	linkPause = 50 * time.Millisecond
 )
@@ -40,8 +43,11 @@
 // without a network.
 type fleet struct {
 	throttled bool
-	random    *rand.Rand
-	start     time.Time
+	seed      uint64
+	// random is used by one goroutine at a time: the one that builds the fleet, and
+	// then that of load. All others draw from sources of their own.
+	random *rand.Rand
+	start  time.Time
 
 	mu       sync.Mutex
 	entries  []*simEntry
@@ -53,8 +59,10 @@
 }
 
 type simEntry struct {
-	f        *fleet
-	id       string
+	f  *fleet
+	id string
+	// random is used under the lock of the throttle, and when the entry boots.
+	random   *rand.Rand
 	set      *replica.Set
 	throttle *throttle.Throttle
 	balancer *balance.Balancer
@@ -85,6 +93,7 @@
 	customer string
 	// counts is set if it is sent when the limits must hold.
 	counts bool
+	random *rand.Rand
 }
 
 // result counts what became of the requests of the load.
@@ -99,7 +108,7 @@
 }
 
 func newFleet(entries, replicas int, seed uint64, throttled bool) *fleet {
-	f := &fleet{throttled: throttled, random: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), result: result{byCustomer: make(map[string][2]int)}}
+	f := &fleet{throttled: throttled, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), result: result{byCustomer: make(map[string][2]int)}}
 	for i := range replicas {
 		f.replicas = append(f.replicas, &simReplica{
 			Registration: replica.Registration{ID: fmt.Sprintf("r%d", i), Service: service, Slots: 64, Incarnation: 1, FailureDomain: "d"},
@@ -112,13 +121,13 @@
 	for i, e := range f.entries {
 		for j := range f.entries {
 			if entries <= 16 && i != j || entries > 16 && (j == (i+1)%entries || i == (j+1)%entries) {
-				e.links = append(e.links, &simLink{from: e, to: f.entries[j]})
+				f.link(e, f.entries[j])
 			}
 		}
 		for range 2 {
 			if to := f.entries[f.random.IntN(entries)]; entries > 16 && to != e {
-				e.links = append(e.links, &simLink{from: e, to: to})
-				to.links = append(to.links, &simLink{from: to, to: e})
+				f.link(e, to)
+				f.link(to, e)
 			}
 		}
 	}
@@ -127,7 +136,7 @@
 }
 
 func (f *fleet) newEntry(i int) *simEntry {
-	e := &simEntry{f: f, id: fmt.Sprintf("e%d", i)}
+	e := &simEntry{f: f, id: fmt.Sprintf("e%d", i), random: rand.New(rand.NewPCG(f.seed, entryStream+uint64(i)))}
 	e.boot()
 	return e
 }
@@ -138,9 +147,9 @@
 	for _, r := range e.f.replicas {
 		e.set.Put(r.Registration)
 	}
-	e.throttle = throttle.New(throttle.Options{ID: e.id, Peers: e, Log: nolog.Or(nil), Count: func(string) {}})
+	e.throttle = throttle.New(throttle.Options{ID: e.id, Peers: e, Log: nolog.Or(nil), Count: func(string) {}, Random: e.random.Float64})
 	e.throttle.OnBroadcast(e.wake)
-	o := balance.Options{FailureDomain: "d", Seed: e.f.random.Uint64(), Log: nolog.Or(nil)}
+	o := balance.Options{FailureDomain: "d", Seed: e.random.Uint64(), Log: nolog.Or(nil)}
 	if e.f.throttled {
 		o.Throttle = e.throttle
 	}
@@ -263,7 +272,7 @@
 		time.Sleep(d.Delay)
 		ticket := balancer.Begin(query, choice)
 		sent := time.Now()
-		stated := f.run(e, choice.Replica)
+		stated := f.run(e, choice.Replica, q.random)
 		limits.Observe(choice.Replica, stated, sent)
 		ticket.FirstTokenReceived()
 		ticket.End(balance.Answered)
@@ -273,30 +282,24 @@
 }
 
 // run runs a request at a replica and returns the limit that its answer states.
-func (f *fleet) run(e *simEntry, to *replica.Replica) float64 {
+func (f *fleet) run(e *simEntry, to *replica.Replica, random *rand.Rand) float64 {
 	time.Sleep(oneWay)
 	f.mu.Lock()
 	i := slices.IndexFunc(f.replicas, func(r *simReplica) bool { return r.ID == to.ID })
 	r := f.replicas[i]
 	at := time.Since(f.start)
 	r.arrivals = append(r.arrivals, arrival{at: at, counts: !e.excused})
-	took := time.Duration(50+f.random.IntN(150)) * time.Millisecond
 	f.mu.Unlock()
+	took := time.Duration(50+random.IntN(150)) * time.Millisecond
 	time.Sleep(took)
 	f.mu.Lock()
 	stated := r.limit(time.Since(f.start))
 	f.mu.Unlock()
 	// Answers overtake each other on the way.
-	time.Sleep(oneWay + time.Duration(f.jitter(10))*time.Millisecond)
+	time.Sleep(oneWay + time.Duration(random.IntN(10))*time.Millisecond)
 	return stated
 }
 
-func (f *fleet) jitter(n int) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.IntN(n)
-}
-
 func (f *fleet) refuse(q request, after time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -325,10 +328,10 @@
 // load sends requests to all entries at a total rate until a time since the
 // start. Their customers are drawn with the given weights.
 func (f *fleet) load(perSecond float64, until time.Duration, customers []int) {
-	for time.Since(f.start) < until {
-		time.Sleep(time.Duration(f.exponential() / perSecond * float64(time.Second)))
+	for n := uint64(0); time.Since(f.start) < until; n++ {
+		time.Sleep(time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second)))
 		f.mu.Lock()
-		q := request{class: throttle.Urgent}
+		q := request{class: throttle.Urgent, random: rand.New(rand.NewPCG(f.seed, requestStream+n))}
 		if f.random.IntN(3) == 0 {
 			q.class = throttle.Normal
 		}
@@ -375,12 +378,6 @@
 	}
 }
 
-func (f *fleet) exponential() float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.ExpFloat64()
-}
-
 // most returns the most arrivals at a replica in any window of the rule within a
 // time, from all entries that were not disturbed, whether or not they have seen the
 // limit themselves.
--- a/gateway/throttle/throttle.go
+++ b/gateway/throttle/throttle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -63,6 +64,9 @@
 	// Count counts events: "limit", "limit ended", "permit", "denial", "no
 	// owner" and "pause".
 	Count func(event string)
+	// Random returns a random number in [0, 1). It is called by one goroutine at a
+	// time. If it is nil, that of math/rand/v2 is used.
+	Random func() float64
 }
 
 // errBackedOff reports that an owner did not answer recently.
@@ -86,6 +90,9 @@
 
 // New returns a Throttle without limits.
 func New(o Options) *Throttle {
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
 	return &Throttle{
 		opt: o, limits: newLimits(), pausedUntil: make(map[incarnation]time.Time),
 		owners: ownership.New(time.Now, o.Peers.Members, o.Log.WithField("decides", "replica limits")),
