--- a/gateway/liveness/liveness.go
+++ b/gateway/liveness/liveness.go
@@ -53,7 +53,7 @@
 	Replaced    Sign = "replaced"
 )
 
-// Registry tells what the registry lists. Implementations must be safe for
+// Registry reports which incarnations are registered and leaving. Implementations must be safe for
 // concurrent use.
 type Registry interface {
 	// IsLeaving reports whether an incarnation is draining or gone.
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -132,8 +132,8 @@
 	})
 }
 
-// Guards against a part that crashes replicas of one failure domain faster than
-// they can be told apart counting as one crash for ever.
+// Guards against crashes of one failure domain in quick succession counting as one
+// crash for as long as they go on.
 func TestSeriesOfCrashesInADomainIsNotOneCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1)
--- a/gateway/throttle/simulation_test.go
+++ b/gateway/throttle/simulation_test.go
@@ -61,12 +61,12 @@
 type simEntry struct {
 	f  *fleet
 	id string
-	// random is used under the lock of the throttle, and when the entry boots.
-	random   *rand.Rand
-	set      *replica.Set
-	throttle *throttle.Throttle
-	balancer *balance.Balancer
-	links    []*simLink
+	// boots is the number of its processes so far, number its own.
+	number, boots uint64
+	set           *replica.Set
+	throttle      *throttle.Throttle
+	balancer      *balance.Balancer
+	links         []*simLink
 	// out is set while the entry is cut off from its peers or frozen. excused is
 	// set from then on, as its requests break no rule.
 	out, excused bool
@@ -136,7 +136,7 @@
 }
 
 func (f *fleet) newEntry(i int) *simEntry {
-	e := &simEntry{f: f, id: fmt.Sprintf("e%d", i), random: rand.New(rand.NewPCG(f.seed, entryStream+uint64(i)))}
+	e := &simEntry{f: f, id: fmt.Sprintf("e%d", i), number: uint64(i)}
 	e.boot()
 	return e
 }
@@ -147,9 +147,13 @@
 	for _, r := range e.f.replicas {
 		e.set.Put(r.Registration)
 	}
-	e.throttle = throttle.New(throttle.Options{ID: e.id, Peers: e, Log: nolog.Or(nil), Count: func(string) {}, Random: e.random.Float64})
+	e.boots++
+	// The throttle uses it under its lock.
+	random := rand.New(rand.NewPCG(e.f.seed, entryStream+e.number<<10+e.boots))
+	balancerSeed := random.Uint64()
+	e.throttle = throttle.New(throttle.Options{ID: e.id, Peers: e, Log: nolog.Or(nil), Count: func(string) {}, Random: random.Float64})
 	e.throttle.OnBroadcast(e.wake)
-	o := balance.Options{FailureDomain: "d", Seed: e.random.Uint64(), Log: nolog.Or(nil)}
+	o := balance.Options{FailureDomain: "d", Seed: balancerSeed, Log: nolog.Or(nil)}
 	if e.f.throttled {
 		o.Throttle = e.throttle
 	}
