--- a/gateway/throttle/simulation_links_test.go
+++ b/gateway/throttle/simulation_links_test.go
@@ -10,8 +10,8 @@
 	from, to  *simEntry
 	position  uint64
 	scheduled bool
-	// skew is added to each delay, so that hardly any two links deliver in the same
-	// instant: the order of goroutines that wake at once isn't that of the seed.
+	// skew is added to each delay, so that hardly any two links deliver at the same
+	// time: the scheduler, and not the seed, orders goroutines with equal wake-up times.
 	skew time.Duration
 }
 
