--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -251,7 +251,7 @@
 	}
 	x.tried[r.ID] = true
 	a, err := x.h.Pool.Send(ctx, &upstream.Request{
-		Addr: r.Addr, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
+		Addr: r.Addr, ID: x.req.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: x.h.Dialect.ReplicaHeader(x.r, f), Body: x.body, Deadline: x.deadline.Add(writeSlack),
 		Matches: func(status int, header http.Header) bool {
 			return x.h.Dialect.DecodeReply(status, header).RequestID == x.req.ID
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -177,11 +177,13 @@
 }
 
 // refusal is an answer that states that the request has not run. requestID is
-// the request that it names, empty if none.
+// the request that it names, empty if none. sentBefore is set if a request with
+// that ID was sent on the connection before.
 type refusal struct {
-	replica   string
-	status    int
-	requestID string
+	replica    string
+	status     int
+	requestID  string
+	sentBefore bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +30,9 @@
 	// maxIdlePerReplica is the maximum number of idle connections to one
 	// replica.
 	maxIdlePerReplica = 24
+	// maxRequests is the maximum number of requests with different IDs that are
+	// sent on one connection. It bounds the memory for their IDs.
+	maxRequests = 512
 	// readBufferSize is the size of a connection's read buffer, in bytes.
 	readBufferSize = 4 << 10
 )
@@ -60,6 +65,23 @@
 	// idleDeadline the time at which it expires if it stays idle.
 	idleTimeout  time.Duration
 	idleDeadline time.Time
+	// sent holds the hashes of the IDs of the requests that were sent on the
+	// connection.
+	sent []uint64
+}
+
+// idSeed makes the hashes of IDs unpredictable to clients.
+var idSeed = maphash.MakeSeed()
+
+// recordSent records that the request with an ID is sent on the connection. It
+// reports whether one with that ID was sent before.
+func (c *conn) recordSent(id string) (before bool) {
+	hash := maphash.String(idSeed, id)
+	if slices.Contains(c.sent, hash) {
+		return true
+	}
+	c.sent = append(c.sent, hash)
+	return false
 }
 
 // Close closes the idle connections. Connections that are returned later are
@@ -174,7 +196,7 @@
 	c.idleDeadline = time.Now().Add(c.idleTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.addr]) >= maxIdlePerReplica || c.idleTimeout <= 0 {
+	if p.closed || len(p.idle[c.addr]) >= maxIdlePerReplica || c.idleTimeout <= 0 || len(c.sent) >= maxRequests {
 		_ = c.Close()
 		return
 	}
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -47,6 +47,9 @@
 // Request is a request to a replica.
 type Request struct {
 	Addr string
+	// ID is the ID by which answers name the request. It need not be unique: the
+	// client may send the request again under the same one.
+	ID string
 	// Method and Target are written to the request line unchanged.
 	Method, Target string
 	Host           string
@@ -95,6 +98,9 @@
 	// Length is the length of the body, -1 if unknown.
 	Length  int64
 	Framing Framing
+	// SentBefore is set if a request with the same ID was sent on the connection
+	// before, so that the ID doesn't tell to which of them the answer belongs.
+	SentBefore bool
 
 	pool  *Pool
 	conn  *conn
@@ -140,6 +146,7 @@
 	// fail.
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(r.Deadline)
+	sentBefore := c.recordSent(r.ID)
 	w := p.write(c, r)
 	a, err := p.receive(c, r)
 	if err != nil {
@@ -148,7 +155,7 @@
 		<-w.done
 		return nil, sendError(ctx, r, w, err)
 	}
-	a.write, a.stopCancel = w, stopCancel
+	a.write, a.stopCancel, a.SentBefore = w, stopCancel, sentBefore
 	return a, nil
 }
 
