Send no ID twice on one connection

What callers saw: a request that may run once was refused with a promise that it hasn't run, and ran (REFUSED), or was sent to a second replica on the word of that refusal and ran twice (TWICE).

Cause: an answer counted as that to a request because it bears the request's ID. The ID names what the client asks, not one sending of it. If it is sent again on a connection, an answer there may belong to either sending, and a refusal that is copied is true only of the first.

Ruled out: that the mark or the number of IDs tells them apart (the copy is the same to the byte), that the status does (all of 503, 429, 421, 408, 500, 404 and 200 are taken), that other requests in between help, and that this entry alone sends an ID again to a replica: within one request it never does, so the client sends it.

Weighed: to close a connection after each refusal costs a connection for each refusal of a replica that is full, and leaves answers that are no refusals; to wait for a copy after a refusal bounds nothing, as it may come any time later. To remember what was sent costs a connection only if an ID comes again while its connection is open.

Change: Pool.Send takes an idle connection only if the ID wasn't sent on it, else a new one. The line of a refused request says how many requests its connection had served (refused_after_requests), in place of whether the ID was among them.

Two tests of upstream sent equal IDs by chance and now send different ones.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -177,13 +177,13 @@
 }
 
 // refusal is an answer that states that the request has not run. requestID is
-// the request that it names, empty if none. sentBefore is set if a request with
-// that ID was sent on the connection before.
+// the request that it names, empty if none, and served the number of requests that
+// were sent on its connection before.
 type refusal struct {
-	replica    string
-	status     int
-	requestID  string
-	sentBefore bool
+	replica   string
+	status    int
+	requestID string
+	served    int
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -31,7 +31,7 @@
 	}
 	if x.refusal != nil {
 		f["refused_by"], f["refused_with"], f["refusal_names"] = x.refusal.replica, x.refusal.status, x.refusal.requestID
-		f["refused_id_sent_before"] = x.refusal.sentBefore
+		f["refused_after_requests"] = x.refusal.served
 	}
 	if x.stated.Leaving {
 		f["replica_leaving"], f["leaving_was_known"] = true, x.knownLeaving
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -32,7 +32,7 @@
 func (x *exchange) relay(ctx context.Context, t *balance.Ticket, a *upstream.Answer, lastEvent string) (balance.Outcome, error) {
 	reply := x.h.Dialect.DecodeReply(a.Status, a.Header)
 	if isRefusal(reply, a.Status) {
-		x.refusal = &refusal{replica: x.replica, status: a.Status, requestID: reply.RequestID, sentBefore: a.SentBefore}
+		x.refusal = &refusal{replica: x.replica, status: a.Status, requestID: reply.RequestID, served: a.Served}
 		if err := a.Discard(); err != nil {
 			x.h.Log.WithField("request", x.req.ID).WithError(err).Debug("gateway: body of a refusal can't be read.")
 		}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -73,16 +73,7 @@
 // idSeed makes the hashes of IDs unpredictable to clients.
 var idSeed = maphash.MakeSeed()
 
-// recordSent records that the request with an ID is sent on the connection. It
-// reports whether one with that ID was sent before.
-func (c *conn) recordSent(id string) (before bool) {
-	hash := maphash.String(idSeed, id)
-	if slices.Contains(c.sent, hash) {
-		return true
-	}
-	c.sent = append(c.sent, hash)
-	return false
-}
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
 
 // Close closes the idle connections. Connections that are returned later are
 // closed as well.
@@ -125,11 +116,11 @@
 	delete(p.idle, addr)
 }
 
-// get returns an idle connection that is still usable, or a new one. Its errors
-// have the verdict NotRun.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+// get returns an idle connection on which id was not sent yet and that is still
+// usable, or a new one. Its errors have the verdict NotRun.
+func (p *Pool) get(ctx context.Context, addr, id string) (*conn, error) {
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, id)
 		if c == nil {
 			break
 		}
@@ -172,17 +163,22 @@
 }
 
 // pop removes and returns the most recently used connection whose idle timeout
-// has not passed, or nil.
-func (p *Pool) pop(addr string) *conn {
+// has not passed and on which id was not sent yet, or nil. A replica may repeat its
+// answer to an earlier request with that ID on the connection.
+func (p *Pool) pop(addr, id string) *conn {
+	hash := hashID(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
 	now := time.Now()
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
+	for i, c := range slices.Backward(list) {
+		expired := !now.Before(c.idleDeadline)
+		if !expired && slices.Contains(c.sent, hash) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		p.idle[addr] = list
-		if now.Before(c.idleDeadline) {
+		if !expired {
 			return c
 		}
 		_ = c.Close()
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -47,8 +47,8 @@
 // Request is a request to a replica.
 type Request struct {
 	Addr string
-	// ID is the ID by which answers name the request. It need not be unique: the
-	// client may send the request again under the same one.
+	// ID is the ID by which answers name the request. The client may send the
+	// request again under the same one, which then goes out on another connection.
 	ID string
 	// Method and Target are written to the request line unchanged.
 	Method, Target string
@@ -98,9 +98,8 @@
 	// Length is the length of the body, -1 if unknown.
 	Length  int64
 	Framing Framing
-	// SentBefore is set if a request with the same ID was sent on the connection
-	// before, so that the ID doesn't tell to which of them the answer belongs.
-	SentBefore bool
+	// Served is the number of requests that were sent on the connection before.
+	Served int
 
 	pool  *Pool
 	conn  *conn
@@ -132,7 +131,7 @@
 // unchanged. When ctx ends, the connection is closed at once, even while the body of
 // the answer is being read.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, r.Addr)
+	c, err := p.get(ctx, r.Addr, r.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -146,7 +145,8 @@
 	// fail.
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(r.Deadline)
-	sentBefore := c.recordSent(r.ID)
+	served := len(c.sent)
+	c.sent = append(c.sent, hashID(r.ID))
 	w := p.write(c, r)
 	a, err := p.receive(c, r)
 	if err != nil {
@@ -155,7 +155,7 @@
 		<-w.done
 		return nil, sendError(ctx, r, w, err)
 	}
-	a.write, a.stopCancel, a.SentBefore = w, stopCancel, sentBefore
+	a.write, a.stopCancel, a.Served = w, stopCancel, served
 	return a, nil
 }
 
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -82,7 +82,7 @@
 
 func request(id, body string) *upstream.Request {
 	return &upstream.Request{
-		Addr: addr, Method: "POST", Target: "/a%2Fb?q", Host: "h",
+		Addr: addr, ID: id, Method: "POST", Target: "/a%2Fb?q", Host: "h",
 		Header: http.Header{"Id": {id}}, Body: []byte(body),
 		Deadline: time.Now().Add(5 * time.Second),
 		Matches:  func(_ int, h http.Header) bool { return h.Get("Id") == id },
@@ -279,10 +279,10 @@
 			return true
 		})
 		for i, pause := range []time.Duration{time.Second, 1900 * time.Millisecond} {
-			_, err := sendAndRead(pool, "a", "")
+			_, err := sendAndRead(pool, fmt.Sprint("a", i), "")
 			qt.Assert(t, err, qt.IsNil)
 			time.Sleep(pause)
-			_, err = sendAndRead(pool, "b", "")
+			_, err = sendAndRead(pool, fmt.Sprint("b", i), "")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, r.connections.Load(), qt.Equals, int64(i+1))
 		}
