Log how far each answer had come that broke off, and if its replica crashed

Whether nothing had arrived, or some events, differs between the hypotheses.

Change: upstream.ErrNoAnswer; quarantine.Progress says how far an answer had come; its replica is watched in each case, without waiting for the decision unless the answer was beginning, as before. A crash with another progress is logged and still no evidence.

Ruled out: nothing yet. Tests of gateway, quarantine, liveness, upstream and peer pass.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 )
@@ -124,7 +125,7 @@
 		time.AfterFunc(100*time.Millisecond, func() {
 			for i := range 3 {
 				r := &replica.Replica{Registration: replica.Registration{ID: fmt.Sprint("x", i), Service: "s", FailureDomain: fmt.Sprint("d", i), Incarnation: 1}}
-				e.quarantine.Crashed(r, "", []uint64{666}, time.Now())
+				e.quarantine.Crashed(r, "", []uint64{666}, quarantine.Beginning, time.Now())
 			}
 		})
 		resp, _, err := e.get(t, "/safe/x", "Parts", crashingPart+" 1")
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -109,18 +109,18 @@
 	outcome := balance.Neutral
 	defer func() { ticket.End(outcome) }()
 	outcome, err = x.exchangeWith(ctx, ticket, choice.Replica, lastEvent)
-	if x.crashedAtStart(ctx) {
+	if x.brokenByCrash(ctx) {
 		outcome = balance.Crashed
 	}
 	return err
 }
 
-// crashedAtStart reports whether the last answer broke off at its start because its
+// brokenByCrash reports whether the last answer broke off, not yet settled, because its
 // replica crashed. It reports that once for each answer.
-func (x *exchange) crashedAtStart(ctx context.Context) bool {
-	broken := x.brokenAtStart
-	x.brokenAtStart = false
-	return broken && len(x.sharedParts()) > 0 && ctx.Err() == nil && x.replicaCrashed(ctx, x.lastChoice.Replica)
+func (x *exchange) brokenByCrash(ctx context.Context) bool {
+	progress := x.broken
+	x.broken = quarantine.Settled
+	return progress != quarantine.Settled && len(x.sharedParts()) > 0 && ctx.Err() == nil && x.replicaCrashed(ctx, x.lastChoice.Replica, progress)
 }
 
 // exchangeWith sends the request to a replica and relays its answer. It returns the
@@ -129,7 +129,7 @@
 	sent := time.Now()
 	answer, err := x.send(ctx, r, lastEvent)
 	if err != nil {
-		x.brokenAtStart = errors.Is(err, upstream.ErrAnswerBegun)
+		x.broken = progressOfError(err)
 		return outcomeOfError(err), err
 	}
 	defer answer.Close()
@@ -137,17 +137,35 @@
 	return x.relay(ctx, t, answer, lastEvent)
 }
 
-// replicaCrashed reports whether the replica that broke off the beginning of the
-// answer is known to have crashed. The crash is recorded also if it becomes known
-// later.
-func (x *exchange) replicaCrashed(ctx context.Context, r *replica.Replica) bool {
+// progressOfError returns how far the answer had come to a request that failed
+// before the header of its answer was complete.
+func progressOfError(err error) quarantine.Progress {
+	switch {
+	case errors.Is(err, upstream.ErrAnswerBegun):
+		return quarantine.Beginning
+	case errors.Is(err, upstream.ErrNoAnswer) && verdict.Of(err) != verdict.NotRun && verdict.CodeOf(err) == verdict.CodeUnavailable:
+		return quarantine.Waiting
+	default:
+		return quarantine.Settled
+	}
+}
+
+// replicaCrashed reports whether the replica that broke off the answer is known to
+// have crashed. The crash is recorded also if it becomes known later.
+func (x *exchange) replicaCrashed(ctx context.Context, r *replica.Replica, progress quarantine.Progress) bool {
 	customer, parts := x.customerName(), x.sharedPartIDs()
 	x.h.Log.WithFields(logrus.Fields{
-		"request": x.req.ID, "replica": r.ID, "born": r.Incarnation, "customer": customer,
+		"request": x.req.ID, "replica": r.ID, "born": r.Incarnation, "customer": customer, "progress": progress.String(),
 		"parts": quarantine.PartNames(parts), "leaving": x.h.Balancer.IsLeaving(r),
-	}).Warn("gateway: answer broke off before its first event.")
-	suspect, brokenAt := x.h.Quarantine.Suspect(customer, parts), time.Now()
-	if !x.h.Liveness.Crashed(ctx, r, func() { x.h.Quarantine.Crashed(r, customer, parts, brokenAt) }) {
+	}).Warn("gateway: answer broke off.")
+	suspect, brokenAt := x.h.Quarantine.Suspect(customer, parts, progress), time.Now()
+	onCrash := func() { x.h.Quarantine.Crashed(r, customer, parts, progress, brokenAt) }
+	if progress != quarantine.Beginning && !suspect {
+		// Most connections that break off so are no crash.
+		x.h.Liveness.Watch(r, onCrash)
+		return false
+	}
+	if !x.h.Liveness.Crashed(ctx, r, onCrash) {
 		return false
 	}
 	x.crashSuspect = suspect
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -153,11 +153,11 @@
 	// answer after its last complete event.
 	framing              upstream.Framing
 	events, partialEvent int
-	// brokenAtStart is set while an attempt whose answer broke off in its header, or
-	// before an event that is no comment, is handled.
-	// crashSuspect is set once a replica crashed with such an answer, and the
-	// request may have caused that.
-	brokenAtStart, crashSuspect bool
+	// broken is how far the answer had come while an attempt whose answer broke off
+	// is handled, else Settled. crashSuspect is set once a replica crashed with an
+	// answer that wasn't settled, and the request may have caused that.
+	broken       quarantine.Progress
+	crashSuspect bool
 	// onTrial is set if the request was admitted although its parts are banned.
 	onTrial bool
 	// stated is what the last answer stated about its replica. knownLeaving is
--- a/gateway/liveness/liveness.go
+++ b/gateway/liveness/liveness.go
@@ -135,6 +135,13 @@
 	return false
 }
 
+// Watch is like Crashed, but doesn't wait for the decision.
+func (w *Watcher) Watch(r *replica.Replica, onCrash func()) {
+	if !w.opt.Registry.IsLeaving(r) {
+		w.watch(r, onCrash)
+	}
+}
+
 // watch starts to watch a replica, unless it is being watched. It returns nil if
 // there are too many suspects.
 func (w *Watcher) watch(r *replica.Replica, onCrash func()) *suspect {
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -115,8 +115,11 @@
 }
 
 // Suspect reports whether a request with the given shared parts may have caused
-// the crash of a replica that had begun to answer it.
-func (s *Set) Suspect(customer string, parts []uint64) bool {
+// the crash of a replica, given the progress of its answer.
+func (s *Set) Suspect(customer string, parts []uint64, progress Progress) bool {
+	if progress != Beginning {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	against := crashesByPart(s.evidence.byCustomer[customer], s.ownAnswers(customer))
@@ -150,12 +153,18 @@
 	}
 }
 
-// Crashed records that a replica crashed at a time, as it began to answer a request
-// with these shared parts, and spreads that to the other entries.
-func (s *Set) Crashed(r *replica.Replica, customer string, parts []uint64, at time.Time) {
+// Crashed records that a replica crashed at a time, with a request with these shared
+// parts and the given progress, and spreads that to the other entries.
+func (s *Set) Crashed(r *replica.Replica, customer string, parts []uint64, progress Progress, at time.Time) {
 	if len(parts) == 0 {
 		return
 	}
+	if progress != Beginning {
+		s.opt.Log.WithFields(logrus.Fields{
+			"replica": r.ID, "born": r.Incarnation, "customer": customer, "parts": PartNames(parts), "progress": progress.String(),
+		}).Warn("quarantine: replica crashed; not taken for evidence.")
+		return
+	}
 	s.addCrash(&crash{
 		crashKey: crashKey{customer, r.ID, r.Incarnation}, service: r.Service, version: r.Version, domain: r.FailureDomain,
 		parts: union(parts[max(0, len(parts)-maxParts):], nil), at: at,
--- a/gateway/quarantine/quarantine_test.go
+++ b/gateway/quarantine/quarantine_test.go
@@ -57,7 +57,7 @@
 // crash records the crash of a new replica at an entry.
 func (w *world) crash(entry int, parts ...uint64) {
 	w.events["replicas"]++
-	w.entries[entry].Crashed(newReplica(fmt.Sprintf("r%d", w.events["replicas"])), "c", parts, time.Now())
+	w.entries[entry].Crashed(newReplica(fmt.Sprintf("r%d", w.events["replicas"])), "c", parts, Beginning, time.Now())
 	time.Sleep(time.Second)
 }
 
@@ -125,7 +125,7 @@
 		for i := range 8 {
 			r := newReplica(fmt.Sprintf("r%d", i))
 			r.FailureDomain = "d"
-			w.entries[0].Crashed(r, "c", []uint64{9}, time.Now())
+			w.entries[0].Crashed(r, "c", []uint64{9}, Beginning, time.Now())
 			time.Sleep(10 * time.Millisecond)
 		}
 		qt.Check(t, w.refuses(0, 9), qt.IsFalse)
@@ -140,7 +140,7 @@
 		for i := range 40 {
 			r := newReplica(fmt.Sprintf("r%d", i))
 			r.FailureDomain = "d"
-			w.entries[0].Crashed(r, "c", []uint64{9}, time.Now())
+			w.entries[0].Crashed(r, "c", []uint64{9}, Beginning, time.Now())
 			time.Sleep(simultaneous * 9 / 10)
 		}
 		qt.Check(t, w.refuses(0, 9), qt.IsTrue)
@@ -157,7 +157,7 @@
 		w.entries[1].Answered("c", []uint64{9})
 		time.Sleep(time.Second)
 		for i := range 2 * minCrashesIfAnswered {
-			w.entries[0].Crashed(newReplica(fmt.Sprint("r", i)), "c", []uint64{9}, brokenAt)
+			w.entries[0].Crashed(newReplica(fmt.Sprint("r", i)), "c", []uint64{9}, Beginning, brokenAt)
 		}
 		w.exchange()
 		qt.Check(t, w.refuses(1, 9), qt.IsFalse)
@@ -181,7 +181,7 @@
 		}
 		// The same crash, seen by another entry, counts once.
 		before := w.events["crash"]
-		w.entries[4].Crashed(newReplica("r1"), "c", []uint64{9}, time.Now())
+		w.entries[4].Crashed(newReplica("r1"), "c", []uint64{9}, Beginning, time.Now())
 		qt.Check(t, w.events["crash"], qt.Equals, before)
 	})
 }
@@ -229,7 +229,7 @@
 				if len(w.ready) > 0 {
 					r.Version = w.ready[0].Version
 				}
-				e.Crashed(r, "c", []uint64{9}, time.Now())
+				e.Crashed(r, "c", []uint64{9}, Beginning, time.Now())
 			}
 		}
 		time.Sleep(time.Second)
@@ -306,7 +306,7 @@
 		for i := range uint64(20_000) {
 			s.Answered("x", []uint64{i, 1 << 40 * i})
 			if i%20 == 0 {
-				s.Crashed(newReplica(fmt.Sprintf("x%d", i)), "x", []uint64{2*i + 1}, time.Now())
+				s.Crashed(newReplica(fmt.Sprintf("x%d", i)), "x", []uint64{2*i + 1}, Beginning, time.Now())
 			}
 		}
 		qt.Check(t, w.refuses(0, 9), qt.IsTrue)
@@ -318,7 +318,7 @@
 		qt.Check(t, len(s.evidence.log), qt.Equals, crashes)
 		for i := range 10 * maxCustomers {
 			s.Answered(fmt.Sprint("customer", i), []uint64{1})
-			s.Crashed(newReplica(fmt.Sprintf("y%d", i)), fmt.Sprint("customer", i), []uint64{2}, time.Now())
+			s.Crashed(newReplica(fmt.Sprintf("y%d", i)), fmt.Sprint("customer", i), []uint64{2}, Beginning, time.Now())
 		}
 		qt.Check(t, len(s.evidence.byCustomer) <= maxCustomers, qt.IsTrue)
 		qt.Check(t, s.answered.byCustomer.Len() <= maxAnsweredCustomers, qt.IsTrue)
--- a/gateway/quarantine/simulation_test.go
+++ b/gateway/quarantine/simulation_test.go
@@ -348,8 +348,8 @@
 	for q := range broken {
 		suspect := false
 		if f.guarded {
-			suspect = q.entry.set.Suspect(customer, q.parts)
-			q.entry.set.Crashed(crashed, customer, q.parts, time.Now())
+			suspect = q.entry.set.Suspect(customer, q.parts, Beginning)
+			q.entry.set.Crashed(crashed, customer, q.parts, Beginning, time.Now())
 		}
 		if !suspect && q.attempt < 2 {
 			f.attempt(q)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -25,6 +26,9 @@
 	copyBufferSize = 8 << 10
 	// maxEventBytes is the maximum size of one event of a stream.
 	maxEventBytes = 1 << 20
+	// settledAfter is the time from its first event after which a stream is no
+	// longer suspected if its replica crashes.
+	settledAfter = 250 * time.Millisecond
 )
 
 // relay relays an answer to the client. It returns the outcome to record for
@@ -86,7 +90,7 @@
 	}
 	body, err := io.ReadAll(x.holding.reader(io.LimitReader(a, maxBufferedBody+1)))
 	if err != nil {
-		x.brokenAtStart = true
+		x.broken = quarantine.Beginning
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer of replica %s: %w", x.replica, err)
 	}
 	t.FirstTokenReceived()
@@ -182,7 +186,7 @@
 	}
 	outcome := balance.Failed
 	if s.lastEventID != "" && x.headerSent && !s.clientWriteFailed {
-		if x.crashedAtStart(ctx) {
+		if x.brokenByCrash(ctx) {
 			outcome = balance.Crashed
 		}
 		err = x.resume(ctx, s, outcome, err)
@@ -222,6 +226,8 @@
 	// the first of them that is no comment.
 	events int
 	begun  bool
+	// begunAt is the time at which begun was set.
+	begunAt time.Time
 }
 
 // run copies events until the stream ends or fails.
@@ -229,7 +235,7 @@
 	buf := make([]byte, copyBufferSize)
 	defer func() {
 		s.x.events += s.events
-		s.x.brokenAtStart = err != nil && !s.begun && !s.clientWriteFailed
+		s.x.broken = s.progressAt(err)
 		s.x.partialEvent = len(s.splitter.remainder())
 	}()
 	for {
@@ -253,6 +259,20 @@
 	}
 }
 
+// progressAt returns how far the stream had come when it broke off with an error.
+func (s *streamCopy) progressAt(err error) quarantine.Progress {
+	switch {
+	case err == nil, s.clientWriteFailed:
+		return quarantine.Settled
+	case !s.begun:
+		return quarantine.Beginning
+	case time.Since(s.begunAt) < settledAfter:
+		return quarantine.Begun
+	default:
+		return quarantine.Settled
+	}
+}
+
 // holdRemainder counts the bytes of the event that has not arrived completely.
 func (s *streamCopy) holdRemainder() error {
 	more := int64(len(s.splitter.remainder())) - s.held
@@ -285,7 +305,7 @@
 			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s: %w", s.x.replica, err)
 		}
 		if !s.begun && !isComment(event) {
-			s.begun = true
+			s.begun, s.begunAt = true, time.Now()
 			s.x.h.Quarantine.Answered(s.x.customerName(), s.x.sharedPartIDs())
 		}
 		s.writeHeader()
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -40,6 +40,10 @@
 // status line or header.
 var ErrAnswerBegun = errors.New("answer broke off in its header")
 
+// ErrNoAnswer is wrapped by the error of a request whose connection broke off before
+// the first byte of the answer.
+var ErrNoAnswer = errors.New("connection broke off before the answer")
+
 // errMisdelivered is returned if too many answers belong to other requests, or
 // if the end of such an answer can't be found.
 var errMisdelivered = errors.New("answer belongs to another request")
@@ -127,7 +131,8 @@
 
 // Send sends a request once and waits for the header of its answer. An error
 // has the verdict NotRun if no byte was written, else MayHaveRun; it wraps
-// ErrAnswerBegun if a part of the header has arrived. That of r.Check is returned
+// ErrAnswerBegun if a part of the header has arrived, or ErrNoAnswer if the
+// connection failed before. That of r.Check is returned
 // unchanged. When ctx ends, the connection is closed at once, even while the body of
 // the answer is being read.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Answer, error) {
@@ -236,7 +241,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrAnswerBegun, err)
 		}
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
--- a/peer/evidence_test.go
+++ b/peer/evidence_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 )
 
@@ -25,7 +26,7 @@
 func (n *node) crash(number int) {
 	n.evidence.Crashed(&replica.Replica{Registration: replica.Registration{
 		ID: fmt.Sprint("replica-", number), Service: "s", Version: "v1", FailureDomain: fmt.Sprint("domain-", number), Incarnation: 1,
-	}}, "customer", []uint64{1, crashingPart}, time.Now())
+	}}, "customer", []uint64{1, crashingPart}, quarantine.Beginning, time.Now())
 }
 
 func (n *node) refuses() bool {
