Failing tests: crashes before the first byte, and after an event, are no evidence

TestCrashIsEvidenceHoweverLittleOfTheAnswerHasArrived is now ...HoweverMuch...; its four cases are among the new ones.

--- a/gateway/crash_endings_test.go
+++ b/gateway/crash_endings_test.go
@@ -47,12 +47,26 @@
 	{name: "host lost", hostLost: true, downtime: crashDowntime},
 }
 
+// lateEnding closes the port after the look that follows at once.
+var lateEnding = ending{name: "port 30 ms after the connections", portOutlives: 30 * time.Millisecond, downtime: crashDowntime}
+
+// streamHeader is the header of a stream with a verb for the ID, and firstEvents are
+// its first events.
+const (
+	streamHeader = "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	firstEvents  = "f\r\nid: 1\ndata: x\n\n\r\nf\r\nid: 2\ndata: x\n\n\r\n"
+)
+
 // beginnings are what a replica has written of its answer when it crashes.
 var beginnings = map[string]string{
-	"header and half an event": "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n",
-	"header":                   "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
-	"half a header":            "HTTP/1.1 200 OK\r\nId: %s\r\nTransf",
+	"nothing":                  "",
+	"informational answer":     "HTTP/1.1 103 Early Hints\r\nId: %s\r\n\r\n",
 	"half a status line":       "HTTP/1.1 2",
+	"half a header":            "HTTP/1.1 200 OK\r\nId: %s\r\nTransf",
+	"header":                   streamHeader,
+	"header and half an event": streamHeader + "5\r\nid: 1\r\n",
+	"one event":                streamHeader + firstEvents[:len(firstEvents)/2],
+	"two events":               streamHeader + firstEvents,
 }
 
 // endingReplicas are replicas that crash, with a given ending, as they begin to
@@ -195,23 +209,39 @@
 	for _, end := range endings {
 		for _, entries := range []int{1, 3} {
 			t.Run(fmt.Sprintf("%s/entries=%d", end.name, entries), func(t *testing.T) {
-				playCrashes(t, entries, end, beginnings["header and half an event"])
+				playCrashes(t, "/resume/x", entries, end, beginnings["header and half an event"])
 			})
 		}
 	}
 }
 
 // Guards against crashes that are no evidence, because the replica had written too
-// little of its answer.
-func TestCrashIsEvidenceHoweverLittleOfTheAnswerHasArrived(t *testing.T) {
+// little of its answer, or an event of it.
+func TestCrashIsEvidenceHoweverMuchOfTheAnswerHasArrived(t *testing.T) {
 	for name, beginning := range beginnings {
-		t.Run(name, func(t *testing.T) { playCrashes(t, 3, endings[1], beginning) })
+		for _, end := range []ending{endings[0], endings[1], lateEnding} {
+			for _, path := range []string{"/resume/x", "/stream/x"} {
+				for _, entries := range []int{1, 3} {
+					t.Run(fmt.Sprintf("%s/%s%s/entries=%d", name, end.name, path, entries), func(t *testing.T) {
+						playCrashes(t, path, entries, end, beginning)
+					})
+				}
+			}
+		}
+	}
+}
+
+// Guards against crashes before the first byte that no entry takes for evidence,
+// because the sockets of a process don't all close in the same instant.
+func TestCrashBeforeTheFirstByteIsEvidenceHoweverTheProcessEnds(t *testing.T) {
+	for _, end := range endings {
+		t.Run(end.name, func(t *testing.T) { playCrashes(t, "/resume/x", 3, end, "") })
 	}
 }
 
 // playCrashes sends requests of which every second one crashes its replica, and
 // checks how many of these reach replicas and how many of the others are answered.
-func playCrashes(t *testing.T, entries int, end ending, beginning string) {
+func playCrashes(t *testing.T, path string, entries int, end ending, beginning string) {
 	const requests, every = 80, 150 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newTestFleet(t, testConfiguration(), entries)
@@ -223,9 +253,9 @@
 		for i := range requests {
 			e := fleet[i%entries]
 			go func() {
-				_, _, _ = e.get(t, "/resume/x", "Parts", fmt.Sprintf("1 2 %s %d", crashingPart, 1000+i))
+				_, _, _ = e.get(t, path, "Parts", fmt.Sprintf("1 2 %s %d", crashingPart, 1000+i))
 			}()
-			resp, _, err := e.get(t, "/resume/x", "Parts", fmt.Sprintf("1 2 %d", 2000+i))
+			resp, _, err := e.get(t, path, "Parts", fmt.Sprintf("1 2 %d", 2000+i))
 			if i >= requests/2 {
 				soundSent++
 			}
