Watch a replica that broke off before the first byte without holding a connection

Need: a connection that ends before the first byte of an answer is a crash, or one that the replica resets because it has too many. The latter is common under load, and a port that ends every connection at once was a sign of a crash.

Change: that sign counts only if an answer broke off that had begun; without one the refused port, the lost host and the registry decide, as before.

Before: a replica that resets all new connections for a second was taken for crashed, whatever had broken off. After: TestSuspectIsTakenForCrashedOnlyAtASign, four more cases; a watch of 2 s holds a connection for less than half of it. No evidence follows from such breaks yet.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -159,13 +159,14 @@
 		"parts": quarantine.PartNames(parts), "leaving": x.h.Balancer.IsLeaving(r),
 	}).Warn("gateway: answer broke off.")
 	suspect, brokenAt := x.h.Quarantine.Suspect(customer, parts, progress), time.Now()
+	answering := progress != quarantine.Waiting
 	onCrash := func() { x.h.Quarantine.Crashed(r, customer, parts, progress, brokenAt) }
 	if progress != quarantine.Beginning && !suspect {
 		// Most connections that break off so are no crash.
-		x.h.Liveness.Watch(r, onCrash)
+		x.h.Liveness.Watch(r, answering, onCrash)
 		return false
 	}
-	if !x.h.Liveness.Crashed(ctx, r, onCrash) {
+	if !x.h.Liveness.Crashed(ctx, r, answering, onCrash) {
 		return false
 	}
 	x.crashSuspect = suspect
--- a/gateway/liveness/doc.go
+++ b/gateway/liveness/doc.go
@@ -12,7 +12,9 @@
 //     it ends.
 //   - Its address can't be reached several times in a row.
 //   - Its port ends each connection at once for a while, as one does behind which
-//     no process is left.
+//     no process is left. A replica with too many connections does the same to those
+//     that it doesn't accept, so that this is a sign only if an answer broke off that
+//     had begun.
 //   - The registry no longer lists the incarnation, which never said that it
 //     was leaving.
 //
--- a/gateway/liveness/liveness.go
+++ b/gateway/liveness/liveness.go
@@ -96,8 +96,10 @@
 	// decided is closed after sign is set.
 	decided chan struct{}
 	sign    Sign
-	// onCrash holds what is called if the replica has crashed.
-	onCrash []func()
+	// onCrash holds what is called if the replica has crashed. answering is set if one
+	// of the answers that it broke off had begun.
+	onCrash   []func()
+	answering bool
 }
 
 // New returns a Watcher. Close ends it.
@@ -112,15 +114,12 @@
 	w.wg.Wait()
 }
 
-// Crashed watches a replica that broke off an answer. onCrash is called once if
-// the replica turns out to have crashed, on any goroutine and possibly after
-// Crashed has returned. The result is true if that is known before ctx ends and
-// before a request should wait no longer.
-func (w *Watcher) Crashed(ctx context.Context, r *replica.Replica, onCrash func()) bool {
-	if w.opt.Registry.IsLeaving(r) {
-		return false
-	}
-	s := w.watch(r, onCrash)
+// Crashed watches a replica that broke off an answer, of which a byte had arrived if
+// answering is set. onCrash is called once if the replica turns out to have crashed,
+// on any goroutine and possibly after Crashed has returned. The result is true if
+// that is known before ctx ends and before a request should wait no longer.
+func (w *Watcher) Crashed(ctx context.Context, r *replica.Replica, answering bool, onCrash func()) bool {
+	s := w.watch(r, answering, onCrash)
 	if s == nil {
 		return false
 	}
@@ -136,27 +135,29 @@
 }
 
 // Watch is like Crashed, but doesn't wait for the decision.
-func (w *Watcher) Watch(r *replica.Replica, onCrash func()) {
-	if !w.opt.Registry.IsLeaving(r) {
-		w.watch(r, onCrash)
-	}
+func (w *Watcher) Watch(r *replica.Replica, answering bool, onCrash func()) {
+	w.watch(r, answering, onCrash)
 }
 
 // watch starts to watch a replica, unless it is being watched. It returns nil if
-// there are too many suspects.
-func (w *Watcher) watch(r *replica.Replica, onCrash func()) *suspect {
+// the replica is leaving, or if there are too many suspects.
+func (w *Watcher) watch(r *replica.Replica, answering bool, onCrash func()) *suspect {
+	if w.opt.Registry.IsLeaving(r) {
+		return nil
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	key := suspectKey{r.ID, r.Incarnation, r.Addr}
 	if s := w.suspects[key]; s != nil {
 		s.onCrash = append(s.onCrash, onCrash)
+		s.answering = s.answering || answering
 		return s
 	}
 	if len(w.suspects) >= maxSuspects || w.ctx.Err() != nil {
 		w.opt.Log.WithFields(logrus.Fields{"replica": r.ID, "suspects": len(w.suspects)}).Warn("liveness: replica is not watched.")
 		return nil
 	}
-	s := &suspect{replica: r, decided: make(chan struct{}), onCrash: []func(){onCrash}}
+	s := &suspect{replica: r, decided: make(chan struct{}), onCrash: []func(){onCrash}, answering: answering}
 	w.suspects[key] = s
 	w.wg.Go(func() { w.decide(key, s) })
 	return s
@@ -167,7 +168,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(w.ctx, watchPeriod)
 	defer cancel()
-	sign := w.look(ctx, s.replica)
+	sign := w.look(ctx, s)
 	if sign == Alive {
 		sign = w.awaitRegistry(ctx, s.replica)
 	}
@@ -190,17 +191,17 @@
 
 // look looks at a suspect until ctx ends, portPeriod has passed or there is a
 // sign.
-func (w *Watcher) look(ctx context.Context, r *replica.Replica) Sign {
+func (w *Watcher) look(ctx context.Context, s *suspect) Sign {
 	ctx, cancel := context.WithTimeout(ctx, portPeriod)
 	defer cancel()
 	unreachable := 0
 	var closedSince time.Time
 	for pause := minPause; ; pause = min(2*pause, maxPause) {
-		if sign, decided := w.lookAtRegistry(r); decided {
+		if sign, decided := w.lookAtRegistry(s.replica); decided {
 			return sign
 		}
-		began := time.Now()
-		sign := w.lookAtPort(ctx, r)
+		began, answering := time.Now(), w.isAnswering(s)
+		sign := w.lookAtPort(ctx, s.replica, answering)
 		if sign != Unreachable {
 			unreachable = 0
 		}
@@ -218,7 +219,7 @@
 			if closedSince.IsZero() {
 				closedSince = began
 			}
-			if time.Since(closedSince) >= closedPeriod {
+			if time.Since(closedSince) >= closedPeriod && answering {
 				return Closed
 			}
 		}
@@ -228,6 +229,13 @@
 	}
 }
 
+// isAnswering reports whether an answer that the suspect broke off had begun.
+func (w *Watcher) isAnswering(s *suspect) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return s.answering
+}
+
 // awaitRegistry waits until the registry decides or ctx ends.
 func (w *Watcher) awaitRegistry(ctx context.Context, r *replica.Replica) Sign {
 	for {
@@ -255,8 +263,9 @@
 
 // lookAtPort opens a connection. If it is accepted, lookAtPort returns as soon as
 // the connection ends, with Closed if that is at once, ctx ends or the registry
-// decides.
-func (w *Watcher) lookAtPort(ctx context.Context, r *replica.Replica) Sign {
+// decides. A replica that may only have too many connections doesn't get to hold
+// one more: without hold, lookAtPort returns after registryPeriod.
+func (w *Watcher) lookAtPort(ctx context.Context, r *replica.Replica, hold bool) Sign {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := w.opt.Dial(dialCtx, "tcp", r.Addr)
@@ -281,7 +290,7 @@
 			}
 			return Alive
 		}
-		if _, decided := w.lookAtRegistry(r); decided {
+		if _, decided := w.lookAtRegistry(r); decided || !hold {
 			return Alive
 		}
 	}
--- a/gateway/liveness/liveness_test.go
+++ b/gateway/liveness/liveness_test.go
@@ -73,6 +73,8 @@
 		// crashed is set if the replica must be taken for crashed, and at once if
 		// the request must know.
 		crashed, atOnce bool
+		// waiting is set if no byte of the answer had arrived.
+		waiting bool
 	}{
 		{name: "port is closed", open: time.Minute, then: func(w *world) { w.network.Kill(replicaHost) }, crashed: true, atOnce: true},
 		{name: "port closes later", open: time.Minute, then: func(w *world) {
@@ -94,6 +96,14 @@
 			w.network.SetCut(entryHost, replicaHost, true)
 			time.AfterFunc(500*time.Millisecond, func() { w.network.SetCut(entryHost, replicaHost, false) })
 		}},
+		{name: "no answer, port closes later", open: time.Minute, waiting: true, then: func(w *world) {
+			time.AfterFunc(time.Second, func() { w.network.Kill(replicaHost) })
+		}, crashed: true},
+		{name: "no answer, host is lost", open: time.Minute, waiting: true, then: func(w *world) { w.network.SetCut(entryHost, replicaHost, true) }, crashed: true},
+		{name: "no answer, next incarnation behind a port that ends connections", waiting: true, then: func(w *world) {
+			time.AfterFunc(5*time.Second, func() { w.register(2, false) })
+		}, crashed: true},
+		{name: "no answer, alive with too many connections", waiting: true, then: func(*world) {}},
 		{name: "drains and ends", open: time.Minute, then: func(w *world) {
 			w.register(1, true)
 			time.AfterFunc(500*time.Millisecond, func() { w.network.Kill(replicaHost) })
@@ -105,7 +115,7 @@
 				watcher := w.watcher()
 				var crashes atomic.Int64
 				test.then(w)
-				atOnce := watcher.Crashed(context.Background(), w.replica, func() { crashes.Add(1) })
+				atOnce := watcher.Crashed(context.Background(), w.replica, !test.waiting, func() { crashes.Add(1) })
 				qt.Check(t, atOnce, qt.Equals, test.atOnce)
 				time.Sleep(15 * time.Second)
 				qt.Check(t, crashes.Load() == 1, qt.Equals, test.crashed, qt.Commentf("%d", crashes.Load()))
@@ -122,10 +132,41 @@
 		w := newWorld(t, time.Hour)
 		watcher := w.watcher()
 		crashed := false
-		watcher.Crashed(context.Background(), w.replica, func() { crashed = true })
+		watcher.Crashed(context.Background(), w.replica, true, func() { crashed = true })
 		began := time.Now()
 		watcher.Close()
 		qt.Check(t, time.Since(began) < time.Second, qt.IsTrue)
 		qt.Check(t, crashed, qt.IsFalse)
 	})
 }
+
+// Guards against watching taking a place for as long as it lasts at a replica that
+// may have broken off a connection because it has too many.
+func TestWatchHoldsNoConnectionOfAReplicaThatMayHaveTooMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const period = 2 * time.Second
+		w := newWorld(t, time.Hour)
+		var held atomic.Int64
+		watcher := liveness.New(liveness.Options{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := w.network.Dialer(entryHost)(ctx, network, addr)
+			return &timedConn{Conn: nc, opened: time.Now(), held: &held}, err
+		}, Registry: w.set, Log: nolog.Or(nil), Count: func(string) {}})
+		watcher.Watch(w.replica, false, func() {})
+		time.Sleep(period)
+		watcher.Close()
+		qt.Check(t, held.Load() > 0, qt.IsTrue)
+		qt.Check(t, time.Duration(held.Load()) < period/2, qt.IsTrue, qt.Commentf("%v", time.Duration(held.Load())))
+	})
+}
+
+// timedConn adds the time for which it was open.
+type timedConn struct {
+	net.Conn
+	opened time.Time
+	held   *atomic.Int64
+}
+
+func (c *timedConn) Close() error {
+	c.held.Add(int64(time.Since(c.opened)))
+	return c.Conn.Close()
+}
