Clear prompt parts only by answers that are whole or have gone on for a while

What callers saw: a part that crashes replicas stays admitted, as each of its crashes is cleared by the event that the replica sent before it.

Cause: the first event of an answer was taken for the answer. A process that crashes as it begins one may have sent an event or two. A stream that ends with its connection, without length or chunks, looks whole also if its process ended.

Change: a stream clears its parts 250 ms after its first event, with the next one, or at its end; an answer whose end is that of its connection clears nothing before that time.

A crash after an event is still no evidence.

Left: a replica that goes on for more than 250 ms and then crashes on the part clears it.

--- a/gateway/crash_clearing_test.go
+++ b/gateway/crash_clearing_test.go
@@ -33,6 +33,8 @@
 		{name: "refusal", between: answerStatus(503, "Not-Run: 1\r\n"), beginning: begun},
 		{name: "stream without an event", between: answerFramed(framedByLength, ""), beginning: begun},
 		{name: "stream of comments", between: answerFramed(framedByLength, ": wait\n\n"), beginning: begun},
+		{name: "stream that breaks off after an event", between: answerEvents(1, false), beginning: begun},
+		{name: "stream whose end is that of its connection", between: answerFramed(framedByConnection, eventText(1, 2)), beginning: begun},
 		{name: "comment before the crash", beginning: begun + "8\r\n: wait\n\n\r\n"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,8 +26,8 @@
 	copyBufferSize = 8 << 10
 	// maxEventBytes is the maximum size of one event of a stream.
 	maxEventBytes = 1 << 20
-	// settledAfter is the time from its first event after which a stream is no
-	// longer suspected if its replica crashes.
+	// settledAfter is the time from its first event after which a stream is taken for
+	// an answer on its prompt, and not suspected if its replica crashes.
 	settledAfter = 250 * time.Millisecond
 )
 
@@ -94,7 +94,7 @@
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer of replica %s: %w", x.replica, err)
 	}
 	t.FirstTokenReceived()
-	if a.Status < http.StatusMultipleChoices {
+	if a.Status < http.StatusMultipleChoices && a.Framing != upstream.FramedByConnection {
 		x.h.Quarantine.Answered(x.customerName(), x.sharedPartIDs())
 	}
 	if outcome == balance.Failed && len(body) <= maxBufferedBody && x.mayRunAgain() {
@@ -226,8 +226,10 @@
 	// the first of them that is no comment.
 	events int
 	begun  bool
-	// begunAt is the time at which begun was set.
+	// begunAt is the time at which begun was set. settled is set once the stream has
+	// gone on for settledAfter from then, or is whole.
 	begunAt time.Time
+	settled bool
 }
 
 // run copies events until the stream ends or fails.
@@ -266,13 +268,23 @@
 		return quarantine.Settled
 	case !s.begun:
 		return quarantine.Beginning
-	case time.Since(s.begunAt) < settledAfter:
+	case !s.settled:
 		return quarantine.Begun
 	default:
 		return quarantine.Settled
 	}
 }
 
+// settle records that the replica has not crashed on the prompt. A process that
+// crashes as it begins an answer may have sent its first events.
+func (s *streamCopy) settle() {
+	if s.settled {
+		return
+	}
+	s.settled = true
+	s.x.h.Quarantine.Answered(s.x.customerName(), s.x.sharedPartIDs())
+}
+
 // holdRemainder counts the bytes of the event that has not arrived completely.
 func (s *streamCopy) holdRemainder() error {
 	more := int64(len(s.splitter.remainder())) - s.held
@@ -306,7 +318,9 @@
 		}
 		if !s.begun && !isComment(event) {
 			s.begun, s.begunAt = true, time.Now()
-			s.x.h.Quarantine.Answered(s.x.customerName(), s.x.sharedPartIDs())
+		}
+		if s.begun && time.Since(s.begunAt) >= settledAfter {
+			s.settle()
 		}
 		s.writeHeader()
 		if _, err := s.x.w.Write(event); err != nil {
@@ -346,6 +360,9 @@
 	if s.events == 0 && s.a.Framing == upstream.FramedByConnection {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s ended before its first event", s.x.replica)
 	}
+	if s.begun && s.a.Framing != upstream.FramedByConnection {
+		s.settle()
+	}
 	s.writeHeader()
 	if len(rest) > 0 {
 		if _, err := s.x.w.Write(rest); err != nil {
