Take a host that the kernel has given up on for a failure, not for a deadline

Found while looking for crashes that are no evidence. Go reports ETIMEDOUT, the error of a connection whose other side doesn't answer keep-alives, as a timeout, like that of a deadline. A request whose host was lost counted as late: against no replica, and its crash was no evidence.

Change: only the deadline of the connection is one.

Before: TestLostHostIsNoDeadline got the code deadline. After: unavailable, may have run, with ErrNoAnswer. memnet resets such connections, so that no other test showed it.

--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -172,11 +173,10 @@
 		v = verdict.NotRun
 	}
 	code := verdict.CodeUnavailable
-	var timeout net.Error
 	switch {
 	case ctx.Err() != nil:
 		code = verdict.CodeCancelled
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		code = verdict.CodeDeadline
 	}
 	if w.err != nil && v == verdict.NotRun {
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -344,3 +345,32 @@
 		}
 	}
 }
+
+// timedOutConn fails its reads like a connection to a host that the kernel has given
+// up on.
+type timedOutConn struct{ net.Conn }
+
+func (timedOutConn) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+}
+
+// Guards against a host that is lost being taken for a request that is late, and its
+// failure counting against no replica.
+func TestLostHostIsNoDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		l, err := network.Listen(addr)
+		qt.Assert(t, err, qt.IsNil)
+		defer l.Close()
+		dial := network.Dialer("10.0.0.1")
+		pool := upstream.NewPool(func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := dial(ctx, network, addr)
+			return timedOutConn{nc}, err
+		})
+		defer pool.Close()
+		_, err = pool.Send(context.Background(), request("a", ""))
+		qt.Check(t, verdict.CodeOf(err), qt.Equals, verdict.CodeUnavailable)
+		qt.Check(t, verdict.Of(err), qt.Equals, verdict.MayHaveRun)
+		qt.Check(t, err, qt.ErrorIs, upstream.ErrNoAnswer)
+	})
+}
