Tell a connection that a replica never accepted from one that it broke off

Need: the sign of a port that ends each connection at once didn't count for a connection that ended before the first byte of an answer. But a replica with too many connections resets new ones only, and not one on which it has answered before.

--- a/gateway/liveness/liveness.go
+++ b/gateway/liveness/liveness.go
@@ -96,10 +96,10 @@
 	// decided is closed after sign is set.
 	decided chan struct{}
 	sign    Sign
-	// onCrash holds what is called if the replica has crashed. answering is set if one
-	// of the answers that it broke off had begun.
-	onCrash   []func()
-	answering bool
+	// onCrash holds what is called if the replica has crashed. accepted is set if it
+	// had accepted one of the connections that broke off.
+	onCrash  []func()
+	accepted bool
 }
 
 // New returns a Watcher. Close ends it.
@@ -114,12 +114,13 @@
 	w.wg.Wait()
 }
 
-// Crashed watches a replica that broke off an answer, of which a byte had arrived if
-// answering is set. onCrash is called once if the replica turns out to have crashed,
-// on any goroutine and possibly after Crashed has returned. The result is true if
-// that is known before ctx ends and before a request should wait no longer.
-func (w *Watcher) Crashed(ctx context.Context, r *replica.Replica, answering bool, onCrash func()) bool {
-	s := w.watch(r, answering, onCrash)
+// Crashed watches a replica that broke off an answer. accepted is set if the replica
+// had accepted the connection. onCrash is called once if the replica turns out to
+// have crashed, on any goroutine and possibly after Crashed has returned. The result
+// is true if that is known before ctx ends and before a request should wait no
+// longer.
+func (w *Watcher) Crashed(ctx context.Context, r *replica.Replica, accepted bool, onCrash func()) bool {
+	s := w.watch(r, accepted, onCrash)
 	if s == nil {
 		return false
 	}
@@ -135,13 +136,13 @@
 }
 
 // Watch is like Crashed, but doesn't wait for the decision.
-func (w *Watcher) Watch(r *replica.Replica, answering bool, onCrash func()) {
-	w.watch(r, answering, onCrash)
+func (w *Watcher) Watch(r *replica.Replica, accepted bool, onCrash func()) {
+	w.watch(r, accepted, onCrash)
 }
 
 // watch starts to watch a replica, unless it is being watched. It returns nil if
 // the replica is leaving, or if there are too many suspects.
-func (w *Watcher) watch(r *replica.Replica, answering bool, onCrash func()) *suspect {
+func (w *Watcher) watch(r *replica.Replica, accepted bool, onCrash func()) *suspect {
 	if w.opt.Registry.IsLeaving(r) {
 		return nil
 	}
@@ -150,14 +151,14 @@
 	key := suspectKey{r.ID, r.Incarnation, r.Addr}
 	if s := w.suspects[key]; s != nil {
 		s.onCrash = append(s.onCrash, onCrash)
-		s.answering = s.answering || answering
+		s.accepted = s.accepted || accepted
 		return s
 	}
 	if len(w.suspects) >= maxSuspects || w.ctx.Err() != nil {
 		w.opt.Log.WithFields(logrus.Fields{"replica": r.ID, "suspects": len(w.suspects)}).Warn("liveness: replica is not watched.")
 		return nil
 	}
-	s := &suspect{replica: r, decided: make(chan struct{}), onCrash: []func(){onCrash}, answering: answering}
+	s := &suspect{replica: r, decided: make(chan struct{}), onCrash: []func(){onCrash}, accepted: accepted}
 	w.suspects[key] = s
 	w.wg.Go(func() { w.decide(key, s) })
 	return s
@@ -200,8 +201,8 @@
 		if sign, decided := w.lookAtRegistry(s.replica); decided {
 			return sign
 		}
-		began, answering := time.Now(), w.isAnswering(s)
-		sign := w.lookAtPort(ctx, s.replica, answering)
+		began, accepted := time.Now(), w.hasAccepted(s)
+		sign := w.lookAtPort(ctx, s.replica, accepted)
 		if sign != Unreachable {
 			unreachable = 0
 		}
@@ -219,7 +220,7 @@
 			if closedSince.IsZero() {
 				closedSince = began
 			}
-			if time.Since(closedSince) >= closedPeriod && answering {
+			if time.Since(closedSince) >= closedPeriod && accepted {
 				return Closed
 			}
 		}
@@ -229,11 +230,11 @@
 	}
 }
 
-// isAnswering reports whether an answer that the suspect broke off had begun.
-func (w *Watcher) isAnswering(s *suspect) bool {
+// hasAccepted reports whether the suspect had accepted a connection that broke off.
+func (w *Watcher) hasAccepted(s *suspect) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return s.answering
+	return s.accepted
 }
 
 // awaitRegistry waits until the registry decides or ctx ends.
