Take crashes before the first byte and after an event for evidence

Cause: a process that crashes takes with it what it hasn't sent, so the entry sees EOF while it awaits the header, or a stream that ends after an event. Only answers that broke off in between were evidence.

Now each request without a settled answer is weak evidence against its parts, kept by prompt. It counts after 1.2 s, in which answers clear the parts of most sound requests; 4 crashes ban a part that was never answered, 6 one that was, and more if others crash replicas too. Strong evidence needs 3 or 5 as before. Of a lost domain at most one crash more counts than of all other domains within 5 s. Weighed: 5 crashes for weak evidence leave fewer wrong bans under unrelated crashes and later bans beside them; a fixed window of a second per domain delays bans if replicas crash fast; a number that follows the local share of lost requests can't tell a part from a storm at nine entries.

With weak evidence each crash has several witnesses, so what is kept and sent changes with it. Bounds: 64 strong and 128 weak parts a crash, where a merge that was too long dropped all; what no ban rests on and shares no part with other crashes is forgotten first, where it was the oldest, so that a lost domain displaced a ban. Spreading: announced answers are a message of their own and clear all earlier crashes, and are sent before strong evidence and that before weak; nothing goes back to the peer that told it; in a full mesh evidence of third members comes from themselves and three neighbours; the limit is 2400 bytes a second over all connections and 3 kB at once on each, in place of 10 records. An older release ignores the new fields.

Tests changed: the log holds two entries a crash (what this entry added, and all), which TestMadeUpPartsTakeBoundedMemory counts; Since has a peer, a relay flag and a position for each class; a new connection of the simulation has a full burst, as in package peer. The plays of lost witnesses don't check that the fifth crash suffices, only the three requests.

--- a/gateway/quarantine/evidence.go
+++ b/gateway/quarantine/evidence.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 const (
@@ -14,104 +16,129 @@
 	maxCustomers          = 128
 )
 
-// crashKey identifies the crash of one incarnation of a replica, as evidence on
-// the parts of one customer.
-type crashKey struct {
-	customer, replica string
-	incarnation       int64
-}
-
-// crash is evidence against prompt parts. It is replaced and never modified.
-type crash struct {
-	crashKey
-	service, version, domain string
-	// parts are the shared parts of all requests whose answers the replica
-	// began to write when it crashed. answered are those of them for which an
-	// entry has announced an answer after the crash. Both are sorted and without
-	// duplicates.
-	parts, answered []uint64
-	// at is the time of the crash by the clock of this process.
-	at time.Time
-}
-
-// hasPart reports whether the crash is evidence against a part, whether or not
-// it was answered since.
-func (c *crash) hasPart(part uint64) bool {
-	_, found := slices.BinarySearch(c.parts, part)
-	return found
-}
-
-// isAnswered reports whether an answer on a part after the crash was announced.
-func (c *crash) isAnswered(part uint64) bool {
-	_, found := slices.BinarySearch(c.answered, part)
-	return found
-}
-
-// merge returns the crash with what another entry knows of it, and false if
-// that is nothing new.
-func (c *crash) merge(o *crash) (*crash, bool) {
-	merged := *c
-	merged.parts, merged.answered = union(c.parts, o.parts), union(c.answered, o.answered)
-	if len(merged.parts) > maxMergedParts || len(merged.parts) == len(c.parts) && len(merged.answered) == len(c.answered) {
-		return c, false
-	}
-	return &merged, true
-}
-
-// union returns the sorted union of two lists.
-func union(x, y []uint64) []uint64 {
-	out := slices.Concat(x, y)
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
 // evidence holds the crashes that count. They are numbered in the order in which
 // they are sent to peers.
 type evidence struct {
 	// byCustomer holds the crashes of each customer in the order of their
 	// arrival.
 	byCustomer map[string][]*crash
-	// log is sorted by sequence number.
-	log []logged
-	seq uint64
+	// logs hold what is sent to peers, by class, sorted by sequence number.
+	logs [peer.EvidenceClasses][]logged
+	seq  uint64
+	// news holds the answers that were announced lately, by customer.
+	news map[string]*news
 }
 
+// The classes of evidence, in the order in which they are sent.
+const (
+	newsClass = iota
+	strongClass
+	weakClass
+)
+
+// logged is a crash or the news of a customer in the log.
 type logged struct {
 	seq   uint64
 	crash *crash
+	news  string
+	// own is set if this is only what this entry added. All that is known is logged
+	// apart from that.
+	own bool
+	// peers holds the peers that have told all of it.
+	peers []string
 }
 
-func newEvidence() evidence { return evidence{byCustomer: make(map[string][]*crash)} }
+func newEvidence() evidence {
+	return evidence{byCustomer: make(map[string][]*crash), news: make(map[string]*news)}
+}
 
 // add adds a crash, or what is new of a known one. It reports whether anything
-// was new.
-func (e *evidence) add(c *crash) bool {
+// was new. source is the peer that told it, "" for this entry. keep reports whether a
+// crash should be forgotten after all others.
+func (e *evidence) add(c *crash, source string, known answers, keep func(c *crash) bool) bool {
 	if time.Since(c.at) > retention {
 		return false
 	}
 	list := e.byCustomer[c.customer]
-	known := slices.IndexFunc(list, func(x *crash) bool { return x.crashKey == c.crashKey })
-	if known >= 0 {
-		merged, changed := list[known].merge(c)
+	index := slices.IndexFunc(list, func(x *crash) bool { return x.crashKey == c.crashKey })
+	if index >= 0 {
+		merged, changed := list[index].merge(c, list)
 		if !changed {
+			e.noteTold(list[index], c, source)
 			return false
 		}
-		e.unlog(list[known])
-		list[known], c = merged, merged
+		list[index] = merged
+		e.append(merged, false)
+		e.noteTold(merged, c, source)
 	} else {
-		e.makeRoom(c.customer)
+		c.bound(list)
+		e.makeRoom(c.customer, known, keep)
 		e.byCustomer[c.customer] = append(e.byCustomer[c.customer], c)
+		e.append(c, false)
+		e.noteTold(c, c, source)
+	}
+	if source == "" {
+		e.append(e.withOwn(c), true)
 	}
-	e.seq++
-	e.log = append(e.log, logged{e.seq, c})
 	return true
 }
 
-// makeRoom forgets the oldest crash of the customer, or the customer whose last
-// crash is the oldest, if there are too many.
-func (e *evidence) makeRoom(customer string) {
+// withOwn returns what this entry has added to a crash, now and before.
+func (e *evidence) withOwn(c *crash) *crash {
+	for _, log := range e.logs {
+		for _, l := range log {
+			if l.own && l.isOf(c) {
+				merged, _ := l.crash.merge(c, nil)
+				return merged
+			}
+		}
+	}
+	return c
+}
+
+func (l logged) isOf(c *crash) bool { return l.crash != nil && l.crash.crashKey == c.crashKey }
+
+// append puts a crash at the end of its log, in place of what was known of it.
+func (e *evidence) append(c *crash, own bool) {
+	e.unlog(func(l logged) bool { return l.own == own && l.isOf(c) })
+	class := weakClass
+	if len(c.strong) > 0 {
+		class = strongClass
+	}
+	e.appendTo(class, logged{crash: c, own: own})
+}
+
+func (e *evidence) appendTo(class int, l logged) {
+	e.seq++
+	l.seq = e.seq
+	e.logs[class] = append(e.logs[class], l)
+}
+
+func (e *evidence) unlog(matches func(l logged) bool) {
+	for class := range e.logs {
+		e.logs[class] = slices.DeleteFunc(e.logs[class], matches)
+	}
+}
+
+// noteTold notes that a peer has told all that is known of a crash, if it has.
+func (e *evidence) noteTold(known, told *crash, source string) {
+	if source == "" || !known.sameEvidence(told) {
+		return
+	}
+	for _, log := range e.logs {
+		for i := range log {
+			if l := &log[i]; l.crash == known && !l.own && !slices.Contains(l.peers, source) {
+				l.peers = append(l.peers, source)
+			}
+		}
+	}
+}
+
+// makeRoom forgets a crash of the customer, or the customer whose last crash is the
+// oldest, if there are too many.
+func (e *evidence) makeRoom(customer string, known answers, keep func(c *crash) bool) {
 	if list := e.byCustomer[customer]; len(list) >= maxCrashesPerCustomer {
-		e.remove(list[0])
+		e.remove(leastValued(list, known, keep))
 	}
 	if len(e.byCustomer) < maxCustomers || e.byCustomer[customer] != nil {
 		return
@@ -127,24 +154,48 @@
 	}
 }
 
+// leastValued returns the crash to forget first: one that needn't be kept, whose
+// parts the fewest others count against, and of these the first.
+func leastValued(list []*crash, known answers, keep func(c *crash) bool) *crash {
+	shared := sharedWithOthers(list, known)
+	value := func(c *crash) int {
+		if keep(c) {
+			return maxCrashesPerCustomer + shared[c]
+		}
+		return shared[c]
+	}
+	return slices.MinFunc(list, func(x, y *crash) int { return value(x) - value(y) })
+}
+
 func (e *evidence) remove(c *crash) {
 	list := slices.DeleteFunc(slices.Clone(e.byCustomer[c.customer]), func(x *crash) bool { return x == c })
 	if len(list) == 0 {
 		delete(e.byCustomer, c.customer)
+		e.dropNews()
 	} else {
 		e.byCustomer[c.customer] = list
 	}
-	e.unlog(c)
-}
-
-func (e *evidence) unlog(c *crash) {
-	e.log = slices.DeleteFunc(e.log, func(l logged) bool { return l.crash == c })
+	e.unlog(func(l logged) bool { return l.isOf(c) })
 }
 
-// since returns up to limit crashes after a position in the log.
-func (e *evidence) since(position uint64, limit int) []logged {
-	first := sort.Search(len(e.log), func(i int) bool { return e.log[i].seq > position })
-	return e.log[first:min(first+limit, len(e.log))]
+// since returns up to limit pieces after a position that a peer hasn't told, and the
+// position of the last one considered. Without relay these are only what this entry
+// added.
+func (e *evidence) since(to string, relay bool, position peer.EvidencePosition, limit int) ([]logged, peer.EvidencePosition) {
+	var out []logged
+	for class, log := range e.logs {
+		first := sort.Search(len(log), func(i int) bool { return log[i].seq > position[class] })
+		for _, l := range log[first:] {
+			if l.own != relay && !slices.Contains(l.peers, to) {
+				if len(out) >= limit {
+					return out, position
+				}
+				out = append(out, l)
+			}
+			position[class] = l.seq
+		}
+	}
+	return out, position
 }
 
 // expire forgets old crashes and returns their customers.
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -13,15 +14,6 @@
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
-const (
-	// maxParts is the number of shared parts of a prompt that are considered.
-	// Those at its end are shared with the fewest other prompts.
-	maxParts = 32
-	// maxMergedParts is the number of parts of all requests whose answers one
-	// replica began when it crashed.
-	maxMergedParts = 2 * maxParts
-)
-
 // Options configure a Set.
 type Options struct {
 	// ID is the ID of this entry.
@@ -40,21 +32,24 @@
 type Set struct {
 	opt Options
 
-	mu       sync.Mutex
-	answered answeredParts
-	evidence evidence
-	bans     map[string][]*ban
+	mu sync.Mutex
+	// answered are the answers of this entry, announced those of others.
+	answered, announced answeredParts
+	evidence            evidence
+	bans                map[string][]*ban
 	// trials holds when this entry last admitted a request on trial, by ban.
 	trials map[string]trial
 	// announcing holds the customers for whose parts an announcement of answers
 	// is scheduled.
-	announcing  map[string]bool
+	announcing map[string]bool
+	// settling holds the customers whose evidence is to be judged again.
+	settling    map[string]bool
 	onBroadcast []func()
 }
 
 // New returns an empty Set.
 func New(o Options) *Set {
-	return &Set{opt: o, answered: newAnsweredParts(), evidence: newEvidence(), bans: make(map[string][]*ban), trials: make(map[string]trial), announcing: make(map[string]bool)}
+	return &Set{opt: o, answered: newAnsweredParts(), announced: newAnsweredParts(), evidence: newEvidence(), bans: make(map[string][]*ban), trials: make(map[string]trial), announcing: make(map[string]bool), settling: make(map[string]bool)}
 }
 
 // Refusal is the error of a request that is kept from replicas.
@@ -105,33 +100,34 @@
 	if b.proven || len(b.parts) > 1 {
 		return true
 	}
-	return slices.ContainsFunc(parts, func(p uint64) bool { return p != b.parts[0] && !s.everAnsweredLocked(b.customer, p) })
-}
-
-// everAnsweredLocked reports whether this entry knows of an answer on a part.
-func (s *Set) everAnsweredLocked(customer string, part uint64) bool {
-	return !s.answered.last(customer, part).IsZero() ||
-		slices.ContainsFunc(s.evidence.byCustomer[customer], func(c *crash) bool { return c.isAnswered(part) })
+	known := s.answersLocked(b.customer)
+	return slices.ContainsFunc(parts, func(p uint64) bool { return p != b.parts[0] && !known.ever(p) })
 }
 
 // Suspect reports whether a request with the given shared parts may have caused
-// the crash of a replica, given the progress of its answer.
+// the crash of a replica, given the progress of its answer. One that waited, or
+// whose answer had begun, is suspect only if other crashes count against a part.
 func (s *Set) Suspect(customer string, parts []uint64, progress Progress) bool {
-	if progress != Beginning {
+	if progress == Settled {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	against := crashesByPart(s.evidence.byCustomer[customer], s.ownAnswers(customer))
+	now := time.Now()
+	against := crashesByPart(s.evidence.byCustomer[customer], s.answersLocked(customer))
 	return slices.ContainsFunc(parts, func(p uint64) bool {
-		return len(against[p]) > 1 || s.answered.last(customer, p).IsZero()
+		counting := filter(against[p], func(c *crash) bool { return c.countsBy(now, p, settlingTime) })
+		neverAnswered := s.answered.last(customer, p).IsZero()
+		return len(counting) > 1 || neverAnswered && (progress == Beginning || len(against[p]) > 0)
 	})
 }
 
-// ownAnswers returns a function that returns when this entry last had an answer
-// on a part of a customer.
-func (s *Set) ownAnswers(customer string) func(part uint64) time.Time {
-	return func(part uint64) time.Time { return s.answered.last(customer, part) }
+// answersLocked returns what this entry knows of the answers on a customer's parts.
+func (s *Set) answersLocked(customer string) answers {
+	return answers{
+		own:    func(part uint64) time.Time { return s.answered.last(customer, part) },
+		others: func(part uint64) time.Time { return s.announced.last(customer, part) },
+	}
 }
 
 // Answered records that the answer to a request with these shared parts went on
@@ -139,13 +135,12 @@
 func (s *Set) Answered(customer string, parts []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now, known := time.Now(), s.answersLocked(customer)
 	crashes := s.evidence.byCustomer[customer]
 	cleared := false
 	for _, p := range parts {
-		last := s.answered.last(customer, p)
+		cleared = cleared || slices.ContainsFunc(crashes, func(c *crash) bool { return !known.since(p, c.at) && c.hasPart(p) })
 		s.answered.record(customer, p, now)
-		cleared = cleared || slices.ContainsFunc(crashes, func(c *crash) bool { return c.hasPart(p) && c.countsAgainst(p, last) })
 	}
 	if cleared {
 		s.rejudgeLocked(customer)
@@ -156,42 +151,51 @@
 // Crashed records that a replica crashed at a time, with a request with these shared
 // parts and the given progress, and spreads that to the other entries.
 func (s *Set) Crashed(r *replica.Replica, customer string, parts []uint64, progress Progress, at time.Time) {
-	if len(parts) == 0 {
+	if len(parts) == 0 || progress == Settled {
 		return
 	}
-	if progress != Beginning {
-		s.opt.Log.WithFields(logrus.Fields{
-			"replica": r.ID, "born": r.Incarnation, "customer": customer, "parts": PartNames(parts), "progress": progress.String(),
-		}).Warn("quarantine: replica crashed; not taken for evidence.")
+	c := &crash{crashKey: crashKey{customer, r.ID, r.Incarnation}, service: r.Service, version: r.Version, domain: r.FailureDomain, at: at}
+	parts = union(parts[max(0, len(parts)-maxParts):], nil)
+	if progress == Beginning {
+		c.strong = parts
+	} else if parts = s.notJustAnswered(customer, parts, at); len(parts) > 0 {
+		c.weak = []weakPrompt{{parts: parts, knownAt: time.Now()}}
+	} else {
 		return
 	}
-	s.addCrash(&crash{
-		crashKey: crashKey{customer, r.ID, r.Incarnation}, service: r.Service, version: r.Version, domain: r.FailureDomain,
-		parts: union(parts[max(0, len(parts)-maxParts):], nil), at: at,
-	}, s.opt.ID)
+	s.addCrash(c, "", progress.String())
+}
+
+// notJustAnswered returns the parts that this entry had no answer on shortly before a
+// crash.
+func (s *Set) notJustAnswered(customer string, parts []uint64, at time.Time) []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(parts, func(part uint64) bool {
+		return at.Sub(s.answered.last(customer, part)) < justAnswered
+	})
 }
 
 // addCrash adds evidence and reports whether it was new.
-func (s *Set) addCrash(c *crash, source string) bool {
+func (s *Set) addCrash(c *crash, source, progress string) bool {
 	s.mu.Lock()
 	s.expireLocked(time.Now())
 	known := len(s.evidence.byCustomer[c.customer])
-	added := s.evidence.add(c)
+	added := s.addLocked(c, source)
 	var notify []func()
 	if added {
+		s.rejudgeLocked(c.customer)
 		notify = s.onBroadcast
+		s.scheduleLocked(c.customer)
+		s.awaitSettlingLocked(c.customer)
 	}
 	if added && len(s.evidence.byCustomer[c.customer]) != known {
 		s.opt.Count("crash")
 		s.opt.Log.WithFields(logrus.Fields{
 			"replica": c.replica, "born": c.incarnation, "service": c.service, "version": c.version,
-			"customer": c.customer, "parts": PartNames(c.parts), "seen_by": source,
+			"customer": c.customer, "progress": progress, "parts": PartNames(c.parts()), "seen_by": cmp.Or(source, s.opt.ID),
 			"age_ms": time.Since(c.at).Milliseconds(), "held": s.heldLocked(c),
-		}).Warn("quarantine: replica crashed as it began an answer.")
-	}
-	if added {
-		s.rejudgeLocked(c.customer)
-		s.scheduleLocked(c.customer)
+		}).Warn("quarantine: replica crashed.")
 	}
 	s.mu.Unlock()
 	for _, f := range notify {
@@ -200,15 +204,49 @@
 	return added
 }
 
+// addLocked adds evidence, and reports whether it was new. What bans rest on is kept
+// longest.
+func (s *Set) addLocked(c *crash, source string) bool {
+	return s.evidence.add(c, source, s.answersLocked(c.customer), func(c *crash) bool {
+		return slices.ContainsFunc(s.bans[c.customer], func(b *ban) bool {
+			return slices.ContainsFunc(b.crashes, func(x *crash) bool { return x.crashKey == c.crashKey })
+		})
+	})
+}
+
+// awaitSettlingLocked judges a customer's evidence again when weak evidence begins
+// to count.
+func (s *Set) awaitSettlingLocked(customer string) {
+	now := time.Now()
+	var next time.Time
+	for _, c := range s.evidence.byCustomer[customer] {
+		if at := c.settlesAt(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	if s.settling[customer] || next.IsZero() {
+		return
+	}
+	s.settling[customer] = true
+	time.AfterFunc(next.Sub(now), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.settling, customer)
+		s.rejudgeLocked(customer)
+		s.awaitSettlingLocked(customer)
+	})
+}
+
 // heldLocked describes for each part of a crash how many crashes count against
 // it, how many a ban needs, and when the part was last answered here.
 func (s *Set) heldLocked(c *crash) []string {
-	all, ownAnswer := s.evidence.byCustomer[c.customer], s.ownAnswers(c.customer)
-	against := crashesByPart(all, ownAnswer)
-	out := make([]string, 0, len(c.parts))
-	for _, p := range c.parts {
-		text := fmt.Sprintf("%s: %d of %d", PartNames([]uint64{p})[0], countCrashes(against[p]), neededForBan(p, against[p], all, all, ownAnswer))
-		if at := ownAnswer(p); !at.IsZero() {
+	all, known := s.evidence.byCustomer[c.customer], s.answersLocked(c.customer)
+	against, now := crashesByPart(all, known), time.Now()
+	var out []string
+	for _, p := range c.parts() {
+		t := tallyOf(p, against[p], all, withoutSuspects(all, against, known), known, now)
+		text := fmt.Sprintf("%s: %d of %d strong, %d of %d in all", PartNames([]uint64{p})[0], t.strong, t.strongNeeded, t.any, t.anyNeeded)
+		if at := known.own(p); !at.IsZero() {
 			text += fmt.Sprintf(", answered %d ms ago", time.Since(at).Milliseconds())
 		}
 		out = append(out, text)
@@ -219,7 +257,7 @@
 // rejudgeLocked judges the evidence of a customer again and logs what changes.
 func (s *Set) rejudgeLocked(customer string) {
 	before := s.bans[customer]
-	bans := judge(customer, s.evidence.byCustomer[customer], s.ownAnswers(customer))
+	bans := judge(customer, s.evidence.byCustomer[customer], s.answersLocked(customer), time.Now())
 	if len(bans) == 0 {
 		delete(s.bans, customer)
 	} else {
--- a/peer/link.go
+++ b/peer/link.go
@@ -24,12 +24,14 @@
 	// noticeBatch and stateBatch bound the notices and states in one message.
 	noticeBatch = 256
 	stateBatch  = 64
-	// evidencePerSecond bounds the pieces of evidence that an entry sends on all
-	// of its connections, and evidenceBurst those on one of them at once, since a
+	// evidenceBytesPerSecond bounds the evidence that an entry sends on all of its
+	// connections, and evidenceBurstBytes that on one of them at once, since a
 	// customer can cause any number of crashes. What waits is superseded by newer
-	// evidence of the customer.
-	evidencePerSecond = 10
-	evidenceBurst     = 20
+	// evidence of the same crash.
+	evidenceBytesPerSecond = 2400
+	evidenceBurstBytes     = 3 << 10
+	// evidenceEnvelopeBytes is the length of a message without the evidence.
+	evidenceEnvelopeBytes = 60
 	// maxChangeCalls bounds the concurrent calls of one peer that wait for
 	// changes. A peer follows two feeds; the rest is for calls that the peer
 	// has cancelled and that still wait here.
@@ -90,8 +92,10 @@
 	sentChange     uint64
 	// evidencePosition is the position in the evidence up to which everything
 	// was sent.
-	evidencePosition uint64
-	evidenceLimiter  *rate.Limiter
+	evidencePosition EvidencePosition
+	// relayedEvidence is set if evidence of third members was sent up to there.
+	relayedEvidence bool
+	evidenceLimiter *rate.Limiter
 	// limitPosition is the position in the limits up to which everything was
 	// sent.
 	limitPosition uint64
@@ -117,7 +121,7 @@
 		peerStamps:      make(map[string]stamp),
 		receivedNotices: make(map[drain.Key]bool),
 		sentTemplates:   make(map[string]uint64),
-		evidenceLimiter: rate.NewLimiter(evidencePerSecond, evidenceBurst),
+		evidenceLimiter: rate.NewLimiter(evidenceBytesPerSecond, evidenceBurstBytes),
 		limitLimiter:    rate.NewLimiter(limitsPerSecond, limitsBurst),
 	}
 	l.conn = jsonrpc2.NewConn(ctx, l.stream, l, jsonrpc2.SetLogger(m.discardLog))
@@ -256,7 +260,7 @@
 		return
 	}
 	for _, piece := range e.Evidence {
-		l.mesh.o.Evidence.Add(l.peer.ID, piece)
+		l.mesh.o.Evidence.Add(l.evidenceSource(), piece)
 	}
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -30,6 +30,14 @@
 	banPeriod = 10 * time.Second
 )
 
+// EvidenceClasses is the number of classes of evidence. Those of a lower class are sent
+// first.
+const EvidenceClasses = 3
+
+// EvidencePosition is the position in the evidence of each class up to which everything
+// was sent.
+type EvidencePosition [EvidenceClasses]uint64
+
 // EvidenceLog holds evidence on prompt parts, which a Mesh spreads to all
 // entries. Implementations must be safe for concurrent use.
 type EvidenceLog interface {
@@ -37,8 +45,10 @@
 	// evidence is passed on.
 	Add(from string, e CrashEvidence) bool
 	// Since returns up to limit pieces of evidence that were added after
-	// position, and the position after the last one returned.
-	Since(position uint64, limit int) ([]CrashEvidence, uint64)
+	// position and that the given peer hasn't told itself, and the position up to
+	// which there are no others. Without relay these are only pieces to which this
+	// entry added something.
+	Since(to string, relay bool, position EvidencePosition, limit int) ([]CrashEvidence, EvidencePosition)
 	// OnBroadcast registers f to be called when Since has more to return. f must
 	// not block.
 	OnBroadcast(f func())
--- a/peer/send.go
+++ b/peer/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"time"
 
@@ -101,15 +102,51 @@
 	if l.mesh.o.Evidence == nil {
 		return nil
 	}
+	if relay := l.relaysEvidence(); relay != l.relayedEvidence {
+		// What wasn't relayed so far has to be sent. The peer ignores the rest.
+		l.relayedEvidence, l.evidencePosition = relay, EvidencePosition{}
+	}
 	now := time.Now()
-	l.evidenceLimiter.SetLimitAt(now, rate.Limit(evidencePerSecond/float64(max(1, l.mesh.linkCount()))))
-	batch, position := l.mesh.o.Evidence.Since(l.evidencePosition, int(l.evidenceLimiter.TokensAt(now)))
+	l.evidenceLimiter.SetLimitAt(now, rate.Limit(evidenceBytesPerSecond/float64(max(1, l.mesh.linkCount()))))
+	var batch []json.RawMessage
+	bytes := evidenceEnvelopeBytes
+	for {
+		next, position := l.mesh.o.Evidence.Since(l.evidenceSource(), l.relayedEvidence, l.evidencePosition, 1)
+		if len(next) == 0 {
+			l.evidencePosition = position
+			break
+		}
+		text, err := json.Marshal(next[0])
+		if err != nil {
+			return err
+		}
+		if !l.evidenceLimiter.AllowN(now, bytes+len(text)) {
+			break
+		}
+		bytes = 0
+		l.evidencePosition = position
+		batch = append(batch, text)
+	}
 	if len(batch) == 0 {
 		return nil
 	}
-	l.evidenceLimiter.AllowN(now, len(batch))
-	l.evidencePosition = position
-	return l.conn.Notify(ctx, methodEvidence, crashEvidence{Evidence: batch})
+	return l.conn.Notify(ctx, methodEvidence, map[string][]json.RawMessage{"e": batch})
+}
+
+// evidenceSource identifies the process of the peer. The next one of the same ID
+// has no evidence.
+func (l *link) evidenceSource() string { return l.peer.ID + "/" + l.peer.Incarnation }
+
+// relaysEvidence reports whether evidence of third members is sent to the peer. In a
+// full mesh it comes from themselves, and from the neighbours that relay to the peer
+// if a connection is broken.
+func (l *link) relaysEvidence() bool {
+	if l.mesh.o.Registry.Count() > fullMeshMembers {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peerWantsRelay
 }
 
 // nextStateUpdate returns a state update with the states that the peer doesn't
