Ban a part as fast if all replicas are in one failure domain

Of a lost domain at most one crash more counts than of all others. If a service has replicas in one domain only, each part then took four times 5 s. Whether there are others now follows from the ready replicas of the service.

Tests: TestPartIsBannedInTheOnlyDomain fails without it.

--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -79,21 +79,30 @@
 // key identifies the ban among all.
 func (b *ban) key() string { return b.customer + fmt.Sprint(b.parts) }
 
+// view is what an entry knows apart from the crashes.
+type view struct {
+	answers
+	now time.Time
+	// onlyDomain returns the failure domain of all replicas of a service, "" if there
+	// are several.
+	onlyDomain func(service string) string
+}
+
 // judge returns the bans that explain the crashes of one customer's prompts.
 // Each crash is explained by one ban at most: the parts that account
 // for most crashes are banned first, so that a sound part that is in the prompts
 // of some of these isn't banned with them.
-func judge(customer string, crashes []*crash, known answers, now time.Time) []*ban {
+func judge(customer string, crashes []*crash, v view) []*ban {
 	var bans []*ban
 	for unexplained := crashes; ; {
 		if len(unexplained) < minCrashes {
 			return bans
 		}
-		against := crashesByPart(unexplained, known)
-		open := withoutSuspects(unexplained, against, known)
+		against := crashesByPart(unexplained, v.answers)
+		open := withoutSuspects(unexplained, against, v.answers)
 		candidates := maps.Clone(against)
 		maps.DeleteFunc(candidates, func(part uint64, list []*crash) bool {
-			return len(list) < minCrashes || !tallyOf(part, list, unexplained, open, known, now).isEnough()
+			return len(list) < minCrashes || !tallyOf(part, list, unexplained, open, v).isEnough()
 		})
 		if len(candidates) == 0 {
 			return bans
@@ -107,7 +116,7 @@
 			}
 		}
 		slices.Sort(b.parts)
-		b.proven = slices.ContainsFunc(explained, func(c *crash) bool { return c.provenBy(b.parts, known) })
+		b.proven = slices.ContainsFunc(explained, func(c *crash) bool { return c.provenBy(b.parts, v.answers) })
 		bans = append(bans, b)
 		unexplained = slices.DeleteFunc(slices.Clone(unexplained), func(c *crash) bool { return slices.Contains(explained, c) })
 	}
@@ -175,22 +184,22 @@
 
 // tallyOf counts the crashes that are evidence against a part, given those that no
 // other ban explains, and of these the ones without another suspect.
-func tallyOf(part uint64, against, unexplained, open []*crash, known answers, now time.Time) tally {
+func tallyOf(part uint64, against, unexplained, open []*crash, v view) tally {
 	t := tally{strongNeeded: minCrashes, anyNeeded: minWeakCrashes}
 	weakPerOther, settling := weakCrashesPerOther, settlingTime
-	if known.ever(part) {
+	if v.ever(part) {
 		t = tally{strongNeeded: minCrashesIfAnswered, anyNeeded: minWeakCrashesIfAnswered}
 		weakPerOther, settling = weakCrashesPerOtherIfAnswered, settlingTimeIfAnswered
 	}
 	strong := filter(against, func(c *crash) bool { return c.isStrongAgainst(part) })
-	counting := filter(against, func(c *crash) bool { return c.countsBy(now, part, settling) })
-	t.strong, t.any = countCrashes(strong), countBalanced(counting, suspectWeight)
+	counting := filter(against, func(c *crash) bool { return c.countsBy(v.now, part, settling) })
+	t.strong, t.any = countCrashes(strong), countBalanced(counting, suspectWeight, v)
 	first, last := period(strong)
 	t.strongNeeded += countCrashes(others(unexplained, strong, first, last, func(c *crash) bool { return len(c.strong) > 0 })) / othersPerCrash
 	first, last = period(against)
 	always := func(*crash) bool { return true }
-	t.anyNeeded += countBalanced(others(open, against, first, last, always), unweighted) * weakPerOther
-	t.anyNeeded += countBalanced(others(open, against, first.Add(-lossTime), first, always), unweighted) / othersBeforePerCrash
+	t.anyNeeded += countBalanced(others(open, against, first, last, always), unweighted, v) * weakPerOther
+	t.anyNeeded += countBalanced(others(open, against, first.Add(-lossTime), first, always), unweighted, v) / othersBeforePerCrash
 	return t
 }
 
@@ -238,8 +247,9 @@
 }
 
 // countBalanced returns the number of crashes, but counts of one failure domain within
-// lossTime at most one more than of all others: a lost domain is no evidence.
-func countBalanced(crashes []*crash, weightOf func(c *crash) float64) int {
+// lossTime at most one more than of all others: a lost domain is no evidence. That
+// doesn't apply if there is only one.
+func countBalanced(crashes []*crash, weightOf func(c *crash) float64, v view) int {
 	distinct := distinctCrashes(crashes)
 	n := 0.0
 	for len(distinct) > 0 {
@@ -254,8 +264,12 @@
 			byDomain[c.domain] += weight
 			sum += weight
 		}
-		for _, k := range byDomain {
-			n += min(k, 1+sum-k)
+		only := v.onlyDomain(distinct[0].service)
+		for domain, k := range byDomain {
+			if domain != only {
+				k = min(k, 1+sum-k)
+			}
+			n += k
 		}
 		distinct = distinct[inTime:]
 	}
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -130,6 +130,23 @@
 	}
 }
 
+func (s *Set) viewLocked(customer string) view {
+	return view{answers: s.answersLocked(customer), now: time.Now(), onlyDomain: s.onlyDomain}
+}
+
+// onlyDomain returns the failure domain of all ready replicas of a service, "" if there
+// are several or none.
+func (s *Set) onlyDomain(service string) string {
+	only := ""
+	for i, r := range s.opt.Ready(service) {
+		if i > 0 && r.FailureDomain != only {
+			return ""
+		}
+		only = r.FailureDomain
+	}
+	return only
+}
+
 // Answered records that the answer to a request with these shared parts went on
 // after its beginning.
 func (s *Set) Answered(customer string, parts []uint64) {
@@ -240,13 +257,13 @@
 // heldLocked describes for each part of a crash how many crashes count against
 // it, how many a ban needs, and when the part was last answered here.
 func (s *Set) heldLocked(c *crash) []string {
-	all, known := s.evidence.byCustomer[c.customer], s.answersLocked(c.customer)
-	against, now := crashesByPart(all, known), time.Now()
+	all, v := s.evidence.byCustomer[c.customer], s.viewLocked(c.customer)
+	against := crashesByPart(all, v.answers)
 	var out []string
 	for _, p := range c.parts() {
-		t := tallyOf(p, against[p], all, withoutSuspects(all, against, known), known, now)
+		t := tallyOf(p, against[p], all, withoutSuspects(all, against, v.answers), v)
 		text := fmt.Sprintf("%s: %d of %d strong, %d of %d in all", PartNames([]uint64{p})[0], t.strong, t.strongNeeded, t.any, t.anyNeeded)
-		if at := known.own(p); !at.IsZero() {
+		if at := v.own(p); !at.IsZero() {
 			text += fmt.Sprintf(", answered %d ms ago", time.Since(at).Milliseconds())
 		}
 		out = append(out, text)
@@ -257,7 +274,7 @@
 // rejudgeLocked judges the evidence of a customer again and logs what changes.
 func (s *Set) rejudgeLocked(customer string) {
 	before := s.bans[customer]
-	bans := judge(customer, s.evidence.byCustomer[customer], s.answersLocked(customer), time.Now())
+	bans := judge(customer, s.evidence.byCustomer[customer], s.viewLocked(customer))
 	if len(bans) == 0 {
 		delete(s.bans, customer)
 	} else {
--- a/gateway/quarantine/weak_test.go
+++ b/gateway/quarantine/weak_test.go
@@ -1,11 +1,14 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 )
 
 // Guards against replicas that crash before the first byte of their answers, or after
@@ -32,3 +35,79 @@
 		})
 	}
 }
+
+// crashesOf records crashes of replicas of one domain, with requests that waited.
+func (w *world) crashesOf(domain string, n int, spread time.Duration, parts ...uint64) {
+	for range n {
+		w.events["replicas"]++
+		r := newReplica(fmt.Sprintf("r%d", w.events["replicas"]))
+		r.FailureDomain = domain
+		w.entries[0].Crashed(r, "c", parts, Waiting, time.Now())
+		time.Sleep(spread / time.Duration(n))
+	}
+}
+
+// Guards against a sound part being banned because all replicas of a domain that held
+// requests with it are lost, and their connections break off over some seconds.
+func TestLostDomainBansNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		other := newReplica("other")
+		lost := newReplica("lost")
+		w.ready = []*replica.Replica{other, lost}
+		w.crashesOf("lost", 20, lossTime, 9)
+		time.Sleep(time.Minute)
+		qt.Check(t, w.refuses(0, 9), qt.IsFalse)
+	})
+}
+
+// Guards against bans that come late because all replicas are in one domain.
+func TestPartIsBannedInTheOnlyDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		only := newReplica("r")
+		only.FailureDomain = "only"
+		w.ready = []*replica.Replica{only}
+		w.crashesOf("only", 5, time.Second, 9)
+		time.Sleep(2 * time.Second)
+		qt.Check(t, w.refuses(0, 9), qt.IsTrue)
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against a ban that ends because other crashes displace its evidence.
+func TestCrashesOfADomainDontDisplaceABan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		banPart(t, w)
+		for i := range 2 * maxCrashesPerCustomer {
+			r := newReplica(fmt.Sprint("lost", i))
+			r.FailureDomain = "lost"
+			w.entries[0].Crashed(r, "c", []uint64{1, 100 + uint64(i)}, Beginning, time.Now())
+		}
+		qt.Check(t, w.refuses(0, 9), qt.IsTrue)
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against a part that crashes replicas being dropped because a replica held too
+// many other requests.
+func TestSuspectOfManyRequestsIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		for n := range uint64(8) {
+			r := newReplica(fmt.Sprint("r", n))
+			for i := range uint64(2 * maxWeakParts) {
+				w.entries[0].Crashed(r, "c", []uint64{1000 + 1000*n + i}, Waiting, time.Now())
+			}
+			w.entries[0].Crashed(r, "c", []uint64{9}, Waiting, time.Now())
+			time.Sleep(time.Second)
+		}
+		for _, c := range w.entries[0].evidence.byCustomer["c"] {
+			qt.Check(t, len(c.parts()) <= maxWeakParts, qt.IsTrue)
+		}
+		in := crashesByPart(w.entries[0].evidence.byCustomer["c"], w.entries[0].answersLocked("c"))
+		qt.Check(t, len(in[9]) >= 7, qt.IsTrue, qt.Commentf("%d", len(in[9])))
+		time.Sleep(time.Minute)
+	})
+}
