--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -178,7 +177,12 @@
 
 // rank orders parts differently for each crash, so that none is dropped from all.
 func (c *crash) rank(parts ...uint64) uint64 {
-	return xxhash.Sum64String(fmt.Sprint(c.replica, c.incarnation, parts))
+	h := xxhash.Sum64String(c.replica) + uint64(c.incarnation)
+	for _, p := range parts {
+		h = (h ^ p) * 0x9e3779b97f4a7c15
+		h ^= h >> 32
+	}
+	return h
 }
 
 // union returns the sorted union of two lists.
