Log and export the epoch of the table

Need: no line tells whether a feed, a lease or a row belongs to the time before or after a return of the store from a copy.

Feeds log their version and the epoch when they read all rows or are back, a lease when it is acquired or lost. Nothing is decided by it yet.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -69,8 +69,11 @@
 // GatewayDeps holds the external dependencies of an entry that forwards by
 // route.
 type GatewayDeps struct {
-	Dialect  gateway.Dialect
-	Table    infra.Table
+	Dialect gateway.Dialect
+	Table   infra.Table
+	// Epoch is that of the store that holds Table, Config and Registry. It may be
+	// nil.
+	Epoch    *infra.Epoch
 	Config   infra.Feed
 	Registry infra.Feed
 	Reports  usage.Sender
@@ -116,7 +119,7 @@
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
 			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
 		),
-		fx.Invoke(runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
+		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
 	)
 	if err := g.app.Err(); err != nil {
@@ -254,13 +257,13 @@
 	return usage.NewCounter(s.Usage.Window, clock)
 }
 
-func newLeaderLease(lc fx.Lifecycle, l *Loops, table infra.Table, r *member.Registry, s gateway.Settings, i Incarnation, log *logrus.Entry) *lease.Lease {
+func newLeaderLease(lc fx.Lifecycle, l *Loops, deps GatewayDeps, table infra.Table, r *member.Registry, s gateway.Settings, i Incarnation, log *logrus.Entry) *lease.Lease {
 	leaderLease := lease.New(table, lease.Options{
 		// Before the members are known, every entry would be a candidate.
 		Candidate:  func() bool { return r.IsSettled() && isLeaderCandidate(s.ID, r.Live()) },
 		Contenders: r.Count,
 		Name:       leaderLeaseName, Owner: s.ID, Incarnation: string(i),
-		Duration: s.LeaseLength + s.LeaseLength/3, Log: log,
+		Duration: s.LeaseLength + s.LeaseLength/3, Epoch: deps.Epoch, Log: log,
 	})
 	l.Go(lc, leaderLease.Run)
 	return leaderLease
--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -107,18 +107,18 @@
 		f.registry.Refresh()
 	}
 	r.OnTableBack(storeBack)
-	o := f.options(configFeed, log)
+	o := f.options(configFeed, deps, log)
 	o.OnRecovered = storeBack
 	f.config = follow.New(f.sharedFeed(configFeed, deps.Config, feedWait, log), source, o)
-	o = f.options(registryFeed, log)
+	o = f.options(registryFeed, deps, log)
 	o.OnRecovered = storeBack
 	f.registry = follow.New(f.sharedFeed(registryFeed, deps.Registry, registryReaderWait, log), rows, o)
 	return f
 }
 
-func (f *followers) options(feed string, log *logrus.Entry) follow.Options {
+func (f *followers) options(feed string, deps GatewayDeps, log *logrus.Entry) follow.Options {
 	return follow.Options{
-		Name: feed, Wait: feedWait, StartJitter: feedJitter, History: f.histories[feed], Log: log,
+		Name: feed, Wait: feedWait, StartJitter: feedJitter, History: f.histories[feed], Epoch: deps.Epoch, Log: log,
 		Pause: func() time.Duration {
 			members := f.members.Count()
 			switch {
--- a/cmd/coltsfootcleat/serve_platform.go
+++ b/cmd/coltsfootcleat/serve_platform.go
@@ -86,7 +86,7 @@
 	entry, err := app.NewGateway(app.GatewayConfig{
 		Settings: s.Gateway,
 		Deps: app.GatewayDeps{
-			Dialect: platform.Dialect{}, Table: store.Table(),
+			Dialect: platform.Dialect{}, Table: store.Table(), Epoch: store.Epoch(),
 			Config: store.ConfigurationFeed(), Registry: store.RegistryFeed(),
 			Reports: cloud, Orders: cloud,
 			IsConfig: platform.IsConfiguration, DecodeConfig: platform.DecodeConfiguration,
--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -66,7 +66,9 @@
 	// OnRecovered is called when a call succeeds again after a failure, before
 	// the handler receives the result. It may be nil.
 	OnRecovered func()
-	Log         *logrus.Entry
+	// Epoch is that of the table, for log lines. It may be nil.
+	Epoch *infra.Epoch
+	Log   *logrus.Entry
 }
 
 // Follower keeps its Handler up to date with one feed.
@@ -140,7 +142,7 @@
 			continue
 		}
 		if errors.Is(err, infra.ErrCompacted) {
-			f.opt.Log.WithField("feed", f.opt.Name).Info("follow: history compacted, reading a snapshot.")
+			f.opt.Log.WithFields(logrus.Fields{"feed": f.opt.Name, "after": version, "epoch": f.opt.Epoch.Current()}).Info("follow: history compacted, reading a snapshot.")
 			synced = false
 			continue
 		}
@@ -179,7 +181,7 @@
 	case err != nil:
 		return err
 	}
-	f.recordSuccess()
+	f.recordSuccess(*version)
 	for _, c := range update.Changes {
 		f.handler.Change(c)
 	}
@@ -226,7 +228,7 @@
 	if err != nil {
 		return err
 	}
-	f.recordSuccess()
+	f.recordSuccess(*version)
 	f.handler.Replace(rows)
 	f.opt.History.replace(rows, at, sent)
 	*version, *synced = at, true
@@ -250,12 +252,12 @@
 	f.opt.Log.WithField("feed", f.opt.Name).WithError(err).Warn("follow: feed is lost.")
 }
 
-func (f *Follower) recordSuccess() {
+func (f *Follower) recordSuccess(version uint64) {
 	if !f.unavailable {
 		return
 	}
 	f.unavailable = false
-	f.opt.Log.WithField("feed", f.opt.Name).Info("follow: feed is back.")
+	f.opt.Log.WithFields(logrus.Fields{"feed": f.opt.Name, "after": version, "epoch": f.opt.Epoch.Current()}).Info("follow: feed is back.")
 	if f.opt.OnRecovered != nil {
 		f.opt.OnRecovered()
 	}
--- a/lease/contend.go
+++ b/lease/contend.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/invariant"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
@@ -71,7 +73,7 @@
 		l.mu.Lock()
 		l.hold.lost = true
 		l.mu.Unlock()
-		l.log.WithField("fence", h.fence).Warn("lease: lost.")
+		l.log.WithFields(logrus.Fields{"fence": h.fence, "epoch": l.opt.Epoch.Current()}).Warn("lease: lost.")
 		return
 	}
 	l.mu.Lock()
@@ -134,7 +136,7 @@
 	l.mu.Lock()
 	l.hold, l.highestFence = h, max(l.highestFence, h.fence)
 	l.mu.Unlock()
-	l.log.WithField("fence", h.fence).Info("lease: acquired.")
+	l.log.WithFields(logrus.Fields{"fence": h.fence, "epoch": l.opt.Epoch.Current()}).Info("lease: acquired.")
 }
 
 // releaseRow marks the row as released once no effect is in progress, so that a
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -61,7 +61,9 @@
 	Contenders func() int
 	// TableTimeout bounds each call to the table.
 	TableTimeout time.Duration
-	Log          *logrus.Entry
+	// Epoch is that of the table. It may be nil.
+	Epoch *infra.Epoch
+	Log   *logrus.Entry
 }
 
 func (o Options) withDefaults() Options {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -200,6 +200,8 @@
 	// draining hosts.
 	Leases   func() int
 	Draining func() int
+	// TableEpoch returns the epoch of the table.
+	TableEpoch func() uint64
 }
 
 // RegisterGauges registers the gauges, which are read at each collection.
@@ -214,6 +216,9 @@
 	if g.Draining != nil {
 		gauges["coltsfootcleat.draining"] = func() int64 { return int64(g.Draining()) }
 	}
+	if g.TableEpoch != nil {
+		gauges["coltsfootcleat.table_epoch"] = func() int64 { return int64(g.TableEpoch()) }
+	}
 	for name, f := range gauges {
 		observe := func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(f())
