Read a feed in full when the store has come back from a copy

A store that comes back from a copy gives out its versions again. A feed resumed at its version; once as much had been written again, the read succeeded and missed what lay between: of the rows written again, a configuration or a replica's state, and the loss of rows that were gone. Through a peer it was the same, whose history kept the larger version.

Cause: a version was taken for unique, but is so only within one epoch of the store.

Change: a version is the pair of epoch and number, in one integer, so that the order and the messages between peers stay as they are. A history begins anew with a new epoch, has readers of an earlier one read all rows, and counts as unavailable for those of a later one.

Weighed: serving all rows through the peer. A follower may also be ahead of the peer, and the rows would load the peer's link; the store's answer is exact.

Not fixed here: conditional writes, and members, whose order rests on versions.

--- a/infra/epoch.go
+++ b/infra/epoch.go
@@ -44,3 +44,23 @@
 	defer e.mu.Unlock()
 	return e.current, e.changed
 }
+
+// counterBits is the number of low bits of a version that hold the number of its
+// commit. The others hold the epoch.
+const counterBits = 48
+
+// Limits of the parts of a version.
+const (
+	MaxEpoch   = 1<<(64-counterBits) - 2 // the next one is that of ExpectAny
+	MaxCounter = 1<<counterBits - 1
+)
+
+// NewVersion returns the version of a commit with a number, which a table counts
+// anew in each epoch. Versions of a later epoch are higher than all earlier ones.
+func NewVersion(epoch, counter uint64) uint64 { return epoch<<counterBits | counter }
+
+// EpochOf returns the epoch of a version.
+func EpochOf(version uint64) uint64 { return version >> counterBits }
+
+// CounterOf returns the number of the commit of a version.
+func CounterOf(version uint64) uint64 { return version & MaxCounter }
--- a/infra/feed.go
+++ b/infra/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -10,6 +11,10 @@
 // reader must take a Snapshot and continue from its version.
 var ErrCompacted = errors.New("changes are compacted")
 
+// ErrRestored is the ErrCompacted of a table that was restored from a copy after
+// the version to continue from.
+var ErrRestored = fmt.Errorf("table was restored from a copy: %w", ErrCompacted)
+
 // Change is one changed row of a feed.
 type Change struct {
 	Row
--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -142,7 +142,7 @@
 			continue
 		}
 		if errors.Is(err, infra.ErrCompacted) {
-			f.opt.Log.WithFields(logrus.Fields{"feed": f.opt.Name, "after": version, "epoch": f.opt.Epoch.Current()}).Info("follow: history compacted, reading a snapshot.")
+			f.opt.Log.WithFields(logrus.Fields{"feed": f.opt.Name, "after": version, "epoch": f.opt.Epoch.Current()}).WithError(err).Info("follow: history compacted, reading a snapshot.")
 			synced = false
 			continue
 		}
--- a/infra/follow/history.go
+++ b/infra/follow/history.go
@@ -52,14 +52,16 @@
 
 // replace stores a snapshot as of a version. It records the differences from
 // the previous rows as changes, so that readers need no snapshot of their own.
+// Readers of an earlier epoch need one: they may have rows that this process has
+// never read and that the restored table doesn't have.
 func (h *History) replace(rows []infra.Row, version uint64, at time.Time) {
 	if h == nil {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.confirmed.IsZero() {
-		h.floor = version
+	if h.confirmed.IsZero() || infra.EpochOf(version) != infra.EpochOf(h.version) {
+		h.floor, h.rows, h.changes = version, nil, nil
 	}
 	next := make(map[string]infra.Row, len(rows))
 	var changes []infra.Change
@@ -142,8 +144,9 @@
 }
 
 // Since returns the changes after a version, as infra.Feed.Changes does. It
-// returns ErrUnavailable while the feed can't be read, and infra.ErrCompacted
-// when the changes after the version are no longer retained.
+// returns ErrUnavailable while the feed can't be read or this process has not read
+// it in the epoch of the version, and infra.ErrCompacted when the changes after the
+// version are no longer retained.
 func (h *History) Since(ctx context.Context, after uint64, wait time.Duration) (infra.Update, error) {
 	timer := time.NewTimer(h.boundWait(wait))
 	defer timer.Stop()
@@ -179,7 +182,12 @@
 	if h.unavailable || h.staleAfter > 0 && time.Since(h.confirmed) > h.staleAfter {
 		return infra.Update{}, nil, ErrUnavailable
 	}
-	if after < h.floor {
+	switch epoch := infra.EpochOf(h.version); {
+	case infra.EpochOf(after) > epoch:
+		return infra.Update{}, nil, ErrUnavailable
+	case infra.EpochOf(after) < epoch:
+		return infra.Update{}, nil, infra.ErrRestored
+	case after < h.floor:
 		return infra.Update{}, nil, infra.ErrCompacted
 	}
 	u := infra.Update{Version: max(after, h.version), Age: time.Since(h.confirmed)}
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -26,9 +26,10 @@
 type Row struct {
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
-	// Version is the number of the commit that wrote the row. Versions
-	// increase monotonically, even when a row is deleted and inserted again.
-	// An existing row has a version of at least 1.
+	// Version identifies the commit that wrote the row. Versions increase
+	// monotonically, even when a row is deleted and inserted again, and when the
+	// table is restored from a copy: the rows of the copy then have versions of
+	// the new epoch (NewVersion). An existing row has a version of at least 1.
 	Version uint64 `json:"version"`
 }
 
