Order members over a restore of the table, and write their rows again

A restored table brings back rows of the time of the copy. An entry that had started since was replaced at its peers by its own earlier incarnation, and stopped itself when it read that row; one that starts after the restore was refused by peers that knew an earlier incarnation, for its version was lower; the row of a failed entry counted as a sign of life; and an entry whose row was gone wrote it with its next heartbeat, up to 90 s later.

Cause: incarnations were ordered, and rows taken for new, by the version of the row as it is read, which says nothing of the time of its writing after a restore.

Change: a row states the epoch in which it was written, and an incarnation's order is the version of its first row in that epoch. A row counts as a sign of life only with a later heartbeat of its incarnation. An entry reads its row when the epoch has risen, and writes it again within the period that bounds the writes of all members (2 s, 20 s at 400 members). The stand-in table can be copied and restored.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -177,11 +177,11 @@
 	})
 }
 
-func newGatewayRegistry(table infra.Table, s gateway.Settings, i Incarnation, log *logrus.Entry) *member.Registry {
+func newGatewayRegistry(deps GatewayDeps, table infra.Table, s gateway.Settings, i Incarnation, log *logrus.Entry) *member.Registry {
 	return member.New(table, member.Options{
 		ID: s.ID, Incarnation: string(i), Addr: s.Listen.Peers,
 		FailureDomain: s.FailureDomain, Region: s.Region,
-		UpdatePeriod: gatewayUpdatePeriod, Log: log,
+		UpdatePeriod: gatewayUpdatePeriod, TableEpoch: deps.Epoch, Log: log,
 	})
 }
 
--- a/infra/standin/table.go
+++ b/infra/standin/table.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -48,6 +49,7 @@
 	mu          sync.Mutex
 	rows        map[string]infra.Row
 	version     uint64
+	epoch       *infra.Epoch
 	faults      TableFaults
 	counts      TableCounts
 	rng         *rand.Rand
@@ -57,8 +59,9 @@
 // NewTable returns an empty table; seed seeds its random faults.
 func NewTable(seed uint64) *Table {
 	return &Table{
-		rows: make(map[string]infra.Row),
-		rng:  rand.New(rand.NewPCG(seed, seed)),
+		rows:  make(map[string]infra.Row),
+		epoch: infra.NewEpoch(),
+		rng:   rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -86,6 +89,37 @@
 // Close waits for delayed commits to take effect.
 func (t *Table) Close() { t.lateCommits.Wait() }
 
+// TableCopy is a copy of a table at some moment.
+type TableCopy struct {
+	rows    map[string]infra.Row
+	version uint64
+}
+
+// Copy returns a copy of the table.
+func (t *Table) Copy() TableCopy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return TableCopy{rows: maps.Clone(t.rows), version: t.version}
+}
+
+// Restore replaces the table by a copy, in a new epoch. All commits since the copy
+// are lost.
+func (t *Table) Restore(c TableCopy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	epoch := t.epoch.Current() + 1
+	t.version = infra.NewVersion(epoch, infra.CounterOf(c.version))
+	t.rows = make(map[string]infra.Row, len(c.rows))
+	for key, row := range c.rows {
+		row.Version = infra.NewVersion(epoch, infra.CounterOf(row.Version))
+		t.rows[key] = row
+	}
+	t.epoch.Observe(epoch)
+}
+
+// Epoch returns the epoch of the table.
+func (t *Table) Epoch() *infra.Epoch { return t.epoch }
+
 // Get implements infra.Table.
 func (t *Table) Get(ctx context.Context, key string) (infra.Row, bool, error) {
 	if err := t.beginCall(ctx); err != nil {
--- a/member/member.go
+++ b/member/member.go
@@ -30,7 +30,8 @@
 type Member struct {
 	ID          string `json:"id"`
 	Incarnation string `json:"incarnation"`
-	// Epoch orders incarnations of one ID; 0 before the first heartbeat.
+	// Epoch orders incarnations of one ID. It is the version of the incarnation's
+	// first row; 0 before the first heartbeat.
 	Epoch uint64 `json:"epoch,omitempty"`
 	// Addr is the "ip:port" of the peer listener.
 	Addr          string `json:"addr"`
@@ -53,7 +54,9 @@
 	// becoming stale. Nil means the package's UpdatePeriod, and that heartbeats
 	// count as well.
 	UpdatePeriod func(members int) time.Duration
-	Log          *logrus.Entry
+	// TableEpoch is the epoch of the table. It may be nil.
+	TableEpoch *infra.Epoch
+	Log        *logrus.Entry
 }
 
 // Registry holds this entry's own member and the state of all others. It is
@@ -93,6 +96,8 @@
 type record struct {
 	member     Member
 	rowVersion uint64
+	// beat is the last one that was read from a row of the member's incarnation.
+	beat uint64
 	// lastContact is the estimated time at which the member was last reachable.
 	lastContact time.Time
 	// suspectedAt is the time at which a peer reported the member as
@@ -351,7 +356,7 @@
 	}
 	m.Epoch = max(m.Epoch, rec.member.Epoch)
 	if m.Incarnation != rec.member.Incarnation {
-		rec.lastContact = c.at
+		rec.lastContact, rec.beat = c.at, 0
 		rec.suspectedAt = time.Time{}
 	}
 	rec.member = m
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -25,10 +25,19 @@
 		Incarnation:   incarnation,
 		Addr:          "10.0.0.1:7000",
 		FailureDomain: "domain-0",
+		TableEpoch:    tableEpoch(table),
 		Log:           logrus.NewEntry(logger),
 	})
 }
 
+// tableEpoch returns the epoch of a stand-in table.
+func tableEpoch(table infra.Table) *infra.Epoch {
+	if t, ok := table.(*standin.Table); ok {
+		return t.Epoch()
+	}
+	return nil
+}
+
 // run starts a registry and returns a function that stops it and returns the
 // error of Run.
 func run(r *member.Registry) func() error {
--- a/member/scan.go
+++ b/member/scan.go
@@ -112,8 +112,9 @@
 	return contact{at: now.Add(-age), notBefore: r.lastScan}
 }
 
-// mergeRow merges a row that a scan read. Only a row that changed since the
-// last scan counts as a contact, which c describes. The row of a new member or
+// mergeRow merges a row that a scan read. Only a row with a later heartbeat than
+// those read before counts as a contact, which c describes: a restored table may hold
+// earlier ones. The row of a new member or
 // incarnation may be stale, but counts as a contact at the current time.
 func (r *Registry) mergeRow(tableRow infra.Row, c contact) {
 	var v row
@@ -122,7 +123,10 @@
 	}
 	r.mu.Lock()
 	rec := r.others[v.ID]
-	unchanged := rec != nil && rec.rowVersion == tableRow.Version
+	unchanged := rec != nil && rec.member.Incarnation == v.Incarnation && v.Beat <= rec.beat
+	if unchanged {
+		rec.rowVersion = tableRow.Version
+	}
 	if rec == nil || rec.member.Incarnation != v.Incarnation {
 		now := time.Now()
 		c = contact{at: now, notBefore: now}
@@ -138,16 +142,20 @@
 	defer r.mu.Unlock()
 	if rec := r.others[v.ID]; rec != nil {
 		rec.rowVersion = tableRow.Version
+		if rec.member.Incarnation == v.Incarnation {
+			rec.beat = v.Beat
+		}
 	}
 }
 
 // epochOf returns the epoch of the incarnation that wrote a row. The first row
-// of an incarnation contains no epoch; its version is the epoch.
+// of an incarnation contains no epoch; the version with which it was written is the
+// epoch.
 func epochOf(v row, version uint64) uint64 {
 	if v.Epoch != 0 {
 		return v.Epoch
 	}
-	return version
+	return infra.NewVersion(v.TableEpoch, infra.CounterOf(version))
 }
 
 // removeMembersWithoutRow removes members that have no row and that have failed
--- a/member/table.go
+++ b/member/table.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,6 +30,9 @@
 	// Beat increases with each heartbeat, so that each heartbeat changes the
 	// row.
 	Beat uint64 `json:"beat"`
+	// TableEpoch is the epoch of the table in which the row was written. The row
+	// of a restored table may be of an earlier one.
+	TableEpoch uint64 `json:"table_epoch,omitempty"`
 }
 
 // Run writes this entry's heartbeat row and scans the rows of the others until
@@ -59,12 +63,35 @@
 		if first && err == nil && !ctxtime.Sleep(ctx, settleTime) {
 			return nil
 		}
-		if !ctxtime.Sleep(ctx, phase(r.heartbeatPeriod(r.Count()))) {
+		if !r.awaitHeartbeat(ctx, phase(r.heartbeatPeriod(r.Count()))) {
 			return nil
 		}
 	}
 }
 
+// awaitHeartbeat waits until the next heartbeat is due, and returns false when ctx
+// ends. A restored table may lack this entry's row, so the heartbeat is then due
+// within the period that bounds the writes of all members.
+func (r *Registry) awaitHeartbeat(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for due := time.Now().Add(delay); ; {
+		_, restored := r.opt.TableEpoch.Watch()
+		select {
+		case <-timer.C:
+			return true
+		case <-restored:
+			soon := time.Now().Add(rand.N(HeartbeatPeriod(r.Count())))
+			if soon.Before(due) {
+				due = soon
+				timer.Reset(time.Until(due))
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // writeHeartbeat commits the heartbeat row, conditional on the last version
 // that this entry wrote or read. If the commit fails or its response is lost,
 // the next heartbeat reads the row first.
@@ -75,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(row{Member: m, Beat: r.nextHeartbeatSeq()})
+	value, err := json.Marshal(row{Member: m, Beat: r.nextHeartbeatSeq(), TableEpoch: r.opt.TableEpoch.Current()})
 	if err != nil {
 		return fmt.Errorf("member row: %w", err)
 	}
@@ -90,12 +117,13 @@
 }
 
 // expectedVersion returns the version that the row must have for a commit to
-// succeed. It reads the row when the outcome of the last commit is unknown.
+// succeed. It reads the row when the outcome of the last commit is unknown, or when
+// the table was restored since.
 func (r *Registry) expectedVersion(ctx context.Context) (uint64, error) {
 	r.mu.Lock()
 	version, self := r.rowVersion, r.self
 	r.mu.Unlock()
-	if version != 0 {
+	if version != 0 && infra.EpochOf(version) == r.opt.TableEpoch.Current() {
 		return version, nil
 	}
 	tableRow, ok, err := r.table.Get(ctx, rowPrefix+self.ID)
@@ -115,8 +143,9 @@
 	}
 	r.markRejoined()
 	// Another incarnation wrote the row. It is an earlier one, unless this
-	// incarnation has written the row before: then a later one has replaced it.
-	if self.Epoch != 0 && tableRow.Version > self.Epoch {
+	// incarnation has written the row before: then a later one has replaced it, or
+	// the table was restored from a copy.
+	if self.Epoch != 0 && epochOf(v, tableRow.Version) > self.Epoch {
 		return 0, ErrReplaced
 	}
 	return tableRow.Version, nil
