Give out no fencing token twice when the table loses a takeover

After a restore the lease's row is that of an earlier holder, released or gone. The next takeover counted on from it, so that two processes held the lease with one token, while the holder whose takeover was lost gave up although it ran. A renewal of the earlier epoch that is carried out late can also replace the row of a later holder, whose version is the same.

Change: a token is higher than the version of the row that was read, which includes the epoch, so that it is higher than all tokens before, whatever became of their rows. A process whose hold is still valid when the epoch rises, or when an earlier record has replaced its row, takes the lease again with a new token. All others take a row of an earlier epoch, also a released one or their own, or one that is missing, only after it has not changed for the lease's length and margin: a holder may be hidden behind it. A takeover that ends in a later epoch than it began in counts as not confirmed.

Ruled out on the way, by TestRandomRestores: counting takeovers within the epoch.

--- a/lease/contend.go
+++ b/lease/contend.go
@@ -42,6 +42,10 @@
 	l.mu.Lock()
 	h := l.hold
 	l.mu.Unlock()
+	if l.restoredSince(h) {
+		l.recheck(ctx, h)
+		return
+	}
 	sent := time.Now()
 	version, err := l.write(ctx, l.record(h.fence), h.version)
 	if err == nil {
@@ -68,6 +72,12 @@
 		l.log.WithError(err).Warn("lease: renewal not confirmed.")
 		return
 	}
+	if _, held := l.Held(); held && l.isEarlier(r, h) {
+		if err := l.acquire(ctx, row, r); err != nil {
+			l.log.WithError(err).Warn("lease: not taken again in the epoch.")
+		}
+		return
+	}
 	if r == nil || !l.isOwn(*r) || r.Fence != h.fence {
 		l.clearHold()
 		l.mu.Lock()
@@ -87,37 +97,42 @@
 	if err != nil {
 		return err
 	}
-	if r == nil {
-		return l.acquire(ctx, 1, infra.ExpectAbsent)
-	}
-	if !l.available(row, *r) {
+	if !l.available(row, r) {
 		return nil
 	}
-	return l.acquire(ctx, r.Fence+1, row.Version)
+	return l.acquire(ctx, row, r)
 }
 
-// available reports whether the lease may be acquired: it was released, the row
-// is an earlier one of this process, or the row has not changed for the lease's
-// duration plus the margin.
-func (l *Lease) available(row infra.Row, r record) bool {
-	if r.Owner == "" || l.isOwn(r) {
-		return true
+// available reports whether the lease may be acquired: there is no row, it was
+// released, the row is an earlier one of this process, or it has not changed for the
+// lease's duration plus the margin. A restored table may have lost the row, or hold an
+// earlier one, while another process holds the lease: nothing but that time then shows
+// that it doesn't.
+func (l *Lease) available(row infra.Row, r *record) bool {
+	if r == nil {
+		return time.Since(l.epochSince) >= l.opt.Duration+l.opt.Margin
 	}
 	if l.observed.version != row.Version {
 		l.observed = observedRow{version: row.Version, since: time.Now()}
-		return false
 	}
-	return time.Since(l.observed.since) >= r.Duration+l.opt.Margin
+	unchanged := time.Since(l.observed.since) >= r.Duration+l.opt.Margin
+	if infra.EpochOf(r.Fence) != l.epoch {
+		return unchanged
+	}
+	return r.Owner == "" || l.isOwn(*r) || unchanged
 }
 
-// acquire writes the row with a higher fencing token. If the response is lost,
-// it reads the row to find out whether the write succeeded.
-func (l *Lease) acquire(ctx context.Context, fence, expect uint64) error {
+// acquire writes the row with a higher fencing token. r is the record of the row that
+// was read. If the response is lost, it reads the row to find out whether the write
+// succeeded. In a later epoch than that of the token it has not: another process may
+// hold the lease there.
+func (l *Lease) acquire(ctx context.Context, row infra.Row, r *record) error {
 	highest := l.HighestFence()
+	fence := l.nextFence(row, r, highest)
 	invariant.Check(fence > highest, invariant.FenceMonotonic,
 		"lease %s acquired with fence %d after %d", l.opt.Name, fence, highest)
 	sent := time.Now()
-	version, err := l.write(ctx, l.record(fence), expect)
+	version, err := l.write(ctx, l.record(fence), row.Version)
 	if err != nil && verdict.Of(err) == verdict.NotRun {
 		return err
 	}
@@ -128,6 +143,9 @@
 		}
 		version = row.Version
 	}
+	if epoch := l.opt.Epoch.Current(); infra.EpochOf(fence) != epoch {
+		return fmt.Errorf("takeover with fence %d not confirmed: table is in epoch %d", fence, epoch)
+	}
 	l.setHold(hold{fence: fence, version: version, renewedAt: sent, acquiredAt: sent})
 	return nil
 }
@@ -173,16 +191,21 @@
 	ctx, cancel := context.WithTimeout(ctx, l.opt.TableTimeout)
 	defer cancel()
 	row, ok, err := l.table.Get(ctx, l.rowKey)
-	if err != nil || !ok {
+	if err != nil {
 		return row, nil, err
 	}
+	l.observeEpoch()
+	if !ok {
+		return infra.Row{Version: infra.ExpectAbsent}, nil, nil
+	}
 	var r record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return row, nil, fmt.Errorf("decode row %q: %w", l.rowKey, err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	invariant.Check(r.Fence >= l.highestFence, invariant.FenceMonotonic,
+	restored := infra.EpochOf(r.Fence) < l.opt.Epoch.Current()
+	invariant.Check(r.Fence >= l.highestFence || restored, invariant.FenceMonotonic,
 		"lease %s has fence %d after %d", l.opt.Name, r.Fence, l.highestFence)
 	l.highestFence = max(l.highestFence, r.Fence)
 	return row, &r, nil
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -103,6 +103,9 @@
 	// The fields below are used only by the goroutine of Run.
 
 	observed observedRow
+	// epoch is the last epoch of the table that was observed, since epochSince.
+	epoch      uint64
+	epochSince time.Time
 	// lastStep is the time of the last step, and idleJitter the random part of
 	// the delay after it while this process is not a candidate, in [0, 1).
 	lastStep   time.Time
