Report no window of usage again whose row a restore may have removed

A window's counts are committed in the table before they are sent, so that a successor sends the same. A restore removes the row. A successor, or the same entry after it lost the lease for a moment, then committed what it knew by now and sent other counts for the window.

Change: an entry keeps the counts that it committed and repeats them. A window that another entry may have reported before the restore, and whose row is missing, is not reported: it ended long enough before the restore was known, and this entry didn't hold the lease all the while. A report that was sent already is no loss; one that wasn't is. A commit that turns out to be the first call after a restore is withdrawn.

Remaining: the answer of such a first commit may be lost as well; it is then taken for a committed row.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -347,7 +347,7 @@
 	}
 	r := &usage.Reporter{
 		Lease: leaderLease, Table: table, Sender: deps.Reports, Source: view.usage, Clock: clock,
-		Window: s.Usage.Window, Due: s.Usage.Due, Log: log,
+		Window: s.Usage.Window, Due: s.Usage.Due, Epoch: deps.Epoch, Log: log,
 	}
 	l.Go(lc, r.Run)
 }
--- a/gateway/usage/report.go
+++ b/gateway/usage/report.go
@@ -59,15 +59,21 @@
 	// Window is the length of a window. Due is the time after the end of a
 	// window by which its report is due; it is not reported later.
 	Window, Due time.Duration
-	Log         *logrus.Entry
+	// Epoch is that of the table. It may be nil.
+	Epoch *infra.Epoch
+	Log   *logrus.Entry
 
 	// done holds the windows that are reported or overdue.
 	done map[int64]bool
+	// committed holds the counts of the last windows that this process committed.
+	committed map[int64]Counts
+	// lost tells which windows others may have reported without a trace.
+	lost lostReports
 }
 
 // Run reports windows while this entry holds the lease, until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
-	r.done = make(map[int64]bool)
+	r.done, r.committed = make(map[int64]bool), make(map[int64]Counts)
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
 	for {
@@ -81,11 +87,13 @@
 }
 
 func (r *Reporter) check(ctx context.Context) {
-	if _, ok := r.Lease.Held(); !ok {
+	now := r.Clock.Now()
+	_, held := r.Lease.Held()
+	r.lost.observe(r.Epoch.Current(), held, now)
+	if !held {
 		clear(r.done)
 		return
 	}
-	now := r.Clock.Now()
 	current := now.UnixNano() / int64(r.Window)
 	for k := current - lookbackWindows; k < current; k++ {
 		if !r.done[k] {
@@ -97,6 +105,11 @@
 			delete(r.done, k)
 		}
 	}
+	for k := range r.committed {
+		if k < current-lookbackWindows {
+			delete(r.committed, k)
+		}
+	}
 }
 
 // report reports window k, unless it has to wait for more counts or is overdue.
@@ -125,25 +138,43 @@
 
 func (r *Reporter) send(ctx context.Context, fence uint64, k int64, counts Counts) error {
 	committed, err := r.commitCounts(ctx, k, counts)
-	if err != nil || len(committed) == 0 {
+	if err != nil {
 		return err
 	}
+	if len(committed) == 0 {
+		if len(counts) > 0 {
+			r.Log.WithFields(logrus.Fields{"window": k, "epoch": r.Epoch.Current()}).Warn("usage: window not reported, another entry may have done so before the table was restored.")
+		}
+		return nil
+	}
 	return r.Sender.Report(ctx, fence, k, committed)
 }
 
 // commitCounts writes the counts of a window to the table unless it already
-// holds counts of that window. It returns the counts in the table.
+// holds counts of that window. It returns the counts in the table. If a restore of the
+// table may have removed the counts that another process reported, it returns none.
 func (r *Reporter) commitCounts(ctx context.Context, k int64, counts Counts) (Counts, error) {
 	ctx = infra.WithPriority(ctx, infra.PriorityLease)
+	own, isOwn := r.committed[k]
+	if isOwn {
+		counts = own
+	} else if r.mayBeLost(k) {
+		counts = nil
+	}
 	if len(counts) > 0 {
 		value, err := json.Marshal(counts)
 		if err != nil {
 			return nil, fmt.Errorf("encode window %d: %w", k, err)
 		}
-		_, err = r.Table.Commit(ctx,
+		version, err := r.Table.Commit(ctx,
 			infra.Write{Key: rowKey(k), Value: value, Expect: infra.ExpectAbsent},
 			infra.Write{Key: rowKey(k - retainedRows), Delete: true, Expect: infra.ExpectAny})
 		if err == nil {
+			r.lost.observe(r.Epoch.Current(), true, r.Clock.Now())
+			if !isOwn && r.mayBeLost(k) {
+				return nil, r.withdraw(ctx, k, version)
+			}
+			r.committed[k] = counts
 			return counts, nil
 		}
 		if _, conflict := infra.ConflictKey(err); !conflict && verdict.Of(err) == verdict.NotRun {
@@ -167,4 +198,19 @@
 	return committed, nil
 }
 
+// mayBeLost reports whether another process may have reported window k, and a restore
+// of the table may have removed what it committed.
+func (r *Reporter) mayBeLost(k int64) bool {
+	return r.lost.includes(time.Unix(0, (k+1)*int64(r.Window)).Add(settleDelay))
+}
+
+// withdraw deletes the row of window k, which was written after a restore that was not
+// yet known.
+func (r *Reporter) withdraw(ctx context.Context, k int64, version uint64) error {
+	if _, err := r.Table.Commit(ctx, infra.Write{Key: rowKey(k), Delete: true, Expect: version}); err != nil {
+		return fmt.Errorf("delete counts of window %d after a restore of the table: %w", k, err)
+	}
+	return nil
+}
+
 func rowKey(k int64) string { return fmt.Sprintf("usage/%d", k) }
--- a/gateway/usage/usage_test.go
+++ b/gateway/usage/usage_test.go
@@ -87,7 +87,8 @@
 func reporter(table *standin.Table, h *fakeClock, l *leaseHolder, s *sender, source Source) *Reporter {
 	return &Reporter{
 		Lease: l, Table: table, Sender: s, Source: source, Clock: h.clock(),
-		Window: 5 * time.Second, Due: 10 * time.Second, Log: nolog.Or(nil), done: make(map[int64]bool),
+		Window: 5 * time.Second, Due: 10 * time.Second, Epoch: table.Epoch(),
+		Log: nolog.Or(nil), done: make(map[int64]bool), committed: make(map[int64]Counts),
 	}
 }
 
