Keep replicas that the copy of the registry lacks until they had time to write again

A replica that registered after the copy is missing from the restored registry, and alive. Rows that are missing after an outage get two seconds' grace, but an outage was known only by a call that failed. An entry whose call ended with the news of the restore, or that had none under way, took such replicas for gone at once.

Change: the first read of all rows in a new epoch counts as the end of an outage.

--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -63,8 +63,9 @@
 	// History receives everything that the follower reads, to serve it to
 	// peers that read the feed through this process. It may be nil.
 	History *History
-	// OnRecovered is called when a call succeeds again after a failure, before
-	// the handler receives the result. It may be nil.
+	// OnRecovered is called when a call succeeds again after a failure, or when the
+	// rows of a restored table are read for the first time, before the handler
+	// receives the result. It may be nil.
 	OnRecovered func()
 	// Epoch is that of the table, for log lines. It may be nil.
 	Epoch *infra.Epoch
@@ -228,7 +229,10 @@
 	if err != nil {
 		return err
 	}
-	f.recordSuccess(*version)
+	restored := *version != 0 && infra.EpochOf(at) != infra.EpochOf(*version)
+	if !f.recordSuccess(*version) && restored && f.opt.OnRecovered != nil {
+		f.opt.OnRecovered()
+	}
 	f.handler.Replace(rows)
 	f.opt.History.replace(rows, at, sent)
 	*version, *synced = at, true
@@ -252,13 +256,15 @@
 	f.opt.Log.WithField("feed", f.opt.Name).WithError(err).Warn("follow: feed is lost.")
 }
 
-func (f *Follower) recordSuccess(version uint64) {
+// recordSuccess reports whether the success ended a failure of the feed.
+func (f *Follower) recordSuccess(version uint64) bool {
 	if !f.unavailable {
-		return
+		return false
 	}
 	f.unavailable = false
 	f.opt.Log.WithFields(logrus.Fields{"feed": f.opt.Name, "after": version, "epoch": f.opt.Epoch.Current()}).Info("follow: feed is back.")
 	if f.opt.OnRecovered != nil {
 		f.opt.OnRecovered()
 	}
+	return true
 }
