Keep the incarnation of a replica that runs when the restored registry has an earlier one

A replica that started again under its ID since the copy was replaced by its earlier incarnation, at an address that nothing answers at or another replica got, until it wrote again.

Change: in the two seconds after a recovery of the registry a row of an earlier incarnation is ignored, as a missing one is.

Before: TestRestoredRowOfAnEarlierIncarnationReplacesNoReplica failed; after, it passes.

--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -228,6 +228,11 @@
 	if reg.Incarnation == 0 {
 		reg.Incarnation = s.knownIncarnationLocked(reg.ID)
 	}
+	if old != nil && reg.Incarnation < old.Incarnation && time.Since(s.recoveredAt) < missingGrace {
+		// A restored registry may hold the row of an earlier incarnation.
+		delete(s.missingSince, reg.ID)
+		return newlyDraining
+	}
 	r := &Replica{Registration: reg, Seen: time.Now()}
 	if old != nil && old.Incarnation == reg.Incarnation && old.Addr == reg.Addr {
 		r.Seen = old.Seen
--- a/gateway/replica/set_test.go
+++ b/gateway/replica/set_test.go
@@ -133,3 +133,18 @@
 	s.Put(draining(registration("a", 1)))
 	qt.Assert(t, passedOn, qt.DeepEquals, []string{"a"})
 }
+
+// Guards against the row of an earlier incarnation, which a restored registry brings
+// back and which replaced the replica that runs.
+func TestRestoredRowOfAnEarlierIncarnationReplacesNoReplica(t *testing.T) {
+	s := replica.NewSet(nolog.Or(nil))
+	first := replica.Registration{ID: "r", Service: "s", Addr: "10.0.0.1:80", Incarnation: 1}
+	second := replica.Registration{ID: "r", Service: "s", Addr: "10.0.0.2:80", Incarnation: 2}
+	s.Put(first)
+	s.Put(second)
+	s.RegistryRecovered()
+	s.Replace([]replica.Registration{first})
+	qt.Check(t, s.Current().Ready["s"][0].Addr, qt.Equals, second.Addr)
+	s.Put(second)
+	qt.Check(t, s.Current().Ready["s"][0].Addr, qt.Equals, second.Addr)
+}
