--- a/gateway/usage/report.go
+++ b/gateway/usage/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -128,6 +129,11 @@
 		return
 	}
 	err := r.Lease.Do(ctx, func(ctx context.Context, fence uint64) error { return r.send(ctx, fence, k, counts) })
+	if errors.Is(err, errMayBeReported) {
+		r.done[k] = true
+		r.Log.WithFields(logrus.Fields{"window": k, "epoch": r.Epoch.Current()}).WithError(err).Warn("usage: window left out.")
+		return
+	}
 	if err != nil {
 		r.Log.WithField("window", k).WithError(err).Warn("usage: window not reported yet.")
 		return
@@ -143,7 +149,7 @@
 	}
 	if len(committed) == 0 {
 		if len(counts) > 0 {
-			r.Log.WithFields(logrus.Fields{"window": k, "epoch": r.Epoch.Current()}).Warn("usage: window not reported, another entry may have done so before the table was restored.")
+			return errMayBeReported
 		}
 		return nil
 	}
@@ -198,6 +204,9 @@
 	return committed, nil
 }
 
+// errMayBeReported is the error of a window whose counts a restore may have removed.
+var errMayBeReported = errors.New("another entry may have reported the window before the table was restored")
+
 // mayBeLost reports whether another process may have reported window k, and a restore
 // of the table may have removed what it committed.
 func (r *Reporter) mayBeLost(k int64) bool {
