Read a restored feed through a peer

An entry that follows a feed through a peer, and can't reach the store itself, was told to read all rows there, and got nothing new until it reached it.

Change: a peer gives a reader of an earlier epoch all rows as one update, which replaces what the reader has. The links of the two readers of a failure domain carry the rows of those that ask them; at a return most ask the store, as their peers had just been unavailable.

--- a/infra/feed.go
+++ b/infra/feed.go
@@ -26,6 +26,8 @@
 type Update struct {
 	// Changes are in order, the oldest first.
 	Changes []Change
+	// Complete is set if Changes are all rows. Any others no longer exist.
+	Complete bool
 	// Version is the version to pass to the next call.
 	Version uint64
 	// Age is the time since the update was last known to be complete; changes
--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -182,13 +182,17 @@
 	case err != nil:
 		return err
 	}
-	f.recordSuccess(*version)
-	for _, c := range update.Changes {
-		f.handler.Change(c)
-	}
-	*version = update.Version
 	at := time.Now().Add(-update.Age)
-	f.opt.History.add(update, at)
+	if update.Complete {
+		f.replace(rowsOf(update.Changes), update.Version, version, at)
+	} else {
+		f.recordSuccess(*version)
+		for _, c := range update.Changes {
+			f.handler.Change(c)
+		}
+		*version = update.Version
+		f.opt.History.add(update, at)
+	}
 	f.confirm(at)
 	if len(update.Changes) > 0 && f.opt.Pause != nil {
 		ctxtime.Sleep(ctx, f.opt.Pause())
@@ -229,13 +233,8 @@
 	if err != nil {
 		return err
 	}
-	restored := *version != 0 && infra.EpochOf(at) != infra.EpochOf(*version)
-	if !f.recordSuccess(*version) && restored && f.opt.OnRecovered != nil {
-		f.opt.OnRecovered()
-	}
-	f.handler.Replace(rows)
-	f.opt.History.replace(rows, at, sent)
-	*version, *synced = at, true
+	f.replace(rows, at, version, sent)
+	*synced = true
 	if f.confirmed.Load() == 0 {
 		close(f.loaded)
 	}
@@ -243,6 +242,26 @@
 	return nil
 }
 
+// replace passes on all rows as of a version, which were complete at a time, and
+// updates the position.
+func (f *Follower) replace(rows []infra.Row, version uint64, position *uint64, at time.Time) {
+	restored := *position != 0 && infra.EpochOf(version) != infra.EpochOf(*position)
+	if !f.recordSuccess(*position) && restored && f.opt.OnRecovered != nil {
+		f.opt.OnRecovered()
+	}
+	f.handler.Replace(rows)
+	f.opt.History.replace(rows, version, at)
+	*position = version
+}
+
+func rowsOf(changes []infra.Change) []infra.Row {
+	rows := make([]infra.Row, len(changes))
+	for i, c := range changes {
+		rows[i] = c.Row
+	}
+	return rows
+}
+
 func (f *Follower) confirm(at time.Time) {
 	f.confirmed.Store(int64(max(1, at.Sub(f.start))))
 }
--- a/peer/changes_test.go
+++ b/peer/changes_test.go
@@ -19,6 +19,7 @@
 	versionUnavailable = 2
 	versionSlow        = 3
 	versionLong        = 4
+	versionRestored    = 5
 )
 
 var someUpdate = infra.Update{
@@ -29,6 +30,11 @@
 	Version: 9, Age: 70 * time.Millisecond,
 }
 
+var restoredUpdate = infra.Update{
+	Changes:  []infra.Change{{Row: infra.Row{Key: "a", Value: []byte("x"), Version: infra.NewVersion(infra.MaxEpoch, 8)}}},
+	Complete: true, Version: infra.NewVersion(infra.MaxEpoch, infra.MaxCounter), Age: 70 * time.Millisecond,
+}
+
 var someCounts = []peer.IncarnationCounts{
 	{Member: "gone", Incarnation: "i1", Started: map[int64]map[string]int{7: {"house": 3}}},
 }
@@ -47,6 +53,8 @@
 		return infra.Update{Version: versionSlow}, ctx.Err()
 	case versionLong:
 		return infra.Update{Changes: []infra.Change{{Row: infra.Row{Key: "a", Value: n.longValue, Version: 9}}}, Version: 9}, nil
+	case versionRestored:
+		return restoredUpdate, nil
 	default:
 		return someUpdate, nil
 	}
@@ -62,6 +70,9 @@
 		u, err := mesh.Changes(ctx, id, "f", 7, time.Second)
 		c.Assert(err, qt.IsNil)
 		c.Assert(u, qt.DeepEquals, someUpdate)
+		u, err = mesh.Changes(ctx, id, "f", versionRestored, time.Second)
+		c.Assert(err, qt.IsNil)
+		c.Assert(u, qt.DeepEquals, restoredUpdate)
 		_, err = mesh.Changes(ctx, id, "f", versionCompacted, time.Second)
 		c.Assert(err, qt.ErrorIs, infra.ErrCompacted)
 		_, err = mesh.Changes(ctx, id, "f", versionUnavailable, time.Second)
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -369,8 +369,10 @@
 // changesResult is the reply to changesParams.
 type changesResult struct {
 	Changes []changeRecord `json:"c,omitempty"`
-	Version uint64         `json:"v,omitempty"`
-	AgeMS   int64          `json:"a,omitempty"`
+	// Complete is that of infra.Update.
+	Complete bool   `json:"r,omitempty"`
+	Version  uint64 `json:"v,omitempty"`
+	AgeMS    int64  `json:"a,omitempty"`
 	// Compacted represents infra.ErrCompacted, Unavailable
 	// follow.ErrUnavailable.
 	Compacted   bool `json:"g,omitempty"`
@@ -388,7 +390,7 @@
 }
 
 func changesOf(u infra.Update, p *packer) changesResult {
-	out := changesResult{Version: u.Version, AgeMS: u.Age.Milliseconds()}
+	out := changesResult{Complete: u.Complete, Version: u.Version, AgeMS: u.Age.Milliseconds()}
 	for _, c := range u.Changes {
 		record := changeRecord{Key: c.Key, Version: c.Version, Deleted: c.Deleted}
 		record.Value, record.Packed = p.pack(c.Value)
@@ -398,7 +400,7 @@
 }
 
 func (r changesResult) update() (infra.Update, error) {
-	u := infra.Update{Version: r.Version, Age: time.Duration(r.AgeMS) * time.Millisecond}
+	u := infra.Update{Complete: r.Complete, Version: r.Version, Age: time.Duration(r.AgeMS) * time.Millisecond}
 	for _, c := range r.Changes {
 		value, err := unpack(c.Value, c.Packed)
 		if err != nil {
