Leave a window out also if its withdrawn counts can't be deleted

The commit of a window that turned out to be the first call after a restore was withdrawn; if the deletion failed, the next look at the window found the row and sent it.

Change: the window is left out in either case, and the failure logged. A test for the withdrawal: with that decision taken out, it reports window 199 twice, with 3 and 5.

--- a/gateway/usage/report.go
+++ b/gateway/usage/report.go
@@ -178,7 +178,8 @@
 		if err == nil {
 			r.lost.observe(r.Epoch.Current(), true, r.Clock.Now())
 			if !isOwn && r.mayBeLost(k) {
-				return nil, r.withdraw(ctx, k, version)
+				r.withdraw(ctx, k, version)
+				return nil, nil
 			}
 			r.committed[k] = counts
 			return counts, nil
@@ -215,11 +216,10 @@
 
 // withdraw deletes the row of window k, which was written after a restore that was not
 // yet known.
-func (r *Reporter) withdraw(ctx context.Context, k int64, version uint64) error {
+func (r *Reporter) withdraw(ctx context.Context, k int64, version uint64) {
 	if _, err := r.Table.Commit(ctx, infra.Write{Key: rowKey(k), Delete: true, Expect: version}); err != nil {
-		return fmt.Errorf("delete counts of window %d after a restore of the table: %w", k, err)
+		r.Log.WithField("window", k).WithError(err).Warn("usage: counts of a window that is left out can't be deleted.")
 	}
-	return nil
 }
 
 func rowKey(k int64) string { return fmt.Sprintf("usage/%d", k) }
--- a/gateway/usage/restored_test.go
+++ b/gateway/usage/restored_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/infra/standin"
 )
 
@@ -66,3 +67,46 @@
 	r.check(context.Background())
 	qt.Assert(t, got.reports[200], qt.DeepEquals, []map[string]int{{"a": 3}})
 }
+
+// restoredInCommit is a table that is restored just before the first commit is carried
+// out.
+type restoredInCommit struct {
+	*standin.Table
+	taken    standin.TableCopy
+	restored bool
+}
+
+func (t *restoredInCommit) Commit(ctx context.Context, writes ...infra.Write) (uint64, error) {
+	if !t.restored {
+		t.restored = true
+		t.Restore(t.taken)
+	}
+	return t.Table.Commit(ctx, writes...)
+}
+
+// Guards against other counts for a window, committed by the first call after a restore.
+func TestCommitThatARestorePrecedesIsWithdrawn(t *testing.T) {
+	table := standin.NewTable(1)
+	defer table.Close()
+	table.Restore(table.Copy())
+	h := &fakeClock{wall: time.Unix(1000, 0)}
+	count := 3
+	source := func(int64, time.Time) (Counts, bool) { return Counts{"a": count}, true }
+	got := &sender{}
+	holder, other := &leaseHolder{held: true}, &leaseHolder{}
+	first, second := reporter(table, h, holder, got, source), reporter(table, h, other, got, source)
+	second.Table = &restoredInCommit{Table: table, taken: table.Copy()}
+	first.check(context.Background())
+	second.check(context.Background())
+	h.advance(8 * time.Second)
+	first.check(context.Background())
+	holder.held, other.held, count = false, true, 5
+	second.check(context.Background())
+	second.check(context.Background())
+	for _, k := range []int64{199, 200} {
+		qt.Check(t, got.reports[k], qt.DeepEquals, []map[string]int{{"a": 3}}, qt.Commentf("window %d", k))
+		_, found, err := table.Get(context.Background(), rowKey(k))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, found, qt.IsFalse, qt.Commentf("window %d", k))
+	}
+}
--- a/lease/contend.go
+++ b/lease/contend.go
@@ -74,7 +74,7 @@
 	}
 	if _, held := l.Held(); held && l.isEarlier(r, h) {
 		if err := l.acquire(ctx, row, r); err != nil {
-			l.log.WithError(err).Warn("lease: not taken again in the epoch.")
+			l.log.WithError(err).Warn("lease: not taken again after a restore.")
 		}
 		return
 	}
