--- a/infra/follow/follow.go
+++ b/infra/follow/follow.go
@@ -63,10 +63,13 @@
 	// History receives everything that the follower reads, to serve it to
 	// peers that read the feed through this process. It may be nil.
 	History *History
-	// OnRecovered is called when a call succeeds again after a failure, before
-	// the handler receives the result. It may be nil.
+	// OnRecovered is called when a call succeeds again after a failure, or when the
+	// rows of a restored table are read for the first time, before the handler
+	// receives the result. It may be nil.
 	OnRecovered func()
-	Log         *logrus.Entry
+	// Epoch is that of the table, for log lines. It may be nil.
+	Epoch *infra.Epoch
+	Log   *logrus.Entry
 }
 
 // Follower keeps its Handler up to date with one feed.
@@ -140,7 +143,7 @@
 			continue
 		}
 		if errors.Is(err, infra.ErrCompacted) {
-			f.opt.Log.WithField("feed", f.opt.Name).Info("follow: history compacted, reading a snapshot.")
+			f.opt.Log.WithFields(logrus.Fields{"feed": f.opt.Name, "after": version, "epoch": f.opt.Epoch.Current()}).WithError(err).Info("follow: history compacted, reading a snapshot.")
 			synced = false
 			continue
 		}
@@ -179,13 +182,17 @@
 	case err != nil:
 		return err
 	}
-	f.recordSuccess()
-	for _, c := range update.Changes {
-		f.handler.Change(c)
-	}
-	*version = update.Version
 	at := time.Now().Add(-update.Age)
-	f.opt.History.add(update, at)
+	if update.Complete {
+		f.replace(rowsOf(update.Changes), update.Version, version, at)
+	} else {
+		f.recordSuccess(*version)
+		for _, c := range update.Changes {
+			f.handler.Change(c)
+		}
+		*version = update.Version
+		f.opt.History.add(update, at)
+	}
 	f.confirm(at)
 	if len(update.Changes) > 0 && f.opt.Pause != nil {
 		ctxtime.Sleep(ctx, f.opt.Pause())
@@ -226,10 +233,8 @@
 	if err != nil {
 		return err
 	}
-	f.recordSuccess()
-	f.handler.Replace(rows)
-	f.opt.History.replace(rows, at, sent)
-	*version, *synced = at, true
+	f.replace(rows, at, version, sent)
+	*synced = true
 	if f.confirmed.Load() == 0 {
 		close(f.loaded)
 	}
@@ -237,6 +242,26 @@
 	return nil
 }
 
+// replace passes on all rows as of a version, which were complete at a time, and
+// updates the position.
+func (f *Follower) replace(rows []infra.Row, version uint64, position *uint64, at time.Time) {
+	restored := *position != 0 && infra.EpochOf(version) != infra.EpochOf(*position)
+	if !f.recordSuccess(*position) && restored && f.opt.OnRecovered != nil {
+		f.opt.OnRecovered()
+	}
+	f.handler.Replace(rows)
+	f.opt.History.replace(rows, version, at)
+	*position = version
+}
+
+func rowsOf(changes []infra.Change) []infra.Row {
+	rows := make([]infra.Row, len(changes))
+	for i, c := range changes {
+		rows[i] = c.Row
+	}
+	return rows
+}
+
 func (f *Follower) confirm(at time.Time) {
 	f.confirmed.Store(int64(max(1, at.Sub(f.start))))
 }
@@ -250,13 +275,15 @@
 	f.opt.Log.WithField("feed", f.opt.Name).WithError(err).Warn("follow: feed is lost.")
 }
 
-func (f *Follower) recordSuccess() {
+// recordSuccess reports whether the success ended a failure of the feed.
+func (f *Follower) recordSuccess(version uint64) bool {
 	if !f.unavailable {
-		return
+		return false
 	}
 	f.unavailable = false
-	f.opt.Log.WithField("feed", f.opt.Name).Info("follow: feed is back.")
+	f.opt.Log.WithFields(logrus.Fields{"feed": f.opt.Name, "after": version, "epoch": f.opt.Epoch.Current()}).Info("follow: feed is back.")
 	if f.opt.OnRecovered != nil {
 		f.opt.OnRecovered()
 	}
+	return true
 }
