--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -129,11 +129,10 @@
 	sent := time.Now()
 	answer, err := x.send(ctx, r, lastEvent)
 	if err != nil {
-		x.broken, x.accepted = progressOfError(err), !errors.Is(err, upstream.ErrNotAccepted)
+		x.broken = progressOfError(err)
 		return outcomeOfError(err), err
 	}
 	defer answer.Close()
-	x.accepted = true
 	x.observe(r, answer, sent)
 	return x.relay(ctx, t, answer, lastEvent)
 }
@@ -160,13 +159,14 @@
 		"parts": quarantine.PartNames(parts), "leaving": x.h.Balancer.IsLeaving(r),
 	}).Warn("gateway: answer broke off.")
 	suspect, brokenAt := x.h.Quarantine.Suspect(customer, parts, progress), time.Now()
+	answering := progress != quarantine.Waiting
 	onCrash := func() { x.h.Quarantine.Crashed(r, customer, parts, progress, brokenAt) }
 	if progress != quarantine.Beginning && !suspect {
 		// Most connections that break off so are no crash.
-		x.h.Liveness.Watch(r, x.accepted, onCrash)
+		x.h.Liveness.Watch(r, answering, onCrash)
 		return false
 	}
-	if !x.h.Liveness.Crashed(ctx, r, x.accepted, onCrash) {
+	if !x.h.Liveness.Crashed(ctx, r, answering, onCrash) {
 		return false
 	}
 	x.crashSuspect = suspect
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -158,9 +158,6 @@
 	// answer that wasn't settled, and the request may have caused that.
 	broken       quarantine.Progress
 	crashSuspect bool
-	// accepted is set if the replica of the last attempt had accepted the connection,
-	// as it had sent something on it.
-	accepted bool
 	// onTrial is set if the request was admitted although its parts are banned.
 	onTrial bool
 	// stated is what the last answer stated about its replica. knownLeaving is
--- a/gateway/liveness/doc.go
+++ b/gateway/liveness/doc.go
@@ -13,8 +13,8 @@
 //   - Its address can't be reached several times in a row.
 //   - Its port ends each connection at once for a while, as one does behind which
 //     no process is left. A replica with too many connections does the same to those
-//     that it doesn't accept, so that this is a sign only if a connection broke off
-//     on which something had arrived.
+//     that it doesn't accept, so that this is a sign only if an answer broke off that
+//     had begun.
 //   - The registry no longer lists the incarnation, which never said that it
 //     was leaving.
 //
--- a/gateway/liveness/liveness.go
+++ b/gateway/liveness/liveness.go
@@ -96,10 +96,10 @@
 	// decided is closed after sign is set.
 	decided chan struct{}
 	sign    Sign
-	// onCrash holds what is called if the replica has crashed. accepted is set if it
-	// had accepted one of the connections that broke off.
-	onCrash  []func()
-	accepted bool
+	// onCrash holds what is called if the replica has crashed. answering is set if one
+	// of the answers that it broke off had begun.
+	onCrash   []func()
+	answering bool
 }
 
 // New returns a Watcher. Close ends it.
@@ -114,13 +114,12 @@
 	w.wg.Wait()
 }
 
-// Crashed watches a replica that broke off an answer. accepted is set if the replica
-// had accepted the connection. onCrash is called once if the replica turns out to
-// have crashed, on any goroutine and possibly after Crashed has returned. The result
-// is true if that is known before ctx ends and before a request should wait no
-// longer.
-func (w *Watcher) Crashed(ctx context.Context, r *replica.Replica, accepted bool, onCrash func()) bool {
-	s := w.watch(r, accepted, onCrash)
+// Crashed watches a replica that broke off an answer, of which a byte had arrived if
+// answering is set. onCrash is called once if the replica turns out to have crashed,
+// on any goroutine and possibly after Crashed has returned. The result is true if
+// that is known before ctx ends and before a request should wait no longer.
+func (w *Watcher) Crashed(ctx context.Context, r *replica.Replica, answering bool, onCrash func()) bool {
+	s := w.watch(r, answering, onCrash)
 	if s == nil {
 		return false
 	}
@@ -136,13 +135,13 @@
 }
 
 // Watch is like Crashed, but doesn't wait for the decision.
-func (w *Watcher) Watch(r *replica.Replica, accepted bool, onCrash func()) {
-	w.watch(r, accepted, onCrash)
+func (w *Watcher) Watch(r *replica.Replica, answering bool, onCrash func()) {
+	w.watch(r, answering, onCrash)
 }
 
 // watch starts to watch a replica, unless it is being watched. It returns nil if
 // the replica is leaving, or if there are too many suspects.
-func (w *Watcher) watch(r *replica.Replica, accepted bool, onCrash func()) *suspect {
+func (w *Watcher) watch(r *replica.Replica, answering bool, onCrash func()) *suspect {
 	if w.opt.Registry.IsLeaving(r) {
 		return nil
 	}
@@ -151,14 +150,14 @@
 	key := suspectKey{r.ID, r.Incarnation, r.Addr}
 	if s := w.suspects[key]; s != nil {
 		s.onCrash = append(s.onCrash, onCrash)
-		s.accepted = s.accepted || accepted
+		s.answering = s.answering || answering
 		return s
 	}
 	if len(w.suspects) >= maxSuspects || w.ctx.Err() != nil {
 		w.opt.Log.WithFields(logrus.Fields{"replica": r.ID, "suspects": len(w.suspects)}).Warn("liveness: replica is not watched.")
 		return nil
 	}
-	s := &suspect{replica: r, decided: make(chan struct{}), onCrash: []func(){onCrash}, accepted: accepted}
+	s := &suspect{replica: r, decided: make(chan struct{}), onCrash: []func(){onCrash}, answering: answering}
 	w.suspects[key] = s
 	w.wg.Go(func() { w.decide(key, s) })
 	return s
@@ -201,8 +200,8 @@
 		if sign, decided := w.lookAtRegistry(s.replica); decided {
 			return sign
 		}
-		began, accepted := time.Now(), w.hasAccepted(s)
-		sign := w.lookAtPort(ctx, s.replica, accepted)
+		began, answering := time.Now(), w.isAnswering(s)
+		sign := w.lookAtPort(ctx, s.replica, answering)
 		if sign != Unreachable {
 			unreachable = 0
 		}
@@ -220,7 +219,7 @@
 			if closedSince.IsZero() {
 				closedSince = began
 			}
-			if time.Since(closedSince) >= closedPeriod && accepted {
+			if time.Since(closedSince) >= closedPeriod && answering {
 				return Closed
 			}
 		}
@@ -230,11 +229,11 @@
 	}
 }
 
-// hasAccepted reports whether the suspect had accepted a connection that broke off.
-func (w *Watcher) hasAccepted(s *suspect) bool {
+// isAnswering reports whether an answer that the suspect broke off had begun.
+func (w *Watcher) isAnswering(s *suspect) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return s.accepted
+	return s.answering
 }
 
 // awaitRegistry waits until the registry decides or ctx ends.
