Take only what proves a crash for one: silent leaving, an entry's own link, few looks

A row that the registry drops was a sign, while a replica may leave without saying so and goes on serving: now the port decides. An address out of reach was a sign also if the entry reaches no replica at all: now another replica must have answered meanwhile. A request without an answer cost up to 19 looks: now 4.

--- a/gateway/liveness/liveness.go
+++ b/gateway/liveness/liveness.go
@@ -41,6 +41,10 @@
 	maxSuspects = 256
 )
 
+// sparsePauses are the times between looks if no answer had begun: most connections
+// that end so are no crash, and each look takes one more.
+var sparsePauses = [...]time.Duration{30 * time.Millisecond, 150 * time.Millisecond, 900 * time.Millisecond}
+
 // Sign is what showed that a replica has crashed.
 type Sign string
 
@@ -56,10 +60,12 @@
 // Registry reports which incarnations are registered and leaving. Implementations must be safe for
 // concurrent use.
 type Registry interface {
-	// IsLeaving reports whether an incarnation is draining or gone.
+	// IsLeaving reports whether an incarnation is draining or gone, and SaidLeaving
+	// whether it said so itself.
 	IsLeaving(r *replica.Replica) bool
-	// IsReplaced reports whether the registry has dropped an incarnation that never
-	// said that it was leaving.
+	SaidLeaving(r *replica.Replica) bool
+	// IsReplaced reports whether the registry lists another incarnation in place of one
+	// that never said that it was leaving.
 	IsReplaced(r *replica.Replica) bool
 }
 
@@ -82,6 +88,8 @@
 
 	mu       sync.Mutex
 	suspects map[suspectKey]*suspect
+	// answeredAt is the time of the last answer of any replica.
+	answeredAt time.Time
 }
 
 type suspectKey struct {
@@ -134,6 +142,20 @@
 	return false
 }
 
+// Answered records that some replica has answered. It shows that this entry has not lost
+// its links to all of them.
+func (w *Watcher) Answered() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answeredAt = time.Now()
+}
+
+func (w *Watcher) answeredSince(t time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answeredAt.After(t)
+}
+
 // Watch is like Crashed, but doesn't wait for the decision.
 func (w *Watcher) Watch(r *replica.Replica, answering bool, onCrash func()) {
 	w.watch(r, answering, onCrash)
@@ -194,11 +216,14 @@
 func (w *Watcher) look(ctx context.Context, s *suspect) Sign {
 	ctx, cancel := context.WithTimeout(ctx, portPeriod)
 	defer cancel()
-	unreachable := 0
+	unreachable, sparse, firstLook := 0, 0, time.Now()
 	var closedSince time.Time
 	for pause := minPause; ; pause = min(2*pause, maxPause) {
-		if sign, decided := w.lookAtRegistry(s.replica); decided {
-			return sign
+		switch {
+		case w.opt.Registry.IsReplaced(s.replica):
+			return Replaced
+		case w.opt.Registry.IsLeaving(s.replica):
+			return w.lookAtGone(ctx, s.replica)
 		}
 		began, answering := time.Now(), w.isAnswering(s)
 		sign := w.lookAtPort(ctx, s.replica, answering)
@@ -212,7 +237,7 @@
 		case Refused:
 			return Refused
 		case Unreachable:
-			if unreachable++; unreachable == maxUnreachable {
+			if unreachable++; unreachable >= maxUnreachable && w.answeredSince(firstLook) {
 				return Unreachable
 			}
 		case Closed:
@@ -223,7 +248,15 @@
 				return Closed
 			}
 		}
-		if !ctxtime.Sleep(ctx, pause) {
+		next := pause
+		if !answering {
+			if sparse == len(sparsePauses) {
+				return Alive
+			}
+			next = sparsePauses[sparse]
+			sparse++
+		}
+		if !ctxtime.Sleep(ctx, next) {
 			return Alive
 		}
 	}
@@ -239,8 +272,11 @@
 // awaitRegistry waits until the registry decides or ctx ends.
 func (w *Watcher) awaitRegistry(ctx context.Context, r *replica.Replica) Sign {
 	for {
-		if sign, decided := w.lookAtRegistry(r); decided {
-			return sign
+		switch {
+		case w.opt.Registry.IsReplaced(r):
+			return Replaced
+		case w.opt.Registry.IsLeaving(r):
+			return w.lookAtGone(ctx, r)
 		}
 		if !ctxtime.Sleep(ctx, maxPause) {
 			return Alive
@@ -248,17 +284,21 @@
 	}
 }
 
-// lookAtRegistry returns what the registry says of a suspect, and false if that
-// decides nothing.
-func (w *Watcher) lookAtRegistry(r *replica.Replica) (Sign, bool) {
-	switch {
-	case w.opt.Registry.IsReplaced(r):
-		return Replaced, true
-	case w.opt.Registry.IsLeaving(r):
-		return Alive, true
-	default:
-		return Alive, false
+// lookAtGone returns the sign of a replica that is leaving or that the registry has
+// dropped. One that leaves may not say so, and serves for a while longer.
+func (w *Watcher) lookAtGone(ctx context.Context, r *replica.Replica) Sign {
+	if w.opt.Registry.SaidLeaving(r) {
+		return Alive
 	}
+	if sign := w.lookAtPort(ctx, r, false); sign != Unreachable || w.answeredSince(time.Now().Add(-dialTimeout)) {
+		return sign
+	}
+	return Alive
+}
+
+// isDecided reports whether the registry has changed what it says of a suspect.
+func (w *Watcher) isDecided(r *replica.Replica) bool {
+	return w.opt.Registry.IsReplaced(r) || w.opt.Registry.IsLeaving(r)
 }
 
 // lookAtPort opens a connection. If it is accepted, lookAtPort returns as soon as
@@ -290,7 +330,7 @@
 			}
 			return Alive
 		}
-		if _, decided := w.lookAtRegistry(r); decided || !hold {
+		if w.isDecided(r) || !hold {
 			return Alive
 		}
 	}
--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -199,13 +199,20 @@
 	return s.leaving.Contains(incarnationKey{r.ID, r.Incarnation}) || s.registered[r.ID] == nil
 }
 
-// IsReplaced reports whether the registry has dropped an incarnation that never
-// said that it was leaving. It lists another one of the same ID, or none.
+// SaidLeaving reports whether an incarnation has said that it was leaving.
+func (s *Set) SaidLeaving(r *Replica) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving.Contains(incarnationKey{r.ID, r.Incarnation})
+}
+
+// IsReplaced reports whether the registry lists another incarnation in place of one
+// that never said that it was leaving.
 func (s *Set) IsReplaced(r *Replica) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.registered[r.ID]
-	return !s.leaving.Contains(incarnationKey{r.ID, r.Incarnation}) && (current == nil || current.Incarnation != r.Incarnation)
+	return !s.leaving.Contains(incarnationKey{r.ID, r.Incarnation}) && current != nil && current.Incarnation != r.Incarnation
 }
 
 // LeavingSince returns the time at which this entry learnt of the first of a
