Take back a crash if the replica answers on a connection from before it

Evidence of a crash could be wrong, and nothing took it back: a ban of sound parts stayed until an answer, which the ban prevented, or ten minutes had passed.

An answer to a request sent after the supposed crash, on a connection opened before it, proves that the process lived on. Any entry that gets one refutes the crash and spreads that; a later crash of the same process counts again.

A ban that rests on weak evidence is tried again 30 s after the last crash at first, and then after three times the span of its crashes, in place of ten minutes. A bad part then costs a replica at about 30 s, 2 min and 7 min.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -99,6 +99,8 @@
 	if a.Status == http.StatusMisdirectedRequest {
 		return
 	}
+	x.h.Quarantine.Alive(r, a.Opened, sent)
+	x.h.Liveness.Answered()
 	x.stated = x.h.Dialect.DecodeReply(a.Status, a.Header)
 	invalid := len(x.stated.Invalid) > 0
 	if invalid {
--- a/gateway/quarantine/crash.go
+++ b/gateway/quarantine/crash.go
@@ -31,7 +31,8 @@
 // the parts of one customer.
 type crashKey struct {
 	customer, replica string
-	incarnation       int64
+	// number is the incarnation of the replica.
+	number int64
 }
 
 // crash is evidence against prompt parts. It is replaced and never modified.
@@ -45,6 +46,9 @@
 	weak   []weakPrompt
 	// at is the time of the crash by the clock of this process.
 	at time.Time
+	// refuted is set if the replica is known to have lived on until at. There is no
+	// evidence then.
+	refuted bool
 	// all is the result of parts, nil before the first call.
 	all []uint64
 }
@@ -121,6 +125,19 @@
 // crashes are evidence against are kept.
 func (c *crash) merge(o *crash, others []*crash) (*crash, bool) {
 	merged := *c
+	switch {
+	case o.refuted:
+		if c.refuted || o.at.Before(c.at) {
+			return c, false
+		}
+		return o, true
+	case c.refuted:
+		// It may crash later.
+		if o.at.After(c.at) {
+			return o, true
+		}
+		return c, false
+	}
 	merged.strong, merged.weak = union(c.strong, o.strong), unionOfPrompts(c.weak, o.weak)
 	merged.all = nil
 	merged.bound(others)
@@ -129,7 +146,7 @@
 
 // sameEvidence reports whether two records of a crash hold the same evidence.
 func (c *crash) sameEvidence(o *crash) bool {
-	return slices.Equal(c.strong, o.strong) && slices.EqualFunc(c.weak, o.weak, func(x, y weakPrompt) bool { return slices.Equal(x.parts, y.parts) })
+	return c.refuted == o.refuted && slices.Equal(c.strong, o.strong) && slices.EqualFunc(c.weak, o.weak, func(x, y weakPrompt) bool { return slices.Equal(x.parts, y.parts) })
 }
 
 // bound drops what exceeds the bounds of one crash.
@@ -177,7 +194,7 @@
 
 // rank orders parts differently for each crash, so that none is dropped from all.
 func (c *crash) rank(parts ...uint64) uint64 {
-	h := xxhash.Sum64String(c.replica) + uint64(c.incarnation)
+	h := xxhash.Sum64String(c.replica) + uint64(c.number)
 	for _, p := range parts {
 		h = (h ^ p) * 0x9e3779b97f4a7c15
 		h ^= h >> 32
--- a/gateway/quarantine/evidence.go
+++ b/gateway/quarantine/evidence.go
@@ -22,6 +22,8 @@
 	// byCustomer holds the crashes of each customer in the order of their
 	// arrival.
 	byCustomer map[string][]*crash
+	// crashed holds the number of crashes of each incarnation that are not refuted.
+	crashed map[incarnation]int
 	// logs hold what is sent to peers, by class, sorted by sequence number.
 	logs [peer.EvidenceClasses][]logged
 	seq  uint64
@@ -49,7 +51,7 @@
 }
 
 func newEvidence() evidence {
-	return evidence{byCustomer: make(map[string][]*crash), news: make(map[string]*news)}
+	return evidence{byCustomer: make(map[string][]*crash), crashed: make(map[incarnation]int), news: make(map[string]*news)}
 }
 
 // add adds a crash, or what is new of a known one. It reports whether anything
@@ -67,6 +69,8 @@
 			e.noteTold(list[index], c, source)
 			return false
 		}
+		e.uncount(list[index])
+		e.count(merged)
 		list[index] = merged
 		e.append(merged, false)
 		e.noteTold(merged, c, source)
@@ -74,6 +78,7 @@
 		c.bound(list)
 		e.makeRoom(c.customer, known, keep)
 		e.byCustomer[c.customer] = append(e.byCustomer[c.customer], c)
+		e.count(c)
 		e.append(c, false)
 		e.noteTold(c, c, source)
 	}
@@ -102,7 +107,7 @@
 func (e *evidence) append(c *crash, own bool) {
 	e.unlog(func(l logged) bool { return l.own == own && l.isOf(c) })
 	class := weakClass
-	if len(c.strong) > 0 {
+	if len(c.strong) > 0 || c.refuted {
 		class = strongClass
 	}
 	e.appendTo(class, logged{crash: c, own: own})
@@ -167,7 +172,24 @@
 	return slices.MinFunc(list, func(x, y *crash) int { return value(x) - value(y) })
 }
 
+// count and uncount keep the number of crashes of each incarnation.
+func (e *evidence) count(c *crash) {
+	if !c.refuted {
+		e.crashed[c.incarnation()]++
+	}
+}
+
+func (e *evidence) uncount(c *crash) {
+	if c.refuted {
+		return
+	}
+	if e.crashed[c.incarnation()]--; e.crashed[c.incarnation()] == 0 {
+		delete(e.crashed, c.incarnation())
+	}
+}
+
 func (e *evidence) remove(c *crash) {
+	e.uncount(c)
 	list := slices.DeleteFunc(slices.Clone(e.byCustomer[c.customer]), func(x *crash) bool { return x == c })
 	if len(list) == 0 {
 		delete(e.byCustomer, c.customer)
--- a/gateway/quarantine/judge.go
+++ b/gateway/quarantine/judge.go
@@ -223,6 +223,11 @@
 	})
 }
 
+// unrefuted returns those crashes that have not turned out to be none.
+func unrefuted(crashes []*crash) []*crash {
+	return filter(crashes, func(c *crash) bool { return !c.refuted })
+}
+
 func filter(crashes []*crash, keep func(c *crash) bool) []*crash {
 	return slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool { return !keep(c) })
 }
--- a/gateway/quarantine/quarantine.go
+++ b/gateway/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
@@ -35,8 +36,10 @@
 	mu sync.Mutex
 	// answered are the answers of this entry, announced those of others.
 	answered, announced answeredParts
-	evidence            evidence
-	bans                map[string][]*ban
+	// ended holds the answers that ended with their connection, by replica.
+	ended    *lru.Cache[incarnation, []endedAnswer]
+	evidence evidence
+	bans     map[string][]*ban
 	// trials holds when this entry last admitted a request on trial, by ban.
 	trials map[string]trial
 	// announcing holds the customers for whose parts an announcement of answers
@@ -49,15 +52,16 @@
 
 // New returns an empty Set.
 func New(o Options) *Set {
-	return &Set{opt: o, answered: newAnsweredParts(), announced: newAnsweredParts(), evidence: newEvidence(), bans: make(map[string][]*ban), trials: make(map[string]trial), announcing: make(map[string]bool), settling: make(map[string]bool)}
+	return &Set{opt: o, answered: newAnsweredParts(), announced: newAnsweredParts(), ended: newCache[incarnation, []endedAnswer](maxEndedReplicas), evidence: newEvidence(), bans: make(map[string][]*ban), trials: make(map[string]trial), announcing: make(map[string]bool), settling: make(map[string]bool)}
 }
 
 // Refusal is the error of a request that is kept from replicas.
 type Refusal struct {
 	Parts   []uint64
 	Crashes int
-	// Since is the time since the last crash.
-	Since time.Duration
+	// Since is the time since the last crash, and Trial that from it until such a
+	// request may be admitted again.
+	Since, Trial time.Duration
 }
 
 // Error implements error.
@@ -66,7 +70,7 @@
 }
 
 // RetryAfter is the time after which such a request may be admitted again.
-func (r *Refusal) RetryAfter() time.Duration { return max(trialInterval-r.Since, trialTurn) }
+func (r *Refusal) RetryAfter() time.Duration { return max(r.Trial-r.Since, trialTurn) }
 
 // Check returns a *Refusal if a request with the given shared parts must not
 // reach a replica. It reports whether the request is admitted on trial, in which
@@ -87,7 +91,7 @@
 			continue
 		}
 		s.opt.Count("refusal")
-		return false, &Refusal{Parts: b.parts, Crashes: len(b.crashes), Since: time.Since(b.lastCrash())}
+		return false, &Refusal{Parts: b.parts, Crashes: len(b.crashes), Since: time.Since(b.lastCrash()), Trial: b.trialInterval()}
 	}
 	return onTrial, nil
 }
@@ -152,12 +156,16 @@
 func (s *Set) Answered(customer string, parts []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, known := time.Now(), s.answersLocked(customer)
+	s.answeredLocked(customer, parts, time.Now())
+}
+
+func (s *Set) answeredLocked(customer string, parts []uint64, at time.Time) {
+	known := s.answersLocked(customer)
 	crashes := s.evidence.byCustomer[customer]
 	cleared := false
 	for _, p := range parts {
 		cleared = cleared || slices.ContainsFunc(crashes, func(c *crash) bool { return !known.since(p, c.at) && c.hasPart(p) })
-		s.answered.record(customer, p, now)
+		s.answered.record(customer, p, at)
 	}
 	if cleared {
 		s.rejudgeLocked(customer)
@@ -206,10 +214,15 @@
 		s.scheduleLocked(c.customer)
 		s.awaitSettlingLocked(c.customer)
 	}
-	if added && len(s.evidence.byCustomer[c.customer]) != known {
+	if added && c.refuted {
+		s.opt.Count("refuted")
+		s.opt.Log.WithFields(logrus.Fields{
+			"replica": c.replica, "born": c.number, "customer": c.customer, "seen_by": cmp.Or(source, s.opt.ID),
+		}).Info("quarantine: replica has not crashed.")
+	} else if added && len(s.evidence.byCustomer[c.customer]) != known {
 		s.opt.Count("crash")
 		s.opt.Log.WithFields(logrus.Fields{
-			"replica": c.replica, "born": c.incarnation, "service": c.service, "version": c.version,
+			"replica": c.replica, "born": c.number, "service": c.service, "version": c.version,
 			"customer": c.customer, "progress": progress, "parts": PartNames(c.parts()), "seen_by": cmp.Or(source, s.opt.ID),
 			"age_ms": time.Since(c.at).Milliseconds(), "held": s.heldLocked(c),
 		}).Warn("quarantine: replica crashed.")
@@ -257,7 +270,7 @@
 // heldLocked describes for each part of a crash how many crashes count against
 // it, how many a ban needs, and when the part was last answered here.
 func (s *Set) heldLocked(c *crash) []string {
-	all, v := s.evidence.byCustomer[c.customer], s.viewLocked(c.customer)
+	all, v := unrefuted(s.evidence.byCustomer[c.customer]), s.viewLocked(c.customer)
 	against := crashesByPart(all, v.answers)
 	var out []string
 	for _, p := range c.parts() {
@@ -274,7 +287,7 @@
 // rejudgeLocked judges the evidence of a customer again and logs what changes.
 func (s *Set) rejudgeLocked(customer string) {
 	before := s.bans[customer]
-	bans := judge(customer, s.evidence.byCustomer[customer], s.viewLocked(customer))
+	bans := judge(customer, unrefuted(s.evidence.byCustomer[customer]), s.viewLocked(customer))
 	if len(bans) == 0 {
 		delete(s.bans, customer)
 	} else {
--- a/gateway/quarantine/spread.go
+++ b/gateway/quarantine/spread.go
@@ -35,7 +35,7 @@
 	now := time.Now()
 	c := &crash{
 		crashKey: crashKey{e.Customer, e.Endpoint, e.Incarnation}, service: e.Service, version: e.Version, domain: e.FailureDomain,
-		strong: parseParts(e.Parts), at: now.Add(-time.Duration(max(0, e.AgeMS)) * time.Millisecond),
+		strong: parseParts(e.Parts), refuted: e.Refuted, at: now.Add(-time.Duration(max(0, e.AgeMS)) * time.Millisecond),
 	}
 	knownAt := now
 	if e.KnownMS >= longKnown.Milliseconds() {
@@ -51,7 +51,7 @@
 	}
 	c.weak = unionOfPrompts(c.weak, nil)
 	all := len(c.strong) + weakParts
-	if all == 0 || len(c.strong) > maxStrongParts || weakParts > maxWeakParts || max(len(e.Answered), len(e.Before)) > all {
+	if c.refuted != (all == 0) || len(c.strong) > maxStrongParts || weakParts > maxWeakParts || max(len(e.Answered), len(e.Before)) > all {
 		return false
 	}
 	s.noteAnswers(c, parseParts(e.Answered), parseParts(e.Before))
@@ -152,8 +152,8 @@
 func (s *Set) crashRecordLocked(c *crash) peer.CrashEvidence {
 	now, known := time.Now(), s.answersLocked(c.customer)
 	e := peer.CrashEvidence{
-		Customer: c.customer, Parts: PartNames(c.strong),
-		Endpoint: c.replica, Incarnation: c.incarnation,
+		Customer: c.customer, Parts: PartNames(c.strong), Refuted: c.refuted,
+		Endpoint: c.replica, Incarnation: c.number,
 		Service: c.service, Version: c.version, FailureDomain: c.domain, AgeMS: now.Sub(c.at).Milliseconds(),
 	}
 	for _, part := range c.parts() {
--- a/gateway/quarantine/trial.go
+++ b/gateway/quarantine/trial.go
@@ -15,6 +15,11 @@
 	// trialInterval is the time after the last crash in which banned requests
 	// get no trial.
 	trialInterval = 10 * time.Minute
+	// weakTrialInterval is the shortest such time if the ban rests on weak evidence, which
+	// may be that of other causes. trialBackoff is the ratio of that time to the time
+	// from the first crash to the last.
+	weakTrialInterval = 30 * time.Second
+	trialBackoff      = 3
 	// trialTurn is how long one entry may admit the request on trial, before it
 	// is another one's turn.
 	trialTurn = time.Minute
@@ -32,12 +37,13 @@
 	versions, replaced := s.replacedBy(b)
 	now, last := time.Now(), b.lastCrash()
 	previous := s.trials[b.key()]
-	due := last.Add(trialInterval)
+	interval := b.trialInterval()
+	due := last.Add(interval)
 	switch {
 	case replaced && previous.versions != versions:
 		due = last
 	case previous.at.After(last):
-		due = previous.at.Add(trialInterval)
+		due = previous.at.Add(interval)
 	}
 	if now.Before(due) || !s.isTurn(b.key(), now.Sub(due)) {
 		return false
@@ -48,6 +54,16 @@
 	return true
 }
 
+// trialInterval returns the time after the last crash in which requests get no trial.
+func (b *ban) trialInterval() time.Duration {
+	strong := filter(b.crashes, func(c *crash) bool { return c.isStrongAgainst(b.parts[0]) })
+	if countCrashes(strong) >= minCrashes {
+		return trialInterval
+	}
+	first, last := period(b.crashes)
+	return min(max(weakTrialInterval, trialBackoff*last.Sub(first)), trialInterval)
+}
+
 // replacedBy returns the versions of the replicas that now run the service on
 // which the parts of a ban crashed, and whether none of them has crashed on
 // them.
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -58,6 +58,7 @@
 type conn struct {
 	net.Conn
 	addr   string
+	opened time.Time
 	reader *bufio.Reader
 	// bound is what reader reads from.
 	bound *boundedReader
@@ -136,7 +137,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connect to %s: %w", addr, err)
 	}
 	bound := &boundedReader{from: nc, left: math.MaxInt64}
-	return &conn{Conn: nc, addr: addr, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: nc, addr: addr, opened: time.Now(), reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // boundedReader reads from a connection and fails with errTooLong after a
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -105,6 +105,8 @@
 	Framing Framing
 	// Served is the number of requests that were sent on the connection before.
 	Served int
+	// Opened is the time at which the connection was opened.
+	Opened time.Time
 
 	pool  *Pool
 	conn  *conn
@@ -161,7 +163,7 @@
 		<-w.done
 		return nil, sendError(ctx, r, w, err)
 	}
-	a.write, a.stopCancel, a.Served = w, stopCancel, served
+	a.write, a.stopCancel, a.Served, a.Opened = w, stopCancel, served, c.opened
 	return a, nil
 }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -283,6 +283,8 @@
 	// News are parts that were answered lately, each followed by a space and the time
 	// since then in milliseconds. They come without an endpoint.
 	News []string `json:"n,omitempty"`
+	// Refuted is set if the endpoint is known to have lived on. There are no parts then.
+	Refuted bool `json:"x,omitempty"`
 	// KnownMS is how long the sender has known of all this, if that is long.
 	KnownMS int64 `json:"k,omitempty"`
 	// AgeMS is the time since the crash.
