Clear parts by answers that end with their connection, and not for slow clients

Only time that the replica is waited for counts now.

Not fixed: a crash right after an event of a stream without length or chunks, whose connection closes in order, looks like its end.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -94,8 +94,8 @@
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer of replica %s: %w", x.replica, err)
 	}
 	t.FirstTokenReceived()
-	if a.Status < http.StatusMultipleChoices && a.Framing != upstream.FramedByConnection {
-		x.h.Quarantine.Answered(x.customerName(), x.sharedPartIDs())
+	if a.Status < http.StatusMultipleChoices {
+		x.settleWhole(a)
 	}
 	if outcome == balance.Failed && len(body) <= maxBufferedBody && x.mayRunAgain() {
 		x.failedAnswer = &bufferedAnswer{replica: x.replica, answer: a, body: body}
@@ -118,6 +118,15 @@
 	return outcome, nil
 }
 
+// settleWhole records that an answer has ended in order.
+func (x *exchange) settleWhole(a *upstream.Answer) {
+	if a.Framing == upstream.FramedByConnection {
+		x.h.Quarantine.Ended(x.lastChoice.Replica, x.customerName(), x.sharedPartIDs())
+		return
+	}
+	x.h.Quarantine.Answered(x.customerName(), x.sharedPartIDs())
+}
+
 // bufferedAnswer is a replica's answer with its complete body.
 type bufferedAnswer struct {
 	replica string
@@ -226,9 +235,9 @@
 	// the first of them that is no comment.
 	events int
 	begun  bool
-	// begunAt is the time at which begun was set. settled is set once the stream has
-	// gone on for settledAfter from then, or is whole.
-	begunAt time.Time
+	// awaited is how long the replica was waited for since begun was set. settled is
+	// set once that is settledAfter, or the stream is whole.
+	awaited time.Duration
 	settled bool
 }
 
@@ -241,7 +250,11 @@
 		s.x.partialEvent = len(s.splitter.remainder())
 	}()
 	for {
+		began := time.Now()
 		n, err := s.a.Read(buf)
+		if s.begun {
+			s.awaited += time.Since(began)
+		}
 		s.splitter.feed(buf[:n])
 		if eventErr := s.writeEvents(); eventErr != nil {
 			return eventErr
@@ -317,9 +330,9 @@
 			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s: %w", s.x.replica, err)
 		}
 		if !s.begun && !isComment(event) {
-			s.begun, s.begunAt = true, time.Now()
+			s.begun = true
 		}
-		if s.begun && time.Since(s.begunAt) >= settledAfter {
+		if s.awaited >= settledAfter {
 			s.settle()
 		}
 		s.writeHeader()
@@ -360,8 +373,9 @@
 	if s.events == 0 && s.a.Framing == upstream.FramedByConnection {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "stream of replica %s ended before its first event", s.x.replica)
 	}
-	if s.begun && s.a.Framing != upstream.FramedByConnection {
-		s.settle()
+	if s.begun && !s.settled {
+		s.settled = true
+		s.x.settleWhole(s.a)
 	}
 	s.writeHeader()
 	if len(rest) > 0 {
