Test copies of stream heads, and of a refusal at an address with two IDs

The second needs no client that sends an ID again: a process that started anew under another ID refuses a request meant for the one before (421), which is then offered to the new ID at the same address, on the same connection, and runs, and the copy of the refusal comes.

--- a/gateway/copied_refusal_test.go
+++ b/gateway/copied_refusal_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 )
 
 // copyingReplica answers the first request with each ID with first, and writes
@@ -133,3 +135,74 @@
 		}
 	}
 }
+
+// Guards against the head of an earlier stream being taken for that of the same ID sent again.
+func TestCopyOfAStreamIsNoAnswerToTheSameIDSentAgain(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		t.Run(path[1:], func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				seen, here := 0, map[net.Conn]int{}
+				e := newTestEntry(t, testConfiguration(), func(nc net.Conn, req *http.Request) bool {
+					seen++
+					if here[nc]++; here[nc] > 1 {
+						_ = answerEvents(1, true)(nc, req) // the copy
+					}
+					if seen == 1 {
+						return answerEvents(1, true)(nc, req)
+					}
+					return answerEvents(3, true)(nc, req)
+				})
+				_, first, err := e.get(t, path)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, first, qt.Equals, eventText(1, 1))
+				_, second, err := e.get(t, path)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, second, qt.Equals, eventText(1, 3))
+			})
+		})
+	}
+}
+
+// Guards against the copy of a refusal being taken for the answer of the next replica at the
+// same address: a process that started again under another ID, while the row of the one
+// before is still there.
+func TestCopyOfARefusalIsNoAnswerOfTheNextReplicaAtTheSameAddress(t *testing.T) {
+	for _, path := range []string{"/once/x", "/safe/x"} {
+		t.Run(path[1:], func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				runs, refusedOn, again := make(map[string]int), make(map[string]bool), 0
+				e := newTestEntry(t, testConfiguration(), func(nc net.Conn, req *http.Request) bool {
+					id := req.Header.Get("Id")
+					refusal := fmt.Sprintf("HTTP/1.1 421 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 3\r\n\r\nbad", id)
+					mu.Lock()
+					defer mu.Unlock()
+					here := fmt.Sprintf("%p %s", nc, id)
+					if req.Header.Get("Replica") != "new" {
+						refusedOn[here] = true
+						_, err := io.WriteString(nc, refusal)
+						return err == nil
+					}
+					runs[id]++
+					if refusedOn[here] {
+						again++
+						_, _ = io.WriteString(nc, refusal)
+					}
+					return answerOK(nc, req)
+				})
+				addr := e.set.Current().All["r0"].Addr
+				e.set.Put(replica.Registration{ID: "new", Service: "s", Addr: addr, FailureDomain: "d", Slots: 4})
+				for i := range 20 {
+					id := fmt.Sprint("q", i)
+					resp, _, err := e.get(t, path, "Id", id)
+					qt.Assert(t, err, qt.IsNil)
+					mu.Lock()
+					qt.Check(t, runs[id] <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", id, runs[id]))
+					qt.Check(t, guaranteesNotRun(resp.StatusCode) && runs[id] > 0, qt.IsFalse, qt.Commentf("%s ran and got %d", id, resp.StatusCode))
+					mu.Unlock()
+				}
+				t.Logf("%d requests came again on the connection of their refusal; %d refused", again, len(refusedOn))
+			})
+		})
+	}
+}
