See a break behind a skipped answer, and keep the idle time of unused connections

A connection that ended within an answer that was skipped was no break, and one that ended in a header which had come with it looked like one before the first byte. A connection that was taken and given back unused, as its replica left, counted as just used, and was kept for longer than the replica kept it.

--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -137,7 +137,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connect to %s: %w", addr, err)
 	}
 	bound := &boundedReader{from: nc, left: math.MaxInt64}
-	return &conn{Conn: nc, addr: addr, opened: time.Now(), reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: nc, addr: addr, opened: time.Now(), idleDeadline: time.Now().Add(defaultIdleTimeout), reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // boundedReader reads from a connection and fails with errTooLong after a
@@ -187,10 +187,16 @@
 	return nil
 }
 
-// put returns a connection to the pool, or closes it if it can't be reused.
+// put returns a connection on which an answer has ended to the pool, or closes it if
+// it can't be reused.
 func (p *Pool) put(c *conn) {
-	_ = c.SetDeadline(time.Time{})
 	c.idleDeadline = time.Now().Add(c.idleTimeout)
+	p.giveBack(c)
+}
+
+// giveBack is like put for a connection on which nothing was sent since it was taken.
+func (p *Pool) giveBack(c *conn) {
+	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[c.addr]) >= maxIdlePerReplica || c.idleTimeout <= 0 || len(c.sent) >= maxRequests {
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -145,7 +145,7 @@
 	}
 	if r.Check != nil {
 		if err := r.Check(); err != nil {
-			p.put(c)
+			p.giveBack(c)
 			return nil, err
 		}
 	}
@@ -238,8 +238,9 @@
 	req := &http.Request{Method: r.Method}
 	c.bound.set(maxHeadBytes)
 	for skipped := 0; ; {
+		begun := c.reader.Buffered() > 0
 		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil && c.bound.left < maxHeadBytes {
+		if err != nil && (begun || c.bound.left < maxHeadBytes) {
 			return nil, fmt.Errorf("%w: %w", ErrAnswerBegun, err)
 		}
 		if err != nil {
@@ -258,7 +259,7 @@
 		clean = false
 		c.bound.set(maxSkippedBody)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 		}
 		c.bound.set(maxHeadBytes)
 	}
