Tell entries of older releases no more answers than parts

An older release refuses evidence with more answered parts than parts. Answers on weakly suspected parts have a field of their own now.

--- a/gateway/quarantine/spread.go
+++ b/gateway/quarantine/spread.go
@@ -51,10 +51,10 @@
 	}
 	c.weak = unionOfPrompts(c.weak, nil)
 	all := len(c.strong) + weakParts
-	if c.refuted != (all == 0) || len(c.strong) > maxStrongParts || weakParts > maxWeakParts || max(len(e.Answered), len(e.Before)) > all {
+	if c.refuted != (all == 0) || len(c.strong) > maxStrongParts || weakParts > maxWeakParts || max(len(e.Answered)+len(e.WeakAnswered), len(e.Before)) > all {
 		return false
 	}
-	s.noteAnswers(c, parseParts(e.Answered), parseParts(e.Before))
+	s.noteAnswers(c, parseParts(append(e.Answered, e.WeakAnswered...)), parseParts(e.Before))
 	progress := Beginning.String()
 	if len(c.strong) == 0 {
 		progress = Waiting.String() + " or " + Begun.String()
@@ -158,8 +158,10 @@
 	}
 	for _, part := range c.parts() {
 		switch {
-		case known.since(part, c.at):
+		case known.since(part, c.at) && c.isStrongAgainst(part):
 			e.Answered = append(e.Answered, PartNames([]uint64{part})...)
+		case known.since(part, c.at):
+			e.WeakAnswered = append(e.WeakAnswered, PartNames([]uint64{part})...)
 		case known.ever(part):
 			e.Before = append(e.Before, PartNames([]uint64{part})...)
 		}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -271,13 +271,16 @@
 	// FailureDomain is that of the endpoint.
 	FailureDomain string `json:"d,omitempty"`
 	// Parts are the IDs of the parts of requests whose answers it was beginning,
-	// and Answered the parts that were answered since. They are text, because JSON
+	// and Answered those that were answered since. They are text, because JSON
 	// numbers don't preserve 64 bits.
 	Parts    []string `json:"p,omitempty"`
 	Answered []string `json:"a,omitempty"`
 	// Weak are the IDs of the parts of each other request without a settled answer,
 	// separated by spaces.
 	Weak []string `json:"w,omitempty"`
+	// WeakAnswered are those of them that were answered since. Answered holds no more
+	// than Parts, as releases without Weak demand.
+	WeakAnswered []string `json:"u,omitempty"`
 	// Before are parts that were answered at some time.
 	Before []string `json:"b,omitempty"`
 	// News are parts that were answered lately, each followed by a space and the time
