--- a/gateway/liveness/liveness.go
+++ b/gateway/liveness/liveness.go
@@ -249,19 +249,30 @@
 			}
 		}
 		next := pause
-		if !answering {
+		if !answering && sign != Unreachable {
 			if sparse == len(sparsePauses) {
 				return Alive
 			}
 			next = sparsePauses[sparse]
 			sparse++
 		}
-		if !ctxtime.Sleep(ctx, next) {
+		if !w.pause(ctx, s.replica, next) {
 			return Alive
 		}
 	}
 }
 
+// pause sleeps until a time has passed, the registry decides or ctx ends. It reports
+// whether ctx goes on.
+func (w *Watcher) pause(ctx context.Context, r *replica.Replica, d time.Duration) bool {
+	for end := time.Now().Add(d); time.Now().Before(end) && !w.isDecided(r); {
+		if !ctxtime.Sleep(ctx, min(time.Until(end), registryPeriod)) {
+			return false
+		}
+	}
+	return true
+}
+
 // isAnswering reports whether an answer that the suspect broke off had begun.
 func (w *Watcher) isAnswering(s *suspect) bool {
 	w.mu.Lock()
