--- a/peer/evidence_test.go
+++ b/peer/evidence_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 const (
@@ -88,3 +89,29 @@
 		})
 	}
 }
+
+// Guards against a piece of evidence that is longer than the burst of a connection never
+// being sent, nor what follows it.
+func TestEvidenceLongerThanTheBurstIsSent(t *testing.T) {
+	inBubble(t, 3, func(cl *cluster) {
+		const requests, firstPart = 96, 1 << 60
+		from, to := cl.nodes[0], cl.nodes[1]
+		r := &replica.Replica{Registration: replica.Registration{ID: "replica", Service: "s", FailureDomain: "d", Incarnation: 1}}
+		parts := func(n uint64) []uint64 { return []uint64{firstPart + 2*n, firstPart + 2*n + 1} }
+		for n := range uint64(requests) {
+			from.evidence.Answered("customer", parts(n))
+		}
+		time.Sleep(10 * time.Second)
+		for n := range uint64(requests) {
+			progress := quarantine.Waiting
+			if n%3 == 0 {
+				progress = quarantine.Beginning
+			}
+			from.evidence.Crashed(r, "customer", parts(n), progress, time.Now())
+		}
+		cl.within(10*time.Second, "long evidence", func() bool {
+			known, _ := to.evidence.Since("", true, peer.EvidencePosition{}, 10)
+			return len(known) > 0 && len(known[0].Parts) == 2*requests/3
+		})
+	})
+}
