--- a/gateway/quarantine/doc.go
+++ b/gateway/quarantine/doc.go
@@ -28,9 +28,12 @@
 //     distinguishes them.
 //   - If each crash of a part could also be due to another part of its prompt,
 //     the ban applies only to requests that contain such a part as well.
-//   - An answer on a part clears it of all earlier crashes, if it is a success
-//     and not a mere comment. The first entries that receive one announce it to
-//     the others.
+//   - An answer on a part clears it of all earlier crashes, if it is a success that
+//     is whole or has gone on for a while. The first entries that receive one announce
+//     it to the others. One whose end is that of its connection counts once its
+//     replica has answered again.
+//   - A crash is refuted if the replica answers a later request on a connection from
+//     before it.
 //
 // A wrong ban costs the customer the requests with these parts until the first
 // answer on them at any entry. It requires that several replicas crash for other
@@ -39,7 +42,7 @@
 //
 // A ban ends with an answer on one of its parts. To get one, a single entry of
 // the deployment admits a banned request on trial, trialInterval after the last
-// crash, or as soon as all replicas of the service run a version that has not
+// crash (sooner if the ban rests on weak evidence), or as soon as all replicas of the service run a version that has not
 // crashed on the parts. Evidence expires after retention. If a customer has too
 // much, the crashes are forgotten first that no ban rests on and whose parts the fewest
 // others count against; within a crash, the parts that the fewest others are evidence
--- a/gateway/quarantine/weak_test.go
+++ b/gateway/quarantine/weak_test.go
@@ -112,3 +112,50 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against the loss of the only failure domain of a service being blamed on the parts
+// that were in use: its replicas go within some seconds, and there is no one to answer.
+func TestLossOfTheOnlyDomainBansNoSoundPart(t *testing.T) {
+	for _, spread := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second} {
+		for _, domains := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%v/domains=%d", spread, domains), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					const replicas = 16
+					w := newWorld(3)
+					start := func(incarnation int64) {
+						w.ready = nil
+						for i := range replicas {
+							r := newReplica(fmt.Sprint("r", i))
+							r.FailureDomain, r.Incarnation = fmt.Sprint("d", i%domains), incarnation
+							w.ready = append(w.ready, r)
+						}
+					}
+					start(1)
+					for i := range w.entries {
+						w.entries[i].Answered("c", []uint64{7, 8})
+					}
+					lost := w.ready
+					for i, r := range lost {
+						if r.FailureDomain != "d0" {
+							continue
+						}
+						time.Sleep(spread / replicas)
+						// Each held requests with the usual first part and a part of their own.
+						w.entries[i%3].Crashed(r, "c", []uint64{7, uint64(100 + i)}, Waiting, time.Now())
+						w.entries[(i+1)%3].Crashed(r, "c", []uint64{7, uint64(200 + i)}, Waiting, time.Now())
+					}
+					w.exchange()
+					time.Sleep(10 * time.Second)
+					start(2)
+					refused := 0
+					for i := range 30 {
+						if w.refuses(i%3, 7, uint64(300+i)) {
+							refused++
+						}
+					}
+					qt.Check(t, refused, qt.Equals, 0)
+				})
+			})
+		}
+	}
+}
