--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -239,6 +239,13 @@
 
 func (e *testEntry) addReplica(t *testing.T, id string, s script) {
 	address := fmt.Sprintf("10.0.1.%d:80", 1+len(e.set.Current().All))
+	e.acceptAt(t, address, func(nc net.Conn) { e.serveConn(nc, s) })
+	e.set.Put(replica.Registration{ID: id, Service: "s", Addr: address, FailureDomain: "d", Slots: 4})
+}
+
+// acceptAt accepts connections at an address, and serves each on a goroutine of its
+// own.
+func (e *testEntry) acceptAt(t *testing.T, address string, serve func(nc net.Conn)) net.Listener {
 	l, err := e.network.Listen(address)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { l.Close() })
@@ -248,10 +255,10 @@
 			if err != nil {
 				return
 			}
-			go e.serveConn(nc, s)
+			go serve(nc)
 		}
 	}()
-	e.set.Put(replica.Registration{ID: id, Service: "s", Addr: address, FailureDomain: "d", Slots: 4})
+	return l
 }
 
 func (e *testEntry) serveConn(nc net.Conn, s script) {
--- a/gateway/lived_on_test.go
+++ b/gateway/lived_on_test.go
@@ -23,25 +23,16 @@
 func startCrashingReplicas(t *testing.T, e *testEntry, n int, answer func(nc net.Conn, req *http.Request) (crash, keep bool)) {
 	for i := range n {
 		host := fmt.Sprintf("10.0.2.%d", i+1)
-		l, err := e.network.Listen(host + ":80")
-		qt.Assert(t, err, qt.IsNil)
-		t.Cleanup(func() { l.Close() })
-		go func() {
-			for {
-				nc, err := l.Accept()
-				if err != nil {
-					return
+		e.acceptAt(t, host+":80", func(nc net.Conn) {
+			e.serveConn(nc, func(nc net.Conn, req *http.Request) bool {
+				crash, keep := answer(nc, req)
+				if crash {
+					time.Sleep(5 * time.Millisecond)
+					e.network.Kill(host)
 				}
-				go e.serveConn(nc, func(nc net.Conn, req *http.Request) bool {
-					crash, keep := answer(nc, req)
-					if crash {
-						time.Sleep(5 * time.Millisecond)
-						e.network.Kill(host)
-					}
-					return keep
-				})
-			}
-		}()
+				return keep
+			})
+		})
 		e.set.Put(replica.Registration{ID: fmt.Sprint("r", i), Service: "s", Addr: host + ":80", FailureDomain: fmt.Sprint("d", i%3), Slots: 4, Incarnation: 1})
 	}
 }
@@ -142,28 +133,19 @@
 		full, resets := atomic.Bool{}, atomic.Int64{}
 		for i := range 8 {
 			host := fmt.Sprintf("10.0.2.%d", i+1)
-			l, err := e.network.Listen(host + ":80")
-			qt.Assert(t, err, qt.IsNil)
-			t.Cleanup(func() { l.Close() })
-			go func() {
-				for {
-					nc, err := l.Accept()
-					if err != nil {
-						return
-					}
+			e.acceptAt(t, host+":80", func(nc net.Conn) {
+				if full.Load() {
+					resets.Add(1)
+					_ = nc.Close()
+					return
+				}
+				e.serveConn(nc, func(nc net.Conn, req *http.Request) bool {
 					if full.Load() {
-						resets.Add(1)
-						_ = nc.Close()
-						continue
+						return false // the idle timeout of the connection, as the request comes
 					}
-					go e.serveConn(nc, func(nc net.Conn, req *http.Request) bool {
-						if full.Load() {
-							return false // the idle timeout of the connection, as the request comes
-						}
-						return answerOK(nc, req)
-					})
-				}
-			}()
+					return answerOK(nc, req)
+				})
+			})
 			e.set.Put(replica.Registration{ID: fmt.Sprint("r", i), Service: "s", Addr: host + ":80", FailureDomain: fmt.Sprint("d", i%3), Slots: 4, Incarnation: 1})
 		}
 		for i := range 24 {
@@ -191,19 +173,10 @@
 		e := newTestEntry(t, testConfiguration())
 		var accepted atomic.Int64
 		host := "10.0.2.1"
-		l, err := e.network.Listen(host + ":80")
-		qt.Assert(t, err, qt.IsNil)
-		t.Cleanup(func() { l.Close() })
-		go func() {
-			for {
-				nc, err := l.Accept()
-				if err != nil {
-					return
-				}
-				accepted.Add(1)
-				_ = nc.Close()
-			}
-		}()
+		e.acceptAt(t, host+":80", func(nc net.Conn) {
+			accepted.Add(1)
+			_ = nc.Close()
+		})
 		e.set.Put(replica.Registration{ID: "r0", Service: "s", Addr: host + ":80", FailureDomain: "d", Slots: 4, Incarnation: 1})
 		for _, parts := range []string{"", "1 2"} {
 			accepted.Store(0)
@@ -225,27 +198,19 @@
 				crashes := 0
 				for i := range 40 {
 					host := fmt.Sprintf("10.0.2.%d", i+1)
-					l, err := e.network.Listen(host + ":80")
-					qt.Assert(t, err, qt.IsNil)
-					t.Cleanup(func() { l.Close() })
-					go func() {
-						for {
-							nc, err := l.Accept()
-							if err != nil {
-								return
+					var l net.Listener
+					l = e.acceptAt(t, host+":80", func(nc net.Conn) {
+						e.serveConn(nc, func(nc net.Conn, req *http.Request) bool {
+							if !slices.Contains(strings.Fields(req.Header.Get("Parts")), crashingPart) {
+								return answerEvents(3, true)(nc, req)
 							}
-							go e.serveConn(nc, func(nc net.Conn, req *http.Request) bool {
-								if !slices.Contains(strings.Fields(req.Header.Get("Parts")), crashingPart) {
-									return answerEvents(3, true)(nc, req)
-								}
-								crashes++
-								_, _ = io.WriteString(nc, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\n\r\n", req.Header.Get("Id"))+eventText(1, events))
-								time.Sleep(5 * time.Millisecond)
-								_ = l.Close()
-								return false // in order, as the kernel does
-							})
-						}
-					}()
+							crashes++
+							_, _ = io.WriteString(nc, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\n\r\n", req.Header.Get("Id"))+eventText(1, events))
+							time.Sleep(5 * time.Millisecond)
+							_ = l.Close()
+							return false // in order, as the kernel does
+						})
+					})
 					e.set.Put(replica.Registration{ID: fmt.Sprint("r", i), Service: "s", Addr: host + ":80", FailureDomain: fmt.Sprint("d", i%3), Slots: 4, Incarnation: 1})
 				}
 				for i := range 30 {
@@ -268,24 +233,15 @@
 		e := newTestEntry(t, testConfiguration())
 		for i := range 12 {
 			host := fmt.Sprintf("10.0.2.%d", i+1)
-			l, err := e.network.Listen(host + ":80")
-			qt.Assert(t, err, qt.IsNil)
-			t.Cleanup(func() { l.Close() })
 			var once atomic.Bool
-			go func() {
-				for {
-					nc, err := l.Accept()
-					if err != nil {
-						return
-					}
-					if !once.Swap(true) {
-						_ = nc.Close() // too many connections, for a moment
-						time.AfterFunc(4*time.Second, func() { e.set.Remove(fmt.Sprint("r", i)) })
-						continue
-					}
-					go e.serveConn(nc, answerOK)
+			e.acceptAt(t, host+":80", func(nc net.Conn) {
+				if !once.Swap(true) {
+					_ = nc.Close() // too many connections, for a moment
+					time.AfterFunc(4*time.Second, func() { e.set.Remove(fmt.Sprint("r", i)) })
+					return
 				}
-			}()
+				e.serveConn(nc, answerOK)
+			})
 			e.set.Put(replica.Registration{ID: fmt.Sprint("r", i), Service: "s", Addr: host + ":80", FailureDomain: fmt.Sprint("d", i%3), Slots: 4, Incarnation: 1})
 		}
 		for i := range 12 {
@@ -308,18 +264,9 @@
 		cut, sound := fleet[0], fleet[1]
 		for i := range 12 {
 			host := fmt.Sprintf("10.0.2.%d", i+1)
-			l, err := cut.network.Listen(host + ":80")
-			qt.Assert(t, err, qt.IsNil)
-			t.Cleanup(func() { l.Close() })
-			go func() {
-				for {
-					nc, err := l.Accept()
-					if err != nil {
-						return
-					}
-					go sound.serveConn(nc, answerAfter(500*time.Millisecond))
-				}
-			}()
+			cut.acceptAt(t, host+":80", func(nc net.Conn) {
+				sound.serveConn(nc, answerAfter(500*time.Millisecond))
+			})
 			for _, e := range fleet {
 				e.set.Put(replica.Registration{ID: fmt.Sprint("r", i), Service: "s", Addr: host + ":80", FailureDomain: fmt.Sprint("d", i%3), Slots: 4, Incarnation: 1})
 			}
--- a/gateway/quarantine/evidence.go
+++ b/gateway/quarantine/evidence.go
@@ -46,7 +46,7 @@
 	// own is set if this is only what this entry added. All that is known is logged
 	// apart from that.
 	own bool
-	// peers holds the peers that have told all of it.
+	// peers holds the peers that have sent all of it.
 	peers []string
 }
 
@@ -55,7 +55,7 @@
 }
 
 // add adds a crash, or what is new of a known one. It reports whether anything
-// was new. source is the peer that told it, "" for this entry. keep reports whether a
+// was new. source is the peer that sent it, "" for this entry. keep reports whether a
 // crash should be forgotten after all others.
 func (e *evidence) add(c *crash, source string, known answers, keep func(c *crash) bool) bool {
 	if time.Since(c.at) > retention {
@@ -66,21 +66,21 @@
 	if index >= 0 {
 		merged, changed := list[index].merge(c, list)
 		if !changed {
-			e.noteTold(list[index], c, source)
+			e.noteSender(list[index], c, source)
 			return false
 		}
 		e.uncount(list[index])
 		e.count(merged)
 		list[index] = merged
 		e.append(merged, false)
-		e.noteTold(merged, c, source)
+		e.noteSender(merged, c, source)
 	} else {
 		c.bound(list)
 		e.makeRoom(c.customer, known, keep)
 		e.byCustomer[c.customer] = append(e.byCustomer[c.customer], c)
 		e.count(c)
 		e.append(c, false)
-		e.noteTold(c, c, source)
+		e.noteSender(c, c, source)
 	}
 	if source == "" {
 		e.append(e.withOwn(c), true)
@@ -125,9 +125,9 @@
 	}
 }
 
-// noteTold notes that a peer has told all that is known of a crash, if it has.
-func (e *evidence) noteTold(known, told *crash, source string) {
-	if source == "" || !known.sameEvidence(told) {
+// noteSender records that a peer has sent all that is known of a crash, if it has.
+func (e *evidence) noteSender(known, sent *crash, source string) {
+	if source == "" || !known.sameEvidence(sent) {
 		return
 	}
 	for _, log := range e.logs {
@@ -200,7 +200,7 @@
 	e.unlog(func(l logged) bool { return l.isOf(c) })
 }
 
-// since returns up to limit pieces after a position that a peer hasn't told, and the
+// since returns up to limit pieces after a position that a peer has not sent, and the
 // position of the last one considered. Without relay these are only what this entry
 // added.
 func (e *evidence) since(to string, relay bool, position peer.EvidencePosition, limit int) ([]logged, peer.EvidencePosition) {
--- a/gateway/quarantine/spread.go
+++ b/gateway/quarantine/spread.go
@@ -62,7 +62,7 @@
 	return s.addCrash(c, from, progress)
 }
 
-// noteAnswers notes the answers that were told with a crash: those after it, and those
+// noteAnswers notes the answers that came with a crash: those after it, and those
 // at some time.
 func (s *Set) noteAnswers(c *crash, since, ever []uint64) {
 	s.mu.Lock()
--- a/gateway/usage/lost.go
+++ b/gateway/usage/lost.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// lostReports tells from when on a report leaves its counts in the table: a restore of
+// lostReports records from when on a report leaves its counts in the table: a restore of
 // the table may have removed those before.
 type lostReports struct {
 	epoch uint64
--- a/gateway/usage/report.go
+++ b/gateway/usage/report.go
@@ -68,7 +68,7 @@
 	done map[int64]bool
 	// committed holds the counts of the last windows that this process committed.
 	committed map[int64]Counts
-	// lost tells which windows others may have reported without a trace.
+	// lost determines which windows others may have reported without a trace.
 	lost lostReports
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -45,7 +45,7 @@
 	// evidence is passed on.
 	Add(from string, e CrashEvidence) bool
 	// Since returns up to limit pieces of evidence that were added after
-	// position and that the given peer hasn't told itself, and the position up to
+	// position and that the given peer has not sent itself, and the position up to
 	// which there are no others. Without relay these are only pieces to which this
 	// entry added something.
 	Since(to string, relay bool, position EvidencePosition, limit int) ([]CrashEvidence, EvidencePosition)
