Count an answer from shortly before the first look as proof of an entry's own link

If most replicas are lost, the next answer may take longer than the looks. Connections over a link that is cut break off only after keep-alives have failed for two seconds, so an answer up to a second before the first look proves as much.

--- a/gateway/liveness/liveness.go
+++ b/gateway/liveness/liveness.go
@@ -27,6 +27,10 @@
 	// without any reply show that the host is lost: single packets may be.
 	dialTimeout    = 300 * time.Millisecond
 	maxUnreachable = 3
+	// linkProvenFor is how long before the first look an answer of another replica may
+	// have come that shows that this entry's own link works. Connections over a lost
+	// link break off only when keep-alives have failed for longer.
+	linkProvenFor = time.Second
 	// closedAtOnce is the life of a connection that shows that nothing answers at a
 	// port which accepts it. closedPeriod is how long every connection must end so,
 	// as a replica with many connections also resets further ones for a moment.
@@ -237,7 +241,7 @@
 		case Refused:
 			return Refused
 		case Unreachable:
-			if unreachable++; unreachable >= maxUnreachable && w.answeredSince(firstLook) {
+			if unreachable++; unreachable >= maxUnreachable && w.answeredSince(firstLook.Add(-linkProvenFor)) {
 				return Unreachable
 			}
 		case Closed:
@@ -301,7 +305,7 @@
 	if w.opt.Registry.SaidLeaving(r) {
 		return Alive
 	}
-	if sign := w.lookAtPort(ctx, r, false); sign != Unreachable || w.answeredSince(time.Now().Add(-dialTimeout)) {
+	if sign := w.lookAtPort(ctx, r, false); sign != Unreachable || w.answeredSince(time.Now().Add(-linkProvenFor)) {
 		return sign
 	}
 	return Alive
