--- a/member/sharing_test.go
+++ b/member/sharing_test.go
@@ -24,7 +24,7 @@
 		time.Sleep(3 * time.Second)
 		c.Assert(r.SharingCount(), qt.Equals, 2)
 		gate.Kill()
-		time.Sleep(r.FailureTimeout() + time.Second)
+		time.Sleep(r.FailureTimeout() + 100*time.Millisecond)
 		c.Assert(r.Live(), qt.HasLen, 1)
 		c.Assert(r.SharingCount(), qt.Equals, 2)
 		time.Sleep(10 * time.Second)
