Replicate customers' limits at the first two members by hash

Entries that lost the owner of a limit (a rolling stop, a kill) refused nearly all requests of its customer for a second, as their own shares are smaller than a request. Above 16 members, the first two members by hash now hold the level of a limit and exchange it every 200 ms, and after 50 ms while the second one grants. An entry asks the second if the first doesn't answer. An owner without contact to the other grants the part of the demand that it is asked for; a new process doesn't grant before it has the level of the other owner.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -52,6 +52,9 @@
 	// tableWritesPerSecond limits the table writes of one entry, which needs
 	// two a second.
 	tableWritesPerSecond = 10
+	// maxProcess bounds the numbers that tell processes apart. JSON numbers don't
+	// preserve 64 bits in every decoder.
+	maxProcess = 1 << 53
 	// sweepPeriod is the interval at which idle connections and expired state
 	// are dropped.
 	sweepPeriod = time.Second
@@ -119,7 +122,7 @@
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
 			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
 		),
-		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
+		fx.Invoke(watchEpoch, runGatewayMesh, runExchanges, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
 	)
 	if err := g.app.Err(); err != nil {
@@ -211,7 +214,10 @@
 func newOwnerPeers(view *peerView) *ownerPeers { return &ownerPeers{view: view} }
 
 func newGlobalLimiter(l *quota.Limiter, s gateway.Settings, peers *ownerPeers, log *logrus.Entry) *quota.GlobalLimiter {
-	return quota.NewGlobalLimiter(l, s.ID, peers, log)
+	g := quota.NewGlobalLimiter(l, s.ID, limitPeers{peers}, log)
+	registry := peers.view.registry
+	g.ReplicateWith(peers, rand.Uint64N(maxProcess), func() bool { return registry.Count() > maxDirectReaders })
+	return g
 }
 
 func newGlobalBalancer(b *balance.Balancer, s gateway.Settings, peers *ownerPeers, log *logrus.Entry) *balance.GlobalBalancer {
@@ -244,6 +250,12 @@
 // Members implements quota.Peers, balance.Peers and throttle.Peers.
 func (p *ownerPeers) Members() []string { return p.view.reachable(p.mesh.UpdatePeriod()) }
 
+// limitPeers is ownerPeers with the members that can own limits of customers.
+type limitPeers struct{ *ownerPeers }
+
+// Members implements quota.Peers.
+func (p limitPeers) Members() []string { return p.view.limitMembers(p.mesh.UpdatePeriod()) }
+
 // Reserve implements quota.Peers.
 func (p *ownerPeers) Reserve(ctx context.Context, id, customer string, units float64, within time.Duration) (rate.Reservation, error) {
 	reservation, owned, err := p.mesh.Reserve(ctx, id, customer, units, within)
@@ -253,6 +265,20 @@
 	return reservation, err
 }
 
+// ReserveReplica implements quota.ReplicaPeers.
+func (p *ownerPeers) ReserveReplica(ctx context.Context, id, customer string, units float64, within time.Duration) (rate.Reservation, error) {
+	reservation, owned, err := p.mesh.ReserveReplicated(ctx, id, customer, units, within)
+	if err == nil && !owned {
+		return rate.Reservation{}, quota.ErrNotOwner
+	}
+	return reservation, err
+}
+
+// ExchangeLevels implements quota.ReplicaPeers.
+func (p *ownerPeers) ExchangeLevels(ctx context.Context, id string, levels []peer.LimitLevel) ([]peer.LimitLevel, error) {
+	return p.mesh.ExchangeLevels(ctx, id, levels)
+}
+
 func newUsage(s gateway.Settings, clock *usage.Clock) *usage.Counter {
 	return usage.NewCounter(s.Usage.Window, clock)
 }
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -49,6 +49,9 @@
 	// bound.
 	ownerHorizon    = 4
 	minOwnerHorizon = 1200 * time.Millisecond
+	// listedPeriod is the time after the start of a process in which members count as
+	// reachable without a state update. It is that of two updates of a hundred members.
+	listedPeriod = 6 * time.Second
 	// reachableTTL is how long the result of reachable is reused, because it is
 	// needed several times for each request.
 	reachableTTL = 100 * time.Millisecond
@@ -59,6 +62,7 @@
 type peerView struct {
 	self        string
 	incarnation string
+	startedAt   time.Time
 	registry    *member.Registry
 	counter     *usage.Counter
 
@@ -88,7 +92,7 @@
 
 func newPeerView(s gateway.Settings, r *member.Registry, c *usage.Counter, i Incarnation) *peerView {
 	return &peerView{
-		self: s.ID, incarnation: string(i), registry: r, counter: c,
+		self: s.ID, incarnation: string(i), startedAt: time.Now(), registry: r, counter: c,
 		received: make(map[incarnationKey]receivedState), inherited: make(map[incarnationKey]inheritedCounts),
 		countsPushedAt: make(map[string]time.Time),
 	}
@@ -126,6 +130,23 @@
 	return p.reachableIDs
 }
 
+// limitMembers returns the members that can own limits. In a large deployment, a
+// process that has just started counts all live members from the table: their first
+// state updates take seconds, and until then it would own all limits in its own view.
+func (p *peerView) limitMembers(period time.Duration) []string {
+	ids := p.reachable(period)
+	if time.Since(p.startedAt) > listedPeriod || p.registry.Count() <= maxDirectReaders {
+		return ids
+	}
+	out := p.registry.Live()
+	for _, id := range ids {
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // sharingStates returns the last state update of each live peer that shares
 // the customers' limits.
 func (p *peerView) sharingStates(period time.Duration) map[string]receivedState {
@@ -218,9 +239,10 @@
 		Handlers: peer.Handlers{
 			EntryState: d.View.receive,
 			Counts:     d.View.counts, CountsPushed: d.View.receiveCounts,
-			Place:   func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, p) },
-			Reserve: d.Limits.ReserveOwned,
-			Permit:  d.Throttle.Grant,
+			Place:             func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, p) },
+			Reserve:           d.Limits.ReserveOwned,
+			Permit:            d.Throttle.Grant,
+			ReserveReplicated: d.Limits.ReserveReplica, Levels: d.Limits.MergeLevels,
 			Loads:   d.Rollup.Serve,
 			Changes: d.Followers.changesSince,
 			TemplateVersion: func(from, _ string, version uint64) {
@@ -282,7 +304,7 @@
 			demand[id] = demandOf(s.state)
 		}
 		if members > 0 {
-			limiter.SetPeers(members, len(view.reachable(m.UpdatePeriod())), demand)
+			limiter.SetPeers(members, len(view.limitMembers(m.UpdatePeriod())), demand)
 			retries.SetMemberCount(members)
 		}
 		// Older windows are no longer reported.
@@ -306,6 +328,9 @@
 	})
 }
 
+// runExchanges keeps the levels of limits equal at their two owners.
+func runExchanges(lc fx.Lifecycle, l *Loops, g *quota.GlobalLimiter) { l.Go(lc, g.RunExchanges) }
+
 func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
--- a/gateway/quota/global.go
+++ b/gateway/quota/global.go
@@ -45,8 +45,13 @@
 	self   string
 	peers  Peers
 	owners *ownership.Owners
+	log    *logrus.Entry
+	// replicas is nil if limits are not replicated.
+	replicas ReplicaPeers
 
 	mu sync.Mutex
+	// exchanging holds the partners with which an exchange is in progress.
+	exchanging map[string]bool
 	// lastFallback holds, by customer, the time at which the local share of the
 	// limit was last used.
 	lastFallback map[string]time.Time
@@ -54,7 +59,7 @@
 
 // NewGlobalLimiter returns a GlobalLimiter for the entry with the ID self.
 func NewGlobalLimiter(l *Limiter, self string, peers Peers, log *logrus.Entry) *GlobalLimiter {
-	g := &GlobalLimiter{Limiter: l, self: self, peers: peers, lastFallback: make(map[string]time.Time)}
+	g := &GlobalLimiter{Limiter: l, self: self, peers: peers, lastFallback: make(map[string]time.Time), log: log, exchanging: make(map[string]bool)}
 	g.owners = ownership.New(func() time.Time { return l.now() }, peers.Members, log.WithField("decides", "limits"))
 	l.SetOwnership(func(customer string) bool { return g.owners.Owner(customer) == self })
 	return g
@@ -77,6 +82,12 @@
 	if !g.RecordDemand(customer, units) {
 		return Decision{Reservation: rate.Reservation{OK: true}}
 	}
+	if g.replicated != nil && g.replicated() {
+		if d, ok := g.reserveReplicated(ctx, customer, units, maxDelay); ok {
+			return d
+		}
+		return g.reserveLocally(customer, units)
+	}
 	owner := g.owners.Owner(customer)
 	if owner == g.self {
 		if r, owned := g.ReserveOwned(customer, units, maxDelay); owned {
@@ -95,6 +106,10 @@
 			g.owners.MarkUnreachable(owner, err)
 		}
 	}
+	return g.reserveLocally(customer, units)
+}
+
+func (g *GlobalLimiter) reserveLocally(customer string, units float64) Decision {
 	g.recordFallback(customer)
 	wait := g.Take(customer, units)
 	return Decision{Reservation: rate.Reservation{OK: wait <= 0, Delay: wait}, Local: true}
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -69,6 +69,11 @@
 	// ownsLimit reports whether this entry owns a customer's limit. If it is
 	// nil, this entry owns none.
 	ownsLimit func(customer string) bool
+	// replicated and roleOf are set by Replicate. process tells the processes of an
+	// entry apart.
+	replicated func() bool
+	roleOf     func(customer string) (int, string)
+	process    uint64
 
 	mu        sync.Mutex
 	customers map[string]*customer
@@ -94,6 +99,8 @@
 	// entry owns the limit. owned is set while it does.
 	global rate.Bucket
 	owned  bool
+	// replica is used instead of owned while limits are replicated.
+	replica replica
 	// initialFillMembers is the fraction of the members whose share of the
 	// initial fill this process has added to global since it started.
 	initialFillMembers float64
@@ -141,7 +148,7 @@
 	for _, limit := range c.Customers {
 		cu := l.customers[limit.Name]
 		if cu == nil {
-			cu = &customer{since: now, local: rate.PartlyFilled(now, initialFill), demand: rate.EWMA{At: now}}
+			cu = &customer{since: now, local: rate.PartlyFilled(now, initialFill), demand: rate.EWMA{At: now}, replica: newReplica()}
 			l.customers[limit.Name] = cu
 		}
 		cu.limit = limit
@@ -225,6 +232,10 @@
 		share *= fallbackFraction(cu.expectedDemand(others, now) / perSecond)
 	}
 	cu.local.Resize(now, perSecond*share, burst*share)
+	if l.isReplicatedLocked() {
+		l.resizeReplicaLocked(name, cu, others, perSecond, burst, now)
+		return
+	}
 	l.resizeGlobalLocked(name, cu, others, now, perSecond, burst)
 }
 
@@ -258,14 +269,22 @@
 	cu.owned = owned
 	reached := min(1, float64(l.reached)/float64(l.members))
 	cu.global.Resize(now, perSecond*reached, burst*reached)
-	if owned && l.peersSet && now.Sub(cu.since) <= demandWarmup && reached > cu.initialFillMembers {
-		// Of members that start together, each may hand out its share of the
-		// initial fill.
-		cu.global.AddTokens(now, initialFill*burst*(reached-cu.initialFillMembers)*cu.headroom(others, perSecond, now))
-		cu.initialFillMembers = reached
+	if owned && l.peersSet {
+		cu.addInitialFill(initialFill*burst, others, perSecond, reached, now)
 	}
 }
 
+// addInitialFill adds the part of the initial fill of members that were reached since
+// the last call, if this process has just started. Of members that start together,
+// each may hand out its share of it.
+func (cu *customer) addInitialFill(fill, others, perSecond, reached float64, now time.Time) {
+	if now.Sub(cu.since) > demandWarmup || reached <= cu.initialFillMembers {
+		return
+	}
+	cu.global.AddTokens(now, fill*(reached-cu.initialFillMembers)*cu.headroom(others, perSecond, now))
+	cu.initialFillMembers = reached
+}
+
 // headroom returns the fraction of a limit that recent demand leaves unused.
 func (cu *customer) headroom(others, perSecond float64, now time.Time) float64 {
 	if perSecond <= 0 {
@@ -306,6 +325,10 @@
 	if !cu.owned {
 		return rate.Reservation{}, false
 	}
+	if l.isReplicatedLocked() {
+		cu.replica.ask(units, l.now())
+		return cu.grantReplica(units, maxDelay, l.now()), true
+	}
 	r := cu.global.ReserveWithin(l.now(), units, maxDelay)
 	r.Delay = min(r.Delay, maxRetryAfter)
 	return r, true
--- /dev/null
+++ b/gateway/quota/replica.go
@@ -0,0 +1,285 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+)
+
+const (
+	// ownerRanks is the number of members that grant units of a replicated limit.
+	ownerRanks = 2
+	// exchangePeriod is the time between two exchanges of a limit's level by its
+	// two owners, and urgentExchangePeriod that while the second one grants units
+	// or doesn't know the level. Until an exchange, both may grant the same units.
+	exchangePeriod       = 200 * time.Millisecond
+	urgentExchangePeriod = 50 * time.Millisecond
+	// contactTimeout is the time without an exchange after which an owner grants
+	// only its part of the limit.
+	contactTimeout = 700 * time.Millisecond
+	// askedPeriod is the time constant of the average of what an owner is asked
+	// for. It follows the entries that turn to the other owner within a second.
+	askedPeriod = time.Second
+	// lostFill caps the fill level with which the second owner goes on alone. The
+	// first may be alive and grant the same units.
+	lostFill = 0.6
+	// calmDemand is the demand, as a fraction of the limit, up to which an owner
+	// that is alone grants all that it is asked for: both owners together stay
+	// below the limit. From fullDemand on it grants at least minLostPart.
+	calmDemand, fullDemand, minLostPart = 0.6, 1.2, 0.25
+	// surge is the growth of the demand from which on an owner that is alone can't
+	// tell the part of the entries that ask it, and grants surgePart.
+	surge, surgePart = 1.3, 0.5
+	// assumedQuality is that of a level that an owner assumed, knownQuality that of
+	// one that covers the demand of at least demandWarmup.
+	assumedQuality, knownQuality = 1, 2
+	// startPart is the part of what accrues while all entries start that is not left
+	// to their own parts, and maxStart the longest such time.
+	startPart, maxStart = 0.5, 2 * time.Second
+	// assumeAfter is the time after which an owner that can't ask the other one for
+	// the level assumes it.
+	assumeAfter = 600 * time.Millisecond
+	// maxIncluded bounds the processes whose granted units are remembered.
+	maxIncluded = 16
+)
+
+// replica is the part of an owner in a replicated limit. The units are in the
+// bucket customer.global.
+type replica struct {
+	// rank is that of this entry by hash: 1, 2, or 0 if it doesn't own the limit.
+	// partner is the other owner, empty if there is none.
+	rank    int
+	partner string
+	// rankedAt is the time since which this entry is an owner.
+	rankedAt time.Time
+	// quality is that of the level, 0 while it is unknown, and knownSince the time
+	// from which on this process or its partners granted all units.
+	quality    int
+	knownSince time.Time
+	// perSecond and burst are those of the bucket without the reduction of part.
+	perSecond, burst float64
+	// granted is the number of units that this process granted, and unsent the part
+	// of it since the last exchange.
+	granted, unsent float64
+	// included holds, by process, the units that other owners granted and that the
+	// bucket takes into account.
+	included map[uint64]float64
+	// asked averages the units that this entry is asked for over askedPeriod, and
+	// askedSlowly over a longer time.
+	asked, askedSlowly rate.EWMA
+	// total is the number of units per second that both owners were asked for at
+	// the last exchange.
+	total float64
+	// contactAt is the time of the last exchange, triedAt that of the last attempt.
+	contactAt, triedAt time.Time
+	// lost is set while there is no contact.
+	lost bool
+	// partnerProcess is the process of the partner in the last exchange.
+	partnerProcess uint64
+}
+
+// Replicate makes limits replicated while active returns true: the first two
+// members by hash grant units. roleOf returns the rank of this entry for a
+// customer's limit, 0 if it is no owner, and the other owner. It must be called
+// before any other method.
+func (l *Limiter) Replicate(process uint64, active func() bool, roleOf func(customer string) (int, string)) {
+	l.process, l.replicated, l.roleOf = process, active, roleOf
+}
+
+func (l *Limiter) isReplicatedLocked() bool {
+	return l.replicated != nil && l.peersSet && l.replicated()
+}
+
+// resizeReplicaLocked applies this entry's role and the size of a limit.
+func (l *Limiter) resizeReplicaLocked(name string, cu *customer, others, perSecond, burst float64, now time.Time) {
+	rp := &cu.replica
+	rank, partner := l.roleOf(name)
+	if rank > 0 && rp.rank == 0 {
+		rp.quality, rp.rankedAt = 0, now
+		cu.global = rate.PartlyFilled(now, 0)
+		cu.initialFillMembers = 0
+		rp.included = make(map[uint64]float64)
+	}
+	if partner != rp.partner {
+		rp.contactAt, rp.triedAt, rp.lost = now, time.Time{}, false
+	}
+	rp.rank, rp.partner = rank, partner
+	if rank == 0 {
+		rp.quality, cu.owned = 0, false
+		return
+	}
+	reached := min(1, float64(l.reached)/float64(l.members))
+	rp.perSecond, rp.burst = perSecond*reached, burst*reached
+	if rp.total == 0 {
+		rp.total = cu.demand.Rate(now) + others
+	}
+	cu.sizeReplica(now)
+	if rp.quality == assumedQuality {
+		if l.reached*2 > l.members {
+			// Nobody granted what accrued since all entries started, except for their
+			// own parts of it.
+			accrued := startPart * perSecond * min(maxStart, now.Sub(cu.since)).Seconds()
+			cu.addInitialFill(initialFill*burst+accrued, others, perSecond, reached, now)
+		}
+		if now.Sub(rp.knownSince) > demandWarmup {
+			rp.quality = knownQuality
+		}
+	}
+	cu.owned = rank == 1 && rp.quality > 0
+}
+
+// sizeReplica applies the part of the limit that this entry grants now.
+func (cu *customer) sizeReplica(now time.Time) {
+	rp := &cu.replica
+	if !rp.lost && rp.partner != "" && now.Sub(rp.contactAt) > contactTimeout {
+		cu.loseContact(now)
+	}
+	cu.global.Resize(now, rp.perSecond*rp.part(now), rp.burst)
+}
+
+func (cu *customer) loseContact(now time.Time) {
+	rp := &cu.replica
+	rp.lost = true
+	if rp.rank > 1 {
+		cu.global.CapFill(now, lostFill)
+	}
+}
+
+// part returns the fraction of the limit that this entry grants. Without contact to
+// the other owner, which may be dead or grant units to other entries, it is that of
+// the demand that this entry is asked for.
+func (rp *replica) part(now time.Time) float64 {
+	if !rp.lost || rp.total <= 0 || rp.perSecond <= 0 {
+		return 1
+	}
+	demand := rp.total / rp.perSecond
+	least := 1 - (1-minLostPart)*min(1, max(0, (demand-calmDemand)/(fullDemand-calmDemand)))
+	asked := rp.asked.Rate(now)
+	if asked > surge*rp.total && asked > calmDemand*rp.perSecond {
+		return surgePart
+	}
+	return min(1, max(least, asked/rp.total))
+}
+
+// assumeLocked assumes a level that no other owner knows. Too few reachable members
+// may be cut off from those that know it.
+func (l *Limiter) assumeLocked(cu *customer, now time.Time) {
+	rp := &cu.replica
+	if l.reached*2 <= l.members {
+		return
+	}
+	others := 0.0
+	for _, demand := range l.peers {
+		others += demand[cu.limit.Name]
+	}
+	rp.quality, rp.knownSince = assumedQuality, now
+	cu.global.SetLevel(now, rp.burst*l.takeoverFillLocked(cu, others, rp.perSecond, now))
+	l.resizeLocked(cu.limit.Name, cu, now)
+}
+
+// ReserveReplica reserves units of a limit that this entry owns as the first or the
+// second member by hash. The second result is false if it doesn't, or doesn't know
+// what is left of the limit.
+func (l *Limiter) ReserveReplica(name string, units float64, maxDelay time.Duration) (rate.Reservation, bool) {
+	if l.replicated != nil && !l.replicated() && l.knowsPeers() {
+		return l.ReserveOwned(name, units, maxDelay) // peers still count more members
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cu := l.customers[name]
+	if cu == nil || !l.isReplicatedLocked() {
+		return rate.Reservation{}, false
+	}
+	if cu.limit.PerSecond <= 0 {
+		return rate.Reservation{OK: true}, true
+	}
+	rp, now := &cu.replica, l.now()
+	rp.ask(units, now)
+	if rp.rank == 0 || rp.quality == 0 {
+		return rate.Reservation{}, false
+	}
+	return cu.grantReplica(units, maxDelay, now), true
+}
+
+func (l *Limiter) knowsPeers() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peersSet
+}
+
+func newReplica() replica { return replica{asked: rate.EWMA{TimeConstant: askedPeriod}} }
+
+func (rp *replica) ask(units float64, now time.Time) {
+	rp.asked.Add(now, units)
+	rp.askedSlowly.Add(now, units)
+}
+
+func (cu *customer) grantReplica(units float64, maxDelay time.Duration, now time.Time) rate.Reservation {
+	cu.sizeReplica(now)
+	r := cu.global.ReserveWithin(now, units, maxDelay)
+	r.Delay = min(r.Delay, maxRetryAfter)
+	if r.OK {
+		cu.replica.granted += units
+		cu.replica.unsent += units
+	}
+	return r
+}
+
+// levelLocked returns what this entry knows of a limit, for the other owner.
+func (l *Limiter) levelLocked(cu *customer, to uint64, now time.Time) peer.LimitLevel {
+	rp := &cu.replica
+	v := peer.LimitLevel{
+		Customer: cu.limit.Name, Process: l.process, Quality: rp.quality,
+		Units: cu.global.Level(now), Granted: rp.granted, Asked: rp.askedSlowly.Rate(now),
+	}
+	if included, seen := rp.included[to]; seen {
+		v.Included, v.IncludedOf = included, to
+	}
+	return v
+}
+
+// mergeLocked takes into account what another owner knows.
+func (l *Limiter) mergeLocked(cu *customer, from string, v peer.LimitLevel, now time.Time) {
+	rp := &cu.replica
+	if rp.rank == 0 {
+		return
+	}
+	cu.sizeReplica(now)
+	before, seen := rp.included[v.Process]
+	if len(rp.included) >= maxIncluded && !seen {
+		clear(rp.included)
+	}
+	rp.included[v.Process] = max(before, v.Granted)
+	level := cu.global.Level(now)
+	ours := level - max(0, v.Granted-before)
+	theirs, complete := v.Units, v.IncludedOf == l.process
+	if complete {
+		theirs -= max(0, rp.granted-v.Included)
+	}
+	switch {
+	case v.Quality > rp.quality:
+		level, rp.quality, rp.knownSince = theirs, v.Quality, now
+	case v.Quality < rp.quality:
+		if seen || v.Quality == assumedQuality {
+			level = ours
+		}
+	case seen && complete:
+		// Neither exceeds what is left: a full bucket loses what would refill the
+		// units that the other one granted.
+		level = max(ours, theirs)
+	case seen:
+		level = ours
+	case complete:
+		level = theirs
+	default:
+		level = min(level, theirs)
+	}
+	cu.global.SetLevel(now, level)
+	if from == rp.partner {
+		rp.partnerProcess = v.Process
+		rp.contactAt, rp.lost = now, false
+		rp.total = rp.askedSlowly.Rate(now) + v.Asked
+	}
+	cu.owned = rp.rank == 1 && rp.quality > 0
+}
--- a/internal/rate/bucket.go
+++ b/internal/rate/bucket.go
@@ -56,6 +56,19 @@
 	b.credit(n)
 }
 
+// Level returns the tokens in the bucket less its debt.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.refill(now)
+	return b.tokens - b.debt
+}
+
+// SetLevel sets the tokens, up to the size of the bucket, or the debt if level is
+// negative.
+func (b *Bucket) SetLevel(now time.Time, level float64) {
+	b.refill(now)
+	b.tokens, b.debt = min(max(0, level), b.burst), max(0, -level)
+}
+
 // Take takes n tokens and returns 0, or takes none and returns the time until
 // they are available. A request larger than the bucket takes all tokens of a
 // full bucket and leaves the rest as debt.
--- a/internal/rate/ewma.go
+++ b/internal/rate/ewma.go
@@ -14,11 +14,20 @@
 	// perSecond is the average as of At, in units per second.
 	perSecond float64
 	At        time.Time
+	// TimeConstant is that of the decay; 0 means ewmaTimeConstant.
+	TimeConstant time.Duration
+}
+
+func (e *EWMA) seconds() float64 {
+	if e.TimeConstant > 0 {
+		return e.TimeConstant.Seconds()
+	}
+	return ewmaTimeConstant.Seconds()
 }
 
 // Add counts n units at the time now.
 func (e *EWMA) Add(now time.Time, n float64) {
-	e.perSecond = e.Rate(now) + n/ewmaTimeConstant.Seconds()
+	e.perSecond = e.Rate(now) + n/e.seconds()
 	e.At = now
 }
 
@@ -28,5 +37,5 @@
 	if elapsed <= 0 {
 		return e.perSecond
 	}
-	return e.perSecond * math.Exp(-elapsed.Seconds()/ewmaTimeConstant.Seconds())
+	return e.perSecond * math.Exp(-elapsed.Seconds()/e.seconds())
 }
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -37,8 +37,12 @@
 // they become available within the given time. The second result is false if
 // the peer is not the owner. After an error the units may have been reserved.
 func (m *Mesh) Reserve(ctx context.Context, peer, customer string, units float64, within time.Duration) (rate.Reservation, bool, error) {
+	return m.reserve(ctx, peer, reserveParams{Customer: customer, Units: units, WithinMS: within.Milliseconds()})
+}
+
+func (m *Mesh) reserve(ctx context.Context, peer string, p reserveParams) (rate.Reservation, bool, error) {
 	var result reserveResult
-	err := m.callCached(ctx, peer, methodReserve, reserveParams{Customer: customer, Units: units, WithinMS: within.Milliseconds()}, &result)
+	err := m.callCached(ctx, peer, methodReserve, p, &result)
 	r := rate.Reservation{OK: result.Reserved || result.WaitMS == 0, Delay: time.Duration(result.WaitMS) * time.Millisecond}
 	return r, !result.NotOwner, err
 }
--- a/peer/handlers.go
+++ b/peer/handlers.go
@@ -27,6 +27,11 @@
 	// available within the given time. The second result is false if this entry
 	// is not the owner of the limit.
 	Reserve func(customer string, units float64, within time.Duration) (rate.Reservation, bool)
+	// ReserveReplicated is Reserve for peers that may ask either owner of a limit.
+	ReserveReplicated func(customer string, units float64, within time.Duration) (rate.Reservation, bool)
+	// Levels receives the levels of limits that a peer and this entry own, and
+	// returns this entry's.
+	Levels func(from string, levels []LimitLevel) []LimitLevel
 	// Changes returns the changes of a feed that this entry follows. It returns
 	// infra.ErrCompacted or follow.ErrUnavailable as follow.History.Since does.
 	// It may block.
@@ -65,11 +70,15 @@
 	return h.TemplateFetch(name, version)
 }
 
-func (h Handlers) reserve(customer string, units float64, within time.Duration) (rate.Reservation, bool) {
-	if h.Reserve == nil {
+func (h Handlers) reserve(customer string, units float64, within time.Duration, replicated bool) (rate.Reservation, bool) {
+	reserve := h.Reserve
+	if replicated && h.ReserveReplicated != nil {
+		reserve = h.ReserveReplicated
+	}
+	if reserve == nil {
 		return rate.Reservation{}, false
 	}
-	return h.Reserve(customer, units, within)
+	return reserve(customer, units, within)
 }
 
 func (h Handlers) changes(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error) {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -330,6 +330,12 @@
 	Units    float64 `json:"n"`
 	// WithinMS is how long the request may wait for the units.
 	WithinMS int64 `json:"p,omitempty"`
+	// Replicated is set if the sender may ask either owner of the limit.
+	Replicated bool `json:"r,omitempty"`
+	// Levels are the levels of limits that the sender and the peer own. Customer is
+	// empty then. They come with this method because a peer of an earlier release
+	// refuses unknown ones, and answers this one that it is not the owner.
+	Levels []LimitLevel `json:"l,omitempty"`
 }
 
 // reserveResult is the reply to reserveParams.
@@ -341,6 +347,8 @@
 	Reserved bool `json:"t,omitempty"`
 	// NotOwner is set if the peer is not the owner of the limit.
 	NotOwner bool `json:"e,omitempty"`
+	// Levels answers those of reserveParams.
+	Levels []LimitLevel `json:"l,omitempty"`
 }
 
 // PlaceRequest requests that a peer chooses the endpoint of a centrally placed
