Keep limits while many entries start together

On a first start each entry knew a few of the members for a second and divided the limits by their number, or owned all limits in its own view. After a restart of all entries, the owner adds half of what accrued since the start of its process to the initial fill, as nobody granted it.

The registry now counts as settled before its first scan is reported, on a restart: otherwise a process took itself for one of a first start.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -215,8 +215,9 @@
 
 func newGlobalLimiter(l *quota.Limiter, s gateway.Settings, peers *ownerPeers, log *logrus.Entry) *quota.GlobalLimiter {
 	g := quota.NewGlobalLimiter(l, s.ID, limitPeers{peers}, log)
-	registry := peers.view.registry
-	g.ReplicateWith(peers, rand.Uint64N(maxProcess), func() bool { return registry.Count() > maxDirectReaders })
+	g.ReplicateWith(peers, quota.Replication{
+		Process: rand.Uint64N(maxProcess), Active: peers.view.replicatesLimits, Settled: peers.view.registry.IsSettled,
+	})
 	return g
 }
 
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -130,12 +130,18 @@
 	return p.reachableIDs
 }
 
+// replicatesLimits reports whether limits are replicated. Until the members that
+// started together are known, there may be many of them.
+func (p *peerView) replicatesLimits() bool {
+	return p.registry.Count() > maxDirectReaders || !p.registry.IsSettled()
+}
+
 // limitMembers returns the members that can own limits. In a large deployment, a
 // process that has just started counts all live members from the table: their first
 // state updates take seconds, and until then it would own all limits in its own view.
 func (p *peerView) limitMembers(period time.Duration) []string {
 	ids := p.reachable(period)
-	if time.Since(p.startedAt) > listedPeriod || p.registry.Count() <= maxDirectReaders {
+	if time.Since(p.startedAt) > listedPeriod || !p.replicatesLimits() {
 		return ids
 	}
 	out := p.registry.Live()
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -28,11 +28,22 @@
 	ExchangeLevels(ctx context.Context, peer string, levels []peer.LimitLevel) ([]peer.LimitLevel, error)
 }
 
-// ReplicateWith makes limits replicated while active returns true. It must be called
-// before any other method. RunExchanges must run.
-func (g *GlobalLimiter) ReplicateWith(p ReplicaPeers, process uint64, active func() bool) {
+// Replication configures the replication of limits.
+type Replication struct {
+	// Process tells the processes of an entry apart.
+	Process uint64
+	// Active reports whether limits are replicated.
+	Active func() bool
+	// Settled reports whether the members are known that started together with this
+	// entry.
+	Settled func() bool
+}
+
+// ReplicateWith makes limits replicated. It must be called before any other method.
+// RunExchanges must run.
+func (g *GlobalLimiter) ReplicateWith(p ReplicaPeers, r Replication) {
 	g.replicas = p
-	g.Replicate(process, active, func(customer string) (int, string) {
+	g.Replicate(r, func(customer string) (int, string) {
 		ranked := g.owners.Ranked(customer, ownerRanks)
 		i := slices.Index(ranked, g.self)
 		if i < 0 {
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -69,9 +69,10 @@
 	// ownsLimit reports whether this entry owns a customer's limit. If it is
 	// nil, this entry owns none.
 	ownsLimit func(customer string) bool
-	// replicated and roleOf are set by Replicate. process tells the processes of an
-	// entry apart.
+	// replicated, settled and roleOf are set by Replicate. process tells the processes
+	// of an entry apart.
 	replicated func() bool
+	settled    func() bool
 	roleOf     func(customer string) (int, string)
 	process    uint64
 
@@ -83,6 +84,9 @@
 	reached int
 	// peersSet is set by the first SetPeers.
 	peersSet bool
+	// firstStart is set if this process was started before the members were settled:
+	// some of them may then have become owners one after the other.
+	firstStart bool
 	// peers holds the demand of each peer by customer, in units per second.
 	peers map[string]map[string]float64
 }
@@ -163,6 +167,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.members, l.reached, l.peers, l.peersSet = max(1, members), max(1, reached), peers, true
+	if l.settled != nil && !l.settled() {
+		l.firstStart = true
+	}
 	now := l.now()
 	for name, cu := range l.customers {
 		l.resizeLocked(name, cu, now)
@@ -222,7 +229,11 @@
 	for _, demand := range l.peers {
 		others += demand[name]
 	}
-	share := rate.Share(cu.reportedDemand(now.Add(-peerDemandLag)), others, len(l.peers), l.members)
+	members := l.members
+	if l.settled != nil && !l.settled() {
+		members = max(members, assumedMembers)
+	}
+	share := rate.Share(cu.reportedDemand(now.Add(-peerDemandLag)), others, len(l.peers), members)
 	perSecond := cu.limit.PerSecond * (1 + usedToleranceFraction*l.tolerance.Fraction)
 	burst := cu.limit.Burst
 	if cu.limit.CountTokens {
--- a/gateway/quota/replica.go
+++ b/gateway/quota/replica.go
@@ -37,6 +37,9 @@
 	// startPart is the part of what accrues while all entries start that is not left
 	// to their own parts, and maxStart the longest such time.
 	startPart, maxStart = 0.5, 2 * time.Second
+	// unsettledPart is the part of a limit that an owner grants until the members that
+	// started together are known. Until then a few of them may be owners at once.
+	unsettledPart = 0.5
 	// assumeAfter is the time after which an owner that can't ask the other one for
 	// the level assumes it.
 	assumeAfter = 600 * time.Millisecond
@@ -79,12 +82,11 @@
 	partnerProcess uint64
 }
 
-// Replicate makes limits replicated while active returns true: the first two
-// members by hash grant units. roleOf returns the rank of this entry for a
+// Replicate makes limits replicated: the first two members by hash grant units. roleOf returns the rank of this entry for a
 // customer's limit, 0 if it is no owner, and the other owner. It must be called
 // before any other method.
-func (l *Limiter) Replicate(process uint64, active func() bool, roleOf func(customer string) (int, string)) {
-	l.process, l.replicated, l.roleOf = process, active, roleOf
+func (l *Limiter) Replicate(r Replication, roleOf func(customer string) (int, string)) {
+	l.process, l.replicated, l.settled, l.roleOf = r.Process, r.Active, r.Settled, roleOf
 }
 
 func (l *Limiter) isReplicatedLocked() bool {
@@ -111,6 +113,9 @@
 	}
 	reached := min(1, float64(l.reached)/float64(l.members))
 	rp.perSecond, rp.burst = perSecond*reached, burst*reached
+	if !l.settled() {
+		rp.perSecond *= unsettledPart
+	}
 	if rp.total == 0 {
 		rp.total = cu.demand.Rate(now) + others
 	}
@@ -120,6 +125,9 @@
 			// Nobody granted what accrued since all entries started, except for their
 			// own parts of it.
 			accrued := startPart * perSecond * min(maxStart, now.Sub(cu.since)).Seconds()
+			if l.firstStart {
+				accrued = 0
+			}
 			cu.addInitialFill(initialFill*burst+accrued, others, perSecond, reached, now)
 		}
 		if now.Sub(rp.knownSince) > demandWarmup {
@@ -260,6 +268,7 @@
 	switch {
 	case v.Quality > rp.quality:
 		level, rp.quality, rp.knownSince = theirs, v.Quality, now
+		cu.initialFillMembers = 1 // the other owner added it
 	case v.Quality < rp.quality:
 		if seen || v.Quality == assumedQuality {
 			level = ours
--- a/gateway/quota/replica_test.go
+++ b/gateway/quota/replica_test.go
@@ -83,7 +83,9 @@
 	f.entries[id] = e
 	e.GlobalLimiter = NewGlobalLimiter(l, id, fleetPeers{f, id}, nolog.Or(nil))
 	f.processes++
-	e.ReplicateWith(fleetPeers{f, id}, f.processes, func() bool { return true })
+	e.ReplicateWith(fleetPeers{f, id}, Replication{
+		Process: f.processes, Active: func() bool { return true }, Settled: func() bool { return true },
+	})
 	l.SetConfiguration((&config.Configuration{Customers: []config.Customer{
 		{Name: "a", PerSecond: f.perSecond, Burst: f.perSecond, CountTokens: true}}}).Compile())
 }
@@ -359,3 +361,67 @@
 		})
 	}
 }
+
+// Guards against refusing customers far below their limits after all entries have lost
+// power and started together: nobody knows what is left of the limits, and clients
+// repeat at once what was cut.
+func TestCustomersBelowTheirLimitsSurviveARestartOfAllEntries(t *testing.T) {
+	const demand = 0.55
+	for _, perSecond := range []float64{36_000, 300_000, 1_600_000} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			refused, asked := 0, 0
+			for seed := range uint64(3) {
+				f := newOwnerFleet(58, perSecond, seed)
+				f.run(12*time.Second, demand)
+				for _, id := range f.ids {
+					f.kill(id)
+				}
+				f.run(500*time.Millisecond, demand)
+				for _, id := range f.ids {
+					f.start(id)
+				}
+				f.run(startLag, 0)
+				f.report()
+				f.exchange()
+				f.refusedFraction()
+				// The demand of the outage, and requests that were running.
+				f.run(100*time.Millisecond, 10*demand)
+				f.run(2900*time.Millisecond, demand)
+				refused, asked = refused+f.refused, asked+f.asked
+				f.run(6*time.Second, demand)
+				f.checkLimit(t)
+			}
+			fraction := float64(refused) / float64(asked)
+			t.Logf("refused %.4f of %d", fraction, asked)
+			qt.Check(t, fraction <= 0.05, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a burst that is handed out again at each start: all entries lose power
+// three times within four seconds, while a customer requests several times its limit.
+func TestReplicatedLimitHoldsWhileAllEntriesRestart(t *testing.T) {
+	for _, perSecond := range []float64{36_000, 300_000, 1_600_000} {
+		for _, outage := range []time.Duration{0, 500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%v/%v", perSecond, outage), func(t *testing.T) {
+				for _, demand := range []float64{1.5, 4.5} {
+					f := newOwnerFleet(24, perSecond, 5)
+					f.run(6*time.Second, 0.1)
+					f.run(4*time.Second, demand)
+					for range 3 {
+						for _, id := range f.ids {
+							f.kill(id)
+						}
+						f.run(outage, 0)
+						for _, id := range f.ids {
+							f.start(id)
+						}
+						f.run(2*time.Second-outage, demand)
+					}
+					f.run(6*time.Second, demand)
+					f.checkLimit(t)
+				}
+			})
+		}
+	}
+}
--- a/member/scan.go
+++ b/member/scan.go
@@ -37,12 +37,13 @@
 			next = phase(r.scanPeriod(r.Count()))
 		case err == nil:
 			scanned = true
-			close(r.scanned)
 			next = settleTime
 			if r.hasRejoined() {
+				// Whoever waits for the scan then knows that all members are known.
 				r.markSettled()
 				next = phase(r.scanPeriod(r.Count()))
 			}
+			close(r.scanned)
 		}
 		// Until the first scan succeeds, the entry may have no other members
 		// on record, so it retries after the minimum period.
