Count decisions by limits; exchange levels with peers of earlier releases

A counter tells whether the first or the second owner or an entry's own part decided. The second owner is backed off from for 200 ms only, and levels from another owner are bounded.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -213,10 +213,11 @@
 // such calls.
 func newOwnerPeers(view *peerView) *ownerPeers { return &ownerPeers{view: view} }
 
-func newGlobalLimiter(l *quota.Limiter, s gateway.Settings, peers *ownerPeers, log *logrus.Entry) *quota.GlobalLimiter {
+func newGlobalLimiter(l *quota.Limiter, s gateway.Settings, peers *ownerPeers, m *telemetry.Metrics, log *logrus.Entry) *quota.GlobalLimiter {
 	g := quota.NewGlobalLimiter(l, s.ID, limitPeers{peers}, log)
 	g.ReplicateWith(peers, quota.Replication{
 		Process: rand.Uint64N(maxProcess), Active: peers.view.replicatesLimits, Settled: peers.view.registry.IsSettled,
+		Count: m.LimitDecided,
 	})
 	return g
 }
--- a/gateway/ownership/ownership.go
+++ b/gateway/ownership/ownership.go
@@ -21,6 +21,10 @@
 // calls from this entry.
 const unreachableBackoff = time.Second
 
+// lastBackoff is unreachableBackoff where the owner is the last one that can be
+// called: without it, requests larger than an entry's own part are refused.
+const lastBackoff = 200 * time.Millisecond
+
 // Owners selects the owners of all keys of one kind. It is safe for concurrent
 // use.
 type Owners struct {
@@ -86,8 +90,18 @@
 
 // MarkUnreachable backs off from an owner that did not answer.
 func (o *Owners) MarkUnreachable(id string, err error) {
+	o.markUnreachable(id, unreachableBackoff, err)
+}
+
+// MarkLastUnreachable backs off only shortly from an owner that did not answer,
+// because there is no other one to call.
+func (o *Owners) MarkLastUnreachable(id string, err error) {
+	o.markUnreachable(id, lastBackoff, err)
+}
+
+func (o *Owners) markUnreachable(id string, backoff time.Duration, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.backoffUntil[id] = o.now().Add(unreachableBackoff)
+	o.backoffUntil[id] = o.now().Add(backoff)
 	o.log.WithError(err).WithField("member", id).Warn("ownership: owner unreachable, this entry decides locally.")
 }
--- a/gateway/quota/doc.go
+++ b/gateway/quota/doc.go
@@ -13,6 +13,12 @@
 // peer has reported. Members without a report count like the average of the
 // others, so that a partition can't raise the sum of the shares.
 //
+// Above 16 members, limits are replicated: the first two members by hash hold the
+// level of a limit and exchange it (replica.go, exchange.go). An entry that doesn't
+// reach the first calls the second. This is designed for tens to hundreds of entries
+// with 16 customers, whose requests are larger than an entry's share of a limit.
+// docs/design/limits.md describes it.
+//
 // GlobalLimiter decides for the HTTP handler of an entry, and Limiter holds its
 // token buckets; RetryBudget is independent of both. All three are safe for
 // concurrent use.
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -37,12 +37,23 @@
 	// Settled reports whether the members are known that started together with this
 	// entry.
 	Settled func() bool
+	// Count counts a decision by the first or the second owner or by the own part of
+	// this entry. It may be nil.
+	Count func(by string, granted bool)
 }
 
+// Values of the parameter by of Replication.Count.
+const (
+	byFirst, bySecond, byOwnPart = "first owner", "second owner", "own part"
+)
+
 // ReplicateWith makes limits replicated. It must be called before any other method.
 // RunExchanges must run.
 func (g *GlobalLimiter) ReplicateWith(p ReplicaPeers, r Replication) {
 	g.replicas = p
+	if g.count = r.Count; g.count == nil {
+		g.count = func(string, bool) {}
+	}
 	g.Replicate(r, func(customer string) (int, string) {
 		ranked := g.owners.Ranked(customer, ownerRanks)
 		i := slices.Index(ranked, g.self)
@@ -60,9 +71,14 @@
 // reserveReplicated reserves units at the first owner that answers. The second result
 // is false if none does.
 func (g *GlobalLimiter) reserveReplicated(ctx context.Context, customer string, units float64, maxDelay time.Duration) (Decision, bool) {
-	for _, owner := range g.owners.Ranked(customer, ownerRanks) {
+	for i, owner := range g.owners.Ranked(customer, ownerRanks) {
+		by := byFirst
+		if i > 0 {
+			by = bySecond
+		}
 		if owner == g.self {
 			if r, owned := g.ReserveReplica(customer, units, maxDelay); owned {
+				g.count(by, r.OK)
 				return Decision{Reservation: r, Owner: owner}, true
 			}
 			continue
@@ -75,11 +91,16 @@
 		cancel()
 		switch {
 		case err == nil:
+			g.count(by, r.OK)
 			return Decision{Reservation: r, Owner: owner}, true
 		case ctx.Err() != nil:
 			return Decision{}, false
-		case !errors.Is(err, ErrNotOwner):
+		case errors.Is(err, ErrNotOwner):
+			// It doesn't know the level yet, or sees other members.
+		case i == 0:
 			g.owners.MarkUnreachable(owner, err)
+		default:
+			g.owners.MarkLastUnreachable(owner, err)
 		}
 	}
 	return Decision{}, false
@@ -168,7 +189,10 @@
 
 func (rp *replica) isDue(now time.Time) bool {
 	since := now.Sub(rp.triedAt)
-	urgent := rp.quality == 0 || rp.rank > 1 && rp.unsent > 0 && !rp.lost
+	if rp.lost {
+		return since >= lostExchangePeriod
+	}
+	urgent := rp.quality == 0 || rp.rank > 1 && rp.unsent > 0
 	return urgent && since >= urgentExchangePeriod ||
 		since >= exchangePeriod && (rp.rank == 1 || rp.unsent > 0)
 }
--- a/gateway/quota/global.go
+++ b/gateway/quota/global.go
@@ -48,6 +48,7 @@
 	log    *logrus.Entry
 	// replicas is nil if limits are not replicated.
 	replicas ReplicaPeers
+	count    func(by string, granted bool)
 
 	mu sync.Mutex
 	// exchanging holds the partners with which an exchange is in progress.
@@ -86,7 +87,9 @@
 		if d, ok := g.reserveReplicated(ctx, customer, units, maxDelay); ok {
 			return d
 		}
-		return g.reserveLocally(customer, units)
+		d := g.reserveLocally(customer, units)
+		g.count(byOwnPart, d.OK)
+		return d
 	}
 	owner := g.owners.Owner(customer)
 	if owner == g.self {
--- a/gateway/quota/replica.go
+++ b/gateway/quota/replica.go
@@ -15,6 +15,8 @@
 	// or doesn't know the level. Until an exchange, both may grant the same units.
 	exchangePeriod       = 200 * time.Millisecond
 	urgentExchangePeriod = 50 * time.Millisecond
+	// lostExchangePeriod is exchangePeriod while the other owner doesn't answer.
+	lostExchangePeriod = 400 * time.Millisecond
 	// contactTimeout is the time without an exchange after which an owner grants
 	// only its part of the limit.
 	contactTimeout = 700 * time.Millisecond
@@ -43,6 +45,9 @@
 	// assumeAfter is the time after which an owner that can't ask the other one for
 	// the level assumes it.
 	assumeAfter = 600 * time.Millisecond
+	// maxDebt is the longest time, in seconds, for which a level from another owner can
+	// keep this one from granting units.
+	maxDebt = 10.0
 	// maxIncluded bounds the processes whose granted units are remembered.
 	maxIncluded = 16
 )
@@ -82,9 +87,9 @@
 	partnerProcess uint64
 }
 
-// Replicate makes limits replicated: the first two members by hash grant units. roleOf returns the rank of this entry for a
-// customer's limit, 0 if it is no owner, and the other owner. It must be called
-// before any other method.
+// Replicate makes limits replicated: the first two members by hash grant units. roleOf
+// returns the rank of this entry for a customer's limit, 0 if it is no owner, and the
+// other owner. It must be called before any other method.
 func (l *Limiter) Replicate(r Replication, roleOf func(customer string) (int, string)) {
 	l.process, l.replicated, l.settled, l.roleOf = r.Process, r.Active, r.Settled, roleOf
 }
@@ -284,11 +289,11 @@
 	default:
 		level = min(level, theirs)
 	}
-	cu.global.SetLevel(now, level)
+	cu.global.SetLevel(now, max(level, -maxDebt*rp.perSecond))
 	if from == rp.partner {
 		rp.partnerProcess = v.Process
 		rp.contactAt, rp.lost = now, false
-		rp.total = rp.askedSlowly.Rate(now) + v.Asked
+		rp.total = rp.askedSlowly.Rate(now) + max(0, v.Asked)
 	}
 	cu.owned = rp.rank == 1 && rp.quality > 0
 }
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -49,6 +49,8 @@
 	starts   int
 	// longValue is what onChanges and onFetch return for long values.
 	longValue []byte
+	// onLevels is set before the first call, nil in an earlier release.
+	onLevels func(from string, levels []peer.LimitLevel) []peer.LimitLevel
 
 	mu       sync.Mutex
 	versions map[string]uint64
@@ -144,6 +146,12 @@
 			},
 			Reserve: reserveForTest,
 			Permit:  n.limits.Grant,
+			Levels: func(from string, levels []peer.LimitLevel) []peer.LimitLevel {
+				if n.onLevels == nil {
+					return nil
+				}
+				return n.onLevels(from, levels)
+			},
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -45,6 +45,7 @@
 	suspects    metric.Int64Counter
 	statements  metric.Int64Counter
 	throttle    metric.Int64Counter
+	limits      metric.Int64Counter
 	replicas    names
 	tableCalls  metric.Int64Counter
 	tableTime   metric.Float64Histogram
@@ -66,7 +67,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [12]error
+	var errs [13]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -94,6 +95,8 @@
 		metric.WithDescription("Events of the limits of replicas: limits, their ends, permits and denials."))
 	m.suspects, errs[11] = m.meter.Int64Counter("coltsfootcleat.suspects",
 		metric.WithDescription("Replicas that broke off an answer, by the sign that they have crashed."))
+	m.limits, errs[12] = m.meter.Int64Counter("coltsfootcleat.limit_decisions",
+		metric.WithDescription("Decisions by customers' limits, by who decided and the outcome."))
 	return errors.Join(errs[:]...)
 }
 
@@ -134,6 +137,12 @@
 	m.throttle.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
 }
 
+// LimitDecided counts a decision by a customer's limit. by is "first owner", "second
+// owner" or "own part".
+func (m *Metrics) LimitDecided(by string, granted bool) {
+	m.limits.Add(context.Background(), 1, metric.WithAttributes(attribute.String("by", by), attribute.Bool("granted", granted)))
+}
+
 // Stated counts an answer that states something about its replica. known is set
 // if the entry knew that before. Replicas after the first maxNamedReplicas are
 // counted together.
