--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -97,7 +97,7 @@
 			return Decision{}, false
 		case errors.Is(err, ErrNotOwner):
 			// It doesn't know the level yet, or sees other members.
-		case i == 0:
+		case i == 0 && !errors.Is(err, peer.ErrConnecting):
 			g.owners.MarkUnreachable(owner, err)
 		default:
 			g.owners.MarkLastUnreachable(owner, err)
--- a/gateway/quota/replica.go
+++ b/gateway/quota/replica.go
@@ -76,6 +76,8 @@
 	// asked averages the units that this entry is asked for over askedPeriod, and
 	// askedSlowly over a longer time.
 	asked, askedSlowly rate.EWMA
+	// sizes balances the requests by size.
+	sizes sizes
 	// total is the number of units per second that both owners were asked for at
 	// the last exchange.
 	total float64
@@ -230,15 +232,32 @@
 
 func (cu *customer) grantReplica(units float64, maxDelay time.Duration, now time.Time) rate.Reservation {
 	cu.sizeReplica(now)
+	rp := &cu.replica
+	class := rp.sizes.ask(now, units)
+	if wait := cu.waitForOthers(class, units, now); wait > 0 {
+		return rate.Reservation{Delay: min(wait, maxRetryAfter)}
+	}
 	r := cu.global.ReserveWithin(now, units, maxDelay)
 	r.Delay = min(r.Delay, maxRetryAfter)
 	if r.OK {
-		cu.replica.granted += units
-		cu.replica.unsent += units
+		rp.sizes.grant(now, class)
+		rp.granted += units
+		rp.unsent += units
 	}
 	return r
 }
 
+// waitForOthers returns the time until a request of a class is served that leaves the
+// units of a limit to other classes now, or 0.
+func (cu *customer) waitForOthers(class int, units float64, now time.Time) time.Duration {
+	rp := &cu.replica
+	short := openFill*rp.burst - cu.global.Level(now)
+	if short <= 0 || rp.askedSlowly.Rate(now) <= cu.limit.PerSecond || rp.sizes.mayTake(now, class) {
+		return 0
+	}
+	return max(time.Millisecond, rate.Seconds(min(short, units)/rp.perSecond))
+}
+
 // levelLocked returns what this entry knows of a limit, for the other owner.
 func (l *Limiter) levelLocked(cu *customer, to uint64, now time.Time) peer.LimitLevel {
 	rp := &cu.replica
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -111,8 +111,8 @@
 	return wrapCall(peer, err)
 }
 
-// errConnecting means that the connection for calls is not yet set up.
-var errConnecting = errors.New("connection is being set up")
+// ErrConnecting means that the connection for calls is not yet set up.
+var ErrConnecting = errors.New("connection is being set up")
 
 // cachedLink is a cached connection for calls to a peer that is no neighbour.
 type cachedLink struct {
@@ -133,7 +133,7 @@
 	case <-cached.done:
 		return cached.link, cached.err
 	case <-ctx.Done():
-		return nil, errConnecting
+		return nil, ErrConnecting
 	}
 }
 
