Ask the owners of a limit again while they have just started

In the tenth of a second after a restart of all entries, no owner knew the level of a limit, and entries used their own parts, which are smaller than a request. A request now asks again every 10 ms within the time that it may wait for its limit. Owners look for exchanges every 25 ms instead of 50.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/infra/guard"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 	"github.com/coltsfootcleat/coltsfootcleat/lease"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
@@ -107,6 +108,7 @@
 	registry *member.Registry
 	lease    *lease.Lease
 	ready    *readiness
+	limits   *quota.GlobalLimiter
 }
 
 // NewGateway builds an entry. Its loops and HTTP servers start with Start.
@@ -123,7 +125,7 @@
 			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
 		),
 		fx.Invoke(watchEpoch, runGatewayMesh, runExchanges, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
-		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
+		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready, &g.limits),
 	)
 	if err := g.app.Err(); err != nil {
 		return nil, fmt.Errorf("build entry: %w", err)
@@ -217,7 +219,7 @@
 	g := quota.NewGlobalLimiter(l, s.ID, limitPeers{peers}, log)
 	g.ReplicateWith(peers, quota.Replication{
 		Process: rand.Uint64N(maxProcess), Active: peers.view.replicatesLimits, Settled: peers.view.registry.IsSettled,
-		Count: m.LimitDecided,
+		Count: m.LimitDecided, Sleep: ctxtime.Sleep,
 	})
 	return g
 }
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -12,6 +12,11 @@
 )
 
 const (
+	// exchangeTick is the time between two looks for exchanges that are due.
+	exchangeTick = 25 * time.Millisecond
+	// askAgainPeriod is the time after which the owners of a limit are asked again
+	// while they have just started and don't know its level.
+	askAgainPeriod = 10 * time.Millisecond
 	// exchangeTimeout bounds a call to the other owner of limits.
 	exchangeTimeout = 150 * time.Millisecond
 	// minAskTimeout and maxAskTimeout bound the call to the first owner of a limit,
@@ -37,6 +42,9 @@
 	// Settled reports whether the members are known that started together with this
 	// entry.
 	Settled func() bool
+	// Sleep waits and reports whether it waited in full. If it is nil, owners are asked
+	// once.
+	Sleep func(ctx context.Context, d time.Duration) bool
 	// Count counts a decision by the first or the second owner or by the own part of
 	// this entry. It may be nil.
 	Count func(by string, granted bool)
@@ -50,7 +58,7 @@
 // ReplicateWith makes limits replicated. It must be called before any other method.
 // RunExchanges must run.
 func (g *GlobalLimiter) ReplicateWith(p ReplicaPeers, r Replication) {
-	g.replicas = p
+	g.replicas, g.sleep = p, r.Sleep
 	if g.count = r.Count; g.count == nil {
 		g.count = func(string, bool) {}
 	}
@@ -69,8 +77,24 @@
 }
 
 // reserveReplicated reserves units at the first owner that answers. The second result
-// is false if none does.
+// is false if none does within maxDelay, or if the owners are unreachable.
 func (g *GlobalLimiter) reserveReplicated(ctx context.Context, customer string, units float64, maxDelay time.Duration) (Decision, bool) {
+	began := g.now()
+	for {
+		left := max(0, maxDelay-g.now().Sub(began))
+		d, ok, retry := g.askOwners(ctx, customer, units, left)
+		if ok {
+			return d, true
+		}
+		if !retry || g.sleep == nil || left <= askAgainPeriod || !g.sleep(ctx, askAgainPeriod) {
+			return Decision{}, false
+		}
+	}
+}
+
+// askOwners asks the owners of a limit in turn. The third result is set if an owner
+// that was reached will soon know the level, or is being connected to.
+func (g *GlobalLimiter) askOwners(ctx context.Context, customer string, units float64, maxDelay time.Duration) (d Decision, ok, retry bool) {
 	for i, owner := range g.owners.Ranked(customer, ownerRanks) {
 		by := byFirst
 		if i > 0 {
@@ -79,8 +103,9 @@
 		if owner == g.self {
 			if r, owned := g.ReserveReplica(customer, units, maxDelay); owned {
 				g.count(by, r.OK)
-				return Decision{Reservation: r, Owner: owner}, true
+				return Decision{Reservation: r, Owner: owner}, true, false
 			}
+			retry = true
 			continue
 		}
 		if !g.owners.Available(owner) {
@@ -92,25 +117,26 @@
 		switch {
 		case err == nil:
 			g.count(by, r.OK)
-			return Decision{Reservation: r, Owner: owner}, true
+			return Decision{Reservation: r, Owner: owner}, true, false
 		case ctx.Err() != nil:
-			return Decision{}, false
+			return Decision{}, false, false
 		case errors.Is(err, ErrNotOwner):
 			// It doesn't know the level yet, or sees other members.
+			retry = true
 		case i == 0 && !errors.Is(err, peer.ErrConnecting):
 			g.owners.MarkUnreachable(owner, err)
 		default:
 			g.owners.MarkLastUnreachable(owner, err)
 		}
 	}
-	return Decision{}, false
+	return Decision{}, false, retry
 }
 
 // RunExchanges exchanges the levels of limits with their other owners until ctx ends.
 func (g *GlobalLimiter) RunExchanges(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	ticker := time.NewTicker(urgentExchangePeriod)
+	ticker := time.NewTicker(exchangeTick)
 	defer ticker.Stop()
 	for {
 		select {
--- a/gateway/quota/global.go
+++ b/gateway/quota/global.go
@@ -49,6 +49,7 @@
 	// replicas is nil if limits are not replicated.
 	replicas ReplicaPeers
 	count    func(by string, granted bool)
+	sleep    func(ctx context.Context, d time.Duration) bool
 
 	mu sync.Mutex
 	// exchanging holds the partners with which an exchange is in progress.
@@ -118,6 +119,9 @@
 	return Decision{Reservation: rate.Reservation{OK: wait <= 0, Delay: wait}, Local: true}
 }
 
+// Owner returns the member that owns a customer's limit.
+func (g *GlobalLimiter) Owner(customer string) string { return g.owners.Owner(customer) }
+
 // recordFallback records a use of the local share. If the use begins a new
 // fallback, it caps the fill level, because the owner has handed out the burst
 // until then.
