--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -69,6 +69,12 @@
 	// ownsLimit reports whether this entry owns a customer's limit. If it is
 	// nil, this entry owns none.
 	ownsLimit func(customer string) bool
+	// replicated, settled and roleOf are set by Replicate. process tells the processes
+	// of an entry apart.
+	replicated func() bool
+	settled    func() bool
+	roleOf     func(customer string) (int, string)
+	process    uint64
 
 	mu        sync.Mutex
 	customers map[string]*customer
@@ -78,6 +84,9 @@
 	reached int
 	// peersSet is set by the first SetPeers.
 	peersSet bool
+	// firstStart is set if this process was started before the members were settled:
+	// some of them may then have become owners one after the other.
+	firstStart bool
 	// peers holds the demand of each peer by customer, in units per second.
 	peers map[string]map[string]float64
 }
@@ -94,6 +103,8 @@
 	// entry owns the limit. owned is set while it does.
 	global rate.Bucket
 	owned  bool
+	// replica is used instead of owned while limits are replicated.
+	replica replica
 	// initialFillMembers is the fraction of the members whose share of the
 	// initial fill this process has added to global since it started.
 	initialFillMembers float64
@@ -141,7 +152,7 @@
 	for _, limit := range c.Customers {
 		cu := l.customers[limit.Name]
 		if cu == nil {
-			cu = &customer{since: now, local: rate.PartlyFilled(now, initialFill), demand: rate.EWMA{At: now}}
+			cu = &customer{since: now, local: rate.PartlyFilled(now, initialFill), demand: rate.EWMA{At: now}, replica: newReplica()}
 			l.customers[limit.Name] = cu
 		}
 		cu.limit = limit
@@ -156,6 +167,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.members, l.reached, l.peers, l.peersSet = max(1, members), max(1, reached), peers, true
+	if l.settled != nil && !l.settled() {
+		l.firstStart = true
+	}
 	now := l.now()
 	for name, cu := range l.customers {
 		l.resizeLocked(name, cu, now)
@@ -215,7 +229,11 @@
 	for _, demand := range l.peers {
 		others += demand[name]
 	}
-	share := rate.Share(cu.reportedDemand(now.Add(-peerDemandLag)), others, len(l.peers), l.members)
+	members := l.members
+	if l.settled != nil && !l.settled() {
+		members = max(members, assumedMembers)
+	}
+	share := rate.Share(cu.reportedDemand(now.Add(-peerDemandLag)), others, len(l.peers), members)
 	perSecond := cu.limit.PerSecond * (1 + usedToleranceFraction*l.tolerance.Fraction)
 	burst := cu.limit.Burst
 	if cu.limit.CountTokens {
@@ -225,6 +243,10 @@
 		share *= fallbackFraction(cu.expectedDemand(others, now) / perSecond)
 	}
 	cu.local.Resize(now, perSecond*share, burst*share)
+	if l.isReplicatedLocked() {
+		l.resizeReplicaLocked(name, cu, others, perSecond, burst, now)
+		return
+	}
 	l.resizeGlobalLocked(name, cu, others, now, perSecond, burst)
 }
 
@@ -258,14 +280,22 @@
 	cu.owned = owned
 	reached := min(1, float64(l.reached)/float64(l.members))
 	cu.global.Resize(now, perSecond*reached, burst*reached)
-	if owned && l.peersSet && now.Sub(cu.since) <= demandWarmup && reached > cu.initialFillMembers {
-		// Of members that start together, each may hand out its share of the
-		// initial fill.
-		cu.global.AddTokens(now, initialFill*burst*(reached-cu.initialFillMembers)*cu.headroom(others, perSecond, now))
-		cu.initialFillMembers = reached
+	if owned && l.peersSet {
+		cu.addInitialFill(initialFill*burst, others, perSecond, reached, now)
 	}
 }
 
+// addInitialFill adds the part of the initial fill of members that were reached since
+// the last call, if this process has just started. Of members that start together,
+// each may hand out its share of it.
+func (cu *customer) addInitialFill(fill, others, perSecond, reached float64, now time.Time) {
+	if now.Sub(cu.since) > demandWarmup || reached <= cu.initialFillMembers {
+		return
+	}
+	cu.global.AddTokens(now, fill*(reached-cu.initialFillMembers)*cu.headroom(others, perSecond, now))
+	cu.initialFillMembers = reached
+}
+
 // headroom returns the fraction of a limit that recent demand leaves unused.
 func (cu *customer) headroom(others, perSecond float64, now time.Time) float64 {
 	if perSecond <= 0 {
@@ -306,6 +336,10 @@
 	if !cu.owned {
 		return rate.Reservation{}, false
 	}
+	if l.isReplicatedLocked() {
+		cu.replica.ask(units, l.now())
+		return cu.grantReplica(units, maxDelay, l.now()), true
+	}
 	r := cu.global.ReserveWithin(l.now(), units, maxDelay)
 	r.Delay = min(r.Delay, maxRetryAfter)
 	return r, true
