--- a/app/gateway.go
+++ b/app/gateway.go
@@ -218,7 +218,7 @@
 func newGlobalLimiter(l *quota.Limiter, s gateway.Settings, peers *ownerPeers, m *telemetry.Metrics, log *logrus.Entry) *quota.GlobalLimiter {
 	g := quota.NewGlobalLimiter(l, s.ID, limitPeers{peers}, log)
 	g.ReplicateWith(peers, quota.Replication{
-		Process: rand.Uint64N(maxProcess), Active: peers.view.replicatesLimits, Settled: peers.view.registry.IsSettled,
+		Process: rand.Uint64N(maxProcess), Active: peers.view.replicatesLimits, Settled: peers.view.isSettled,
 		Count: m.LimitDecided, Sleep: ctxtime.Sleep,
 	})
 	return g
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -52,6 +52,9 @@
 	// listedPeriod is the time after the start of a process in which members count as
 	// reachable without a state update. It is that of two updates of a hundred members.
 	listedPeriod = 6 * time.Second
+	// unsettledPeriod bounds the time in which the members that started together are
+	// not yet known. Owners grant less until then.
+	unsettledPeriod = 4 * time.Second
 	// reachableTTL is how long the result of reachable is reused, because it is
 	// needed several times for each request.
 	reachableTTL = 100 * time.Millisecond
@@ -133,7 +136,13 @@
 // replicatesLimits reports whether limits are replicated. Until the members that
 // started together are known, there may be many of them.
 func (p *peerView) replicatesLimits() bool {
-	return p.registry.Count() > maxDirectReaders || !p.registry.IsSettled()
+	return p.registry.Count() > maxDirectReaders || !p.isSettled()
+}
+
+// isSettled reports whether the members are known that started together with this
+// entry. While the table is down, those are taken that peers made known.
+func (p *peerView) isSettled() bool {
+	return p.registry.IsSettled() || time.Since(p.startedAt) > unsettledPeriod
 }
 
 // limitMembers returns the members that can own limits. In a large deployment, a
--- a/app/gateway_mesh_test.go
+++ b/app/gateway_mesh_test.go
@@ -84,3 +84,37 @@
 		qt.Assert(t, slices.Contains(view.reachable(period), "e7"), qt.IsTrue)
 	})
 }
+
+// TestLimitsAreNotReducedWhileTheTableIsDown guards against a process that starts while
+// the table is down: its members never settle, and it would grant half of each limit.
+func TestLimitsAreNotReducedWhileTheTableIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view, receive := largeView(4)
+		for i := range 4 {
+			receive(i)
+		}
+		qt.Check(t, view.isSettled(), qt.IsFalse)
+		qt.Check(t, view.replicatesLimits(), qt.IsTrue)
+		time.Sleep(unsettledPeriod + time.Second)
+		qt.Check(t, view.isSettled(), qt.IsTrue)
+		qt.Check(t, view.replicatesLimits(), qt.IsFalse)
+	})
+}
+
+// TestLiveMembersOwnLimitsBeforeTheirFirstState guards against a process that takes
+// itself for the owner of all limits until its peers' states arrive, which takes 2 s at
+// 58 entries.
+func TestLiveMembersOwnLimitsBeforeTheirFirstState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const peers = 57
+		view, _ := largeView(peers)
+		for i := range peers {
+			view.registry.Merge(member.Member{ID: fmt.Sprintf("e%d", i), Incarnation: "1", Epoch: 1, State: member.Live}, 0)
+		}
+		period := gatewayUpdatePeriod(peers + 1)
+		qt.Check(t, view.reachable(period), qt.HasLen, 1)
+		qt.Check(t, view.limitMembers(period), qt.HasLen, peers+1)
+		time.Sleep(listedPeriod + time.Second)
+		qt.Check(t, view.limitMembers(period), qt.HasLen, 1)
+	})
+}
--- a/gateway/ownership/ownership.go
+++ b/gateway/ownership/ownership.go
@@ -103,5 +103,5 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.backoffUntil[id] = o.now().Add(backoff)
-	o.log.WithError(err).WithField("member", id).Warn("ownership: owner unreachable, this entry decides locally.")
+	o.log.WithError(err).WithField("member", id).Warn("ownership: owner unreachable, another one or this entry decides.")
 }
