--- a/app/gateway.go
+++ b/app/gateway.go
@@ -53,9 +53,6 @@
 	// tableWritesPerSecond limits the table writes of one entry, which needs
 	// two a second.
 	tableWritesPerSecond = 10
-	// maxProcess bounds the numbers that tell processes apart. JSON numbers don't
-	// preserve 64 bits in every decoder.
-	maxProcess = 1 << 53
 	// sweepPeriod is the interval at which idle connections and expired state
 	// are dropped.
 	sweepPeriod = time.Second
@@ -218,7 +215,7 @@
 func newGlobalLimiter(l *quota.Limiter, s gateway.Settings, peers *ownerPeers, m *telemetry.Metrics, log *logrus.Entry) *quota.GlobalLimiter {
 	g := quota.NewGlobalLimiter(l, s.ID, limitPeers{peers}, log)
 	g.ReplicateWith(peers, quota.Replication{
-		Process: rand.Uint64N(maxProcess), Active: peers.view.replicatesLimits, Settled: peers.view.isSettled,
+		Process: uint64(rand.Uint32()), Active: peers.view.replicatesLimits, Settled: peers.view.isSettled,
 		Count: m.LimitDecided, Sleep: ctxtime.Sleep,
 	})
 	return g
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -220,7 +220,7 @@
 	}
 	urgent := rp.quality == 0 || rp.rank > 1 && rp.unsent > 0
 	return urgent && since >= urgentExchangePeriod ||
-		since >= exchangePeriod && (rp.rank == 1 || rp.unsent > 0)
+		since >= exchangePeriod && rp.unsent > 0 || since >= idleExchangePeriod && rp.rank == 1
 }
 
 // MergeLevels takes into account what another owner of limits knows, and returns what
--- a/gateway/quota/replica.go
+++ b/gateway/quota/replica.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
@@ -15,6 +16,9 @@
 	// or doesn't know the level. Until an exchange, both may grant the same units.
 	exchangePeriod       = 200 * time.Millisecond
 	urgentExchangePeriod = 50 * time.Millisecond
+	// idleExchangePeriod is exchangePeriod while no units are granted. It keeps the
+	// contact, and is below contactTimeout.
+	idleExchangePeriod = 450 * time.Millisecond
 	// lostExchangePeriod is exchangePeriod while the other owner doesn't answer.
 	lostExchangePeriod = 400 * time.Millisecond
 	// contactTimeout is the time without an exchange after which an owner grants
@@ -263,7 +267,8 @@
 	rp := &cu.replica
 	v := peer.LimitLevel{
 		Customer: cu.limit.Name, Process: l.process, Quality: rp.quality,
-		Units: cu.global.Level(now), Granted: rp.granted, Asked: rp.askedSlowly.Rate(now),
+		// Rounded, because most messages between owners are these.
+		Units: math.Floor(cu.global.Level(now)), Granted: rp.granted, Asked: math.Round(100*rp.askedSlowly.Rate(now)) / 100,
 	}
 	if included, seen := rp.included[to]; seen {
 		v.Included, v.IncludedOf = included, to
