Refuse at the entry for a while what the owner of a limit has just refused

A customer at several times its limit sent the owner some 2,000 calls a second.

An entry now refuses for up to 100 ms, without a call, what isn't smaller than a request that the owner refused because of the fill of the bucket, until that request could have been served. The time for a call is 60 to 120 ms again.

--- /dev/null
+++ b/gateway/quota/denials.go
@@ -0,0 +1,59 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
+)
+
+// maxDenial bounds the time in which an entry refuses a customer's requests by the
+// last refusal of an owner. It is a tenth of the time in which an empty bucket fills,
+// so that the entries together leave nothing of the limit unused.
+const maxDenial = 100 * time.Millisecond
+
+// denials holds the last refusals by the owners of limits. A customer at several
+// times its limit would otherwise send its owner thousands of calls a second, which
+// a host with a fifth of a processor doesn't answer in time, neither for this
+// customer nor for the others. It is safe for concurrent use.
+type denials struct {
+	mu         sync.Mutex
+	byCustomer map[string]denial
+}
+
+type denial struct {
+	owner string
+	// units is the size of the refused request. Smaller ones may still be served.
+	units float64
+	// until is the time until which requests are refused, and availableAt the time
+	// at which the owner expected the units.
+	until, availableAt time.Time
+}
+
+// record records the refusal of a request that could wait for maxDelay.
+func (d *denials) record(now time.Time, customer, owner string, units float64, r rate.Reservation, maxDelay time.Duration) {
+	wait := min(r.Delay-maxDelay, maxDenial)
+	if r.OK || wait <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.byCustomer == nil {
+		d.byCustomer = make(map[string]denial)
+	}
+	if last, found := d.byCustomer[customer]; found && now.Before(last.until) && last.units < units {
+		return
+	}
+	d.byCustomer[customer] = denial{owner: owner, units: units, until: now.Add(wait), availableAt: now.Add(r.Delay)}
+}
+
+// find returns the refusal that applies to a request, if there is one.
+func (d *denials) find(now time.Time, customer string, units float64) (Decision, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last, found := d.byCustomer[customer]
+	if !found || units < last.units || !now.Before(last.until) {
+		return Decision{}, false
+	}
+	return Decision{Reservation: rate.Reservation{Delay: last.availableAt.Sub(now)}, Owner: last.owner}, true
+}
--- /dev/null
+++ b/gateway/quota/denials_test.go
@@ -0,0 +1,42 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
+)
+
+// Guards against refusing without a call what an owner might grant: smaller requests,
+// and all of them once the refused one could have been served.
+func TestRefusalAppliesToRequestsThatAreNotSmallerForAWhile(t *testing.T) {
+	const maxDelay = 30 * time.Millisecond
+	now := time.Unix(1000, 0)
+	var d denials
+	d.record(now, "a", "e1", 5_000, rate.Reservation{Delay: 70 * time.Millisecond}, maxDelay)
+	for _, c := range []struct {
+		customer string
+		units    float64
+		after    time.Duration
+		denied   bool
+	}{
+		{"a", 5_000, 10 * time.Millisecond, true},
+		{"a", 9_000, 39 * time.Millisecond, true},
+		{"a", 4_999, 10 * time.Millisecond, false},
+		{"a", 9_000, 40 * time.Millisecond, false},
+		{"b", 9_000, 0, false},
+	} {
+		got, denied := d.find(now.Add(c.after), c.customer, c.units)
+		qt.Check(t, denied, qt.Equals, c.denied, qt.Commentf("%+v", c))
+		if denied {
+			qt.Check(t, got.Delay, qt.Equals, 70*time.Millisecond-c.after)
+			qt.Check(t, got.OK, qt.IsFalse)
+		}
+	}
+	// A longer wait is asked for again.
+	d.record(now, "c", "e1", 5_000, rate.Reservation{Delay: 5 * time.Second}, maxDelay)
+	_, denied := d.find(now.Add(maxDenial), "c", 5_000)
+	qt.Check(t, denied, qt.IsFalse)
+}
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -21,8 +21,9 @@
 	exchangeTimeout = 150 * time.Millisecond
 	// minAskTimeout and maxAskTimeout bound the call to the first owner of a limit,
 	// after which the second is called. A host with a fifth of a processor may be
-	// paused for some tens of milliseconds.
-	minAskTimeout, maxAskTimeout = 30 * time.Millisecond, 60 * time.Millisecond
+	// paused for some tens of milliseconds, and with 60 ms and less, bursts made
+	// entries take busy owners for lost ones.
+	minAskTimeout, maxAskTimeout = 60 * time.Millisecond, 120 * time.Millisecond
 )
 
 // ReplicaPeers connects the owners of replicated limits.
@@ -52,7 +53,7 @@
 
 // Values of the parameter by of Replication.Count.
 const (
-	byFirst, bySecond, byOwnPart = "first owner", "second owner", "own part"
+	byFirst, bySecond, byOwnPart, byDenial = "first owner", "second owner", "own part", "last refusal"
 )
 
 // ReplicateWith makes limits replicated. It must be called before any other method.
@@ -80,6 +81,10 @@
 // is false if none does within maxDelay, or if the owners are unreachable.
 func (g *GlobalLimiter) reserveReplicated(ctx context.Context, customer string, units float64, maxDelay time.Duration) (Decision, bool) {
 	began := g.now()
+	if d, denied := g.denials.find(began, customer, units); denied {
+		g.count(byDenial, false)
+		return d, true
+	}
 	for {
 		left := max(0, maxDelay-g.now().Sub(began))
 		d, ok, retry := g.askOwners(ctx, customer, units, left)
@@ -117,6 +122,7 @@
 		switch {
 		case err == nil:
 			g.count(by, r.OK)
+			g.denials.record(g.now(), customer, owner, units, r, maxDelay)
 			return Decision{Reservation: r, Owner: owner}, true, false
 		case ctx.Err() != nil:
 			return Decision{}, false, false
--- a/gateway/quota/global.go
+++ b/gateway/quota/global.go
@@ -50,6 +50,7 @@
 	replicas ReplicaPeers
 	count    func(by string, granted bool)
 	sleep    func(ctx context.Context, d time.Duration) bool
+	denials  denials
 
 	mu sync.Mutex
 	// exchanging holds the partners with which an exchange is in progress.
--- a/gateway/quota/order.go
+++ b/gateway/quota/order.go
@@ -14,9 +14,11 @@
 	// recentSizes is the number of requests that the classes are derived from, and
 	// sizesPeriod the number of requests between two derivations.
 	recentSizes, sizesPeriod = 64, 16
-	// maxAhead is the factor by which the served fraction of a class may exceed that of
-	// all requests while the customer asks for more than its limit.
-	maxAhead = 1.02
+	// minServed is the least served fraction of a class relative to that of all requests
+	// while the customer asks for more than its limit. Classes of larger requests must
+	// be served half as often as all; the rest is for changes of the load. Equal
+	// fractions would refuse many small requests for each large one.
+	minServed = 0.8
 	// openFill is the fill level from which on all classes are served, so that the
 	// limit is used when the others don't ask.
 	openFill = 0.8
@@ -64,12 +66,24 @@
 
 func (s *sizes) grant(now time.Time, class int) { s.granted[class].Add(now, 1) }
 
-// mayTake reports whether a class isn't served more often than all requests.
+// mayTake reports whether a request of a class may take units: no class of larger
+// requests is served too seldom, or its own class is as well.
 func (s *sizes) mayTake(now time.Time, class int) bool {
 	asked, granted := 0.0, 0.0
 	for i := range sizeClasses {
 		asked += s.asked[i].Rate(now)
 		granted += s.granted[i].Rate(now)
 	}
-	return s.granted[class].Rate(now)*asked <= maxAhead*granted*s.asked[class].Rate(now)
+	isShort := func(i int) bool {
+		return s.granted[i].Rate(now)*asked < minServed*granted*s.asked[i].Rate(now)
+	}
+	if isShort(class) {
+		return true
+	}
+	for larger := class + 1; larger < sizeClasses; larger++ {
+		if isShort(larger) {
+			return false
+		}
+	}
+	return true
 }
