Sum the demand for services over all entries in the rollup

Room control needs the demand, the waiting work and the work that replicas accept, summed over all entries. peer.Load carries them under the name q; earlier releases ignore it.

--- a/gateway/rollup/load.go
+++ b/gateway/rollup/load.go
@@ -9,7 +9,7 @@
 
 // newLoad returns a load of nothing.
 func newLoad() peer.Load {
-	return peer.Load{Services: make(map[string]peer.EndpointLoad), Outcomes: make(map[string]peer.Outcomes)}
+	return peer.Load{Services: make(map[string]peer.EndpointLoad), Outcomes: make(map[string]peer.Outcomes), Demand: make(map[string]peer.ServiceDemand)}
 }
 
 // add adds a load to sum with a factor, which is 1 or -1.
@@ -26,6 +26,11 @@
 		s.Failed += factor * o.Failed
 		sum.Outcomes[id] = s
 	}
+	for service, d := range load.Demand {
+		s := sum.Demand[service]
+		s.Add(d, factor)
+		sum.Demand[service] = s
+	}
 }
 
 // forAggregator returns what an aggregator needs of a sum.
@@ -42,6 +47,9 @@
 			out.Outcomes[id] = o
 		}
 	}
+	for service, d := range sum.Demand {
+		out.Demand[service] = d.Compact()
+	}
 	return out
 }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -111,6 +111,8 @@
 	Services map[string]EndpointLoad `json:"s,omitempty"`
 	// Outcomes is by endpoint ID.
 	Outcomes map[string]Outcomes `json:"o,omitempty"`
+	// Demand is the demand by service. Releases before room control ignore it.
+	Demand map[string]ServiceDemand `json:"q,omitempty"`
 }
 
 // LoadReport reports the load of an entry to the aggregator of its failure
