--- a/peer/room.go
+++ b/peer/room.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"math"
 	"slices"
+	"strconv"
 )
 
 // maxDemand bounds the figures of a ServiceDemand, so that the report of one faulty
@@ -19,7 +21,7 @@
 // seconds of one replica.
 type ServiceDemand struct {
 	// Classes is the demand by urgency and customer.
-	Classes map[int]map[string]ClassDemand `json:"d,omitempty"`
+	Classes ClassDemands `json:"d,omitempty"`
 	// Waiting is the work that waits for its first token, by urgency.
 	Waiting map[int]float64 `json:"w,omitempty"`
 	// InFlight is the number of requests at replicas.
@@ -35,20 +37,52 @@
 	Work, Requests float64
 }
 
-// MarshalJSON writes a pair of numbers with three significant digits.
-func (d ClassDemand) MarshalJSON() ([]byte, error) {
-	out := appendNumber([]byte{'['}, d.Work)
-	out = appendNumber(append(out, ','), d.Requests)
-	return append(out, ']'), nil
+// ClassDemands is demand by urgency and customer. On the wire it is a list of numbers
+// by customer: urgency, work and requests of each class, with two significant digits.
+type ClassDemands map[int]map[string]ClassDemand
+
+// MarshalJSON implements json.Marshaler.
+func (d ClassDemands) MarshalJSON() ([]byte, error) {
+	lists := make(map[string]json.RawMessage)
+	for _, urgency := range slices.Sorted(maps.Keys(d)) {
+		for customer, c := range d[urgency] {
+			list := append(lists[customer], ',')
+			list = append(strconv.AppendInt(list, int64(urgency), 10), ',')
+			list = append(appendShort(list, c.Work), ',')
+			lists[customer] = appendShort(list, c.Requests)
+		}
+	}
+	for customer, list := range lists {
+		list[0] = '['
+		lists[customer] = append(list, ']')
+	}
+	return json.Marshal(lists)
+}
+
+// appendShort appends a number with two significant digits, or without decimals.
+func appendShort(out []byte, v float64) []byte {
+	if math.Abs(v) >= 10 {
+		return strconv.AppendFloat(out, v, 'f', 0, 64)
+	}
+	return strconv.AppendFloat(out, v, 'g', 2, 64)
 }
 
-// UnmarshalJSON reads a pair of numbers.
-func (d *ClassDemand) UnmarshalJSON(text []byte) error {
-	var pair [2]float64
-	if err := json.Unmarshal(text, &pair); err != nil {
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *ClassDemands) UnmarshalJSON(text []byte) error {
+	var lists map[string][]float64
+	if err := json.Unmarshal(text, &lists); err != nil {
 		return err
 	}
-	d.Work, d.Requests = pair[0], pair[1]
+	*d = make(ClassDemands)
+	for customer, list := range lists {
+		for ; len(list) >= 3; list = list[3:] {
+			urgency := int(list[0])
+			if (*d)[urgency] == nil {
+				(*d)[urgency] = make(map[string]ClassDemand)
+			}
+			(*d)[urgency][customer] = ClassDemand{Work: list[1], Requests: list[2]}
+		}
+	}
 	return nil
 }
 
