Ask for room before a replica is chosen

A service with admission control decides on each request once, after its customer's limit and before a replica is chosen. A request that a full replica refused is offered to another one only if there is room, and gets the time at which room is expected in place of 400 ms. Without Deps.Room nothing changes.

--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -156,9 +156,23 @@
 	if d := b.durationsLocked(q.Service).running; d.weight > 0 {
 		running = d.sum / d.weight / float64(q.Slots)
 	}
+	b.busyLocked(q.Service).Add(time.Now(), b.prefillTimeLocked(q)+running)
+}
+
+// PrefillTime returns the expected prefill time of a request in seconds, before a
+// replica is chosen; 0 for plain services.
+func (b *Balancer) PrefillTime(q Query) float64 {
+	if q.Slots == 0 {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.prefillTimeLocked(q)
+}
+
+func (b *Balancer) prefillTimeLocked(q Query) float64 {
 	cached := int(homeCachedFraction * float64(q.sharedTokens()))
-	prefill := float64(max(0, q.PromptTokens-cached)) / b.prefillRateLocked(q.Service).perSecond
-	b.busyLocked(q.Service).Add(time.Now(), prefill+running)
+	return float64(max(0, q.PromptTokens-cached)) / b.prefillRateLocked(q.Service).perSecond
 }
 
 // Begin counts a request as in flight to the chosen replica.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -76,6 +76,9 @@
 	if errors.Is(err, errDrainEnds) || errors.Is(err, balance.ErrNoReplica) || verdict.CodeOf(err) == verdict.CodeOverloaded || errors.As(err, &quarantined) || x.crashSuspect {
 		return false
 	}
+	if x.fullElsewhere() {
+		return false
+	}
 	reason := "not run"
 	if x.mayHaveRun {
 		reason = "may run again"
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/liveness"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/room"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
@@ -67,8 +68,11 @@
 	Limiter     *quota.GlobalLimiter
 	Retries     *quota.RetryBudget
 	Usage       *usage.Counter
-	Log         *logrus.Entry
-	Recorder    Recorder
+	// Room returns the admission control of a service, or nil for services without
+	// it. It may be nil.
+	Room     func(s config.Service) *room.Controller
+	Log      *logrus.Entry
+	Recorder Recorder
 	// Loaded holds channels that are closed when the state that requests depend
 	// on has been read for the first time. Earlier requests wait for them.
 	Loaded []<-chan struct{}
@@ -132,6 +136,8 @@
 	// customer's limit, and limitDecision the result of their reservation.
 	units         float64
 	limitDecision quota.Decision
+	// room is the state of the request for the admission control of its service.
+	room roomState
 	// startCounted is set once the usage counter has counted the request as
 	// started.
 	startCounted bool
@@ -198,7 +204,11 @@
 	defer context.AfterFunc(h.requestsEnd, func() { cancel(errDrainEnds) })()
 	x := &exchange{h: h, w: w, r: r.WithContext(ctx), arrived: time.Now(), holding: holding{memory: h.memory}}
 	defer x.holding.release()
+	defer x.endRoom()
 	err := x.admit()
+	if err == nil {
+		err = x.checkRoom()
+	}
 	if err == nil {
 		err = x.forward()
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -26,6 +26,7 @@
 		f["replica"], f["sends"] = x.replica, x.sends
 		x.addChoiceFields(f)
 	}
+	x.addRoomFields(f)
 	if x.framing != "" {
 		f["framing"] = x.framing
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -40,7 +40,7 @@
 		if err := a.Discard(); err != nil {
 			x.h.Log.WithField("request", x.req.ID).WithError(err).Debug("gateway: body of a refusal can't be read.")
 		}
-		return balance.Refused, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "replica %s refused with status %d", x.replica, a.Status).WithRetryAfter(retryAfterOverload)
+		return balance.Refused, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "replica %s refused with status %d", x.replica, a.Status).WithRetryAfter(x.retryAfterRefusal(a.Status))
 	}
 	x.mayHaveRun = true
 	x.framing = a.Framing
@@ -94,6 +94,7 @@
 		return balance.Failed, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer of replica %s: %w", x.replica, err)
 	}
 	t.FirstTokenReceived()
+	x.firstTokenForRoom()
 	if a.Status < http.StatusMultipleChoices {
 		x.settleWhole(a)
 	}
@@ -353,6 +354,7 @@
 func (s *streamCopy) writeHeader() {
 	s.x.countStart()
 	s.t.FirstTokenReceived()
+	s.x.firstTokenForRoom()
 	if s.x.headerSent {
 		return
 	}
