--- a/app/gateway.go
+++ b/app/gateway.go
@@ -117,9 +117,9 @@
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
 			newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
-			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
+			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup, newRoomControl,
 		),
-		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
+		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runRoom, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
 	)
 	if err := g.app.Err(); err != nil {
@@ -301,6 +301,7 @@
 	Limiter    *quota.GlobalLimiter
 	Retries    *quota.RetryBudget
 	Usage      *usage.Counter
+	Room       *roomControl
 	Metrics    *telemetry.Metrics
 	Log        *logrus.Entry
 }
@@ -310,7 +311,7 @@
 		Dialect: d.Deps.Dialect, Config: d.Config, ConfigAge: d.Followers.config.Age,
 		RegistryAge: d.Followers.registry.Age,
 		Balancer:    d.Balancer, Pool: d.Pool, Liveness: d.Liveness, Quarantine: d.Quarantine, Throttle: d.Throttle, Limiter: d.Limiter, Retries: d.Retries,
-		Usage: d.Usage, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
+		Usage: d.Usage, Room: d.Room.of, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
 		Loaded: []<-chan struct{}{d.Followers.config.Loaded(), d.Followers.registry.Loaded()},
 	})
 }
--- a/app/gateway_rollup.go
+++ b/app/gateway_rollup.go
@@ -26,11 +26,11 @@
 
 func newRollupPeers(r *member.Registry) *rollupPeers { return &rollupPeers{registry: r} }
 
-func newRollup(s gateway.Settings, b *balance.Balancer, peers *rollupPeers, log *logrus.Entry) *rollup.Rollup {
+func newRollup(s gateway.Settings, b *balance.Balancer, r *roomControl, peers *rollupPeers, log *logrus.Entry) *rollup.Rollup {
 	return rollup.New(rollup.Options{
 		ID: s.ID, FailureDomain: s.FailureDomain, Peers: peers, Log: log,
 		Own: func() peer.Load {
-			return peer.Load{Services: b.OwnLoadByService(), Outcomes: b.OwnOutcomes()}
+			return peer.Load{Services: b.OwnLoadByService(), Outcomes: b.OwnOutcomes(), Demand: r.demand()}
 		},
 	})
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -25,7 +25,9 @@
 // Bucket boundaries of the histograms, in seconds.
 var (
 	firstTokenBounds = []float64{0.05, 0.1, 0.2, 0.3, 0.46, 0.7, 1, 2, 5, 10, 30, 60}
-	tableBounds      = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 5}
+	// ratioBounds are ratios.
+	ratioBounds = []float64{0.1, 0.25, 0.5, 0.7, 0.85, 1, 1.15, 1.3, 1.5, 2, 4, 10}
+	tableBounds = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 5}
 )
 
 // Metrics holds the instruments of one process. All methods are safe for
@@ -46,6 +48,8 @@
 	statements  metric.Int64Counter
 	throttle    metric.Int64Counter
 	replicas    names
+	room        metric.Int64Counter
+	roomWait    metric.Float64Histogram
 	tableCalls  metric.Int64Counter
 	tableTime   metric.Float64Histogram
 }
@@ -66,7 +70,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [12]error
+	var errs [14]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -94,6 +98,11 @@
 		metric.WithDescription("Events of the limits of replicas: limits, their ends, permits and denials."))
 	m.suspects, errs[11] = m.meter.Int64Counter("coltsfootcleat.suspects",
 		metric.WithDescription("Replicas that broke off an answer, by the sign that they have crashed."))
+	m.room, errs[12] = m.meter.Int64Counter("coltsfootcleat.room",
+		metric.WithDescription("Decisions on the room of services, by event."))
+	m.roomWait, errs[13] = m.meter.Float64Histogram("coltsfootcleat.room_wait_ratio",
+		metric.WithExplicitBucketBoundaries(ratioBounds...),
+		metric.WithDescription("Actual time until there was room for a refused request, divided by the expected one."))
 	return errors.Join(errs[:]...)
 }
 
@@ -134,6 +143,19 @@
 	m.throttle.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
 }
 
+// RoomDecided counts a decision on the room of a service.
+func (m *Metrics) RoomDecided(event string) {
+	m.room.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
+// RoomExpected records the expected and the actual time until there was room for a
+// refused request.
+func (m *Metrics) RoomExpected(expected, actual time.Duration) {
+	if expected > 0 {
+		m.roomWait.Record(context.Background(), actual.Seconds()/expected.Seconds())
+	}
+}
+
 // Stated counts an answer that states something about its replica. known is set
 // if the entry knew that before. Replicas after the first maxNamedReplicas are
 // counted together.
