Tell returning requests by route and customer

One client with a long timeout made the requests of all other clients of its route look like returning ones, which don't count as demand until they are admitted. The time that clients have is now kept by route and customer, for a minute or two, and is at most the route's timeout.

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -40,7 +40,7 @@
 	x.room.request = room.Request{
 		Class:   room.Class{Customer: x.customerName(), Urgency: x.urgency(), Long: work > longFraction*x.route.Objective.Seconds()},
 		Service: x.service, Route: x.route.Name, Work: work,
-		Objective: x.route.Objective, Remaining: x.clientDeadline.Sub(x.arrived), Identity: x.identity,
+		Objective: x.route.Objective, Remaining: x.deadline.Sub(x.arrived), Identity: x.identity,
 	}
 	x.room.decision = x.room.control.Decide(now, x.room.request)
 	if x.room.decision.Admit {
--- a/gateway/room/room.go
+++ b/gateway/room/room.go
@@ -12,9 +12,9 @@
 	// returnedFraction is the fraction of the time that a route gives by which the
 	// time left of a returning request is less.
 	returnedFraction = 0.005
-	// givenDecay is the time constant with which the time that clients of a route
-	// usually have adapts to shorter ones.
-	givenDecay = 10 * time.Minute
+	// givenWindow is the time after which the longest time that clients had expires, at
+	// the latest after twice as long.
+	givenWindow = time.Minute
 )
 
 // Class is a class of requests.
@@ -97,21 +97,27 @@
 	view     View
 	viewAt   time.Time
 	services map[string]*service
-	// given is the time that clients usually have, by route.
-	given map[string]given
+	// given is the longest time that clients had lately.
+	given map[givenKey]given
 }
 
-// given is the time that the clients of a route usually have.
+// givenKey is by customer as well, so that a client with an unusual timeout doesn't make
+// the requests of other customers look like returning ones.
+type givenKey struct{ route, customer string }
+
+// given is the longest time that clients had lately.
 type given struct {
-	usual time.Duration
-	at    time.Time
+	// longest is that of this and the last window, latest that of this window, which
+	// began at since.
+	longest, latest time.Duration
+	since           time.Time
 }
 
 // New returns a Controller.
 func New(o Options) *Controller {
 	return &Controller{
 		opt: o, random: rand.New(rand.NewPCG(o.Seed, 1)),
-		services: make(map[string]*service), given: make(map[string]given),
+		services: make(map[string]*service), given: make(map[givenKey]given),
 	}
 }
 
@@ -194,17 +200,15 @@
 // elapsedLocked returns the time since the client first sent a request that returns,
 // and 0 for a new one.
 func (c *Controller) elapsedLocked(now time.Time, r Request) time.Duration {
-	g := c.given[r.Route]
-	if age := now.Sub(g.at); g.usual > 0 && age > 0 {
-		g.usual -= time.Duration(float64(g.usual) * min(1, age.Seconds()/givenDecay.Seconds()))
-	}
-	if r.Remaining >= g.usual {
-		g.usual = r.Remaining
+	key := givenKey{r.Route, r.Customer}
+	g := c.given[key]
+	if now.Sub(g.since) > givenWindow {
+		g = given{longest: g.latest, since: now}
 	}
-	g.at = now
-	c.given[r.Route] = g
-	elapsed := g.usual - r.Remaining
-	if elapsed <= time.Duration(returnedFraction*float64(g.usual)) {
+	g.longest, g.latest = max(g.longest, r.Remaining), max(g.latest, r.Remaining)
+	c.given[key] = g
+	elapsed := g.longest - r.Remaining
+	if elapsed <= time.Duration(returnedFraction*float64(g.longest)) {
 		return 0
 	}
 	return elapsed
--- a/gateway/room/room_test.go
+++ b/gateway/room/room_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
@@ -62,6 +63,24 @@
 	}
 }
 
+// TestUnusualTimeoutsAreNoReturns guards against a client with a long timeout, which
+// makes the requests of other customers look like returning ones.
+func TestUnusualTimeoutsAreNoReturns(t *testing.T) {
+	c := New(Options{Log: nolog.Or(nil), Capacity: func(string) Capacity { return Capacity{Replicas: 3, Slots: 48} }})
+	r := Request{Service: "s", Route: "r", Work: 0.05, Remaining: 12 * time.Second}
+	r.Customer = "long"
+	r.Remaining = time.Hour
+	qt.Check(t, c.Decide(playStart, r).Returning, qt.IsFalse)
+	r.Customer, r.Remaining = "other", 12*time.Second
+	qt.Check(t, c.Decide(playStart, r).Returning, qt.IsFalse)
+	r.Remaining = 11 * time.Second
+	qt.Check(t, c.Decide(playStart, r).Returning, qt.IsTrue)
+	r.Customer, r.Remaining = "long", 12*time.Second
+	qt.Check(t, c.Decide(playStart, r).Returning, qt.IsTrue)
+	c.Decide(playStart.Add(givenWindow+time.Second), r)
+	qt.Check(t, c.Decide(playStart.Add(2*givenWindow+3*time.Second), r).Returning, qt.IsFalse)
+}
+
 // TestServiceWithoutReplicasIsNotJudged guards against a refusal for want of room where
 // there is no replica at all, which has another Retry-After.
 func TestServiceWithoutReplicasIsNotJudged(t *testing.T) {
