--- a/peer/messages.go
+++ b/peer/messages.go
@@ -111,6 +111,8 @@
 	Services map[string]EndpointLoad `json:"s,omitempty"`
 	// Outcomes is by endpoint ID.
 	Outcomes map[string]Outcomes `json:"o,omitempty"`
+	// Speeds are the samples of replicas' speeds by endpoint ID.
+	Speeds map[string]SpeedSamples `json:"v,omitempty"`
 }
 
 // LoadReport reports the load of an entry to the aggregator of its failure
