Learn the speeds of replicas from the samples of all entries

An entry with 0.1 requests a second for each replica can't learn the speed of any. An entry reports only samples that changed, and gets the sums every second.

--- a/gateway/rollup/rollup.go
+++ b/gateway/rollup/rollup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -45,7 +46,10 @@
 	// Own returns the load of this entry.
 	Own   func() peer.Load
 	Peers Peers
-	Log   *logrus.Entry
+	// Incarnation returns the incarnation of a registered replica. Speeds of other
+	// incarnations are dropped. It may be nil, which drops all speeds.
+	Incarnation func(replica string) (incarnation int64, ok bool)
+	Log         *logrus.Entry
 }
 
 // Rollup reports this entry's load and holds the sum of all others. While this
@@ -65,11 +69,30 @@
 	aggregates bool
 	// backoffUntil holds, by aggregator, the time until which it gets no calls.
 	backoffUntil map[string]time.Time
+	// entrySpeeds and domainSpeeds hold the reported samples of speeds as entries
+	// and domains do, by sender.
+	entrySpeeds, domainSpeeds map[string]speedReports
+	// speeds is the sum of the samples of all other entries as of speedsAt. It is
+	// replaced and never modified.
+	speeds   map[string]peer.SpeedSamples
+	speedsAt time.Time
+	// domainSum and allSum are the sums over this failure domain and over all
+	// entries as of summedAt. They are replaced and never modified.
+	domainSum, allSum map[string]peer.SpeedSamples
+	summedAt          time.Time
+	// sent holds the samples that were reported to the aggregator sentTo.
+	sent   speedReports
+	sentTo string
+	// steps counts the reports of this entry, and replies the sums with speeds.
+	steps, replies int
 }
 
 // New returns a Rollup, which makes no calls before Run.
 func New(o Options) *Rollup {
-	return &Rollup{opt: o, entries: make(reports), domains: make(reports), backoffUntil: make(map[string]time.Time)}
+	return &Rollup{
+		opt: o, entries: make(reports), domains: make(reports), backoffUntil: make(map[string]time.Time),
+		entrySpeeds: make(map[string]speedReports), domainSpeeds: make(map[string]speedReports),
+	}
 }
 
 // Others returns the sum of the loads of all other entries, and false if it is
@@ -81,6 +104,14 @@
 	return r.others, age, age <= reportTTL
 }
 
+// Speeds returns the sum of the samples of speeds of all other entries, and nil if
+// it has never been known. The result must not be modified.
+func (r *Rollup) Speeds() (sum map[string]peer.SpeedSamples, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.speeds, time.Since(r.speedsAt)
+}
+
 // Serve answers the report of an entry of this failure domain with the load of
 // all other entries, or the call of an aggregator of another domain with the
 // sum of this one.
@@ -95,9 +126,12 @@
 		}
 		sum := r.entries.total("", now)
 		add(sum, own, 1)
-		return peer.LoadSum{Load: forAggregator(sum)}
+		reply := peer.LoadSum{Load: forAggregator(sum)}
+		reply.Speeds = r.domainSpeedsLocked(own.Speeds, now)
+		return reply
 	}
 	r.entries[from] = report{load: q.Load, at: now}
+	r.mergeSpeedsLocked(r.entrySpeeds, from, q.Speeds, now, maxReportWeight)
 	if !r.aggregates && now.Sub(r.updatedAt) <= reportTTL {
 		// Only the caller can't reach the aggregator. This entry's sum from
 		// there contains the load of the caller.
@@ -107,7 +141,12 @@
 		add(sum, q.Load, -1)
 		return peer.LoadSum{Load: forEntry(sum)}
 	}
-	return peer.LoadSum{Load: r.sumLocked(from, own, now)}
+	reply := peer.LoadSum{Load: r.sumLocked(from, own, now)}
+	if q.WantSpeeds {
+		r.replies++
+		reply.Speeds = forReply(without(r.allSpeedsLocked(own.Speeds, now), r.entrySpeeds[from], now), r.replies)
+	}
+	return reply
 }
 
 // sumLocked returns the load of all entries but one, including this one.
@@ -135,18 +174,27 @@
 // step reports to the aggregator of this failure domain, or exchanges the sums
 // of the domains if this entry is the first candidate that answers.
 func (r *Rollup) step(ctx context.Context, aggregators map[string][]string) {
+	r.steps++
+	own := r.opt.Own()
+	speeds := own.Speeds
 	for _, id := range aggregators[r.opt.FailureDomain] {
 		if id == r.opt.ID {
 			r.setAggregates(true)
 			r.exchangeDomains(ctx, aggregators)
 			return
 		}
-		sum, ok := r.exchange(ctx, id, peer.LoadReport{Load: r.opt.Own()})
+		own.Speeds = r.unsent(id, speeds, time.Now())
+		q := peer.LoadReport{Load: own, WantSpeeds: r.opt.Incarnation != nil && r.steps%speedsEvery == 0}
+		sum, ok := r.exchange(ctx, id, q)
 		if ok {
 			r.setAggregates(false)
+			if q.WantSpeeds && sum.Speeds == nil {
+				sum.Speeds = make(map[string]peer.SpeedSamples)
+			}
 			r.update(sum)
 			return
 		}
+		r.forgetSent()
 	}
 }
 
@@ -168,6 +216,7 @@
 				if sum, ok := r.exchange(ctx, id, peer.LoadReport{DomainOnly: true}); ok {
 					r.mu.Lock()
 					r.domains[domain] = report{load: sum, at: time.Now()}
+					r.mergeSpeedsLocked(r.domainSpeeds, domain, sum.Speeds, time.Now(), math.Inf(1))
 					r.mu.Unlock()
 					return
 				}
@@ -176,7 +225,14 @@
 	}
 	calls.Wait()
 	r.mu.Lock()
-	sum := r.sumLocked("", peer.Load{}, time.Now())
+	now := time.Now()
+	sum := r.sumLocked("", peer.Load{}, now)
+	if r.opt.Incarnation != nil {
+		r.pruneSpeedsLocked(now)
+		sum.Speeds = make(map[string]peer.SpeedSamples)
+		r.addReports(sum.Speeds, r.entrySpeeds, now)
+		r.addReports(sum.Speeds, r.domainSpeeds, now)
+	}
 	r.mu.Unlock()
 	r.update(sum)
 }
@@ -185,6 +241,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.others, r.updatedAt = sum, time.Now()
+	if sum.Speeds != nil {
+		r.speeds, r.speedsAt = sum.Speeds, r.updatedAt
+	}
 }
 
 // exchange calls an aggregator unless it is backed off. It returns false if
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -122,6 +122,8 @@
 	// DomainOnly is set by aggregators of other failure domains, which report
 	// nothing and request the sum of the called one's.
 	DomainOnly bool `json:"d,omitempty"`
+	// WantSpeeds asks for the speeds in the sum.
+	WantSpeeds bool `json:"w,omitempty"`
 }
 
 // LoadSum is the reply to LoadReport.
