Choose replicas by their speeds

All requests were predicted with the mean of the service, although a third of the replicas may be 2.4 times as fast. Predicted times, reservations of prefill time, the replicas for long prompts and the requests per slot now use the speed of each replica. Short prompts and plain requests are distributed by speed rather than all sent to the fastest replicas, because an entry doesn't see where the others send.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/scaling"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
@@ -115,11 +116,11 @@
 		fx.Supply(c.Settings, c.Deps, c.Network, g.log, Incarnation(uuid.NewString())),
 		fx.Provide(
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
-			newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
+			newSpeeds, newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
 			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
 		),
-		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
+		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runSpeeds, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
 	)
 	if err := g.app.Err(); err != nil {
@@ -189,8 +190,12 @@
 
 func newConfigHolder() *config.Holder { return &config.Holder{} }
 
-func newBalancer(set *replica.Set, s gateway.Settings, t *throttle.Throttle, log *logrus.Entry) *balance.Balancer {
-	return balance.New(set, balance.Options{FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Throttle: t, Log: log})
+func newSpeeds(set *replica.Set, log *logrus.Entry) *speed.Estimator {
+	return balance.NewSpeeds(set, balance.Options{Log: log})
+}
+
+func newBalancer(set *replica.Set, s gateway.Settings, t *throttle.Throttle, speeds *speed.Estimator, log *logrus.Entry) *balance.Balancer {
+	return balance.New(set, balance.Options{FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Throttle: t, Speeds: speeds, Log: log})
 }
 
 func newPool(lc fx.Lifecycle, n Network) *upstream.Pool {
@@ -334,10 +339,11 @@
 	r.m.Stated(replica, statement, known)
 }
 
-func runSweeps(lc fx.Lifecycle, l *Loops, pool *upstream.Pool, b *balance.Balancer) {
+func runSweeps(lc fx.Lifecycle, l *Loops, pool *upstream.Pool, b *balance.Balancer, speeds *speed.Estimator) {
 	l.Every(lc, sweepPeriod, func(context.Context) {
 		pool.Sweep()
 		b.Prune()
+		speeds.Prune()
 	})
 }
 
--- a/app/gateway_rollup.go
+++ b/app/gateway_rollup.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollup"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
@@ -26,11 +29,18 @@
 
 func newRollupPeers(r *member.Registry) *rollupPeers { return &rollupPeers{registry: r} }
 
-func newRollup(s gateway.Settings, b *balance.Balancer, peers *rollupPeers, log *logrus.Entry) *rollup.Rollup {
+func newRollup(s gateway.Settings, b *balance.Balancer, speeds *speed.Estimator, set *replica.Set, peers *rollupPeers, log *logrus.Entry) *rollup.Rollup {
 	return rollup.New(rollup.Options{
 		ID: s.ID, FailureDomain: s.FailureDomain, Peers: peers, Log: log,
 		Own: func() peer.Load {
-			return peer.Load{Services: b.OwnLoadByService(), Outcomes: b.OwnOutcomes()}
+			return peer.Load{Services: b.OwnLoadByService(), Outcomes: b.OwnOutcomes(), Speeds: speeds.Report(time.Now())}
+		},
+		Incarnation: func(id string) (int64, bool) {
+			r := set.Current().All[id]
+			if r == nil {
+				return 0, false
+			}
+			return r.Incarnation, true
 		},
 	})
 }
@@ -65,6 +75,20 @@
 
 func runRollup(lc fx.Lifecycle, l *Loops, r *rollup.Rollup) { l.Go(lc, r.Run) }
 
+// runSpeeds hands the samples of the other entries to the estimator of speeds. In a
+// deployment without rollup each entry learns alone.
+func runSpeeds(lc fx.Lifecycle, l *Loops, peers *rollupPeers, r *rollup.Rollup, speeds *speed.Estimator) {
+	l.Every(lc, gatewayStatePeriod, func(context.Context) {
+		if peers.Aggregators() == nil {
+			speeds.SetPeers(time.Now(), nil, 0)
+			return
+		}
+		if sum, age := r.Speeds(); sum != nil {
+			speeds.SetPeers(time.Now(), sum, age)
+		}
+	})
+}
+
 // currentLoads returns the load that the other entries put on replicas: the sum
 // of the rollup if it is known, and else what their last states say.
 func currentLoads(states map[string]receivedState, m *peer.Mesh, r *rollup.Rollup) []balance.PeerLoad {
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
@@ -141,6 +142,13 @@
 	// PlacedBy is the entry that placed a long prompt; empty if this entry
 	// chose the replica locally.
 	PlacedBy string
+	// Speed is the estimate of the replica's speed that the choice is based on:
+	// of its prefill, or of its work if it is one of a plain service.
+	Speed float64
+	// atSpeed1 is the prediction of FirstToken for a replica of speed 1. relative is
+	// set if the estimates are relative to the mean of the service.
+	atSpeed1 time.Duration
+	relative bool
 }
 
 // Balancer chooses replicas from the state of this entry and the last state
@@ -186,9 +194,6 @@
 	failures    failures
 	// ejected is set if the last choice excluded the replica.
 	ejected bool
-	// slowdown is the ratio of the replica's measured times to the first token
-	// to the predicted ones, as a decaying average of at least 1.
-	slowdown float64
 }
 
 // partLocation is a replica that processed a prompt part, and the time at which
@@ -207,7 +212,10 @@
 	Seed uint64
 	// Throttle holds the limits of replicas. It may be nil.
 	Throttle *throttle.Throttle
-	Log      *logrus.Entry
+	// Speeds estimates the speeds of replicas. If it is nil, the Balancer learns
+	// alone which replicas are slow.
+	Speeds Speeds
+	Log    *logrus.Entry
 }
 
 // IsLeaving reports whether a replica is draining or gone.
@@ -228,6 +236,9 @@
 	if err != nil {
 		panic(err) // only for a size below 1
 	}
+	if o.Speeds == nil {
+		o.Speeds = NewSpeeds(set, o)
+	}
 	return &Balancer{
 		set: set, opt: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
 		states:        make(map[string]*replicaState),
@@ -299,14 +310,15 @@
 		ejected = nil // a replica that fails often is better than none
 	}
 	least := b.leastLoadLocked(a)
-	long := b.longPromptReplicas(q, ready, now)
+	speeds := b.speedsLocked(q, ready, now)
+	long := b.longPromptReplicas(q, ready, speeds, now)
 	best, second := Choice{}, Choice{}
 	bestCost, secondCost := math.Inf(1), math.Inf(1)
 	for _, r := range a.replicas {
 		if ejected[r.ID] {
 			continue
 		}
-		c, cost := b.costLocked(q, r, ready, now)
+		c, cost := b.costLocked(q, r, ready, speeds, now)
 		cost += b.misplacementCost(q, q.PromptTokens-c.CachedTokens, r.ID, long)
 		if a.limited[r.ID] {
 			cost += b.limitedCostLocked(q, c, least)
@@ -329,14 +341,20 @@
 // costLocked returns the prediction for a request on a replica, and the cost of
 // this choice. The unit of the cost is seconds for model engines and requests
 // per slot for plain services.
-func (b *Balancer) costLocked(q Query, r *replica.Replica, ready []*replica.Replica, now time.Time) (Choice, float64) {
+func (b *Balancer) costLocked(q Query, r *replica.Replica, ready []*replica.Replica, speeds serviceSpeeds, now time.Time) (Choice, float64) {
 	st := b.stateLocked(r)
 	peerLoad := b.peerLoads[r.ID]
 	inFlight := float64(st.ownLoad.InFlight) + peerLoad.inFlight
-	c := Choice{Replica: r, InFlight: int(math.Round(inFlight))}
+	e := speeds.of(r)
+	c := Choice{Replica: r, InFlight: int(math.Round(inFlight)), Speed: e.Prefill, relative: speeds.relative}
 	slots := float64(max(1, q.Slots, r.Slots))
 	if q.Slots == 0 {
-		cost := (inFlight + 1 + serviceJitter*b.random.Float64()) / slots
+		c.Speed = e.Work
+		cost := (inFlight + 1 + serviceJitter*b.random.Float64()) / (slots * e.Work)
+		if speeds.relative {
+			// Most of the load is that of other entries, whose location is unknown.
+			cost = inFlight/(slots*e.Work) + speeds.spread(b.random.ExpFloat64(), 1/slots, e.Work)
+		}
 		if r.FailureDomain != b.opt.FailureDomain {
 			cost += crossDomainCost.Seconds()
 		}
@@ -346,27 +364,43 @@
 	fit := b.prefillRateLocked(q.Service)
 	c.QueuedTokens = st.ownLoad.Tokens + int(peerLoad.tokens)
 	tokens := c.QueuedTokens + max(0, q.PromptTokens-c.CachedTokens)
-	predicted := fit.base + float64(tokens)/fit.perSecond + inFlight*delayPerRunning.Seconds()
+	prefill := fit.base + float64(tokens)/fit.perSecond
+	decode := inFlight * delayPerRunning.Seconds()
 	if excess := inFlight + 1 - slots; excess > 0 {
-		predicted += excess / slots * meanSlotTime.Seconds()
+		decode += excess / slots * meanSlotTime.Seconds()
 	}
-	firstToken, cost := b.engineCostLocked(q, r, predicted, c.CachedTokens, now)
+	firstToken, cost := b.engineCostLocked(q, r, engineTime{prefill, decode}, c.CachedTokens, b.isLong(q, q.PromptTokens-c.CachedTokens), speeds, now)
 	c.FirstToken = firstToken
+	c.atSpeed1 = time.Duration(float64(firstToken) * (prefill + decode) / (prefill/e.Prefill + decode/e.Decode))
 	if r.FailureDomain != b.opt.FailureDomain {
 		cost += crossDomainCost.Seconds()
 	}
 	return c, cost
 }
 
-// engineCostLocked scales the predicted time to the first token, in seconds, by
-// the slowdown of the engine, and returns the result and the cost in seconds.
-func (b *Balancer) engineCostLocked(q Query, r *replica.Replica, predicted float64, cached int, now time.Time) (time.Duration, float64) {
+// engineTime is a predicted time in seconds at speed 1.
+type engineTime struct{ prefill, decode float64 }
+
+// at returns the time at a speed.
+func (t engineTime) at(e speed.Estimate) float64 { return t.prefill/e.Prefill + t.decode/e.Decode }
+
+// engineCostLocked returns the predicted time to the first token and the cost in
+// seconds, given the time at speed 1. Long prompts are sent to the replica that is
+// the fastest for them, and others are distributed by speed, if speeds are relative.
+func (b *Balancer) engineCostLocked(q Query, r *replica.Replica, t engineTime, cached int, long bool, speeds serviceSpeeds, now time.Time) (time.Duration, float64) {
 	st := b.stateLocked(r)
-	predicted *= st.slowdown
+	e := speeds.of(r)
+	predicted := t.at(e)
+	compared, jitter := predicted, engineJitter.Seconds()*b.random.Float64()
+	if speeds.relative && !long {
+		compared = t.at(speed.Estimate{Prefill: min(1, e.Prefill/slowReplica), Decode: min(1, e.Decode/slowReplica)})
+		jitter = speeds.spread(b.random.ExpFloat64(), engineJitter.Seconds()/2, e.Prefill)
+	}
 	if r.ColdRemaining > now.Sub(r.Seen) {
 		predicted *= coldFactor
+		compared *= coldFactor
 	}
-	cost := predicted*(1+failurePenalty*st.failures.rate(now)) + engineJitter.Seconds()*b.random.Float64()
+	cost := compared*(1+failurePenalty*st.failures.rate(now)) + jitter
 	cost += cacheAffinity * float64(max(0, q.sharedTokens()-cached)) / b.prefillRateLocked(q.Service).perSecond
 	return time.Duration(predicted * float64(time.Second)), cost
 }
@@ -374,13 +408,13 @@
 func (b *Balancer) stateLocked(r *replica.Replica) *replicaState {
 	st := b.states[r.ID]
 	if st == nil {
-		st = &replicaState{incarnation: r.Incarnation, slowdown: 1}
+		st = &replicaState{incarnation: r.Incarnation}
 		b.states[r.ID] = st
 	}
 	if st.incarnation != r.Incarnation {
 		// After a restart, requests in flight to the old incarnation end
-		// through their tickets; failures and slowdown are reset.
-		st.incarnation, st.failures, st.slowdown = r.Incarnation, failures{}, 1
+		// through their tickets; failures are reset.
+		st.incarnation, st.failures = r.Incarnation, failures{}
 	}
 	return st
 }
--- a/gateway/balance/peers.go
+++ b/gateway/balance/peers.go
@@ -122,14 +122,32 @@
 		}
 	}
 	for service, rest := range unlocated {
-		ready := current.Ready[service]
-		for _, r := range ready {
-			sum := expected[r.ID]
+		b.distributeLocked(expected, rest, current.Ready[service], now)
+	}
+	b.peerLoads, b.peerPrefill, b.peerOutcomes = expected, prefill, reported
+}
+
+// distributeLocked distributes a load of unknown location over the replicas of a
+// service: in proportion to their speeds, as the other entries do, if these are
+// relative to the mean, else evenly.
+func (b *Balancer) distributeLocked(expected map[string]expectedLoad, rest expectedLoad, ready []*replica.Replica, now time.Time) {
+	weights, total, relative := make([]expectedLoad, len(ready)), expectedLoad{}, false
+	for i, r := range ready {
+		e := b.speedOf(r, now)
+		relative = relative || e.Prefill > 1 || e.Decode > 1 || e.Work > 1
+		weights[i] = expectedLoad{inFlight: e.Work * e.Decode, tokens: e.Prefill}
+		total.add(weights[i], 1)
+	}
+	for i, r := range ready {
+		sum := expected[r.ID]
+		if relative {
+			sum.inFlight += rest.inFlight * weights[i].inFlight / total.inFlight
+			sum.tokens += rest.tokens * weights[i].tokens / total.tokens
+		} else {
 			sum.add(rest, 1/float64(len(ready)))
-			expected[r.ID] = sum
 		}
+		expected[r.ID] = sum
 	}
-	b.peerLoads, b.peerPrefill, b.peerOutcomes = expected, prefill, reported
 }
 
 // splitStaleLocked splits a load of the given age into the load that is
--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -45,13 +45,14 @@
 	now := time.Now()
 	ejected := b.ejectedLocked(ready, now)
 	least := b.leastReservationLocked(a, now)
-	long := b.longPromptReplicas(q, ready, now)
+	speeds := b.speedsLocked(q, ready, now)
+	long := b.longPromptReplicas(q, ready, speeds, now)
 	best, bestCost := Placement{}, math.Inf(1)
 	for _, r := range a.replicas {
 		if ejected[r.ID] {
 			continue
 		}
-		p, cost := b.placementLocked(q, r, ready, now)
+		p, cost := b.placementLocked(q, r, ready, speeds, now)
 		cost += b.misplacementCost(q, q.PromptTokens-p.CachedTokens, r.ID, long)
 		if a.limited[r.ID] {
 			cost += max(0, least-b.reservedLocked(r.ID, now))
@@ -63,18 +64,26 @@
 	if best.Replica == "" {
 		return Placement{}, ErrNoReplica
 	}
-	b.reserveLocked(q, best, now)
+	reservedSpeed := 1.0
+	if speeds.relative {
+		reservedSpeed = speeds.byID[best.Replica].Prefill
+	}
+	b.reserveLocked(q, best, reservedSpeed, now)
 	return best, nil
 }
 
 // placementLocked returns the prediction for a long prompt on a replica, and
 // its cost in seconds.
-func (b *Balancer) placementLocked(q Query, r *replica.Replica, ready []*replica.Replica, now time.Time) (Placement, float64) {
+func (b *Balancer) placementLocked(q Query, r *replica.Replica, ready []*replica.Replica, speeds serviceSpeeds, now time.Time) (Placement, float64) {
 	fit := b.prefillRateLocked(q.Service)
 	cached := b.cachedLocked(q, r, ready, now)
-	wait := b.reservedLocked(r.ID, now)
+	// The reserved time already is that of this replica.
+	wait := b.reservedLocked(r.ID, now) * speeds.of(r).Prefill
+	if !speeds.relative {
+		wait = b.reservedLocked(r.ID, now)
+	}
 	prefill := float64(max(0, q.PromptTokens-cached)) / fit.perSecond
-	firstToken, cost := b.engineCostLocked(q, r, wait+prefill+fit.base, cached, now)
+	firstToken, cost := b.engineCostLocked(q, r, engineTime{prefill: wait + prefill + fit.base}, cached, true, speeds, now)
 	return Placement{Replica: r.ID, Incarnation: r.Incarnation, CachedTokens: cached, FirstToken: firstToken}, cost
 }
 
@@ -99,13 +108,14 @@
 	return least
 }
 
-// reserveLocked reserves the prefill time of a prompt on its replica.
-func (b *Balancer) reserveLocked(q Query, p Placement, now time.Time) {
+// reserveLocked reserves the prefill time of a prompt on its replica, which has the
+// given speed.
+func (b *Balancer) reserveLocked(q Query, p Placement, speed float64, now time.Time) {
 	from := b.reservedUntil[p.Replica]
 	if from.Before(now) {
 		from = now
 	}
-	prefill := float64(max(0, q.PromptTokens-p.CachedTokens)) / b.prefillRateLocked(q.Service).perSecond
+	prefill := float64(max(0, q.PromptTokens-p.CachedTokens)) / b.prefillRateLocked(q.Service).perSecond / speed
 	b.reservedUntil[p.Replica] = from.Add(time.Duration(prefill * float64(time.Second)))
 	b.recordPartsLocked(q.Parts, p.Replica, now)
 }
@@ -129,7 +139,9 @@
 	c := Choice{
 		Alternatives: local.Alternatives, Replica: r, FirstToken: p.FirstToken, CachedTokens: p.CachedTokens,
 		Candidates: local.Candidates, RunnerUp: local.Replica,
+		Speed: b.speedOf(r, time.Now()).Prefill, relative: local.relative,
 	}
+	c.atSpeed1 = time.Duration(float64(p.FirstToken) * c.Speed)
 	if st := b.states[r.ID]; st != nil {
 		c.InFlight, c.QueuedTokens = st.ownLoad.InFlight, st.ownLoad.Tokens
 	}
--- a/gateway/balance/split.go
+++ b/gateway/balance/split.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
@@ -43,6 +44,9 @@
 	// subset, relative to the minimum latency objective: its expected wait
 	// there.
 	misplacedShortCost = 0.35
+	// speedStepFactor is the factor between two speeds in the order of the replicas
+	// for long prompts. The estimates of two entries differ by a few percent.
+	speedStepFactor = 1.4
 )
 
 // prefillMix measures the prefill load of a service's long prompts and of all
@@ -99,26 +103,51 @@
 
 // longPromptReplicas returns the IDs of the replicas for long prompts, or nil
 // if the service isn't split.
-func (b *Balancer) longPromptReplicas(q Query, ready []*replica.Replica, now time.Time) map[string]bool {
+func (b *Balancer) longPromptReplicas(q Query, ready []*replica.Replica, speeds serviceSpeeds, now time.Time) map[string]bool {
 	fraction := b.longLoadFractionLocked(q.Service, now)
 	if q.Slots == 0 || q.LatencyObjective <= 0 || len(ready) < minSplitReplicas || fraction <= 0 {
 		return nil
 	}
-	n := int(math.Round(float64(len(ready)) * min(maxLongFraction, longReplicasScale*fraction)))
-	if n == 0 {
-		return nil
-	}
 	order := slices.Clone(ready)
 	slices.SortFunc(order, func(x, y *replica.Replica) int {
+		if speeds.relative {
+			if c := cmp.Compare(speedStep(speeds.of(y)), speedStep(speeds.of(x))); c != 0 {
+				return c
+			}
+		}
 		return cmp.Compare(xxhash.Sum64String(x.ID), xxhash.Sum64String(y.ID))
 	})
-	out := make(map[string]bool, n)
-	for _, r := range order[:n] {
+	capacity := func(r *replica.Replica) float64 {
+		if speeds.relative {
+			return speeds.of(r).Prefill
+		}
+		return 1
+	}
+	left := 0.0
+	for _, r := range ready {
+		left += capacity(r)
+	}
+	left *= min(maxLongFraction, longReplicasScale*fraction)
+	out := make(map[string]bool)
+	for _, r := range order {
+		// The last replica belongs to the side that needs more of it.
+		if left < capacity(r)/2 {
+			break
+		}
+		left -= capacity(r)
 		out[r.ID] = true
 	}
+	if len(out) == 0 {
+		return nil
+	}
 	return out
 }
 
+// speedStep rounds the speed of a replica, so that all entries get the same order.
+func speedStep(e speed.Estimate) float64 {
+	return math.Round(math.Log(e.Prefill) / math.Log(speedStepFactor))
+}
+
 // misplacementCost returns the cost in seconds of a prompt on the wrong side of
 // the split.
 func (b *Balancer) misplacementCost(q Query, tokens int, id string, long map[string]bool) float64 {
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -1,9 +1,9 @@
 package balance
 
 import (
-	"math"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 )
 
@@ -22,11 +22,6 @@
 	// minBase and maxBase bound the fitted time to the first token of an empty
 	// prompt, in seconds.
 	minBase, maxBase = 0.005, 0.5
-	// slowdownWeight is the weight of one sample in a replica's slowdown.
-	slowdownWeight = 0.1
-	// maxSlowdown is the upper bound of a replica's slowdown and of its
-	// samples. minSlowdownSample is the lower bound of the samples.
-	maxSlowdown, minSlowdownSample = 8.0, 0.5
 )
 
 // prefillRate estimates how fast the engines of a service process prompts. It
@@ -133,6 +128,11 @@
 	uncachedTokens, queuedTokens int
 	started                      bool
 	ended                        bool
+	// firstAt is the time of the first token, events the number of events of the
+	// answer, and unmeasured is set if the answer is no sample of the speed.
+	firstAt    time.Time
+	events     int
+	unmeasured bool
 }
 
 func (b *Balancer) busyLocked(service string) *rate.EWMA {
@@ -192,19 +192,26 @@
 		return
 	}
 	t.started = true
-	took := time.Since(t.sent).Seconds()
+	t.firstAt = time.Now()
+	took := t.firstAt.Sub(t.sent)
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	st := t.b.stateLocked(t.choice.Replica)
 	st.ownLoad.Tokens -= t.uncachedTokens
-	t.b.durationsLocked(t.q.Service).waiting.add(took, float64(t.uncachedTokens))
-	predicted := t.choice.FirstToken.Seconds()
-	if t.q.Slots == 0 || predicted <= 0 {
+	t.b.durationsLocked(t.q.Service).waiting.add(took.Seconds(), float64(t.uncachedTokens))
+	if t.q.Slots == 0 || t.choice.FirstToken <= 0 {
+		return
+	}
+	tokens, fit := float64(t.queuedTokens+t.uncachedTokens), t.b.prefillRateLocked(t.q.Service)
+	if t.choice.relative {
+		// The rate is that of an engine of speed 1, whichever engines the prompts
+		// are sent to.
+		fit.observe(tokens, took.Seconds()*t.choice.Speed)
 		return
 	}
-	t.b.prefillRateLocked(t.q.Service).observe(float64(t.queuedTokens+t.uncachedTokens), took)
-	ratio := min(max(took/predicted*st.slowdown, minSlowdownSample), maxSlowdown)
-	st.slowdown = min(max(st.slowdown*math.Exp(slowdownWeight*math.Log(ratio/st.slowdown)), 1), maxSlowdown)
+	fit.observe(tokens, took.Seconds())
+	r := t.choice.Replica
+	t.b.opt.Speeds.Observe(t.firstAt, r.Service, r.ID, r.Incarnation, speed.Prefill, t.choice.atSpeed1, took)
 }
 
 // End records how the request ended.
@@ -224,7 +231,14 @@
 	}
 	if t.q.Slots > 0 && t.started {
 		// A running request occupies one slot's fraction of the engine.
-		t.b.busyLocked(t.q.Service).Add(time.Now(), took/float64(t.q.Slots))
+		running := took / float64(t.q.Slots)
+		if t.choice.relative {
+			running *= t.b.speedOf(t.choice.Replica, time.Now()).Decode
+		}
+		t.b.busyLocked(t.q.Service).Add(time.Now(), running)
+	}
+	if o == Answered {
+		t.recordSpeedLocked(time.Now())
 	}
 	if o != Neutral {
 		st.failures.add(time.Now(), o)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -307,6 +308,9 @@
 	if c.FirstToken > 0 {
 		f["predicted_ms"], f["cached"], f["prompt"], f["ahead"] = c.FirstToken.Milliseconds(), c.CachedTokens, x.req.PromptTokens, c.QueuedTokens
 	}
+	if c.Speed > 0 {
+		f["speed"] = math.Round(100*c.Speed) / 100
+	}
 	if c.PlacedBy != "" {
 		f["placed_by"] = c.PlacedBy
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -96,6 +96,8 @@
 	t.FirstTokenReceived()
 	if a.Status < http.StatusMultipleChoices {
 		x.settleWhole(a)
+	} else {
+		t.Unmeasured()
 	}
 	if outcome == balance.Failed && len(body) <= maxBufferedBody && x.mayRunAgain() {
 		x.failedAnswer = &bufferedAnswer{replica: x.replica, answer: a, body: body}
@@ -246,6 +248,7 @@
 	buf := make([]byte, copyBufferSize)
 	defer func() {
 		s.x.events += s.events
+		s.t.EventsReceived(s.events)
 		s.x.broken = s.progressAt(err)
 		s.x.partialEvent = len(s.splitter.remainder())
 	}()
