--- a/gateway/speed/samples.go
+++ b/gateway/speed/samples.go
@@ -108,13 +108,18 @@
 	k.held += (k.raw - k.held) * (1 - math.Exp(-since.Seconds()/holdTime.Seconds()))
 }
 
-// current returns the persistent estimate, reduced by the transient one.
-func (k *kindState) current(now time.Time) float64 {
+// lasting returns the persistent estimate.
+func (k *kindState) lasting() float64 {
 	if k.persistent == 0 {
 		return 1
 	}
+	return k.persistent
+}
+
+// current returns the persistent estimate, reduced by the transient one.
+func (k *kindState) current(now time.Time) float64 {
 	t := k.transient.after(now, transientMemory)
-	return bounded(k.persistent * min(1, (t.Weight+transientPrior)/(t.Time+transientPrior)))
+	return bounded(k.lasting() * min(1, (t.Weight+transientPrior)/(t.Time+transientPrior)))
 }
 
 func bounded(speed float64) float64 { return min(max(speed, 1/maxSpeed), maxSpeed) }
--- a/gateway/speed/speed.go
+++ b/gateway/speed/speed.go
@@ -95,6 +95,7 @@
 	if k == Prefill {
 		weight = predicted.Seconds() / (predicted.Seconds() + halfWeightTime.Seconds())
 	}
+	e.refreshLocked(now)
 	e.levelLocked(service, k).observe(now, &st.kinds[k], ratio, weight)
 }
 
@@ -112,7 +113,10 @@
 	}
 	e.refreshLocked(now)
 	return Estimate{
-		Prefill: st.kinds[Prefill].current(now), Decode: st.kinds[Decode].current(now), Work: st.kinds[Work].current(now),
+		Prefill: st.kinds[Prefill].current(now), Decode: st.kinds[Decode].current(now),
+		// The durations of plain requests vary so much that a few of them say nothing
+		// about a transient slowness.
+		Work: st.kinds[Work].lasting(),
 	}
 }
 
@@ -143,6 +147,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.shared = sum != nil
+	e.refreshLocked(now)
 	for id, s := range sum {
 		st := e.stateLocked(id, s.Incarnation)
 		if st == nil {
