Messages for the placement of prompts in groups of replicas

A request may name a group and a wait above which the placer declines, and the reply says whether the placer has recorded the request, so that it is told of the end. A peer of an earlier release ignores the new fields, records nothing, and never receives the new message, which it wouldn't know.

--- a/peer/calls.go
+++ b/peer/calls.go
@@ -93,6 +93,15 @@
 // cached connection for calls. It suits calls with a short timeout: the setup
 // of a connection continues after ctx has ended, and later calls use it.
 func (m *Mesh) callCached(ctx context.Context, peer, method string, params, result any) error {
+	return m.withCached(ctx, peer, func(l *link) error { return l.conn.Call(ctx, method, params, result) })
+}
+
+// EndPlacement tells a peer that a request which it placed and recorded has ended.
+func (m *Mesh) EndPlacement(ctx context.Context, peer string, e PlacedEnd) error {
+	return m.withCached(ctx, peer, func(l *link) error { return l.conn.Notify(ctx, methodPlacedEnd, e) })
+}
+
+func (m *Mesh) withCached(ctx context.Context, peer string, f func(l *link) error) error {
 	l := m.linkTo(peer)
 	if l == nil {
 		var err error
@@ -100,7 +109,7 @@
 			return wrapCall(peer, err)
 		}
 	}
-	err := l.conn.Call(ctx, method, params, result)
+	err := f(l)
 	if errors.Is(err, jsonrpc2.ErrClosed) {
 		m.dropCached(peer, l)
 	}
--- a/peer/handlers.go
+++ b/peer/handlers.go
@@ -33,6 +33,8 @@
 	Changes func(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error)
 	// Place chooses the endpoint of a centrally placed prompt for a peer.
 	Place func(PlaceRequest) PlaceResult
+	// PlacedEnd records the end of a request that Place recorded. It must not block.
+	PlacedEnd func(PlacedEnd)
 	// Permit decides on a peer's request for a permit.
 	Permit func(from string, r PermitRequest) PermitResult
 	// Loads receives the load report of a peer and returns the sum for it.
@@ -86,6 +88,12 @@
 	return h.Place(p)
 }
 
+func (h Handlers) placedEnd(e PlacedEnd) {
+	if h.PlacedEnd != nil {
+		h.PlacedEnd(e)
+	}
+}
+
 func (h Handlers) permit(from string, r PermitRequest) PermitResult {
 	if h.Permit == nil {
 		return PermitResult{NotOwner: true}
--- a/peer/link.go
+++ b/peer/link.go
@@ -194,6 +194,12 @@
 			return err
 		}
 		return l.conn.Reply(ctx, req.ID, l.mesh.o.Handlers.place(p))
+	case methodPlacedEnd:
+		var e PlacedEnd
+		if err := params(req, &e); err != nil {
+			return err
+		}
+		l.mesh.o.Handlers.placedEnd(e)
 	case methodPermit:
 		var r PermitRequest
 		if err := params(req, &r); err != nil {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -29,6 +29,7 @@
 	methodEvidence    = "evidence"
 	methodLimits      = "limits"
 	methodPermit      = "permit"
+	methodPlacedEnd   = "placed_end"
 )
 
 // Demand is the demand of one customer at one entry.
@@ -362,6 +363,10 @@
 	LatencyObjectiveMS int64 `json:"o"`
 	// Exclude are the endpoints of earlier attempts of the request.
 	Exclude []string `json:"x,omitempty"`
+	// Group is the group of endpoints to choose from, and MaxWaitMS the wait above
+	// which the peer chooses none. A peer of an earlier release ignores both.
+	Group     string `json:"g,omitempty"`
+	MaxWaitMS int64  `json:"w,omitempty"`
 }
 
 // PlacePart is a prompt part and its length.
@@ -377,6 +382,15 @@
 	Incarnation  int64  `json:"b,omitempty"`
 	CachedTokens int    `json:"c,omitempty"`
 	FirstTokenMS int64  `json:"f,omitempty"`
+	// WaitMS is the wait in the group. Recorded is set if the peer has recorded the
+	// request as in progress until PlacedEnd.
+	WaitMS   int64 `json:"w,omitempty"`
+	Recorded bool  `json:"r,omitempty"`
+}
+
+// PlacedEnd tells the peer that placed a request that the request has ended.
+type PlacedEnd struct {
+	Endpoint string `json:"e"`
 }
 
 // changesParams requests the changes of a feed after a version.
