Distribute requests over pools and groups of replicas

Above 16 members, an entry sees next to nothing of a replica's load: each of 78 entries sends a given replica a request per 10 s. Replicas were overloaded in turns while others were idle, and all long prompts of a service went through one entry.

Compared in one test with 90 replicas of lasting speeds and spells (see docs/design/even-load.md): random choices, views of some age, leased slots, and placers of all requests.

Now short prompts go to the fastest replicas, where each entry has a few slots of its own. Long ones go to the others, in groups of about four; one entry for each group places for all, by a record that ends are reported to. The prefill rate is fitted to the requests with the shortest waits, because where others have queued tokens isn't known, and that noise made the fitted rate far too high.

It is off unless Options.Grouped is set.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -107,6 +107,10 @@
 	Exclude map[string]bool
 	// Class is the request's class for replicas that have a limit.
 	Class throttle.Class
+	// Group is the group of replicas that a placer chooses from, and MaxWait the wait
+	// above which it declines. See PlaceInGroup.
+	Group   string
+	MaxWait time.Duration
 }
 
 // sharedTokens returns how many tokens of the prompt are in shared parts.
@@ -142,6 +146,14 @@
 	// PlacedBy is the entry that placed a long prompt; empty if this entry
 	// chose the replica locally.
 	PlacedBy string
+	// Group is the group that a long prompt was placed in, and GroupWait the wait
+	// there as its placer predicted it.
+	Group     string
+	GroupWait time.Duration
+	// ViewAge is the age of the loads of the other entries.
+	ViewAge time.Duration
+	// ended reports the end of a placed request to its placer. It may be nil.
+	ended func()
 	// Speed is the estimate of the replica's speed that the choice is based on:
 	// of its prefill, or of its work if it is one of a plain service.
 	Speed float64
@@ -183,6 +195,17 @@
 	// reservedUntil is the time when a replica will have processed the long
 	// prompts that this entry placed on it, by replica ID.
 	reservedUntil map[string]time.Time
+	// placements holds the times at which this entry placed the prompts in progress
+	// on a replica, by replica ID.
+	placements map[string][]time.Time
+	// pools holds the pools of each service, in a large deployment.
+	pools map[string]*pools
+	// rank is the place of this entry among the members of a large deployment.
+	rank, members int
+	// since is the time from which this entry records prompt parts.
+	since time.Time
+	// peersAt is the time as of which the loads of other entries are known.
+	peersAt time.Time
 	// partLocations holds the replicas that processed a prompt part, by part.
 	partLocations *lru.Cache[uint64, []partLocation]
 }
@@ -215,7 +238,12 @@
 	// Speeds estimates the speeds of replicas. If it is nil, the Balancer learns
 	// alone which replicas are slow.
 	Speeds Speeds
-	Log    *logrus.Entry
+	// Grouped reports whether the deployment has so many entries that requests are
+	// distributed over pools and groups of replicas. If it is nil, it hasn't.
+	Grouped func() bool
+	// Count counts the outcomes of placements in groups. It may be nil.
+	Count func(outcome string)
+	Log   *logrus.Entry
 }
 
 // IsLeaving reports whether a replica is draining or gone.
@@ -240,7 +268,8 @@
 		o.Speeds = NewSpeeds(set, o)
 	}
 	return &Balancer{
-		set: set, opt: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
+		since: time.Now(),
+		set:   set, opt: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
 		states:        make(map[string]*replicaState),
 		prefillRates:  make(map[string]*prefillRate),
 		busy:          make(map[string]*rate.EWMA),
@@ -248,6 +277,8 @@
 		durations:     make(map[string]*serviceDurations),
 		peerLoads:     make(map[string]expectedLoad),
 		reservedUntil: make(map[string]time.Time),
+		placements:    make(map[string][]time.Time),
+		pools:         make(map[string]*pools),
 		partLocations: parts,
 	}
 }
@@ -430,6 +461,9 @@
 			delete(b.states, id)
 		}
 	}
+	for id := range b.placements {
+		b.placedLocked(id, time.Now())
+	}
 	for id, until := range b.reservedUntil {
 		if time.Now().After(until) {
 			delete(b.reservedUntil, id)
--- a/gateway/balance/cache.go
+++ b/gateway/balance/cache.go
@@ -17,6 +17,13 @@
 // cache. A part counts only if all parts before it are cached, because the
 // cache matches prefixes.
 func (b *Balancer) cachedLocked(q Query, r *replica.Replica, ready []*replica.Replica, now time.Time) int {
+	return b.cachedWithHomesLocked(q, r, now, func() (first, second *replica.Replica) {
+		return homeReplicas(q.Parts[len(q.Parts)-1].ID, ready)
+	})
+}
+
+// cachedWithHomesLocked is cachedLocked with the home replicas of the last part.
+func (b *Balancer) cachedWithHomesLocked(q Query, r *replica.Replica, now time.Time, homes func() (first, second *replica.Replica)) int {
 	sum := 0
 	for _, p := range q.Parts {
 		if !b.isCachedLocked(p.ID, r.ID, now) {
@@ -28,7 +35,7 @@
 		return sum
 	}
 	fraction := 0.0
-	switch first, second := homeReplicas(q.Parts[len(q.Parts)-1].ID, ready); r {
+	switch first, second := homes(); r {
 	case first:
 		fraction = homeCachedFraction
 	case second:
--- /dev/null
+++ b/gateway/balance/even_test.go
@@ -0,0 +1,467 @@
+package balance
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+)
+
+const playLength = 20_000 // ms
+
+var compare = flag.Bool("compare", false, "run the comparison of choosers, which takes minutes")
+
+// fault is what happens to the placers of some groups from 6 s to 12 s.
+type fault int
+
+const (
+	noFault fault = iota
+	killed
+	frozen
+	slow
+	duplicated
+)
+
+// realChooser chooses with the balancers of all entries.
+type realChooser struct {
+	p         *play
+	began     time.Time
+	balancers []*Balancer
+	globals   []*GlobalBalancer
+	fault     fault
+	victims   map[string]bool
+}
+
+// playPeers connects an entry to the others.
+type playPeers struct {
+	c    *realChooser
+	self int
+}
+
+func (p playPeers) faulty(id string) bool {
+	return p.c.victims[id] && p.c.p.now > 6000 && p.c.p.now < 12_000
+}
+
+func (p playPeers) Members() []string {
+	var out []string
+	for i := range p.c.balancers {
+		id := fmt.Sprint(i)
+		// A killed or frozen member is missed after 2 s. One that is duplicated is
+		// out of the reach of half of the entries.
+		missed := p.faulty(id) && (p.c.fault == duplicated && p.self%2 == 1 || (p.c.fault == killed || p.c.fault == frozen) && p.c.p.now > 8000)
+		if !missed {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (p playPeers) call(ctx context.Context, id string) error {
+	if !p.faulty(id) {
+		return nil
+	}
+	switch p.c.fault {
+	case killed:
+		return errors.New("connection refused")
+	case frozen:
+		<-ctx.Done()
+		return ctx.Err()
+	case slow:
+		time.Sleep(12 * time.Millisecond)
+	}
+	return nil
+}
+
+func (p playPeers) Place(ctx context.Context, id string, q Query) (Placement, error) {
+	p.c.p.calls++
+	if err := p.call(ctx, id); err != nil {
+		return Placement{}, err
+	}
+	return p.balancer(id).PlaceForPeer(q)
+}
+
+func (p playPeers) EndPlacement(ctx context.Context, e End) error {
+	p.c.p.ends++
+	if err := p.call(ctx, e.Placer); err != nil {
+		return err
+	}
+	p.balancer(e.Placer).EndPlacement(e.Replica)
+	return nil
+}
+
+func (p playPeers) balancer(id string) *Balancer {
+	var n int
+	_, _ = fmt.Sscan(id, &n)
+	return p.c.balancers[n]
+}
+
+// knownSpeeds are the lasting speeds of the engines. Spells are unknown.
+type knownSpeeds struct{}
+
+func (knownSpeeds) Of(_ time.Time, _, id string, _ int64) speed.Estimate {
+	var i int
+	_, _ = fmt.Sscanf(id, "r%d", &i)
+	v := engineSpeed(i) / meanSpeed
+	return speed.Estimate{Prefill: v, Decode: v, Work: v}
+}
+
+func (knownSpeeds) Observe(time.Time, string, string, int64, speed.Kind, time.Duration, time.Duration) {
+}
+
+func playReplicas() *replica.Set {
+	set := replica.NewSet(nolog.Or(nil))
+	for i := range playEngines {
+		set.Put(replica.Registration{ID: fmt.Sprintf("r%02d", i), Service: "s", FailureDomain: fmt.Sprint(engineDomain(i)), Slots: playSlots})
+	}
+	return set
+}
+
+// playReal plays the load with real balancers.
+func playReal(t *testing.T, entries int, o Options, f fault) *play {
+	p := newPlay(entries, 1)
+	synctest.Test(t, func(t *testing.T) {
+		c := &realChooser{p: p, fault: f, victims: make(map[string]bool)}
+		set := playReplicas()
+		time.Sleep(time.Minute) // the replicas have run for a while
+		c.began = time.Now()
+		for i := range entries {
+			o.FailureDomain, o.Seed, o.Log = fmt.Sprint(i%3), uint64(i), nolog.Or(nil)
+			c.balancers = append(c.balancers, New(set, o))
+			c.globals = append(c.globals, NewGlobalBalancer(c.balancers[i], fmt.Sprint(i), playPeers{c, i}, nolog.Or(nil)))
+			go c.globals[i].RunEnds(t.Context())
+		}
+		for at := 0.0; at < playLength; at += 500 {
+			p.after(at, c.exchange)
+		}
+		p.after(5999, func() {
+			for _, name := range []int{0, 1} { // the first two groups
+				if pools := c.balancers[0].pools["s"]; pools != nil && len(pools.groups) > name {
+					c.victims[c.globals[0].placerOf(pools, "s", pools.groups[name].String())] = true
+				}
+			}
+		})
+		p.run(c, playLength)
+	})
+	return p
+}
+
+func (c *realChooser) sync() {
+	time.Sleep(time.Until(c.began.Add(time.Duration(c.p.now * float64(time.Millisecond)))))
+}
+
+func (c *realChooser) exchange() {
+	c.sync()
+	if len(c.balancers) > maxDetailedEntries {
+		exchangeFleetLoads(c.balancers, true)
+	} else {
+		exchangeLoads(c.balancers, time.Second)
+	}
+}
+
+func (c *realChooser) begin(p *play, r *playRequest, send func(int)) {
+	c.sync()
+	q := Query{Service: "s", Slots: playSlots, PromptTokens: r.prompt(), LatencyObjective: playShortGoal * time.Millisecond, Parts: []Part{{r.part, r.shared}}}
+	g, calls, asked := c.globals[r.entry], p.calls, time.Now()
+	choice, err := g.ChooseGlobal(context.Background(), q)
+	if err != nil {
+		panic(err)
+	}
+	p.after(float64(2*(p.calls-calls))+float64(time.Since(asked))/float64(time.Millisecond), func() {
+		c.sync()
+		ticket := g.Begin(q, choice)
+		r.onFirst = func() { c.sync(); ticket.FirstTokenReceived() }
+		r.onEnd = func() { c.sync(); ticket.End(Answered) }
+		var n int
+		_, _ = fmt.Sscanf(choice.Replica.ID, "r%d", &n)
+		send(n)
+	})
+}
+
+func least(candidates []int, cost func(i int) float64) int {
+	return slices.MinFunc(candidates, func(x, y int) int { return cmp.Compare(cost(x), cost(y)) })
+}
+
+// idealChooser sees the engines as they are.
+type idealChooser struct{}
+
+func (idealChooser) begin(p *play, r *playRequest, send func(int)) {
+	r.onFirst, r.onEnd = func() {}, func() {}
+	send(least(indices(playEngines), func(i int) float64 {
+		e := p.engines[i]
+		ahead, decoding := 0.0, 0.0
+		for _, o := range e.running {
+			ahead += float64(o.left)
+			if o.left == 0 {
+				decoding++
+			}
+		}
+		for _, o := range slices.Concat(e.queue, e.coming) {
+			if !o.long || r.long {
+				ahead += float64(e.uncached(o, p.now))
+			}
+		}
+		n, uncached := len(e.running)+len(e.queue)+len(e.coming), float64(e.uncached(r, p.now))
+		steps := math.Ceil((ahead+uncached)/playChunk) + 9
+		ms := (ahead+uncached)/playRate + steps*(2.97+0.0222*decoding) + 12*float64(n) + 1000*float64(max(0, n+1-playSlots))
+		return ms/e.current(p.now) + 2*latency(r.domain, i) + 1.5*(uncached-float64(r.own))/playRate
+	}))
+}
+
+// viewChooser chooses by records of loads: those of the entry or of a placer.
+type viewChooser struct {
+	records []*[playEngines]float64
+	cached  map[uint64]*[playEngines]float64
+	// pick returns the record that decides, and the candidates.
+	pick func(p *play, r *playRequest) (record int, candidates []int)
+	// call is the duration of a call to the decider, in ms, and lag the delay after
+	// which it learns of an end.
+	call, lag float64
+	// truth is the record of all, which replaces the others at the given age, in ms, if
+	// that isn't 0. The others then learn of no end.
+	truth [playEngines]float64
+	age   float64
+}
+
+func newViewChooser(records int) *viewChooser {
+	c := &viewChooser{cached: make(map[uint64]*[playEngines]float64)}
+	for range records {
+		c.records = append(c.records, new([playEngines]float64))
+	}
+	return c
+}
+
+func (c *viewChooser) begin(p *play, r *playRequest, send func(int)) {
+	p.after(c.call/2, func() {
+		record, candidates := c.pick(p, r)
+		ms := c.records[record]
+		cached := c.cached[r.part]
+		if cached == nil {
+			cached = new([playEngines]float64)
+			c.cached[r.part] = cached
+		}
+		work := func(i int) float64 {
+			tokens := r.prompt()
+			if cached[i] > 0 && p.now-cached[i] < playCacheMS {
+				tokens = r.own
+			}
+			return float64(tokens)/playRate + 3*float64(r.answer)/4
+		}
+		i := least(candidates, func(i int) float64 { return (ms[i] + work(i)) / engineSpeed(i) })
+		added := work(i)
+		ms[i] += added
+		c.truth[i] += added
+		cached[i] = p.now
+		// Half of the work is done at the first token.
+		half := func() {
+			c.truth[i] -= added / 2
+			if c.age == 0 {
+				p.after(c.lag, func() { ms[i] -= added / 2 })
+			}
+		}
+		r.onFirst, r.onEnd = half, half
+		p.after(c.call/2, func() { send(i) })
+	})
+}
+
+// refresh replaces the records by the truth of half the age ago, once in an age.
+func (c *viewChooser) refresh(p *play) {
+	truth := c.truth
+	p.after(c.age/2, func() {
+		for _, ms := range c.records {
+			*ms = truth
+		}
+	})
+	if p.now < playLength {
+		p.after(c.age, func() { c.refresh(p) })
+	}
+}
+
+// leaseChooser gives each entry a fixed part of the slots of all engines. An entry
+// without a free one borrows a free one of any other by a call.
+type leaseChooser struct {
+	// free holds the engines of the free slots of each entry.
+	free [][]int
+}
+
+func newLeaseChooser(entries int) *leaseChooser {
+	c := &leaseChooser{free: make([][]int, entries)}
+	for i := range playEngines * playSlots {
+		c.free[i%entries] = append(c.free[i%entries], i%playEngines)
+	}
+	return c
+}
+
+func (c *leaseChooser) begin(p *play, r *playRequest, send func(int)) {
+	lender, wait := r.entry, 0.0
+	for tries := 0; len(c.free[lender]) == 0 && tries < 10; tries++ {
+		lender, wait = p.rng.IntN(p.entries), wait+2
+		p.calls++
+	}
+	r.onFirst, r.onEnd = func() {}, func() {}
+	i := weighted(p)
+	if free := c.free[lender]; len(free) > 0 {
+		// The best is the fastest, and the longest unused of these.
+		best := least(indices(len(free)), func(k int) float64 { return -engineSpeed(free[k]) })
+		i = free[best]
+		c.free[lender] = slices.Delete(free, best, best+1)
+		r.onEnd = func() { c.free[lender] = append(c.free[lender], i) }
+	}
+	p.after(wait, func() { send(i) })
+}
+
+func indices(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// enginesOf returns the engines of one of some groups of the same size.
+func enginesOf(group, groups int) []int {
+	var out []int
+	for i := range playEngines {
+		if i*groups/playEngines == group {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func weighted(p *play) int {
+	for {
+		if i := p.rng.IntN(playEngines); p.rng.Float64()*1.7 < engineSpeed(i) {
+			return i
+		}
+	}
+}
+
+// alternatives returns the choosers that the built one is compared with.
+func alternatives(entries int) map[string]playChooser {
+	out := map[string]playChooser{"ideal": idealChooser{}, "leased slots": newLeaseChooser(entries)}
+	two := newViewChooser(entries)
+	two.pick = func(p *play, r *playRequest) (int, []int) { return r.entry, []int{weighted(p), weighted(p)} }
+	out["two choices"] = two
+	for _, age := range []float64{100, 500, 1000} {
+		c := newViewChooser(entries)
+		c.age = age
+		c.pick = func(p *play, r *playRequest) (int, []int) {
+			var some []int
+			for range 8 {
+				some = append(some, weighted(p))
+			}
+			return r.entry, some
+		}
+		out[fmt.Sprint("view of age ", age)] = c
+	}
+	for _, groups := range []int{1, 3, 12} {
+		for name, lag := range map[string]float64{"": 1, ", ends 250 ms late": 250} {
+			c := newViewChooser(groups)
+			c.call, c.lag = 2, lag
+			c.pick = func(p *play, r *playRequest) (int, []int) {
+				group := p.rng.IntN(groups)
+				return group, enginesOf(group, groups)
+			}
+			out[fmt.Sprint(groups, " placers of all", name)] = c
+		}
+	}
+	return out
+}
+
+func (p *play) report(t *testing.T, name string) {
+	t.Logf("%-30s all %4.0f %5.0f short %4.0f %5.0f long %4.0f %5.0f  in time %.4f  waiting: any %.3f each %.4f p99 %3d  tokens %.1f M calls %d far %.2f", name,
+		p.quantile(.5, true, true), p.quantile(.99, true, true), p.quantile(.5, false, true), p.quantile(.99, false, true), p.quantile(.5, true, false), p.quantile(.99, true, false),
+		p.inTime(), float64(p.full)/float64(p.samples), p.imbalance(), p.waitingP99(), float64(p.prefilled)/1e6, p.calls, p.far())
+}
+
+var grouped = Options{Speeds: knownSpeeds{}, Grouped: func() bool { return true }}
+
+// TestCompareChoosers logs what each alternative of docs/design/even-load.md does with
+// the load.
+func TestCompareChoosers(t *testing.T) {
+	if testing.Short() || !*compare {
+		t.Skip("takes minutes; run with -compare")
+	}
+	for _, perSecond := range []float64{playPerSecond, playActualPerSecond} {
+		for _, entries := range []int{9, 58, 78, 195, 410} {
+			run := func(name string, f func() *play) {
+				loadPerSecond = perSecond
+				f().report(t, fmt.Sprintf("%4.0f/s %3d %s", perSecond, entries, name))
+			}
+			for name, c := range alternatives(entries) {
+				run(name, func() *play {
+					p := newPlay(entries, 1)
+					if v, ok := c.(*viewChooser); ok && v.age > 0 {
+						p.after(0, func() { v.refresh(p) })
+					}
+					p.run(c, playLength)
+					return p
+				})
+			}
+			run("current", func() *play { return playReal(t, entries, Options{}, noFault) })
+			run("current, known speeds", func() *play { return playReal(t, entries, Options{Speeds: knownSpeeds{}}, noFault) })
+			for f, name := range []string{"groups", "groups, killed", "groups, frozen", "groups, slow", "groups, duplicated"} {
+				run(name, func() *play { return playReal(t, entries, grouped, fault(f)) })
+			}
+		}
+	}
+	loadPerSecond = playPerSecond
+}
+
+// Guards against replicas that are overloaded in turns while others are idle, because
+// each of many entries sees next to nothing of their load, and against groups whose
+// loss of a placer, for 6 of 20 s, makes that worse than without groups.
+func TestGroupsBalanceLoad(t *testing.T) {
+	ideal := newPlay(78, 1)
+	ideal.run(idealChooser{}, playLength)
+	ideal.report(t, "ideal")
+	current := playReal(t, 78, Options{}, noFault)
+	current.report(t, "current")
+	for f, name := range []string{"groups", "killed", "frozen", "slow", "duplicated"} {
+		if testing.Short() && f > 0 {
+			break
+		}
+		p := playReal(t, 78, grouped, fault(f))
+		p.report(t, name)
+		p99 := p.quantile(.99, true, true)
+		qt.Check(t, p99 <= 0.2*current.quantile(.99, true, true), qt.IsTrue)
+		qt.Check(t, p99 <= 4*ideal.quantile(.99, true, true), qt.IsTrue)
+		qt.Check(t, p.inTime() >= 0.95, qt.IsTrue)
+		qt.Check(t, p.imbalance() < 0.05, qt.IsTrue)
+		qt.Check(t, p.prefilled < current.prefilled*105/100, qt.IsTrue)
+	}
+}
+
+// BenchmarkChoose measures the processor time that a request costs its entry, without
+// calls to placers.
+func BenchmarkChoose(b *testing.B) {
+	for name, o := range map[string]Options{"current": {}, "groups": grouped} {
+		b.Run(name, func(b *testing.B) {
+			o.FailureDomain, o.Log = "0", nolog.Or(nil)
+			c := &realChooser{p: newPlay(1, 1)}
+			c.balancers = make([]*Balancer, 78)
+			c.balancers[0] = New(playReplicas(), o)
+			g := NewGlobalBalancer(c.balancers[0], "0", playPeers{c, 0}, nolog.Or(nil))
+			q := Query{Service: "s", Slots: playSlots, PromptTokens: 2368, LatencyObjective: playShortGoal * time.Millisecond, Parts: []Part{{1, 568}}}
+			for b.Loop() {
+				choice, err := g.ChooseGlobal(b.Context(), q)
+				qt.Assert(b, err, qt.IsNil)
+				ticket := g.Begin(q, choice)
+				ticket.FirstTokenReceived()
+				ticket.End(Answered)
+			}
+		})
+	}
+}
--- a/gateway/balance/global.go
+++ b/gateway/balance/global.go
@@ -21,6 +21,8 @@
 	Members() []string
 	// Place calls Balancer.Place on a peer.
 	Place(ctx context.Context, peer string, q Query) (Placement, error)
+	// EndPlacement calls Balancer.EndPlacement on the placer.
+	EndPlacement(ctx context.Context, e End) error
 }
 
 // GlobalBalancer is a Balancer for which the owner of each service places the
@@ -30,22 +32,27 @@
 	self   string
 	peers  Peers
 	owners *ownership.Owners
+	// placers is used in a large deployment.
+	placers *placers
 }
 
 // NewGlobalBalancer returns a GlobalBalancer for the entry named self.
 func NewGlobalBalancer(b *Balancer, self string, peers Peers, log *logrus.Entry) *GlobalBalancer {
-	return &GlobalBalancer{Balancer: b, self: self, peers: peers, owners: ownership.New(time.Now, peers.Members, log.WithField("decides", "placement"))}
+	return &GlobalBalancer{Balancer: b, self: self, peers: peers, placers: newPlacers(), owners: ownership.New(time.Now, peers.Members, log.WithField("decides", "placement"))}
 }
 
 // ChooseGlobal returns the replica for a request, or ErrNoReplica. If the owner
 // of the service is unavailable, the local choice is used.
 func (g *GlobalBalancer) ChooseGlobal(ctx context.Context, q Query) (Choice, error) {
+	if g.isGrouped() {
+		return g.chooseGrouped(ctx, q)
+	}
 	local, err := g.Choose(q)
 	if err != nil || !g.NeedsCentralPlacement(q, local) {
 		return local, err
 	}
 	owner := g.owners.Owner("place/" + q.Service)
-	p, err := g.place(ctx, owner, q)
+	p, err := g.place(ctx, owner, q, placeTimeout)
 	if err != nil {
 		return local, nil // failed calls are logged; the local choice is good enough
 	}
@@ -60,14 +67,23 @@
 // errUnavailable reports that the owner is backed off after a failed call.
 var errUnavailable = errors.New("owner is backed off after a failed call")
 
-func (g *GlobalBalancer) place(ctx context.Context, owner string, q Query) (Placement, error) {
+// PlaceForPeer places a prompt in the group that the query names, or else as the
+// owner of the service.
+func (b *Balancer) PlaceForPeer(q Query) (Placement, error) {
+	if q.Group != "" {
+		return b.PlaceInGroup(q)
+	}
+	return b.Place(q)
+}
+
+func (g *GlobalBalancer) place(ctx context.Context, owner string, q Query, timeout time.Duration) (Placement, error) {
 	if owner == g.self {
-		return g.Place(q)
+		return g.PlaceForPeer(q)
 	}
 	if !g.owners.Available(owner) {
 		return Placement{}, errUnavailable
 	}
-	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	p, err := g.peers.Place(callCtx, owner, g.excludeBlocked(q))
 	if err != nil && !errors.Is(err, ErrNoReplica) && ctx.Err() == nil {
--- a/gateway/balance/global_test.go
+++ b/gateway/balance/global_test.go
@@ -35,6 +35,8 @@
 	}
 }
 
+func (p *placer) EndPlacement(context.Context, End) error { return p.err }
+
 var (
 	longQuery  = Query{Service: "s", Slots: 64, PromptTokens: 40_000, LatencyObjective: 500 * time.Millisecond}
 	shortQuery = Query{Service: "s", Slots: 64, PromptTokens: 1_000, LatencyObjective: 500 * time.Millisecond}
--- a/gateway/balance/peers.go
+++ b/gateway/balance/peers.go
@@ -125,6 +125,7 @@
 		b.distributeLocked(expected, rest, current.Ready[service], now)
 	}
 	b.peerLoads, b.peerPrefill, b.peerOutcomes = expected, prefill, reported
+	b.peersAt = now.Add(-newestAge(loads))
 }
 
 // distributeLocked distributes a load of unknown location over the replicas of a
@@ -160,3 +161,17 @@
 	moved = expectedLoad{float64(l.InFlight) - remaining.inFlight, float64(l.Tokens) - remaining.tokens}
 	return remaining, moved
 }
+
+// newestAge returns the age of the latest of the loads by replica or by service.
+func newestAge(loads []PeerLoad) time.Duration {
+	newest := time.Duration(math.MaxInt64)
+	for _, l := range loads {
+		if l.Endpoints != nil || l.Services != nil {
+			newest = min(newest, l.Age)
+		}
+	}
+	if newest == math.MaxInt64 {
+		return 0
+	}
+	return newest
+}
--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -25,6 +25,11 @@
 	CachedTokens int
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
+	// Wait is the wait for the next prompt in the group that the placer placed in.
+	Wait time.Duration
+	// Recorded is set if the placer has recorded the request as in progress until
+	// EndPlacement.
+	Recorded bool
 }
 
 // NeedsCentralPlacement reports whether the owner of the service places the
--- /dev/null
+++ b/gateway/balance/pools.go
@@ -0,0 +1,256 @@
+package balance
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+)
+
+// In a deployment of many entries, an entry sees a negligible part of the load of
+// a replica. The replicas of a service of engines are therefore divided into two
+// pools. Short prompts, which are too many for a call each, go to the pool of the
+// fastest replicas, where no long prompt delays them. Each entry has a few of the
+// slots there for itself, which it uses before others. Long prompts go to the other
+// pool. It is divided into groups, and one entry for each group places the long
+// prompts of all entries, from a record of those that are in progress there. A
+// service without long prompts is one pool.
+
+const (
+	// poolsTTL is the time for which pools are used. Speeds and loads change
+	// slower than that.
+	poolsTTL = 250 * time.Millisecond
+	// ejectedTTL is the time for which the set of ejected replicas is used if this
+	// entry sees no failure.
+	ejectedTTL = 100 * time.Millisecond
+	// heavyPromptFraction is the fraction of a service's minimum latency objective
+	// above which the prefill time of the complete prompt makes it long. It counts
+	// cached parts as well, so that all entries decide the same.
+	heavyPromptFraction = 0.2
+	// maxLongCapacity is the largest fraction of a service's capacity that the pool
+	// for long prompts gets. Above it, short prompts wait for each other more than
+	// long ones gain.
+	maxLongCapacity = 0.7
+	// groupReplicas is the intended number of replicas of a group. Larger groups
+	// balance better, but their placers get more calls: 20 a second in the hardest
+	// known load, of about 300 bytes with the report of the end.
+	groupReplicas = 4
+	// minOwnSlots is the least number of slots that an entry uses.
+	minOwnSlots = 3
+)
+
+// pool is a set of replicas from which candidates are drawn by weight.
+type pool struct {
+	replicas []*replica.Replica
+	// sums holds the sum of the weights up to each replica.
+	sums []float64
+}
+
+func (p *pool) add(r *replica.Replica, weight float64) {
+	p.replicas = append(p.replicas, r)
+	p.sums = append(p.sums, p.weight()+weight)
+}
+
+func (p *pool) weight() float64 {
+	if len(p.sums) == 0 {
+		return 0
+	}
+	return p.sums[len(p.sums)-1]
+}
+
+// draw returns a replica, given a random number of [0, 1).
+func (p *pool) draw(random float64) *replica.Replica {
+	i := sort.SearchFloat64s(p.sums, random*p.weight())
+	return p.replicas[min(i, len(p.replicas)-1)]
+}
+
+// group is a range of the replicas for long prompts of a failure domain, in the order
+// of the hashes of their IDs. A replica that comes or goes moves few others to another
+// group.
+type group struct {
+	domain       string
+	index, count int
+}
+
+func (g group) String() string { return fmt.Sprintf("%d/%d/%s", g.index, g.count, g.domain) }
+
+// parseGroup returns the group of a name.
+func parseGroup(name string) (group, bool) {
+	parts := strings.SplitN(name, "/", 3)
+	if len(parts) != 3 {
+		return group{}, false
+	}
+	index, err1 := strconv.Atoi(parts[0])
+	count, err2 := strconv.Atoi(parts[1])
+	return group{parts[2], index, count}, err1 == nil && err2 == nil && index >= 0 && index < count
+}
+
+// pools are the pools of one service.
+type pools struct {
+	ready       []*replica.Replica
+	until       time.Time
+	speeds      serviceSpeeds
+	short, long pool
+	// groups are those of the pool for long prompts, with their sums of weights and
+	// their replicas.
+	groups    []group
+	groupSums []float64
+	members   map[group][]*replica.Replica
+	// slots holds how many slots of each replica for short prompts are this entry's.
+	slots map[*replica.Replica]int
+	// ejected is the set of ejected replicas as of ejectedAt. It is computed again
+	// if stale is set.
+	ejected   map[string]bool
+	ejectedAt time.Time
+	stale     bool
+}
+
+// isGrouped reports whether the deployment is large.
+func (b *Balancer) isGrouped() bool { return b.opt.Grouped != nil && b.opt.Grouped() }
+
+// isHeavyLocked reports whether a prompt is long in a large deployment.
+func (b *Balancer) isHeavyLocked(q Query) bool {
+	if q.Slots == 0 || q.LatencyObjective <= 0 {
+		return false
+	}
+	prefill := float64(q.PromptTokens) / b.prefillRateLocked(q.Service).perSecond
+	return prefill > heavyPromptFraction*q.LatencyObjective.Seconds()
+}
+
+// poolsLocked returns the pools of a query's service.
+func (b *Balancer) poolsLocked(q Query, ready []*replica.Replica, now time.Time) *pools {
+	p := b.pools[q.Service]
+	same := p != nil && len(p.ready) == len(ready) && (len(ready) == 0 || &p.ready[0] == &ready[0])
+	if !same || now.After(p.until) {
+		p = b.newPoolsLocked(q, ready, now)
+		b.pools[q.Service] = p
+	}
+	if p.stale || now.Sub(p.ejectedAt) > ejectedTTL {
+		p.ejected, p.ejectedAt, p.stale = b.ejectedLocked(ready, now), now, false
+	}
+	return p
+}
+
+func (b *Balancer) newPoolsLocked(q Query, ready []*replica.Replica, now time.Time) *pools {
+	p := &pools{ready: ready, until: now.Add(poolsTTL), speeds: b.speedsLocked(q, ready, now), stale: true}
+	long := b.longPoolLocked(q, p.speeds, ready, now)
+	for _, r := range ready {
+		weight := p.speeds.share(p.speeds.speedOf(q, r))
+		if long == nil || !long[r.ID] {
+			p.short.add(r, weight)
+		}
+		if long == nil || long[r.ID] {
+			p.long.add(r, weight)
+		}
+	}
+	p.addGroups(q)
+	p.addSlots(q, b.rank, b.members)
+	return p
+}
+
+// addGroups divides the replicas for long prompts of each failure domain into groups.
+func (p *pools) addGroups(q Query) {
+	byDomain := make(map[string][]*replica.Replica)
+	for _, r := range p.long.replicas {
+		byDomain[r.FailureDomain] = append(byDomain[r.FailureDomain], r)
+	}
+	p.members = make(map[group][]*replica.Replica)
+	sum := 0.0
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		replicas := byDomain[domain]
+		slices.SortFunc(replicas, func(x, y *replica.Replica) int {
+			return cmp.Compare(xxhash.Sum64String(x.ID), xxhash.Sum64String(y.ID))
+		})
+		count := max(1, int(math.Round(float64(len(replicas))/groupReplicas)))
+		for i := range count {
+			g := group{domain, i, count}
+			p.members[g] = replicas[i*len(replicas)/count : (i+1)*len(replicas)/count]
+			for _, r := range p.members[g] {
+				sum += p.speeds.speedOf(q, r)
+			}
+			p.groups, p.groupSums = append(p.groups, g), append(p.groupSums, sum)
+		}
+	}
+}
+
+// addSlots assigns the slots of the replicas for short prompts to the entries in turn,
+// in the order of the hashes of the replicas' IDs. An entry has at least minOwnSlots.
+func (p *pools) addSlots(q Query, rank, members int) {
+	p.slots = make(map[*replica.Replica]int)
+	if q.Slots == 0 || members == 0 {
+		return
+	}
+	order := slices.Clone(p.short.replicas)
+	slices.SortFunc(order, func(x, y *replica.Replica) int {
+		return cmp.Compare(xxhash.Sum64String(x.ID), xxhash.Sum64String(y.ID))
+	})
+	total := q.Slots * len(order)
+	for n, slot := 0, rank; slot < total || n < minOwnSlots; n, slot = n+1, slot+members {
+		p.slots[order[slot%len(order)]]++
+	}
+}
+
+// replicasOf returns the replicas of a group. If a group isn't one of those that this
+// entry knows, because another entry knows other replicas, it is the part of the
+// domain's replicas that is in the same place.
+func (p *pools) replicasOf(g group) []*replica.Replica {
+	if replicas, found := p.members[g]; found {
+		return replicas
+	}
+	for known, replicas := range p.members {
+		if known.domain == g.domain && known.index == g.index*known.count/g.count {
+			return replicas
+		}
+	}
+	return nil
+}
+
+// longPoolLocked returns the IDs of the pool for long prompts, the slowest replicas
+// first, or nil if the service isn't divided.
+func (b *Balancer) longPoolLocked(q Query, speeds serviceSpeeds, ready []*replica.Replica, now time.Time) map[string]bool {
+	fraction := b.longLoadFractionLocked(q.Service, now)
+	if q.Slots == 0 || q.LatencyObjective <= 0 || len(ready) < minSplitReplicas || fraction <= 0 {
+		return nil
+	}
+	order, capacity := slices.Clone(ready), 0.0
+	for _, r := range ready {
+		capacity += speeds.speedOf(q, r)
+	}
+	slices.SortFunc(order, func(x, y *replica.Replica) int {
+		return cmp.Or(
+			cmp.Compare(speedStep(speeds.of(x)), speedStep(speeds.of(y))),
+			cmp.Compare(xxhash.Sum64String(x.ID), xxhash.Sum64String(y.ID)))
+	})
+	left := capacity * min(maxLongCapacity, longReplicasScale*fraction)
+	out := make(map[string]bool)
+	// At least one replica remains for short prompts.
+	for _, r := range order[:len(order)-1] {
+		// The last replica belongs to the side that needs more of it.
+		if left < speeds.speedOf(q, r)/2 {
+			break
+		}
+		left -= speeds.speedOf(q, r)
+		out[r.ID] = true
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	return out
+}
+
+// speedOf returns the speed by which requests of a query's kind are distributed.
+func (s serviceSpeeds) speedOf(q Query, r *replica.Replica) float64 {
+	if q.Slots == 0 {
+		return s.of(r).Work
+	}
+	return s.of(r).Prefill
+}
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
@@ -19,6 +20,9 @@
 	// length of prompts for which the rate matters.
 	priorSamples = 5
 	priorTokens  = 30_000
+	// delayedWeight is the weight of a sample that is a little above the line, where
+	// the wait of requests is unknown. A sample below has the weight 1.
+	delayedWeight = 0.15
 	// minBase and maxBase bound the fitted time to the first token of an empty
 	// prompt, in seconds.
 	minBase, maxBase = 0.005, 0.5
@@ -54,6 +58,11 @@
 	// other than prefill.
 	took = min(took, 3*(r.base+tokens/r.perSecond)+r.base)
 	r.add(tokens, took)
+	r.fit()
+}
+
+// fit sets the line by the samples.
+func (r *prefillRate) fit() {
 	determinant := r.n*r.xx - r.x*r.x
 	if r.n < minSamples || determinant <= 0 {
 		return
@@ -64,12 +73,27 @@
 	r.base = min(max((r.y-slope*r.x)/r.n, minBase), maxBase)
 }
 
-func (r *prefillRate) add(tokens, took float64) {
-	r.n = r.n*sampleDecay + 1
-	r.x = r.x*sampleDecay + tokens
-	r.y = r.y*sampleDecay + took
-	r.xx = r.xx*sampleDecay + tokens*tokens
-	r.xy = r.xy*sampleDecay + tokens*took
+// observeFastest updates the rate with a time to the first token that includes a wait
+// of unknown length. Times above the line have little weight, so that the line is that
+// of the requests with the shortest waits.
+func (r *prefillRate) observeFastest(tokens, took float64) {
+	weight := 1.0
+	if expected := r.base + tokens/r.perSecond; took > expected {
+		weight = delayedWeight * math.Pow(expected/took, 2)
+	}
+	r.addWeighted(tokens, took, weight)
+	r.fit()
+}
+
+func (r *prefillRate) add(tokens, took float64) { r.addWeighted(tokens, took, 1) }
+
+func (r *prefillRate) addWeighted(tokens, took, weight float64) {
+	decay := 1 - (1-sampleDecay)*weight
+	r.n = r.n*decay + weight
+	r.x = r.x*decay + weight*tokens
+	r.y = r.y*decay + weight*took
+	r.xx = r.xx*decay + weight*tokens*tokens
+	r.xy = r.xy*decay + weight*tokens*took
 }
 
 func (b *Balancer) prefillRateLocked(service string) *prefillRate {
@@ -178,7 +202,7 @@
 		b.busyLocked(q.Service).Add(t.sent, seconds)
 		m := b.mixLocked(q.Service)
 		m.all.Add(t.sent, seconds)
-		if b.isLong(q, t.uncachedTokens) {
+		if b.isLong(q, t.uncachedTokens) && !b.isGrouped() || b.isGrouped() && b.isHeavyLocked(q) {
 			m.long.Add(t.sent, seconds)
 		}
 	}
@@ -203,6 +227,11 @@
 		return
 	}
 	tokens, fit := float64(t.queuedTokens+t.uncachedTokens), t.b.prefillRateLocked(t.q.Service)
+	if t.b.isGrouped() {
+		// Where others have queued tokens isn't known.
+		fit.observeFastest(float64(t.uncachedTokens), took.Seconds()*t.choice.Speed)
+		return
+	}
 	if t.choice.relative {
 		// The rate is that of an engine of speed 1, whichever engines the prompts
 		// are sent to.
@@ -220,6 +249,7 @@
 		return
 	}
 	t.ended = true
+	defer t.choice.Release()
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	st := t.b.stateLocked(t.choice.Replica)
@@ -243,4 +273,7 @@
 	if o != Neutral {
 		st.failures.add(time.Now(), o)
 	}
+	if p := t.b.pools[t.q.Service]; p != nil && (o == Failed || o == Crashed) {
+		p.stale = true
+	}
 }
--- a/gateway/entry_test.go
+++ b/gateway/entry_test.go
@@ -81,6 +81,7 @@
 func (noPeers) Reserve(context.Context, string, string, float64, time.Duration) (rate.Reservation, error) {
 	return rate.Reservation{OK: true}, nil
 }
+func (noPeers) EndPlacement(context.Context, balance.End) error { return nil }
 func (noPeers) Place(context.Context, string, balance.Query) (balance.Placement, error) {
 	return balance.Placement{}, balance.ErrNoReplica
 }
