Place long prompts in groups in deployments of more than 16 members

Log lines of requests state the group, its wait and the age of the loads of other entries. A choice that isn't sent is released at its placer.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -120,7 +120,7 @@
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
 			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
 		),
-		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runSpeeds, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
+		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runSpeeds, runPlacementEnds, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
 	)
 	if err := g.app.Err(); err != nil {
@@ -194,8 +194,9 @@
 	return balance.NewSpeeds(set, balance.Options{Log: log})
 }
 
-func newBalancer(set *replica.Set, s gateway.Settings, t *throttle.Throttle, speeds *speed.Estimator, log *logrus.Entry) *balance.Balancer {
-	return balance.New(set, balance.Options{FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Throttle: t, Speeds: speeds, Log: log})
+func newBalancer(set *replica.Set, s gateway.Settings, t *throttle.Throttle, speeds *speed.Estimator, r *member.Registry, m *telemetry.Metrics, log *logrus.Entry) *balance.Balancer {
+	return balance.New(set, balance.Options{
+		Grouped: func() bool { return r.Count() > maxDirectReaders }, Count: m.Placed, FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Throttle: t, Speeds: speeds, Log: log})
 }
 
 func newPool(lc fx.Lifecycle, n Network) *upstream.Pool {
@@ -227,6 +228,16 @@
 	return throttle.New(throttle.Options{ID: s.ID, Peers: peers, Log: log, Count: m.Throttled})
 }
 
+// runPlacementEnds reports the ends of placed requests to their placers, and registers
+// the metrics of the loads of replicas.
+func runPlacementEnds(lc fx.Lifecycle, l *Loops, b *balance.GlobalBalancer, m *telemetry.Metrics) error {
+	l.Go(lc, b.RunEnds)
+	if err := m.RegisterReplicaLoads(func() telemetry.ReplicaLoads { return telemetry.ReplicaLoads(b.Loads()) }); err != nil {
+		return fmt.Errorf("app: metrics of replicas: %w", err)
+	}
+	return nil
+}
+
 // ownerPeers implements quota.Peers, balance.Peers and throttle.Peers.
 type ownerPeers struct {
 	view *peerView
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -218,11 +218,12 @@
 		Handlers: peer.Handlers{
 			EntryState: d.View.receive,
 			Counts:     d.View.counts, CountsPushed: d.View.receiveCounts,
-			Place:   func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, p) },
-			Reserve: d.Limits.ReserveOwned,
-			Permit:  d.Throttle.Grant,
-			Loads:   d.Rollup.Serve,
-			Changes: d.Followers.changesSince,
+			Place:     func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, p) },
+			PlacedEnd: func(e peer.PlacedEnd) { d.Balancer.EndPlacement(e.Endpoint) },
+			Reserve:   d.Limits.ReserveOwned,
+			Permit:    d.Throttle.Grant,
+			Loads:     d.Rollup.Serve,
+			Changes:   d.Followers.changesSince,
 			TemplateVersion: func(from, _ string, version uint64) {
 				d.Loops.Spawn(func(ctx context.Context) {
 					d.Followers.source.fetchFromPeer(ctx, version, func(ctx context.Context) (json.RawMessage, bool, error) {
--- a/app/gateway_place.go
+++ b/app/gateway_place.go
@@ -20,19 +20,26 @@
 	if err != nil {
 		return balance.Placement{}, err
 	}
-	if r.Endpoint == "" {
+	if r.Endpoint == "" && r.WaitMS == 0 {
 		return balance.Placement{}, balance.ErrNoReplica
 	}
 	return balance.Placement{
 		Replica: r.Endpoint, Incarnation: r.Incarnation, CachedTokens: r.CachedTokens,
 		FirstToken: time.Duration(r.FirstTokenMS) * time.Millisecond,
+		Wait:       time.Duration(r.WaitMS) * time.Millisecond, Recorded: r.Recorded,
 	}, nil
 }
 
+// EndPlacement implements balance.Peers.
+func (p *ownerPeers) EndPlacement(ctx context.Context, e balance.End) error {
+	return p.mesh.EndPlacement(ctx, e.Placer, peer.PlacedEnd{Endpoint: e.Replica})
+}
+
 func placeRequest(q balance.Query) peer.PlaceRequest {
 	out := peer.PlaceRequest{
 		Service: q.Service, Slots: q.Slots, PromptTokens: q.PromptTokens,
 		LatencyObjectiveMS: q.LatencyObjective.Milliseconds(), Exclude: slices.Collect(maps.Keys(q.Exclude)),
+		Group: q.Group, MaxWaitMS: q.MaxWait.Milliseconds(),
 	}
 	for _, part := range q.Parts {
 		out.Parts = append(out.Parts, peer.PlacePart{ID: strconv.FormatUint(part.ID, partIDBase), Tokens: part.Tokens})
@@ -45,6 +52,7 @@
 	q := balance.Query{
 		Service: p.Service, Slots: p.Slots, PromptTokens: p.PromptTokens,
 		LatencyObjective: time.Duration(p.LatencyObjectiveMS) * time.Millisecond, Exclude: make(map[string]bool),
+		Group: p.Group, MaxWait: time.Duration(p.MaxWaitMS) * time.Millisecond,
 	}
 	for _, id := range p.Exclude {
 		q.Exclude[id] = true
@@ -56,12 +64,13 @@
 		}
 		q.Parts = append(q.Parts, balance.Part{ID: id, Tokens: part.Tokens})
 	}
-	placed, err := b.Place(q)
+	placed, err := b.PlaceForPeer(q)
 	if err != nil {
 		return peer.PlaceResult{} // no replica
 	}
 	return peer.PlaceResult{
 		Endpoint: placed.Replica, Incarnation: placed.Incarnation, CachedTokens: placed.CachedTokens,
 		FirstTokenMS: placed.FirstToken.Milliseconds(),
+		WaitMS:       placed.Wait.Milliseconds(), Recorded: placed.Recorded,
 	}
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -36,16 +36,20 @@
 			return choice, x.noReplica(q, choice, err)
 		}
 		if err := x.refuseIfTooLate(choice); err != nil && lastEvent == "" {
+			choice.Release()
 			return choice, err
 		}
 		// The prompt may have crashed replicas since the request was admitted.
 		if err := x.checkQuarantine(); err != nil {
+			choice.Release()
 			return choice, err
 		}
 		x.permit = x.h.Throttle.Acquire(ctx, choice.Replica, x.permitRequest(q, choice))
-		switch {
-		case x.permit.OK && ctxtime.Sleep(ctx, x.permit.Delay):
+		if x.permit.OK && ctxtime.Sleep(ctx, x.permit.Delay) {
 			return choice, nil
+		}
+		choice.Release()
+		switch {
 		case ctx.Err() != nil:
 			return choice, verdict.New(verdict.NotRun, verdict.CodeCancelled, "request ended while it waited for a permit")
 		case asked == maxPermitCalls:
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -304,6 +304,9 @@
 func (x *exchange) addChoiceFields(f logrus.Fields) {
 	c := x.lastChoice
 	f["candidates"], f["in_flight"] = c.Candidates, c.InFlight
+	if c.ViewAge > 0 {
+		f["load_age_ms"] = c.ViewAge.Milliseconds()
+	}
 	addAgeField(f, "registry_age_ms", x.h.RegistryAge)
 	if c.FirstToken > 0 {
 		f["predicted_ms"], f["cached"], f["prompt"], f["ahead"] = c.FirstToken.Milliseconds(), c.CachedTokens, x.req.PromptTokens, c.QueuedTokens
@@ -313,6 +316,9 @@
 	}
 	if c.PlacedBy != "" {
 		f["placed_by"] = c.PlacedBy
+		if c.Group != "" {
+			f["group"], f["group_wait_ms"] = c.Group, c.GroupWait.Milliseconds()
+		}
 	}
 	if c.RunnerUp != nil {
 		f["runner_up"] = c.RunnerUp.ID
