Pools by lasting speeds, and groups that don't depend on the pools

With speeds that entries learn by themselves, entries disagreed on a few replicas of a pool. Groups are now ranges of all ready replicas of a failure domain. The division into pools follows smoothed speeds with hysteresis.

--- a/gateway/balance/pools.go
+++ b/gateway/balance/pools.go
@@ -40,10 +40,17 @@
 	// for long prompts gets. Above it, short prompts wait for each other more than
 	// long ones gain.
 	maxLongCapacity = 0.7
-	// groupReplicas is the intended number of replicas of a group. Larger groups
-	// balance better, but their placers get more calls: 20 a second in the hardest
-	// known load, of about 300 bytes with the report of the end.
-	groupReplicas = 4
+	// groupReplicas is the intended number of replicas of a range of which a group are
+	// those for long prompts. Larger groups balance better, but their placers get more
+	// calls: 15 a second in the hardest known load, of about 340 bytes with the report
+	// of the end.
+	groupReplicas = 6
+	// smoothTime is the time constant of the speeds by which replicas are divided into
+	// pools. It is long against spells.
+	smoothTime = 4 * time.Second
+	// stickyStep is the distance, in steps of speed, from which a replica changes its
+	// place in the order by speed.
+	stickyStep = 0.8
 	// minOwnSlots is the least number of slots that an entry uses.
 	minOwnSlots = 3
 )
@@ -97,7 +104,7 @@
 // pools are the pools of one service.
 type pools struct {
 	ready       []*replica.Replica
-	until       time.Time
+	at, until   time.Time
 	speeds      serviceSpeeds
 	short, long pool
 	// groups are those of the pool for long prompts, with their sums of weights and
@@ -105,6 +112,9 @@
 	groups    []group
 	groupSums []float64
 	members   map[group][]*replica.Replica
+	// lasting holds the smoothed logarithms of speeds, by replica ID, and steps the
+	// steps to which they are rounded, which are sticky.
+	lasting, steps map[string]float64
 	// slots holds how many slots of each replica for short prompts are this entry's.
 	slots map[*replica.Replica]int
 	// ejected is the set of ejected replicas as of ejectedAt. It is computed again
@@ -142,7 +152,8 @@
 
 func (b *Balancer) newPoolsLocked(q Query, ready []*replica.Replica, now time.Time) *pools {
 	p := &pools{ready: ready, until: now.Add(poolsTTL), speeds: b.speedsLocked(q, ready, now), stale: true}
-	long := b.longPoolLocked(q, p.speeds, ready, now)
+	p.smooth(q, b.pools[q.Service], now)
+	long := b.longPoolLocked(q, p, ready, now)
 	for _, r := range ready {
 		weight := p.speeds.share(p.speeds.speedOf(q, r))
 		if long == nil || !long[r.ID] {
@@ -152,17 +163,47 @@
 			p.long.add(r, weight)
 		}
 	}
-	p.addGroups(q)
+	p.addGroups()
 	p.addSlots(q, b.rank, b.members)
 	return p
 }
 
-// addGroups divides the replicas for long prompts of each failure domain into groups.
-func (p *pools) addGroups(q Query) {
+// smooth sets the lasting speeds, given the pools before these. Entries must agree on
+// the pools, so that spells and the noise of estimates must not show in them.
+func (p *pools) smooth(q Query, before *pools, now time.Time) {
+	p.at, p.lasting, p.steps = now, make(map[string]float64, len(p.ready)), make(map[string]float64, len(p.ready))
+	weight := 1.0
+	if before != nil {
+		weight = 1 - math.Exp(-now.Sub(before.at).Seconds()/smoothTime.Seconds())
+	}
+	for _, r := range p.ready {
+		v, step := math.Log(p.speeds.speedOf(q, r)), 0.0
+		if before != nil {
+			last, known := before.lasting[r.ID]
+			if !known {
+				last = 0
+			}
+			v, step = last+weight*(v-last), before.steps[r.ID]
+		}
+		if exact := v / math.Log(speedStepFactor); math.Abs(exact-step) > stickyStep {
+			step = math.Round(exact)
+		}
+		p.lasting[r.ID], p.steps[r.ID] = v, step
+	}
+}
+
+// addGroups divides the ready replicas of each failure domain into ranges of the order
+// of the hashes of their IDs. The replicas for long prompts of a range are a group.
+// Entries that disagree on a few of these thus agree on the groups of the others.
+func (p *pools) addGroups() {
 	byDomain := make(map[string][]*replica.Replica)
-	for _, r := range p.long.replicas {
+	for _, r := range p.ready {
 		byDomain[r.FailureDomain] = append(byDomain[r.FailureDomain], r)
 	}
+	long := make(map[*replica.Replica]bool, len(p.long.replicas))
+	for _, r := range p.long.replicas {
+		long[r] = true
+	}
 	p.members = make(map[group][]*replica.Replica)
 	sum := 0.0
 	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
@@ -173,15 +214,32 @@
 		count := max(1, int(math.Round(float64(len(replicas))/groupReplicas)))
 		for i := range count {
 			g := group{domain, i, count}
-			p.members[g] = replicas[i*len(replicas)/count : (i+1)*len(replicas)/count]
-			for _, r := range p.members[g] {
-				sum += p.speeds.speedOf(q, r)
+			for _, r := range replicas[i*len(replicas)/count : (i+1)*len(replicas)/count] {
+				if long[r] {
+					p.members[g] = append(p.members[g], r)
+					sum += math.Exp(p.lasting[r.ID])
+				}
 			}
 			p.groups, p.groupSums = append(p.groups, g), append(p.groupSums, sum)
 		}
 	}
 }
 
+// replicasOf returns the replicas of a group. If a group isn't one of those that this
+// entry knows, because another entry knows other replicas, it is the part of the
+// domain's replicas that is in the same place.
+func (p *pools) replicasOf(g group) []*replica.Replica {
+	if slices.Contains(p.groups, g) {
+		return p.members[g]
+	}
+	for known, replicas := range p.members {
+		if known.domain == g.domain && known.index == g.index*known.count/g.count {
+			return replicas
+		}
+	}
+	return nil
+}
+
 // addSlots assigns the slots of the replicas for short prompts to the entries in turn,
 // in the order of the hashes of the replicas' IDs. An entry has at least minOwnSlots.
 func (p *pools) addSlots(q Query, rank, members int) {
@@ -199,35 +257,20 @@
 	}
 }
 
-// replicasOf returns the replicas of a group. If a group isn't one of those that this
-// entry knows, because another entry knows other replicas, it is the part of the
-// domain's replicas that is in the same place.
-func (p *pools) replicasOf(g group) []*replica.Replica {
-	if replicas, found := p.members[g]; found {
-		return replicas
-	}
-	for known, replicas := range p.members {
-		if known.domain == g.domain && known.index == g.index*known.count/g.count {
-			return replicas
-		}
-	}
-	return nil
-}
-
 // longPoolLocked returns the IDs of the pool for long prompts, the slowest replicas
 // first, or nil if the service isn't divided.
-func (b *Balancer) longPoolLocked(q Query, speeds serviceSpeeds, ready []*replica.Replica, now time.Time) map[string]bool {
+func (b *Balancer) longPoolLocked(q Query, p *pools, ready []*replica.Replica, now time.Time) map[string]bool {
 	fraction := b.longLoadFractionLocked(q.Service, now)
 	if q.Slots == 0 || q.LatencyObjective <= 0 || len(ready) < minSplitReplicas || fraction <= 0 {
 		return nil
 	}
 	order, capacity := slices.Clone(ready), 0.0
 	for _, r := range ready {
-		capacity += speeds.speedOf(q, r)
+		capacity += math.Exp(p.lasting[r.ID])
 	}
 	slices.SortFunc(order, func(x, y *replica.Replica) int {
 		return cmp.Or(
-			cmp.Compare(speedStep(speeds.of(x)), speedStep(speeds.of(y))),
+			cmp.Compare(p.steps[x.ID], p.steps[y.ID]),
 			cmp.Compare(xxhash.Sum64String(x.ID), xxhash.Sum64String(y.ID)))
 	})
 	left := capacity * min(maxLongCapacity, longReplicasScale*fraction)
@@ -235,10 +278,11 @@
 	// At least one replica remains for short prompts.
 	for _, r := range order[:len(order)-1] {
 		// The last replica belongs to the side that needs more of it.
-		if left < speeds.speedOf(q, r)/2 {
+		speed := math.Exp(p.lasting[r.ID])
+		if left < speed/2 {
 			break
 		}
-		left -= speeds.speedOf(q, r)
+		left -= speed
 		out[r.ID] = true
 	}
 	if len(out) == 0 {
@@ -252,5 +296,6 @@
 	if q.Slots == 0 {
 		return s.of(r).Work
 	}
-	return s.of(r).Prefill
+	e := s.of(r)
+	return math.Sqrt(e.Prefill * e.Decode)
 }
