--- a/gateway/rollup/rollup.go
+++ b/gateway/rollup/rollup.go
@@ -76,15 +76,16 @@
 	// replaced and never modified.
 	speeds   map[string]peer.SpeedSamples
 	speedsAt time.Time
-	// domainSum and allSum are the sums over this failure domain and over all
-	// entries as of summedAt. They are replaced and never modified.
-	domainSum, allSum map[string]peer.SpeedSamples
+	// domainSum and allSum are the sums over this failure domain and over all entries
+	// as of summedAt.
+	domainSum, allSum publication
 	summedAt          time.Time
+	// versions holds the last version of the speeds that an aggregator replied with,
+	// by its ID.
+	versions map[string]uint64
 	// sent holds the samples that were reported to the aggregator sentTo.
 	sent   speedReports
 	sentTo string
-	// steps counts the reports of this entry, and replies the sums with speeds.
-	steps, replies int
 }
 
 // New returns a Rollup, which makes no calls before Run.
@@ -92,6 +93,7 @@
 	return &Rollup{
 		opt: o, entries: make(reports), domains: make(reports), backoffUntil: make(map[string]time.Time),
 		entrySpeeds: make(map[string]speedReports), domainSpeeds: make(map[string]speedReports),
+		domainSum: newPublication(), allSum: newPublication(), versions: make(map[string]uint64),
 	}
 }
 
@@ -127,7 +129,10 @@
 		sum := r.entries.total("", now)
 		add(sum, own, 1)
 		reply := peer.LoadSum{Load: forAggregator(sum)}
-		reply.Speeds = r.domainSpeedsLocked(own.Speeds, now)
+		if q.KnownSpeeds > 0 {
+			r.sumSpeedsLocked(own.Speeds, now)
+			reply.Speeds, reply.SpeedsVersion = r.domainSum.since(q.KnownSpeeds, now), r.domainSum.last
+		}
 		return reply
 	}
 	r.entries[from] = report{load: q.Load, at: now}
@@ -142,9 +147,9 @@
 		return peer.LoadSum{Load: forEntry(sum)}
 	}
 	reply := peer.LoadSum{Load: r.sumLocked(from, own, now)}
-	if q.WantSpeeds {
-		r.replies++
-		reply.Speeds = forReply(without(r.allSpeedsLocked(own.Speeds, now), r.entrySpeeds[from], now), r.replies)
+	if q.KnownSpeeds > 0 {
+		r.sumSpeedsLocked(own.Speeds, now)
+		reply.Speeds, reply.SpeedsVersion = without(r.allSum.since(q.KnownSpeeds, now), r.entrySpeeds[from], now), r.allSum.last
 	}
 	return reply
 }
@@ -174,7 +179,6 @@
 // step reports to the aggregator of this failure domain, or exchanges the sums
 // of the domains if this entry is the first candidate that answers.
 func (r *Rollup) step(ctx context.Context, aggregators map[string][]string) {
-	r.steps++
 	own := r.opt.Own()
 	speeds := own.Speeds
 	for _, id := range aggregators[r.opt.FailureDomain] {
@@ -184,13 +188,9 @@
 			return
 		}
 		own.Speeds = r.unsent(id, speeds, time.Now())
-		q := peer.LoadReport{Load: own, WantSpeeds: r.opt.Incarnation != nil && r.steps%speedsEvery == 0}
-		sum, ok := r.exchange(ctx, id, q)
+		sum, ok := r.exchange(ctx, id, peer.LoadReport{Load: own})
 		if ok {
 			r.setAggregates(false)
-			if q.WantSpeeds && sum.Speeds == nil {
-				sum.Speeds = make(map[string]peer.SpeedSamples)
-			}
 			r.update(sum)
 			return
 		}
@@ -241,8 +241,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.others, r.updatedAt = sum, time.Now()
-	if sum.Speeds != nil {
-		r.speeds, r.speedsAt = sum.Speeds, r.updatedAt
+	r.others.Speeds = nil
+	if r.opt.Incarnation != nil {
+		r.mergeSumLocked(sum.Speeds, r.updatedAt)
 	}
 }
 
@@ -257,11 +258,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	q.KnownSpeeds = r.knownSpeeds(id)
 	sum, err := r.opt.Peers.Exchange(callCtx, id, q)
 	switch {
 	case err == nil && sum.NotAggregator:
 		return peer.Load{}, false
 	case err == nil:
+		r.setKnownSpeeds(id, sum.SpeedsVersion)
 		return sum.Load, true
 	}
 	if ctx.Err() == nil {
--- a/gateway/rollup/rollup_test.go
+++ b/gateway/rollup/rollup_test.go
@@ -29,12 +29,14 @@
 	loads []peer.Load
 	// bytes counts the bytes that each entry sends and receives.
 	bytes map[string]int
+	// served counts the bytes of the calls that each entry serves.
+	served map[string]int
 }
 
 const oneWay = 500 * time.Microsecond
 
 func newFleet(ctx context.Context, entries, domains int) *fleet {
-	f := &fleet{domains: domains, cut: make(map[string]bool), bytes: make(map[string]int), loads: make([]peer.Load, entries)}
+	f := &fleet{domains: domains, cut: make(map[string]bool), bytes: make(map[string]int), served: make(map[string]int), loads: make([]peer.Load, entries)}
 	for i := range entries {
 		f.entries = append(f.entries, New(Options{
 			ID: id(i), FailureDomain: f.domain(i), Log: nolog.Or(nil),
@@ -43,7 +45,8 @@
 				defer f.mu.Unlock()
 				return f.loads[i]
 			},
-			Peers: fleetPeers{f, id(i)},
+			Peers:       fleetPeers{f, id(i)},
+			Incarnation: func(string) (int64, bool) { return born, true },
 		}))
 	}
 	for _, r := range f.entries {
@@ -88,6 +91,7 @@
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
 	p.f.bytes[p.self] += len(sent) + len(received)
+	p.f.served[to] += len(sent) + len(received)
 	return sum, nil
 }
 
--- a/gateway/rollup/speeds.go
+++ b/gateway/rollup/speeds.go
@@ -1,8 +1,6 @@
 package rollup
 
 import (
-	"hash/fnv"
-	"maps"
 	"math"
 	"time"
 
@@ -11,28 +9,32 @@
 )
 
 // The samples of speeds are sums that change slowly, of many replicas. To keep
-// messages small, an entry reports only those that changed, the aggregator retains
-// the last report of each replica, and an entry asks for the sums only in every
-// speedsEvery-th report.
+// messages small, an entry reports only those that changed, and the aggregator
+// retains the last report of each replica. In the other direction, an aggregator
+// numbers the sums that it publishes, and replies with those that are newer than the
+// last one that the entry knows.
 
 const (
-	// speedsEvery is the number of reports of which one asks for the speeds.
-	speedsEvery = 2
-	// resendAfter is the time after which unchanged samples are reported again,
-	// for an aggregator that has lost them.
-	resendAfter = 6 * time.Second
+	// resendAfter is the time after which unchanged samples are reported and sums are
+	// published again, because their weight decays.
+	resendAfter = 12 * time.Second
 	// minNewWeight is the weight of new samples from which a replica counts as
 	// changed.
 	minNewWeight = 0.2
 	// speedsTTL is how long the samples of one entry are retained.
-	speedsTTL = 2 * resendAfter
+	speedsTTL = 30 * time.Second
 	// maxReportWeight bounds the influence of one entry's samples, which have a
 	// weight of about 15 if 17 entries share the requests.
-	maxReportWeight = 60.0
-	// meanTolerance is the logarithm of a speed up to which it counts as that of
-	// the mean. Such replicas are part of one in nearMeanEvery sums only.
-	meanTolerance = 0.05
-	nearMeanEvery = 4
+	maxReportWeight = 30.0
+	// publishedChange and publishedGrowth are the change of the logarithm of a speed,
+	// and the factor of a weight, from which a sum is published again. The noise of a
+	// sum of 240 samples is 0.07.
+	publishedChange = 0.1
+	publishedGrowth = 1.5
+	// maxVersions bounds the number of aggregators whose versions are recorded.
+	maxVersions = 64
+	// wantAll is the known version of an entry that has no sums yet.
+	wantAll = 1
 	// sumPeriodPerSender is the time between two sums for each sender in them. To
 	// add the samples of one sender takes about ten microseconds.
 	sumPeriodPerSender = 3 * time.Millisecond
@@ -94,6 +96,43 @@
 	}
 }
 
+// mergeSumLocked replaces the sums that a reply contains, and lets the others decay.
+func (r *Rollup) mergeSumLocked(newer map[string]peer.SpeedSamples, now time.Time) {
+	sum := make(map[string]peer.SpeedSamples, len(r.speeds))
+	for id, s := range r.speeds {
+		if incarnation, ok := r.opt.Incarnation(id); ok && incarnation == s.Incarnation {
+			sum[id] = speedsAt{s, r.speedsAt}.decayed(now)
+		}
+	}
+	for id, s := range newer {
+		if incarnation, ok := r.opt.Incarnation(id); ok && incarnation == s.Incarnation {
+			sum[id] = s
+		}
+	}
+	r.speeds, r.speedsAt = sum, now
+}
+
+// knownSpeeds returns the version of the speeds that an aggregator has replied with,
+// wantAll if there is none, and 0 if this entry doesn't use them.
+func (r *Rollup) knownSpeeds(aggregator string) uint64 {
+	if r.opt.Incarnation == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(wantAll, r.versions[aggregator])
+}
+
+// setKnownSpeeds records the version of a reply.
+func (r *Rollup) setKnownSpeeds(aggregator string, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions[aggregator] = version
+	if len(r.versions) > maxVersions {
+		clear(r.versions)
+	}
+}
+
 // forgetSent makes the next report contain all samples, because the last one may not
 // have arrived.
 func (r *Rollup) forgetSent() {
@@ -116,31 +155,22 @@
 	sum[id] = total.Plus(samples)
 }
 
-// domainSpeedsLocked returns the samples of this failure domain, and
-// allSpeedsLocked those of all entries. Both are computed anew only after a time
-// that grows with the number of senders, so that the cost is bounded.
-func (r *Rollup) domainSpeedsLocked(own map[string]peer.SpeedSamples, now time.Time) map[string]peer.SpeedSamples {
-	r.sumSpeedsLocked(own, now)
-	return r.domainSum
-}
-
-func (r *Rollup) allSpeedsLocked(own map[string]peer.SpeedSamples, now time.Time) map[string]peer.SpeedSamples {
-	r.sumSpeedsLocked(own, now)
-	return r.allSum
-}
-
+// sumSpeedsLocked publishes the sums of the samples of this failure domain and of all
+// entries. It does so only after a time that grows with the number of senders, so that
+// the cost is bounded.
 func (r *Rollup) sumSpeedsLocked(own map[string]peer.SpeedSamples, now time.Time) {
-	if r.opt.Incarnation == nil || now.Sub(r.summedAt) < time.Duration(len(r.entrySpeeds))*sumPeriodPerSender && r.allSum != nil {
+	if r.opt.Incarnation == nil || now.Sub(r.summedAt) < time.Duration(len(r.entrySpeeds))*sumPeriodPerSender {
 		return
 	}
 	r.summedAt = now
-	r.domainSum = make(map[string]peer.SpeedSamples)
+	sum := make(map[string]peer.SpeedSamples)
 	for id, samples := range own {
-		r.addSpeeds(r.domainSum, id, samples)
+		r.addSpeeds(sum, id, samples)
 	}
-	r.addReports(r.domainSum, r.entrySpeeds, now)
-	r.allSum = maps.Clone(r.domainSum)
-	r.addReports(r.allSum, r.domainSpeeds, now)
+	r.addReports(sum, r.entrySpeeds, now)
+	r.domainSum.publish(sum, now)
+	r.addReports(sum, r.domainSpeeds, now)
+	r.allSum.publish(sum, now)
 }
 
 func (r *Rollup) addReports(sum map[string]peer.SpeedSamples, senders map[string]speedReports, now time.Time) {
@@ -169,33 +199,6 @@
 	return out
 }
 
-// forReply returns the speeds that a reply contains: replicas that differ from the
-// mean, and of the others a part in turn.
-func forReply(sum map[string]peer.SpeedSamples, turn int) map[string]peer.SpeedSamples {
-	out := make(map[string]peer.SpeedSamples, len(sum))
-	for id, s := range sum {
-		if differs(s) || hashOf(id)%nearMeanEvery == uint32(turn%nearMeanEvery) {
-			out[id] = s
-		}
-	}
-	return out
-}
-
-func differs(s peer.SpeedSamples) bool {
-	for _, k := range s.Kinds {
-		if k.Valid() && math.Abs(k.LogSpeed()) > meanTolerance {
-			return true
-		}
-	}
-	return false
-}
-
-func hashOf(id string) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
-	return h.Sum32()
-}
-
 // unsent returns the samples that the aggregator doesn't have, and records them as
 // sent to it.
 func (r *Rollup) unsent(aggregator string, own map[string]peer.SpeedSamples, now time.Time) map[string]peer.SpeedSamples {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -122,8 +122,9 @@
 	// DomainOnly is set by aggregators of other failure domains, which report
 	// nothing and request the sum of the called one's.
 	DomainOnly bool `json:"d,omitempty"`
-	// WantSpeeds asks for the speeds in the sum.
-	WantSpeeds bool `json:"w,omitempty"`
+	// KnownSpeeds asks for the speeds that are newer than this version of a sum. It
+	// is 1 for all of them, and 0 for none.
+	KnownSpeeds uint64 `json:"w,omitempty"`
 }
 
 // LoadSum is the reply to LoadReport.
@@ -131,6 +132,8 @@
 	Load
 	// NotAggregator is set if the called entry doesn't sum its domain's loads.
 	NotAggregator bool `json:"n,omitempty"`
+	// SpeedsVersion is the version of the speeds in the sum.
+	SpeedsVersion uint64 `json:"w,omitempty"`
 }
 
 // PrefillLoad is the mean number of engines that the prefill of one entry's
