--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -361,17 +361,17 @@
 		return c, cost + st.failures.rate(now)
 	}
 	c.CachedTokens = b.cachedLocked(q, r, ready, now)
-	fit := b.prefillRateLocked(q.Service)
 	c.QueuedTokens = st.ownLoad.Tokens + int(peerLoad.tokens)
-	tokens := c.QueuedTokens + max(0, q.PromptTokens-c.CachedTokens)
-	prefill := fit.base + float64(tokens)/fit.perSecond
-	decode := inFlight * delayPerRunning.Seconds()
-	if excess := inFlight + 1 - slots; excess > 0 {
-		decode += excess / slots * meanSlotTime.Seconds()
+	uncached := max(0, q.PromptTokens-c.CachedTokens)
+	t := b.engineTimeLocked(q.Service, float64(c.QueuedTokens+uncached), inFlight, slots)
+	even := t
+	if speeds.relative {
+		even = b.engineTimeLocked(q.Service, float64(st.ownLoad.Tokens+uncached)+peerLoad.tokens/e.Prefill,
+			float64(st.ownLoad.InFlight)+peerLoad.inFlight/e.Decode, slots)
 	}
-	firstToken, cost := b.engineCostLocked(q, r, engineTime{prefill, decode}, c.CachedTokens, b.isLong(q, q.PromptTokens-c.CachedTokens), speeds, now)
+	firstToken, cost := b.engineCostLocked(q, r, t, even, c.CachedTokens, speeds, now)
 	c.FirstToken = firstToken
-	c.atSpeed1 = time.Duration(float64(firstToken) * (prefill + decode) / (prefill/e.Prefill + decode/e.Decode))
+	c.atSpeed1 = time.Duration(float64(firstToken) * (t.prefill + t.decode) / t.at(e))
 	if r.FailureDomain != b.opt.FailureDomain {
 		cost += crossDomainCost.Seconds()
 	}
@@ -384,16 +384,28 @@
 // at returns the time at a speed.
 func (t engineTime) at(e speed.Estimate) float64 { return t.prefill/e.Prefill + t.decode/e.Decode }
 
+// engineTimeLocked returns the predicted time to the first token at speed 1.
+func (b *Balancer) engineTimeLocked(service string, tokens, inFlight, slots float64) engineTime {
+	fit := b.prefillRateLocked(service)
+	t := engineTime{prefill: fit.base + tokens/fit.perSecond, decode: inFlight * delayPerRunning.Seconds()}
+	if excess := inFlight + 1 - slots; excess > 0 {
+		t.decode += excess / slots * meanSlotTime.Seconds()
+	}
+	return t
+}
+
 // engineCostLocked returns the predicted time to the first token and the cost in
-// seconds, given the time at speed 1. Long prompts are sent to the replica that is
-// the fastest for them, and others are distributed by speed, if speeds are relative.
-func (b *Balancer) engineCostLocked(q Query, r *replica.Replica, t engineTime, cached int, long bool, speeds serviceSpeeds, now time.Time) (time.Duration, float64) {
+// seconds, given the time at speed 1. If speeds are relative, long prompts are sent to
+// the replica that is the fastest for them. Others are distributed by speed. Their
+// cost is that of the time even, which is predicted with the load of other entries
+// distributed evenly.
+func (b *Balancer) engineCostLocked(q Query, r *replica.Replica, t, even engineTime, cached int, speeds serviceSpeeds, now time.Time) (time.Duration, float64) {
 	st := b.stateLocked(r)
 	e := speeds.of(r)
 	predicted := t.at(e)
 	compared, jitter := predicted, engineJitter.Seconds()*b.random.Float64()
-	if speeds.relative && !long {
-		compared = t.at(speed.Estimate{Prefill: min(1, e.Prefill/slowReplica), Decode: min(1, e.Decode/slowReplica)})
+	if speeds.relative && !b.isLong(q, q.PromptTokens-cached) {
+		compared = even.at(speed.Estimate{Prefill: min(1, e.Prefill/slowReplica), Decode: min(1, e.Decode/slowReplica)})
 		jitter = speeds.spread(b.random.ExpFloat64(), engineJitter.Seconds()/2, e.Prefill)
 	}
 	if r.ColdRemaining > now.Sub(r.Seen) {
--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -83,7 +83,8 @@
 		wait = b.reservedLocked(r.ID, now)
 	}
 	prefill := float64(max(0, q.PromptTokens-cached)) / fit.perSecond
-	firstToken, cost := b.engineCostLocked(q, r, engineTime{prefill: wait + prefill + fit.base}, cached, true, speeds, now)
+	t := engineTime{prefill: wait + prefill + fit.base}
+	firstToken, cost := b.engineCostLocked(q, r, t, t, cached, speeds, now)
 	return Placement{Replica: r.ID, Incarnation: r.Incarnation, CachedTokens: cached, FirstToken: firstToken}, cost
 }
 
--- a/gateway/balance/speeds.go
+++ b/gateway/balance/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
@@ -24,12 +25,15 @@
 	// error, which all replicas have in common.
 	eventStep   = 30 * time.Millisecond
 	serviceStep = 100 * time.Millisecond
-	// stepPerRunning is the relative increase of a decode step by each running
-	// request.
-	stepPerRunning = 0.0075
-	// minMeasuredEvents is the number of events from which a stream is a sample of
-	// the decode speed.
-	minMeasuredEvents = 8
+	// gapQuantile is the quantile of the times between the events of a stream that
+	// tells the decode speed. The longer ones contain the prefill of other prompts,
+	// and some of the shortest are of events that were delivered together.
+	gapQuantile = 0.25
+	// maxGaps bounds the recorded times between events.
+	maxGaps = 64
+	// minGaps is the number of times between events from which a stream is a sample
+	// of the decode speed.
+	minGaps = 8
 )
 
 // Speeds estimates how fast replicas are, relative to the mean of their service.
@@ -139,18 +143,24 @@
 	}
 	// A part that is expected to be cached and isn't makes the replica look slow. It
 	// must not be most of the work.
-	if t.choice.relative && t.choice.CachedTokens <= t.uncachedTokens+t.queuedTokens {
-		observe(speed.Prefill, t.choice.atSpeed1, first)
+	if t.choice.relative && t.choice.CachedTokens <= t.uncachedTokens+t.ownQueued {
+		observe(speed.Prefill, t.unqueued, first)
 	}
-	if t.events >= minMeasuredEvents {
-		predicted := float64(t.events) * float64(eventStep) * (1 + stepPerRunning*float64(t.choice.InFlight))
-		observe(speed.Decode, time.Duration(predicted), now.Sub(t.firstAt))
+	if len(t.gaps) >= minGaps {
+		slices.Sort(t.gaps)
+		observe(speed.Decode, eventStep, t.gaps[int(gapQuantile*float64(len(t.gaps)))])
 	}
 }
 
-// EventsReceived sets the number of events of the answer, without which it is no
-// sample of the decode speed.
-func (t *Ticket) EventsReceived(n int) { t.events = n }
+// EventsReceived records that events of the answer have arrived together. The times
+// between them are samples of the decode speed.
+func (t *Ticket) EventsReceived(n int) {
+	now := time.Now()
+	if !t.eventAt.IsZero() && n > 0 && len(t.gaps) < maxGaps {
+		t.gaps = append(t.gaps, now.Sub(t.eventAt)/time.Duration(n))
+	}
+	t.eventAt = now
+}
 
 // Unmeasured marks an answer whose duration says nothing about the speed of the
 // replica, such as a rejection of the request.
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -128,11 +128,16 @@
 	uncachedTokens, queuedTokens int
 	started                      bool
 	ended                        bool
-	// firstAt is the time of the first token, events the number of events of the
-	// answer, and unmeasured is set if the answer is no sample of the speed.
-	firstAt    time.Time
-	events     int
-	unmeasured bool
+	// ownQueued is the part of queuedTokens that this entry sent, and unqueued the
+	// predicted time to the first token at speed 1 with these alone ahead.
+	ownQueued int
+	unqueued  time.Duration
+	// firstAt and eventAt are the times of the first token and of the last event, and
+	// gaps holds the times between events. unmeasured is set if the answer is no
+	// sample of the speed.
+	firstAt, eventAt time.Time
+	gaps             []time.Duration
+	unmeasured       bool
 }
 
 func (b *Balancer) busyLocked(service string) *rate.EWMA {
@@ -171,10 +176,13 @@
 	}
 	st := b.stateLocked(c.Replica)
 	t.queuedTokens = st.ownLoad.Tokens + int(b.peerLoads[c.Replica.ID].tokens)
+	t.ownQueued = st.ownLoad.Tokens
 	st.ownLoad.InFlight++
 	st.ownLoad.Tokens += t.uncachedTokens
 	if q.Slots > 0 {
 		seconds := float64(t.uncachedTokens) / b.prefillRateLocked(q.Service).perSecond
+		fit := b.prefillRateLocked(q.Service)
+		t.unqueued = time.Duration((fit.base + float64(t.ownQueued+t.uncachedTokens)/fit.perSecond) * float64(time.Second))
 		b.busyLocked(q.Service).Add(t.sent, seconds)
 		m := b.mixLocked(q.Service)
 		m.all.Add(t.sent, seconds)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -248,7 +248,6 @@
 	buf := make([]byte, copyBufferSize)
 	defer func() {
 		s.x.events += s.events
-		s.t.EventsReceived(s.events)
 		s.x.broken = s.progressAt(err)
 		s.x.partialEvent = len(s.splitter.remainder())
 	}()
@@ -316,6 +315,7 @@
 func (s *streamCopy) writeEvents() error {
 	before := s.events
 	err := s.writeArrived()
+	s.t.EventsReceived(s.events - before)
 	if s.events == before || s.clientWriteFailed {
 		return err
 	}
--- a/gateway/rollup/speeds.go
+++ b/gateway/rollup/speeds.go
@@ -28,7 +28,8 @@
 	maxReportWeight = 30.0
 	// publishedChange and publishedGrowth are the change of the logarithm of a speed,
 	// and the factor of a weight, from which a sum is published again. The noise of a
-	// sum of 240 samples is 0.07.
+	// sum of 240 samples is 0.07; a wrong published sum of prefill samples is wrong by
+	// the fourth root of the change only.
 	publishedChange = 0.1
 	publishedGrowth = 1.5
 	// maxVersions bounds the number of aggregators whose versions are recorded.
--- a/gateway/speed/samples.go
+++ b/gateway/speed/samples.go
@@ -47,12 +47,21 @@
 	// maxPeerWeight bounds the weight of the other entries, which is about 260 if
 	// they receive eight answers a second.
 	maxPeerWeight = 1000.0
+	// fastExponent makes the mean of prefill samples follow the fastest of them. Those
+	// found no queue, whatever the load, so that a loaded replica doesn't look slow. If
+	// a half of the samples waited long, the mean is 16 % too low.
+	fastExponent = -4.0
 	// logFactor is the logarithm of the change of an estimate that is logged, once
 	// it has minLoggedWeight samples.
 	logFactor       = 0.3
 	minLoggedWeight = 20.0
 )
 
+// exponents holds the exponent of the mean of relative times by kind. The durations
+// of plain requests are not known in advance, so that only their mean tells the
+// speed, and the samples of decoding leave out the influence of the load.
+var exponents = [kinds]float64{Prefill: fastExponent, Decode: 1, Work: 1}
+
 // decaying is a sum of samples as of a time.
 type decaying struct {
 	sum  peer.SpeedSample
@@ -94,7 +103,7 @@
 
 // refresh computes the estimate from the samples, the given time after the last
 // computation.
-func (k *kindState) refresh(now time.Time, since time.Duration) {
+func (k *kindState) refresh(now time.Time, since time.Duration, exponent float64) {
 	own, peers := k.own.at(now), k.peers.at(now)
 	k.weight = own.Weight + peers.Weight
 	k.known = k.known || k.weight > 0
@@ -102,8 +111,8 @@
 		return
 	}
 	k.raw = k.held
-	if time := own.Time + peers.Time; time > 0 {
-		k.raw = (k.weight*math.Log(k.weight/time) + priorWeight*k.held) / (k.weight + priorWeight)
+	if sum := (peer.SpeedSample{Weight: k.weight, Time: own.Time + peers.Time}); sum.Time > 0 {
+		k.raw = (k.weight*sum.LogSpeed()/exponent + priorWeight*k.held) / (k.weight + priorWeight)
 	}
 	k.held += (k.raw - k.held) * (1 - math.Exp(-since.Seconds()/holdTime.Seconds()))
 }
@@ -130,27 +139,30 @@
 // keeps the estimates from drifting together, also if only some of the replicas
 // get requests, because the estimates of those are what it is relative to.
 type level struct {
-	weight, time float64
-	samples      int
+	// power is the sum of the samples to the power of the kind's exponent, and linear
+	// that of the samples themselves.
+	weight, power, linear float64
+	samples               int
 }
 
 // observe adds a sample, the ratio of the measured to the predicted time, to the
 // level and to the replica.
-func (l *level) observe(now time.Time, k *kindState, ratio, weight float64) {
+func (l *level) observe(now time.Time, k *kindState, ratio, weight, exponent float64) {
 	speed := math.Exp(k.raw)
 	relative := ratio * speed
-	mean := 1.0
+	mean, linear := 1.0, 1.0
 	if l.samples >= minLevelSamples {
-		mean = l.time / l.weight
+		mean, linear = math.Pow(l.power/l.weight, 1/exponent), l.linear/l.weight
 		relative = min(max(relative, mean/maxLevelFactor), mean*maxLevelFactor)
 	}
 	l.samples++
 	l.weight = l.weight*(1-1/levelSamples) + weight
-	l.time = l.time*(1-1/levelSamples) + weight*relative
+	l.power = l.power*(1-1/levelSamples) + weight*math.Pow(relative, exponent)
+	l.linear = l.linear*(1-1/levelSamples) + weight*relative
 	if l.samples <= minLevelSamples {
 		return
 	}
-	relative = min(max(relative/mean, 1/maxSampleFactor), maxSampleFactor)
-	k.own.add(now, Memory, weight, relative/speed)
-	k.transient.add(now, transientMemory, weight, relative)
+	toMean := min(max(relative/mean, 1/maxSampleFactor), maxSampleFactor)
+	k.own.add(now, Memory, weight, math.Pow(toMean/speed, exponent))
+	k.transient.add(now, transientMemory, weight, min(relative/linear, maxSampleFactor))
 }
--- a/gateway/speed/speed.go
+++ b/gateway/speed/speed.go
@@ -96,7 +96,7 @@
 		weight = predicted.Seconds() / (predicted.Seconds() + halfWeightTime.Seconds())
 	}
 	e.refreshLocked(now)
-	e.levelLocked(service, k).observe(now, &st.kinds[k], ratio, weight)
+	e.levelLocked(service, k).observe(now, &st.kinds[k], ratio, weight, exponents[k])
 }
 
 // Of returns the current estimate of an incarnation.
@@ -209,7 +209,7 @@
 	for _, st := range e.replicas {
 		for i := range st.kinds {
 			k := &st.kinds[i]
-			k.refresh(now, since)
+			k.refresh(now, since, exponents[i])
 			if k.known {
 				key := levelKey{st.service, Kind(i)}
 				means[key] = mean{means[key].sum + k.raw, means[key].n + 1}
--- a/peer/speeds.go
+++ b/peer/speeds.go
@@ -12,9 +12,10 @@
 
 const (
 	// maxSpeedWeight and maxLogSpeed bound a sum of samples. A peer that exceeds
-	// them is faulty.
+	// them is faulty. The logarithm is that of the fourth power of a speed for some
+	// kinds.
 	maxSpeedWeight = 1e6
-	maxLogSpeed    = 3
+	maxLogSpeed    = 6
 	// logSpeedSteps is the number of steps of the logarithm of a speed on the wire.
 	logSpeedSteps = 100
 )
@@ -24,11 +25,11 @@
 	// Weight is the number of measurements, weighted by how much they tell.
 	Weight float64
 	// Time is the weighted sum of the measured times, each relative to the time
-	// expected at speed 1.
+	// expected at speed 1 and to the power of an exponent that depends on the kind.
 	Time float64
 }
 
-// LogSpeed returns the logarithm of the mean speed.
+// LogSpeed returns the logarithm of the mean speed, multiplied by the exponent.
 func (s SpeedSample) LogSpeed() float64 { return math.Log(s.Weight / s.Time) }
 
 // Valid reports whether the sum can be the one of a correct peer.
