Keep queues out of the speeds, and use these for homes of prompt parts

Queues are learned as congestion of a replica, by each entry alone. Homes of prompt parts follow the speeds.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -13,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
-	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
@@ -194,6 +193,10 @@
 	failures    failures
 	// ejected is set if the last choice excluded the replica.
 	ejected bool
+	// congestion is the ratio of the measured times to the first token to those that
+	// were predicted with speeds relative to the mean, as a decaying average of at
+	// least 1. It is 0 if there is none.
+	congestion float64
 }
 
 // partLocation is a replica that processed a prompt part, and the time at which
@@ -319,7 +322,7 @@
 			continue
 		}
 		c, cost := b.costLocked(q, r, ready, speeds, now)
-		cost += b.misplacementCost(q, q.PromptTokens-c.CachedTokens, r.ID, long)
+		cost += b.misplacementCost(q, q.PromptTokens-c.CachedTokens, r, long, speeds)
 		if a.limited[r.ID] {
 			cost += b.limitedCostLocked(q, c, least)
 		}
@@ -360,7 +363,7 @@
 		}
 		return c, cost + st.failures.rate(now)
 	}
-	c.CachedTokens = b.cachedLocked(q, r, ready, now)
+	c.CachedTokens = b.cachedLocked(q, r, ready, speeds, now)
 	c.QueuedTokens = st.ownLoad.Tokens + int(peerLoad.tokens)
 	uncached := max(0, q.PromptTokens-c.CachedTokens)
 	t := b.engineTimeLocked(q.Service, float64(c.QueuedTokens+uncached), inFlight, slots)
@@ -378,45 +381,6 @@
 	return c, cost
 }
 
-// engineTime is a predicted time in seconds at speed 1.
-type engineTime struct{ prefill, decode float64 }
-
-// at returns the time at a speed.
-func (t engineTime) at(e speed.Estimate) float64 { return t.prefill/e.Prefill + t.decode/e.Decode }
-
-// engineTimeLocked returns the predicted time to the first token at speed 1.
-func (b *Balancer) engineTimeLocked(service string, tokens, inFlight, slots float64) engineTime {
-	fit := b.prefillRateLocked(service)
-	t := engineTime{prefill: fit.base + tokens/fit.perSecond, decode: inFlight * delayPerRunning.Seconds()}
-	if excess := inFlight + 1 - slots; excess > 0 {
-		t.decode += excess / slots * meanSlotTime.Seconds()
-	}
-	return t
-}
-
-// engineCostLocked returns the predicted time to the first token and the cost in
-// seconds, given the time at speed 1. If speeds are relative, long prompts are sent to
-// the replica that is the fastest for them. Others are distributed by speed. Their
-// cost is that of the time even, which is predicted with the load of other entries
-// distributed evenly.
-func (b *Balancer) engineCostLocked(q Query, r *replica.Replica, t, even engineTime, cached int, speeds serviceSpeeds, now time.Time) (time.Duration, float64) {
-	st := b.stateLocked(r)
-	e := speeds.of(r)
-	predicted := t.at(e)
-	compared, jitter := predicted, engineJitter.Seconds()*b.random.Float64()
-	if speeds.relative && !b.isLong(q, q.PromptTokens-cached) {
-		compared = even.at(speed.Estimate{Prefill: min(1, e.Prefill/slowReplica), Decode: min(1, e.Decode/slowReplica)})
-		jitter = speeds.spread(b.random.ExpFloat64(), engineJitter.Seconds()/2, e.Prefill)
-	}
-	if r.ColdRemaining > now.Sub(r.Seen) {
-		predicted *= coldFactor
-		compared *= coldFactor
-	}
-	cost := compared*(1+failurePenalty*st.failures.rate(now)) + jitter
-	cost += cacheAffinity * float64(max(0, q.sharedTokens()-cached)) / b.prefillRateLocked(q.Service).perSecond
-	return time.Duration(predicted * float64(time.Second)), cost
-}
-
 func (b *Balancer) stateLocked(r *replica.Replica) *replicaState {
 	st := b.states[r.ID]
 	if st == nil {
@@ -425,8 +389,8 @@
 	}
 	if st.incarnation != r.Incarnation {
 		// After a restart, requests in flight to the old incarnation end
-		// through their tickets; failures are reset.
-		st.incarnation, st.failures = r.Incarnation, failures{}
+		// through their tickets; failures and congestion are reset.
+		st.incarnation, st.failures, st.congestion = r.Incarnation, failures{}, 0
 	}
 	return st
 }
--- a/gateway/balance/cache.go
+++ b/gateway/balance/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,7 +17,7 @@
 // cachedLocked returns how many prompt tokens are expected to be in a replica's
 // cache. A part counts only if all parts before it are cached, because the
 // cache matches prefixes.
-func (b *Balancer) cachedLocked(q Query, r *replica.Replica, ready []*replica.Replica, now time.Time) int {
+func (b *Balancer) cachedLocked(q Query, r *replica.Replica, ready []*replica.Replica, speeds serviceSpeeds, now time.Time) int {
 	sum := 0
 	for _, p := range q.Parts {
 		if !b.isCachedLocked(p.ID, r.ID, now) {
@@ -28,7 +29,7 @@
 		return sum
 	}
 	fraction := 0.0
-	switch first, second := homeReplicas(q.Parts[len(q.Parts)-1].ID, ready); r {
+	switch first, second := homeReplicas(q.Parts[len(q.Parts)-1].ID, ready, speeds); r {
 	case first:
 		fraction = homeCachedFraction
 	case second:
@@ -67,11 +68,15 @@
 
 // homeReplicas returns the two home replicas of a prompt part by rendezvous
 // hashing, so that all entries get the same ones. The second takes the requests
-// for which the first has no capacity.
-func homeReplicas(part uint64, ready []*replica.Replica) (first, second *replica.Replica) {
-	highest, next := uint64(0), uint64(0)
+// for which the first has no capacity. If speeds are relative to the mean, replicas
+// are the home of parts in proportion to their share of the requests.
+func homeReplicas(part uint64, ready []*replica.Replica, speeds serviceSpeeds) (first, second *replica.Replica) {
+	highest, next := 0.0, 0.0
 	for _, r := range ready {
-		h := pairHash(part, r.ID)
+		h := float64(pairHash(part, r.ID)) / (1 << 64)
+		if speeds.relative {
+			h = -speeds.homeWeight(r) / math.Log(max(h, math.SmallestNonzeroFloat64))
+		}
 		switch {
 		case first == nil || h > highest:
 			second, next = first, highest
--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		p, cost := b.placementLocked(q, r, ready, speeds, now)
-		cost += b.misplacementCost(q, q.PromptTokens-p.CachedTokens, r.ID, long)
+		cost += b.misplacementCost(q, q.PromptTokens-p.CachedTokens, r, long, speeds)
 		if a.limited[r.ID] {
 			cost += max(0, least-b.reservedLocked(r.ID, now))
 		}
@@ -76,7 +76,7 @@
 // its cost in seconds.
 func (b *Balancer) placementLocked(q Query, r *replica.Replica, ready []*replica.Replica, speeds serviceSpeeds, now time.Time) (Placement, float64) {
 	fit := b.prefillRateLocked(q.Service)
-	cached := b.cachedLocked(q, r, ready, now)
+	cached := b.cachedLocked(q, r, ready, speeds, now)
 	// The reserved time already is that of this replica.
 	wait := b.reservedLocked(r.ID, now) * speeds.of(r).Prefill
 	if !speeds.relative {
--- a/gateway/balance/speeds.go
+++ b/gateway/balance/speeds.go
@@ -20,6 +20,14 @@
 	// fast replicas serve a request sooner; near saturation their capacity must not
 	// be exceeded.
 	speedPreference = 2.0
+	// congestionWeight is the weight of one sample in a replica's congestion.
+	// maxCongestion is the upper bound of a congestion and of its samples, and
+	// minCongestionSample the lower bound of the samples.
+	congestionWeight                   = 0.1
+	maxCongestion, minCongestionSample = 8.0, 0.5
+	// homeExponent is the exponent of the speed by which replicas are homes of prompt
+	// parts. With 1, the slow replicas of the fleet test ran out of slots.
+	homeExponent = 2.0
 	// eventStep and serviceStep are the assumed durations of an event of a stream
 	// and of a request of a plain service at speed 1. Package speed removes their
 	// error, which all replicas have in common.
@@ -120,6 +128,12 @@
 	return math.Pow(v, speedPreference-s.utilization)
 }
 
+// homeWeight returns the weight of a replica as the home of prompt parts. It is
+// rounded, so that entries agree on homes and these rarely move.
+func (s serviceSpeeds) homeWeight(r *replica.Replica) float64 {
+	return math.Pow(math.Pow(speedStepFactor, speedStep(s.of(r))), homeExponent)
+}
+
 // spread returns a random cost for requests whose costs are otherwise the same. With
 // it they are distributed in proportion to the shares. The mean is that of a replica
 // with a share of 1.
@@ -165,3 +179,11 @@
 // Unmeasured marks an answer whose duration says nothing about the speed of the
 // replica, such as a rejection of the request.
 func (t *Ticket) Unmeasured() { t.unmeasured = true }
+
+// observeCongestion updates the congestion with the ratio of a measured time to the
+// predicted one, which contains the congestion.
+func (st *replicaState) observeCongestion(ratio float64) {
+	before := max(1, st.congestion)
+	ratio = min(max(ratio*before, minCongestionSample), maxCongestion)
+	st.congestion = min(max(before*math.Exp(congestionWeight*math.Log(ratio/before)), 1), maxCongestion)
+}
--- a/gateway/balance/split.go
+++ b/gateway/balance/split.go
@@ -150,15 +150,20 @@
 
 // misplacementCost returns the cost in seconds of a prompt on the wrong side of
 // the split.
-func (b *Balancer) misplacementCost(q Query, tokens int, id string, long map[string]bool) float64 {
+func (b *Balancer) misplacementCost(q Query, tokens int, r *replica.Replica, long map[string]bool, speeds serviceSpeeds) float64 {
 	if long == nil {
 		return 0
 	}
 	isLong := b.isLong(q, tokens)
 	switch {
-	case isLong && !long[id]:
+	case isLong && !long[r.ID]:
 		return misplacedLongCost * float64(tokens) / b.prefillRateLocked(q.Service).perSecond
-	case !isLong && long[id]:
+	case !isLong && long[r.ID]:
+		if speeds.relative {
+			// The subset holds the fast replicas. Without them the others ran out of
+			// slots, and on them the wait is short.
+			return 0
+		}
 		return misplacedShortCost * q.LatencyObjective.Seconds()
 	default:
 		return 0
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -215,6 +215,7 @@
 		// The rate is that of an engine of speed 1, whichever engines the prompts
 		// are sent to.
 		fit.observe(tokens, took.Seconds()*t.choice.Speed)
+		st.observeCongestion(took.Seconds() / t.choice.FirstToken.Seconds())
 		return
 	}
 	fit.observe(tokens, took.Seconds())
--- a/gateway/speed/speed.go
+++ b/gateway/speed/speed.go
@@ -237,7 +237,7 @@
 	if before == 0 {
 		before = 1
 	}
-	if e.opt.Log == nil || k.weight < minLoggedWeight || math.Abs(math.Log(k.persistent/before)) < logFactor {
+	if e.opt.Log == nil || !e.shared || k.weight < minLoggedWeight || math.Abs(math.Log(k.persistent/before)) < logFactor {
 		return
 	}
 	k.logged = k.persistent
