--- a/gateway/balance/draw.go
+++ b/gateway/balance/draw.go
@@ -46,13 +46,13 @@
 		from = &p.long
 	}
 	homes := sync.OnceValues(func() (first, second *replica.Replica) {
-		return homeReplicas(q.Parts[len(q.Parts)-1].ID, from.replicas)
+		return homeReplicas(q.Parts[len(q.Parts)-1].ID, from.replicas, p.speeds)
 	})
 	if c, ok := b.chooseSlotLocked(q, from, homes, ready, p, now); ok {
 		return c, true
 	}
 	var candidates []*replica.Replica
-	if home := b.homeOfRarePartLocked(q, from.replicas, now); home != nil && b.isUsableLocked(q, p, home) {
+	if home := b.homeOfRarePartLocked(q, p, from.replicas, now); home != nil && b.isUsableLocked(q, p, home) {
 		candidates = append(candidates, home)
 	}
 	want := min(len(candidates)+drawnCandidates, len(from.replicas))
@@ -111,9 +111,10 @@
 func (b *Balancer) drawnCostLocked(q Query, r *replica.Replica, homes func() (first, second *replica.Replica), p *pools, now time.Time) (Choice, float64) {
 	st, e := b.stateLocked(r), p.speeds.of(r)
 	inFlight := float64(st.ownLoad.InFlight)
-	c := Choice{Replica: r, InFlight: int(math.Round(inFlight + b.peerLoads[r.ID].inFlight)), Speed: p.speeds.speedOf(q, r), relative: p.speeds.relative}
+	c := Choice{Replica: r, InFlight: int(math.Round(inFlight + b.peerLoads[r.ID].inFlight)), Speed: e.Prefill, relative: p.speeds.relative}
 	penalty := failurePenalty * st.failures.rate(now)
 	if q.Slots == 0 {
+		c.Speed = e.Work
 		cost := (inFlight + 1) / float64(max(1, r.Slots)) / min(1, e.Work/slowReplica)
 		if r.FailureDomain != b.opt.FailureDomain {
 			cost += crossDomainCost.Seconds()
@@ -161,11 +162,11 @@
 	return len(locations) == 0 || now.Sub(locations[0].at) > interval
 }
 
-func (b *Balancer) homeOfRarePartLocked(q Query, replicas []*replica.Replica, now time.Time) *replica.Replica {
+func (b *Balancer) homeOfRarePartLocked(q Query, p *pools, replicas []*replica.Replica, now time.Time) *replica.Replica {
 	if !b.isRareLocked(q, now) {
 		return nil
 	}
-	home, _ := homeReplicas(q.Parts[len(q.Parts)-1].ID, replicas)
+	home, _ := homeReplicas(q.Parts[len(q.Parts)-1].ID, replicas, p.speeds)
 	return home
 }
 
--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		p, cost := b.placementLocked(q, r, ready, speeds, now)
-		cost += b.misplacementCost(q, q.PromptTokens-p.CachedTokens, r.ID, long)
+		cost += b.misplacementCost(q, q.PromptTokens-p.CachedTokens, r, long, speeds)
 		if a.limited[r.ID] {
 			cost += max(0, least-b.reservedLocked(r.ID, now))
 		}
@@ -81,14 +81,15 @@
 // its cost in seconds.
 func (b *Balancer) placementLocked(q Query, r *replica.Replica, ready []*replica.Replica, speeds serviceSpeeds, now time.Time) (Placement, float64) {
 	fit := b.prefillRateLocked(q.Service)
-	cached := b.cachedLocked(q, r, ready, now)
+	cached := b.cachedLocked(q, r, ready, speeds, now)
 	// The reserved time already is that of this replica.
 	wait := b.reservedLocked(r.ID, now) * speeds.of(r).Prefill
 	if !speeds.relative {
 		wait = b.reservedLocked(r.ID, now)
 	}
 	prefill := float64(max(0, q.PromptTokens-cached)) / fit.perSecond
-	firstToken, cost := b.engineCostLocked(q, r, engineTime{prefill: wait + prefill + fit.base}, cached, true, speeds, now)
+	t := engineTime{prefill: wait + prefill + fit.base}
+	firstToken, cost := b.engineCostLocked(q, r, t, t, cached, speeds, now)
 	return Placement{Replica: r.ID, Incarnation: r.Incarnation, CachedTokens: cached, FirstToken: firstToken}, cost
 }
 
