--- a/gateway/balance/draw.go
+++ b/gateway/balance/draw.go
@@ -21,8 +21,8 @@
 	maxDraws = 8
 )
 
-// chooseDrawn returns the best of a few replicas that are drawn from the pool of the
-// request, and of the home replica of its last shared part if this entry hasn't
+// chooseDrawn returns the best of the replicas on which a slot of this entry is free, or
+// else of a few that are drawn from the pool of the request, and of the home replica of its last shared part if this entry hasn't
 // sent the part lately. Each entry sends a popular part often, so that other parts
 // can't overload their home.
 func (b *Balancer) chooseDrawn(q Query) (Choice, error) {
@@ -48,22 +48,15 @@
 	homes := sync.OnceValues(func() (first, second *replica.Replica) {
 		return homeReplicas(q.Parts[len(q.Parts)-1].ID, from.replicas, p.speeds)
 	})
-	if c, ok := b.chooseSlotLocked(q, from, homes, ready, p, now); ok {
-		return c, true
-	}
 	var candidates []*replica.Replica
-	if home := b.homeOfRarePartLocked(q, p, from.replicas, now); home != nil && b.isUsableLocked(q, p, home) {
-		candidates = append(candidates, home)
+	if from == &p.short {
+		candidates = b.freeSlotsLocked(q, p)
 	}
-	want := min(len(candidates)+drawnCandidates, len(from.replicas))
-	for range maxDraws {
-		if len(candidates) == want {
-			break
-		}
-		r := from.draw(b.random.Float64())
-		if !slices.Contains(candidates, r) && b.isUsableLocked(q, p, r) {
-			candidates = append(candidates, r)
-		}
+	if len(candidates) == 0 {
+		candidates = b.drawLocked(q, p, from)
+	}
+	if home := b.homeOfRarePartLocked(q, homes, now); home != nil && b.isUsableLocked(q, p, home) {
+		candidates = append(candidates, home)
 	}
 	best, second, bestCost := Choice{}, Choice{}, math.Inf(1)
 	for _, r := range candidates {
@@ -81,26 +74,30 @@
 	return best, best.Replica != nil
 }
 
-// chooseSlotLocked returns the best replica on which a slot of this entry is free.
-func (b *Balancer) chooseSlotLocked(q Query, from *pool, homes func() (first, second *replica.Replica), ready []*replica.Replica, p *pools, now time.Time) (Choice, bool) {
-	if from != &p.short {
-		return Choice{}, false
-	}
-	best, second, bestCost := Choice{}, Choice{}, math.Inf(1)
+// freeSlotsLocked returns the replicas on which a slot of this entry is free.
+func (b *Balancer) freeSlotsLocked(q Query, p *pools) []*replica.Replica {
+	var out []*replica.Replica
 	for r, n := range p.slots {
-		if b.stateLocked(r).ownLoad.InFlight >= n || !b.isUsableLocked(q, p, r) || b.opt.Throttle != nil && b.opt.Throttle.Limited(r) {
-			continue
+		if b.stateLocked(r).ownLoad.InFlight < n && b.isUsableLocked(q, p, r) {
+			out = append(out, r)
 		}
-		c, cost := b.drawnCostLocked(q, r, homes, p, now)
-		cost += engineJitter.Seconds() * b.random.Float64()
-		if cost < bestCost {
-			best, second, bestCost = c, best, cost
-		} else if second.Replica == nil {
-			second = c
+	}
+	return out
+}
+
+// drawLocked draws candidates from a pool.
+func (b *Balancer) drawLocked(q Query, p *pools, from *pool) []*replica.Replica {
+	var out []*replica.Replica
+	for range maxDraws {
+		if len(out) == min(drawnCandidates, len(from.replicas)) {
+			break
+		}
+		r := from.draw(b.random.Float64())
+		if !slices.Contains(out, r) && b.isUsableLocked(q, p, r) {
+			out = append(out, r)
 		}
 	}
-	best.RunnerUp, best.Candidates, best.Alternatives, best.ViewAge = second.Replica, len(ready), true, b.viewAgeLocked(now)
-	return best, best.Replica != nil
+	return out
 }
 
 // drawnCostLocked returns the prediction for a request on a candidate, and its cost.
@@ -137,7 +134,7 @@
 	if r.FailureDomain != b.opt.FailureDomain {
 		cost += crossDomainCost.Seconds()
 	}
-	return c, cost
+	return c, cost + engineJitter.Seconds()*b.random.Float64()
 }
 
 // isUsableLocked reports whether a replica accepts the request.
@@ -162,11 +159,11 @@
 	return len(locations) == 0 || now.Sub(locations[0].at) > interval
 }
 
-func (b *Balancer) homeOfRarePartLocked(q Query, p *pools, replicas []*replica.Replica, now time.Time) *replica.Replica {
+func (b *Balancer) homeOfRarePartLocked(q Query, homes func() (first, second *replica.Replica), now time.Time) *replica.Replica {
 	if !b.isRareLocked(q, now) {
 		return nil
 	}
-	home, _ := homeReplicas(q.Parts[len(q.Parts)-1].ID, replicas, p.speeds)
+	home, _ := homes()
 	return home
 }
 
--- a/gateway/balance/global_test.go
+++ b/gateway/balance/global_test.go
@@ -31,11 +31,14 @@
 	case p.answer != nil:
 		return *p.answer, nil
 	default:
-		return p.owner.Place(q)
+		return p.owner.PlaceForPeer(q)
 	}
 }
 
-func (p *placer) EndPlacement(context.Context, End) error { return p.err }
+func (p *placer) EndPlacement(_ context.Context, e End) error {
+	p.owner.EndPlacement(e.Replica)
+	return p.err
+}
 
 var (
 	longQuery  = Query{Service: "s", Slots: 64, PromptTokens: 40_000, LatencyObjective: 500 * time.Millisecond}
--- /dev/null
+++ b/gateway/balance/groups_test.go
@@ -0,0 +1,99 @@
+package balance
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+)
+
+func (b *Balancer) placedInAll() int {
+	n := 0
+	for _, placed := range b.placements {
+		n += len(placed)
+	}
+	return n
+}
+
+// newGrouped returns an entry of a large deployment, and the only other member.
+func newGrouped() (*GlobalBalancer, *placer) {
+	set, p := newReplicas(8), &placer{}
+	o := Options{FailureDomain: "d", Log: nolog.Or(nil), Grouped: func() bool { return true }}
+	p.owner = New(set, o)
+	return NewGlobalBalancer(New(set, o), "e", p, nolog.Or(nil)), p
+}
+
+// Guards against placers that count requests as in progress which have ended, weren't
+// sent, or whose entry was killed, so that their replicas look full.
+func TestPlacedRequestsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, p := newGrouped()
+		go g.RunEnds(t.Context())
+		var choices []Choice
+		for range 3 {
+			c, err := g.ChooseGlobal(t.Context(), longQuery)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, c.PlacedBy, qt.Equals, "other")
+			choices = append(choices, c)
+		}
+		qt.Assert(t, p.owner.placedInAll(), qt.Equals, 3)
+		g.Begin(longQuery, choices[0]).End(Answered)
+		choices[1].Release()
+		synctest.Wait()
+		qt.Assert(t, p.owner.placedInAll(), qt.Equals, 1)
+		time.Sleep(placementTTL + time.Second)
+		p.owner.Prune()
+		qt.Assert(t, p.owner.placedInAll(), qt.Equals, 0)
+	})
+}
+
+// Guards against reports of ends to a peer of an earlier release, which would close the
+// connection for an unknown message.
+func TestEndsAreReportedOnlyToPlacersThatRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, p := newGrouped()
+		p.answer = &Placement{Replica: "r1"}
+		c, err := g.ChooseGlobal(t.Context(), longQuery)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.PlacedBy, qt.Equals, "other")
+		c.Release()
+		qt.Assert(t, len(g.placers.ends), qt.Equals, 0)
+	})
+}
+
+// Guards against requests that wait or fail because no placer answers.
+func TestGroupedChoiceWithoutPlacers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, p := newGrouped()
+		p.err = errors.New("not reached")
+		for range 5 {
+			c, err := g.ChooseGlobal(t.Context(), longQuery)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, c.Replica, qt.IsNotNil)
+			qt.Assert(t, c.PlacedBy, qt.Equals, "")
+		}
+		qt.Assert(t, p.calls, qt.Equals, 1)
+	})
+}
+
+// Guards against choices of replicas that this entry knows to be leaving, or that
+// earlier attempts of the request were sent to.
+func TestGroupedChoiceAvoidsLeavingAndTriedReplicas(t *testing.T) {
+	g, _ := newGrouped()
+	g.set.MarkLeaving("r1", 0, "test")
+	for _, q := range []Query{longQuery, shortQuery, {Service: "s"}} {
+		q.Exclude = map[string]bool{"r2": true, "r3": true, "r4": true, "r5": true, "r6": true, "r7": true}
+		for range 20 {
+			c, err := g.ChooseGlobal(t.Context(), q)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, c.Replica.ID, qt.Equals, "r0")
+		}
+		q.Exclude["r0"] = true
+		_, err := g.ChooseGlobal(t.Context(), q)
+		qt.Assert(t, err, qt.ErrorIs, ErrNoReplica)
+	}
+}
