--- a/gateway/balance/grouped.go
+++ b/gateway/balance/grouped.go
@@ -24,6 +24,9 @@
 	b := g.Balancer
 	g.updateMembers()
 	ready := b.set.Current().Ready[q.Service]
+	if len(ready) == 0 {
+		return Choice{}, ErrNoReplica
+	}
 	b.mu.Lock()
 	if !b.isHeavyLocked(q) {
 		b.mu.Unlock()
--- a/gateway/balance/groups.go
+++ b/gateway/balance/groups.go
@@ -38,6 +38,9 @@
 		return Placement{}, ErrNoReplica
 	}
 	ready := b.set.Current().Ready[q.Service]
+	if len(ready) == 0 {
+		return Placement{}, ErrNoReplica
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
--- a/gateway/balance/groups_test.go
+++ b/gateway/balance/groups_test.go
@@ -97,3 +97,20 @@
 		qt.Assert(t, err, qt.ErrorIs, ErrNoReplica)
 	}
 }
+
+// Guards against a crash of an entry by a service without replicas, and by requests of a
+// peer with any content.
+func TestGroupsWithoutReplicasOrSense(t *testing.T) {
+	g, p := newGrouped()
+	none := longQuery
+	none.Service = "none"
+	_, err := g.ChooseGlobal(t.Context(), none)
+	qt.Assert(t, err, qt.ErrorIs, ErrNoReplica)
+	for _, name := range []string{"", "x", "0/0/d", "-1/2/d", "3/2/d", "1/1000000000000/d", "0/1/elsewhere"} {
+		for _, slots := range []int{-1, 0, 1 << 40} {
+			_, _ = p.owner.PlaceInGroup(Query{Service: "s", Slots: slots, PromptTokens: -5, Group: name})
+			_, err = p.owner.PlaceInGroup(Query{Service: "none", Slots: slots, Group: name})
+			qt.Assert(t, err, qt.ErrorIs, ErrNoReplica)
+		}
+	}
+}
--- a/gateway/balance/pools.go
+++ b/gateway/balance/pools.go
@@ -51,6 +51,9 @@
 	// stickyStep is the distance, in steps of speed, from which a replica changes its
 	// place in the order by speed.
 	stickyStep = 0.8
+	// maxSlots bounds the slots of a replica that are divided, because a peer may state
+	// any number.
+	maxSlots = 1024
 	// minOwnSlots is the least number of slots that an entry uses.
 	minOwnSlots = 3
 )
@@ -244,14 +247,14 @@
 // in the order of the hashes of the replicas' IDs. An entry has at least minOwnSlots.
 func (p *pools) addSlots(q Query, rank, members int) {
 	p.slots = make(map[*replica.Replica]int)
-	if q.Slots == 0 || members == 0 {
+	if q.Slots <= 0 || members == 0 || len(p.short.replicas) == 0 {
 		return
 	}
 	order := slices.Clone(p.short.replicas)
 	slices.SortFunc(order, func(x, y *replica.Replica) int {
 		return cmp.Compare(xxhash.Sum64String(x.ID), xxhash.Sum64String(y.ID))
 	})
-	total := q.Slots * len(order)
+	total := min(q.Slots, maxSlots) * len(order)
 	for n, slot := 0, rank; slot < total || n < minOwnSlots; n, slot = n+1, slot+members {
 		p.slots[order[slot%len(order)]]++
 	}
