--- a/app/gateway.go
+++ b/app/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/scaling"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
@@ -117,11 +118,11 @@
 		fx.Supply(c.Settings, c.Deps, c.Network, g.log, Incarnation(uuid.NewString())),
 		fx.Provide(
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
-			newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
+			newSpeeds, newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
 			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup, newRoomControl,
 		),
-		fx.Invoke(watchEpoch, runGatewayMesh, runExchanges, runRollup, runRoom, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
+		fx.Invoke(watchEpoch, runGatewayMesh, runExchanges, runRollup, runSpeeds, runPlacementEnds, runRoom, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready, &g.limits),
 	)
 	if err := g.app.Err(); err != nil {
@@ -191,8 +192,13 @@
 
 func newConfigHolder() *config.Holder { return &config.Holder{} }
 
-func newBalancer(set *replica.Set, s gateway.Settings, t *throttle.Throttle, log *logrus.Entry) *balance.Balancer {
-	return balance.New(set, balance.Options{FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Throttle: t, Log: log})
+func newSpeeds(set *replica.Set, log *logrus.Entry) *speed.Estimator {
+	return balance.NewSpeeds(set, balance.Options{Log: log})
+}
+
+func newBalancer(set *replica.Set, s gateway.Settings, t *throttle.Throttle, speeds *speed.Estimator, r *member.Registry, m *telemetry.Metrics, log *logrus.Entry) *balance.Balancer {
+	return balance.New(set, balance.Options{
+		Grouped: func() bool { return r.Count() > maxDirectReaders }, Count: m.Placed, FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Throttle: t, Speeds: speeds, Log: log})
 }
 
 func newPool(lc fx.Lifecycle, n Network) *upstream.Pool {
@@ -229,6 +235,16 @@
 	return throttle.New(throttle.Options{ID: s.ID, Peers: peers, Log: log, Count: m.Throttled})
 }
 
+// runPlacementEnds reports the ends of placed requests to their placers, and registers
+// the metrics of the loads of replicas.
+func runPlacementEnds(lc fx.Lifecycle, l *Loops, b *balance.GlobalBalancer, m *telemetry.Metrics) error {
+	l.Go(lc, b.RunEnds)
+	if err := m.RegisterReplicaLoads(func() telemetry.ReplicaLoads { return telemetry.ReplicaLoads(b.Loads()) }); err != nil {
+		return fmt.Errorf("app: metrics of replicas: %w", err)
+	}
+	return nil
+}
+
 // ownerPeers implements quota.Peers, balance.Peers and throttle.Peers.
 type ownerPeers struct {
 	view *peerView
@@ -362,10 +378,11 @@
 	r.m.Stated(replica, statement, known)
 }
 
-func runSweeps(lc fx.Lifecycle, l *Loops, pool *upstream.Pool, b *balance.Balancer) {
+func runSweeps(lc fx.Lifecycle, l *Loops, pool *upstream.Pool, b *balance.Balancer, speeds *speed.Estimator) {
 	l.Every(lc, sweepPeriod, func(context.Context) {
 		pool.Sweep()
 		b.Prune()
+		speeds.Prune()
 	})
 }
 
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -255,6 +255,7 @@
 			EntryState: d.View.receive,
 			Counts:     d.View.counts, CountsPushed: d.View.receiveCounts,
 			Place:             func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, p) },
+			PlacedEnd:         func(e peer.PlacedEnd) { d.Balancer.EndPlacement(e.Endpoint) },
 			Reserve:           d.Limits.ReserveOwned,
 			Permit:            d.Throttle.Grant,
 			ReserveReplicated: d.Limits.ReserveReplica, Levels: d.Limits.MergeLevels,
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -106,6 +106,10 @@
 	Exclude map[string]bool
 	// Class is the request's class for replicas that have a limit.
 	Class throttle.Class
+	// Group is the group of replicas that a placer chooses from, and MaxWait the wait
+	// above which it declines. See PlaceInGroup.
+	Group   string
+	MaxWait time.Duration
 }
 
 // sharedTokens returns how many tokens of the prompt are in shared parts.
@@ -141,6 +145,21 @@
 	// PlacedBy is the entry that placed a long prompt; empty if this entry
 	// chose the replica locally.
 	PlacedBy string
+	// Group is the group that a long prompt was placed in, and GroupWait the wait
+	// there as its placer predicted it.
+	Group     string
+	GroupWait time.Duration
+	// ViewAge is the age of the loads of the other entries.
+	ViewAge time.Duration
+	// ended reports the end of a placed request to its placer. It may be nil.
+	ended func()
+	// Speed is the estimate of the replica's speed that the choice is based on:
+	// of its prefill, or of its work if it is one of a plain service.
+	Speed float64
+	// atSpeed1 is the prediction of FirstToken for a replica of speed 1. relative is
+	// set if the estimates are relative to the mean of the service.
+	atSpeed1 time.Duration
+	relative bool
 }
 
 // Balancer chooses replicas from the state of this entry and the last state
@@ -175,6 +194,17 @@
 	// reservedUntil is the time when a replica will have processed the long
 	// prompts that this entry placed on it, by replica ID.
 	reservedUntil map[string]time.Time
+	// placements holds the times at which this entry placed the prompts in progress
+	// on a replica, by replica ID.
+	placements map[string][]time.Time
+	// pools holds the pools of each service, in a large deployment.
+	pools map[string]*pools
+	// rank is the place of this entry among the members of a large deployment.
+	rank, members int
+	// since is the time from which this entry records prompt parts.
+	since time.Time
+	// peersAt is the time as of which the loads of other entries are known.
+	peersAt time.Time
 	// partLocations holds the replicas that processed a prompt part, by part.
 	partLocations *lru.Cache[uint64, []partLocation]
 }
@@ -186,9 +216,10 @@
 	failures    failures
 	// ejected is set if the last choice excluded the replica.
 	ejected bool
-	// slowdown is the ratio of the replica's measured times to the first token
-	// to the predicted ones, as a decaying average of at least 1.
-	slowdown float64
+	// congestion is the ratio of the measured times to the first token to those that
+	// were predicted with speeds relative to the mean, as a decaying average of at
+	// least 1. It is 0 if there is none.
+	congestion float64
 }
 
 // partLocation is a replica that processed a prompt part, and the time at which
@@ -207,7 +238,15 @@
 	Seed uint64
 	// Throttle holds the limits of replicas. It may be nil.
 	Throttle *throttle.Throttle
-	Log      *logrus.Entry
+	// Speeds estimates the speeds of replicas. If it is nil, the Balancer learns
+	// alone which replicas are slow.
+	Speeds Speeds
+	// Grouped reports whether the deployment has so many entries that requests are
+	// distributed over pools and groups of replicas. If it is nil, it hasn't.
+	Grouped func() bool
+	// Count counts the outcomes of placements in groups. It may be nil.
+	Count func(outcome string)
+	Log   *logrus.Entry
 }
 
 // IsLeaving reports whether a replica is draining or gone.
@@ -228,8 +267,12 @@
 	if err != nil {
 		panic(err) // only for a size below 1
 	}
+	if o.Speeds == nil {
+		o.Speeds = NewSpeeds(set, o)
+	}
 	return &Balancer{
-		set: set, opt: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
+		since: time.Now(),
+		set:   set, opt: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
 		states:        make(map[string]*replicaState),
 		prefillRates:  make(map[string]*prefillRate),
 		busy:          make(map[string]*rate.EWMA),
@@ -237,6 +280,8 @@
 		durations:     make(map[string]*serviceDurations),
 		peerLoads:     make(map[string]expectedLoad),
 		reservedUntil: make(map[string]time.Time),
+		placements:    make(map[string][]time.Time),
+		pools:         make(map[string]*pools),
 		partLocations: parts,
 	}
 }
@@ -299,15 +344,16 @@
 		ejected = nil // a replica that fails often is better than none
 	}
 	least := b.leastLoadLocked(a)
-	long := b.longPromptReplicas(q, ready, now)
+	speeds := b.speedsLocked(q, ready, now)
+	long := b.longPromptReplicas(q, ready, speeds, now)
 	best, second := Choice{}, Choice{}
 	bestCost, secondCost := math.Inf(1), math.Inf(1)
 	for _, r := range a.replicas {
 		if ejected[r.ID] {
 			continue
 		}
-		c, cost := b.costLocked(q, r, ready, now)
-		cost += b.misplacementCost(q, q.PromptTokens-c.CachedTokens, r.ID, long)
+		c, cost := b.costLocked(q, r, ready, speeds, now)
+		cost += b.misplacementCost(q, q.PromptTokens-c.CachedTokens, r, long, speeds)
 		if a.limited[r.ID] {
 			cost += b.limitedCostLocked(q, c, least)
 		}
@@ -329,58 +375,53 @@
 // costLocked returns the prediction for a request on a replica, and the cost of
 // this choice. The unit of the cost is seconds for model engines and requests
 // per slot for plain services.
-func (b *Balancer) costLocked(q Query, r *replica.Replica, ready []*replica.Replica, now time.Time) (Choice, float64) {
+func (b *Balancer) costLocked(q Query, r *replica.Replica, ready []*replica.Replica, speeds serviceSpeeds, now time.Time) (Choice, float64) {
 	st := b.stateLocked(r)
 	peerLoad := b.peerLoads[r.ID]
 	inFlight := float64(st.ownLoad.InFlight) + peerLoad.inFlight
-	c := Choice{Replica: r, InFlight: int(math.Round(inFlight))}
+	e := speeds.of(r)
+	c := Choice{Replica: r, InFlight: int(math.Round(inFlight)), Speed: e.Prefill, relative: speeds.relative}
 	slots := float64(max(1, q.Slots, r.Slots))
 	if q.Slots == 0 {
-		cost := (inFlight + 1 + serviceJitter*b.random.Float64()) / slots
+		c.Speed = e.Work
+		cost := (inFlight + 1 + serviceJitter*b.random.Float64()) / (slots * e.Work)
+		if speeds.relative {
+			// Most of the load is that of other entries, whose location is unknown.
+			cost = inFlight/(slots*e.Work) + speeds.spread(b.random.ExpFloat64(), 1/slots, e.Work)
+		}
 		if r.FailureDomain != b.opt.FailureDomain {
 			cost += crossDomainCost.Seconds()
 		}
 		return c, cost + st.failures.rate(now)
 	}
-	c.CachedTokens = b.cachedLocked(q, r, ready, now)
-	fit := b.prefillRateLocked(q.Service)
+	c.CachedTokens = b.cachedLocked(q, r, ready, speeds, now)
 	c.QueuedTokens = st.ownLoad.Tokens + int(peerLoad.tokens)
-	tokens := c.QueuedTokens + max(0, q.PromptTokens-c.CachedTokens)
-	predicted := fit.base + float64(tokens)/fit.perSecond + inFlight*delayPerRunning.Seconds()
-	if excess := inFlight + 1 - slots; excess > 0 {
-		predicted += excess / slots * meanSlotTime.Seconds()
+	uncached := max(0, q.PromptTokens-c.CachedTokens)
+	t := b.engineTimeLocked(q.Service, float64(c.QueuedTokens+uncached), inFlight, slots)
+	even := t
+	if speeds.relative {
+		even = b.engineTimeLocked(q.Service, float64(st.ownLoad.Tokens+uncached)+peerLoad.tokens/e.Prefill,
+			float64(st.ownLoad.InFlight)+peerLoad.inFlight/e.Decode, slots)
 	}
-	firstToken, cost := b.engineCostLocked(q, r, predicted, c.CachedTokens, now)
+	firstToken, cost := b.engineCostLocked(q, r, t, even, c.CachedTokens, speeds, now)
 	c.FirstToken = firstToken
+	c.atSpeed1 = time.Duration(float64(firstToken) * (t.prefill + t.decode) / t.at(e))
 	if r.FailureDomain != b.opt.FailureDomain {
 		cost += crossDomainCost.Seconds()
 	}
 	return c, cost
 }
 
-// engineCostLocked scales the predicted time to the first token, in seconds, by
-// the slowdown of the engine, and returns the result and the cost in seconds.
-func (b *Balancer) engineCostLocked(q Query, r *replica.Replica, predicted float64, cached int, now time.Time) (time.Duration, float64) {
-	st := b.stateLocked(r)
-	predicted *= st.slowdown
-	if r.ColdRemaining > now.Sub(r.Seen) {
-		predicted *= coldFactor
-	}
-	cost := predicted*(1+failurePenalty*st.failures.rate(now)) + engineJitter.Seconds()*b.random.Float64()
-	cost += cacheAffinity * float64(max(0, q.sharedTokens()-cached)) / b.prefillRateLocked(q.Service).perSecond
-	return time.Duration(predicted * float64(time.Second)), cost
-}
-
 func (b *Balancer) stateLocked(r *replica.Replica) *replicaState {
 	st := b.states[r.ID]
 	if st == nil {
-		st = &replicaState{incarnation: r.Incarnation, slowdown: 1}
+		st = &replicaState{incarnation: r.Incarnation}
 		b.states[r.ID] = st
 	}
 	if st.incarnation != r.Incarnation {
 		// After a restart, requests in flight to the old incarnation end
-		// through their tickets; failures and slowdown are reset.
-		st.incarnation, st.failures, st.slowdown = r.Incarnation, failures{}, 1
+		// through their tickets; failures and congestion are reset.
+		st.incarnation, st.failures, st.congestion = r.Incarnation, failures{}, 0
 	}
 	return st
 }
@@ -396,6 +437,9 @@
 			delete(b.states, id)
 		}
 	}
+	for id := range b.placements {
+		b.placedLocked(id, time.Now())
+	}
 	for id, until := range b.reservedUntil {
 		if time.Now().After(until) {
 			delete(b.reservedUntil, id)
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 )
 
@@ -19,14 +20,12 @@
 	// length of prompts for which the rate matters.
 	priorSamples = 5
 	priorTokens  = 30_000
+	// delayedWeight is the weight of a sample that is a little above the line, where
+	// the wait of requests is unknown. A sample below has the weight 1.
+	delayedWeight = 0.15
 	// minBase and maxBase bound the fitted time to the first token of an empty
 	// prompt, in seconds.
 	minBase, maxBase = 0.005, 0.5
-	// slowdownWeight is the weight of one sample in a replica's slowdown.
-	slowdownWeight = 0.1
-	// maxSlowdown is the upper bound of a replica's slowdown and of its
-	// samples. minSlowdownSample is the lower bound of the samples.
-	maxSlowdown, minSlowdownSample = 8.0, 0.5
 )
 
 // prefillRate estimates how fast the engines of a service process prompts. It
@@ -59,6 +58,11 @@
 	// other than prefill.
 	took = min(took, 3*(r.base+tokens/r.perSecond)+r.base)
 	r.add(tokens, took)
+	r.fit()
+}
+
+// fit sets the line by the samples.
+func (r *prefillRate) fit() {
 	determinant := r.n*r.xx - r.x*r.x
 	if r.n < minSamples || determinant <= 0 {
 		return
@@ -69,12 +73,27 @@
 	r.base = min(max((r.y-slope*r.x)/r.n, minBase), maxBase)
 }
 
-func (r *prefillRate) add(tokens, took float64) {
-	r.n = r.n*sampleDecay + 1
-	r.x = r.x*sampleDecay + tokens
-	r.y = r.y*sampleDecay + took
-	r.xx = r.xx*sampleDecay + tokens*tokens
-	r.xy = r.xy*sampleDecay + tokens*took
+// observeFastest updates the rate with a time to the first token that includes a wait
+// of unknown length. Times above the line have little weight, so that the line is that
+// of the requests with the shortest waits.
+func (r *prefillRate) observeFastest(tokens, took float64) {
+	weight := 1.0
+	if expected := r.base + tokens/r.perSecond; took > expected {
+		weight = delayedWeight * math.Pow(expected/took, 2)
+	}
+	r.addWeighted(tokens, took, weight)
+	r.fit()
+}
+
+func (r *prefillRate) add(tokens, took float64) { r.addWeighted(tokens, took, 1) }
+
+func (r *prefillRate) addWeighted(tokens, took, weight float64) {
+	decay := 1 - (1-sampleDecay)*weight
+	r.n = r.n*decay + weight
+	r.x = r.x*decay + weight*tokens
+	r.y = r.y*decay + weight*took
+	r.xx = r.xx*decay + weight*tokens*tokens
+	r.xy = r.xy*decay + weight*tokens*took
 }
 
 func (b *Balancer) prefillRateLocked(service string) *prefillRate {
@@ -133,6 +152,16 @@
 	uncachedTokens, queuedTokens int
 	started                      bool
 	ended                        bool
+	// ownQueued is the part of queuedTokens that this entry sent, and unqueued the
+	// predicted time to the first token at speed 1 with these alone ahead.
+	ownQueued int
+	unqueued  time.Duration
+	// firstAt and eventAt are the times of the first token and of the last event, and
+	// gaps holds the times between events. unmeasured is set if the answer is no
+	// sample of the speed.
+	firstAt, eventAt time.Time
+	gaps             []time.Duration
+	unmeasured       bool
 }
 
 func (b *Balancer) busyLocked(service string) *rate.EWMA {
@@ -185,14 +214,17 @@
 	}
 	st := b.stateLocked(c.Replica)
 	t.queuedTokens = st.ownLoad.Tokens + int(b.peerLoads[c.Replica.ID].tokens)
+	t.ownQueued = st.ownLoad.Tokens
 	st.ownLoad.InFlight++
 	st.ownLoad.Tokens += t.uncachedTokens
 	if q.Slots > 0 {
 		seconds := float64(t.uncachedTokens) / b.prefillRateLocked(q.Service).perSecond
+		fit := b.prefillRateLocked(q.Service)
+		t.unqueued = time.Duration((fit.base + float64(t.ownQueued+t.uncachedTokens)/fit.perSecond) * float64(time.Second))
 		b.busyLocked(q.Service).Add(t.sent, seconds)
 		m := b.mixLocked(q.Service)
 		m.all.Add(t.sent, seconds)
-		if b.isLong(q, t.uncachedTokens) {
+		if b.isLong(q, t.uncachedTokens) && !b.isGrouped() || b.isGrouped() && b.isHeavyLocked(q) {
 			m.long.Add(t.sent, seconds)
 		}
 	}
@@ -206,19 +238,32 @@
 		return
 	}
 	t.started = true
-	took := time.Since(t.sent).Seconds()
+	t.firstAt = time.Now()
+	took := t.firstAt.Sub(t.sent)
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	st := t.b.stateLocked(t.choice.Replica)
 	st.ownLoad.Tokens -= t.uncachedTokens
-	t.b.durationsLocked(t.q.Service).waiting.add(took, float64(t.uncachedTokens))
-	predicted := t.choice.FirstToken.Seconds()
-	if t.q.Slots == 0 || predicted <= 0 {
+	t.b.durationsLocked(t.q.Service).waiting.add(took.Seconds(), float64(t.uncachedTokens))
+	if t.q.Slots == 0 || t.choice.FirstToken <= 0 {
 		return
 	}
-	t.b.prefillRateLocked(t.q.Service).observe(float64(t.queuedTokens+t.uncachedTokens), took)
-	ratio := min(max(took/predicted*st.slowdown, minSlowdownSample), maxSlowdown)
-	st.slowdown = min(max(st.slowdown*math.Exp(slowdownWeight*math.Log(ratio/st.slowdown)), 1), maxSlowdown)
+	tokens, fit := float64(t.queuedTokens+t.uncachedTokens), t.b.prefillRateLocked(t.q.Service)
+	if t.b.isGrouped() {
+		// Where others have queued tokens isn't known.
+		fit.observeFastest(float64(t.uncachedTokens), took.Seconds()*t.choice.Speed)
+		return
+	}
+	if t.choice.relative {
+		// The rate is that of an engine of speed 1, whichever engines the prompts
+		// are sent to.
+		fit.observe(tokens, took.Seconds()*t.choice.Speed)
+		st.observeCongestion(took.Seconds() / t.choice.FirstToken.Seconds())
+		return
+	}
+	fit.observe(tokens, took.Seconds())
+	r := t.choice.Replica
+	t.b.opt.Speeds.Observe(t.firstAt, r.Service, r.ID, r.Incarnation, speed.Prefill, t.choice.atSpeed1, took)
 }
 
 // End records how the request ended.
@@ -227,6 +272,7 @@
 		return
 	}
 	t.ended = true
+	defer t.choice.Release()
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	st := t.b.stateLocked(t.choice.Replica)
@@ -238,9 +284,19 @@
 	}
 	if t.q.Slots > 0 && t.started {
 		// A running request occupies one slot's fraction of the engine.
-		t.b.busyLocked(t.q.Service).Add(time.Now(), took/float64(t.q.Slots))
+		running := took / float64(t.q.Slots)
+		if t.choice.relative {
+			running *= t.b.speedOf(t.choice.Replica, time.Now()).Decode
+		}
+		t.b.busyLocked(t.q.Service).Add(time.Now(), running)
+	}
+	if o == Answered {
+		t.recordSpeedLocked(time.Now())
 	}
 	if o != Neutral {
 		st.failures.add(time.Now(), o)
 	}
+	if p := t.b.pools[t.q.Service]; p != nil && (o == Failed || o == Crashed) {
+		p.stale = true
+	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -97,6 +97,8 @@
 	x.firstTokenForRoom()
 	if a.Status < http.StatusMultipleChoices {
 		x.settleWhole(a)
+	} else {
+		t.Unmeasured()
 	}
 	if outcome == balance.Failed && len(body) <= maxBufferedBody && x.mayRunAgain() {
 		x.failedAnswer = &bufferedAnswer{replica: x.replica, answer: a, body: body}
@@ -314,6 +316,7 @@
 func (s *streamCopy) writeEvents() error {
 	before := s.events
 	err := s.writeArrived()
+	s.t.EventsReceived(s.events - before)
 	if s.events == before || s.clientWriteFailed {
 		return err
 	}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -29,6 +29,7 @@
 	methodEvidence    = "evidence"
 	methodLimits      = "limits"
 	methodPermit      = "permit"
+	methodPlacedEnd   = "placed_end"
 )
 
 // Demand is the demand of one customer at one entry.
@@ -113,6 +114,8 @@
 	Outcomes map[string]Outcomes `json:"o,omitempty"`
 	// Demand is the demand by service. Releases before room control ignore it.
 	Demand map[string]ServiceDemand `json:"q,omitempty"`
+	// Speeds are the samples of replicas' speeds by endpoint ID.
+	Speeds map[string]SpeedSamples `json:"v,omitempty"`
 }
 
 // LoadReport reports the load of an entry to the aggregator of its failure
@@ -122,6 +125,9 @@
 	// DomainOnly is set by aggregators of other failure domains, which report
 	// nothing and request the sum of the called one's.
 	DomainOnly bool `json:"d,omitempty"`
+	// KnownSpeeds asks for the speeds that are newer than this version of a sum. It
+	// is 1 for all of them, and 0 for none.
+	KnownSpeeds uint64 `json:"w,omitempty"`
 }
 
 // LoadSum is the reply to LoadReport.
@@ -129,6 +135,8 @@
 	Load
 	// NotAggregator is set if the called entry doesn't sum its domain's loads.
 	NotAggregator bool `json:"n,omitempty"`
+	// SpeedsVersion is the version of the speeds in the sum.
+	SpeedsVersion uint64 `json:"w,omitempty"`
 }
 
 // PrefillLoad is the mean number of engines that the prefill of one entry's
@@ -368,6 +376,10 @@
 	LatencyObjectiveMS int64 `json:"o"`
 	// Exclude are the endpoints of earlier attempts of the request.
 	Exclude []string `json:"x,omitempty"`
+	// Group is the group of endpoints to choose from, and MaxWaitMS the wait above
+	// which the peer chooses none. A peer of an earlier release ignores both.
+	Group     string `json:"g,omitempty"`
+	MaxWaitMS int64  `json:"w,omitempty"`
 }
 
 // PlacePart is a prompt part and its length.
@@ -383,6 +395,15 @@
 	Incarnation  int64  `json:"b,omitempty"`
 	CachedTokens int    `json:"c,omitempty"`
 	FirstTokenMS int64  `json:"f,omitempty"`
+	// WaitMS is the wait in the group. Recorded is set if the peer has recorded the
+	// request as in progress until PlacedEnd.
+	WaitMS   int64 `json:"w,omitempty"`
+	Recorded bool  `json:"r,omitempty"`
+}
+
+// PlacedEnd tells the peer that placed a request that the request has ended.
+type PlacedEnd struct {
+	Endpoint string `json:"e"`
 }
 
 // changesParams requests the changes of a feed after a version.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -48,6 +48,7 @@
 	statements  metric.Int64Counter
 	throttle    metric.Int64Counter
 	limits      metric.Int64Counter
+	placements  metric.Int64Counter
 	replicas    names
 	room        metric.Int64Counter
 	roomWait    metric.Float64Histogram
@@ -71,7 +72,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [15]error
+	var errs [16]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -106,6 +107,8 @@
 	m.roomWait, errs[14] = m.meter.Float64Histogram("coltsfootcleat.room_wait_ratio",
 		metric.WithExplicitBucketBoundaries(ratioBounds...),
 		metric.WithDescription("Actual time until there was room for a refused request, divided by the expected one."))
+	m.placements, errs[15] = m.meter.Int64Counter("coltsfootcleat.placements",
+		metric.WithDescription("Calls to the placers of groups of replicas, by outcome."))
 	return errors.Join(errs[:]...)
 }
 
