--- a/app/gateway_room.go
+++ b/app/gateway_room.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollup"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/room"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 	"github.com/coltsfootcleat/coltsfootcleat/telemetry"
@@ -51,8 +52,11 @@
 	at       time.Time
 }
 
-func newRoomControl(set *replica.Set, c *config.Holder, m *telemetry.Metrics, log *logrus.Entry) *roomControl {
+func newRoomControl(set *replica.Set, c *config.Holder, speeds *speed.Estimator, m *telemetry.Metrics, log *logrus.Entry) *roomControl {
 	r := &roomControl{replicas: set, config: c, capacities: make(map[string]cachedCapacity)}
+	r.speed = func(x *replica.Replica) float64 {
+		return speeds.Of(time.Now(), x.Service, x.ID, x.Incarnation).Prefill
+	}
 	r.control = room.New(room.Options{
 		Capacity: r.capacity, Seed: rand.Uint64(), Log: log, Count: m.RoomDecided, Expected: m.RoomExpected,
 	})
--- a/gateway/balance/pools.go
+++ b/gateway/balance/pools.go
@@ -158,7 +158,12 @@
 	p.smooth(q, b.pools[q.Service], now)
 	long := b.longPoolLocked(q, p, ready, now)
 	for _, r := range ready {
-		weight := p.speeds.share(p.speeds.speedOf(q, r))
+		weight := p.speeds.speedOf(q, r)
+		if q.Slots > 0 {
+			// Without a prompt to distribute by, a preference for fast replicas fills
+			// their few slots.
+			weight = p.speeds.share(weight)
+		}
 		if long == nil || !long[r.ID] {
 			p.short.add(r, weight)
 		}
