--- a/app/gateway_room_test.go
+++ b/app/gateway_room_test.go
@@ -21,7 +21,7 @@
 	holder.Offer((&config.Configuration{Version: 1, Services: map[string]config.Service{
 		"s": {Name: "s", Engine: &config.Engine{Slots: 16}, Scaling: &config.Scaling{Boot: 4 * time.Second}},
 	}}).Compile())
-	return newRoomControl(set, holder, m, nolog.Or(nil)), set
+	return newRoomControl(set, holder, newSpeeds(set, nolog.Or(nil)), m, nolog.Or(nil)), set
 }
 
 // TestSmallDeploymentsAndOtherServicesHaveNoRoomControl guards against a change for
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -19,11 +19,10 @@
 	askAgainPeriod = 10 * time.Millisecond
 	// exchangeTimeout bounds a call to the other owner of limits.
 	exchangeTimeout = 150 * time.Millisecond
-	// minAskTimeout and maxAskTimeout bound the call to the first owner of a limit,
-	// after which the second is called. A host with a fifth of a processor may be
-	// paused for some tens of milliseconds, and with 60 ms and less, bursts made
-	// entries take busy owners for lost ones.
-	minAskTimeout, maxAskTimeout = 60 * time.Millisecond, 120 * time.Millisecond
+	// askTimeout bounds the call to the first owner of a limit, after which the second
+	// is called. A host with a fifth of a processor may be paused for some tens of
+	// milliseconds: with 60 ms, entries took busy owners for lost ones in bursts.
+	askTimeout = reserveTimeout
 )
 
 // ReplicaPeers connects the owners of replicated limits.
@@ -116,7 +115,7 @@
 		if !g.owners.Available(owner) {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, min(max(maxDelay, minAskTimeout), maxAskTimeout))
+		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 		r, err := g.replicas.ReserveReplica(callCtx, owner, customer, units, maxDelay)
 		cancel()
 		switch {
--- a/gateway/quota/order.go
+++ b/gateway/quota/order.go
@@ -18,7 +18,7 @@
 	// while the customer asks for more than its limit. Classes of larger requests must
 	// be served half as often as all; the rest is for changes of the load. Equal
 	// fractions would refuse many small requests for each large one.
-	minServed = 0.8
+	minServed = 0.7
 	// openFill is the fill level from which on all classes are served, so that the
 	// limit is used when the others don't ask.
 	openFill = 0.8
