--- a/app/gateway.go
+++ b/app/gateway.go
@@ -196,7 +196,9 @@
 
 func newBalancer(set *replica.Set, s gateway.Settings, t *throttle.Throttle, speeds *speed.Estimator, r *member.Registry, m *telemetry.Metrics, log *logrus.Entry) *balance.Balancer {
 	return balance.New(set, balance.Options{
-		Grouped: func() bool { return r.Count() > maxDirectReaders }, Count: m.Placed, FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Throttle: t, Speeds: speeds, Log: log})
+		FailureDomain: s.FailureDomain, Seed: rand.Uint64(), Throttle: t, Speeds: speeds, Log: log,
+		Grouped: func() bool { return r.Count() > maxDirectReaders }, Count: m.Placed,
+	})
 }
 
 func newPool(lc fx.Lifecycle, n Network) *upstream.Pool {
--- a/gateway/balance/groups.go
+++ b/gateway/balance/groups.go
@@ -13,9 +13,8 @@
 	// report of its end. The entry that sends the prompt may have been killed.
 	placementTTL = 10 * time.Second
 	// runningCost is the cost of each placed prompt in progress on a replica: it
-	// occupies a slot and makes decode steps longer. In the comparison of
-	// even_test.go, 6 to 24 ms gave the same; without it, fast replicas run out of
-	// slots.
+	// occupies a slot and makes decode steps longer. 6 to 20 ms gave about the same in
+	// trials; without it, fast replicas run out of slots.
 	runningCost = 12 * time.Millisecond
 	// fullCost is the cost of each prompt above the slots of a replica.
 	fullCost = time.Second
