Messages between peers for roll-outs

Entries report to the entry that controls a roll-out what they sent to each version and how it answered, and get permits for the version that isn't proved.

--- a/peer/handlers.go
+++ b/peer/handlers.go
@@ -35,6 +35,8 @@
 	Place func(PlaceRequest) PlaceResult
 	// Permit decides on a peer's request for a permit.
 	Permit func(from string, r PermitRequest) PermitResult
+	// Rollout receives a peer's report on a roll-out.
+	Rollout func(from string, r RolloutReport) RolloutReply
 	// Loads receives the load report of a peer and returns the sum for it.
 	Loads func(from string, r LoadReport) LoadSum
 	// CountsPushed receives the counts of a peer's own requests.
--- a/peer/link.go
+++ b/peer/link.go
@@ -200,6 +200,12 @@
 			return err
 		}
 		return l.conn.Reply(ctx, req.ID, l.mesh.o.Handlers.permit(l.peer.ID, r))
+	case methodRollout:
+		var r RolloutReport
+		if err := params(req, &r); err != nil {
+			return err
+		}
+		return l.conn.Reply(ctx, req.ID, l.mesh.o.Handlers.rollout(l.peer.ID, r))
 	case methodLoads:
 		var r LoadReport
 		if err := params(req, &r); err != nil {
