Take a filter of candidates in the choice of a replica

A request may be sent to some versions of its service only. Choose and Place take the filter of the query; without one they choose as before. It isn't sent to the entry that places long prompts, because a list of the replicas would take more than the byte budget of an entry; that entry uses its own filter, and the answer is checked against that of the request. Replicas on trial are chosen also if they fail. Scaling counts replicas that a function selects.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -106,6 +106,26 @@
 	Exclude map[string]bool
 	// Class is the request's class for replicas that have a limit.
 	Class throttle.Class
+	// Filter returns whether a replica may be chosen; nil if all may be. It isn't
+	// sent to other entries, which use filters of their own.
+	Filter func(*replica.Replica) bool
+	// Local is set for requests that no other entry places. Trial is set besides if
+	// the request tries the replicas, also those that fail.
+	Local, Trial bool
+}
+
+// candidates returns the replicas that the filter lets pass.
+func (q Query) candidates(ready []*replica.Replica) []*replica.Replica {
+	if q.Filter == nil {
+		return ready
+	}
+	out := make([]*replica.Replica, 0, len(ready))
+	for _, r := range ready {
+		if q.Filter(r) {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // sharedTokens returns how many tokens of the prompt are in shared parts.
@@ -123,6 +143,8 @@
 	// FirstToken is the predicted time to the first token; 0 for plain
 	// services.
 	FirstToken time.Duration
+	// Unscaled is FirstToken without what is known of how slow the replica is.
+	Unscaled time.Duration
 	// CachedTokens is the number of prompt tokens that are expected to be in
 	// the replica's cache.
 	CachedTokens int
@@ -289,12 +311,15 @@
 // Choose returns the replica with the lowest cost for a request. It returns
 // ErrNoReplica, or a BlockedError if limits of replicas are the reason.
 func (b *Balancer) Choose(q Query) (Choice, error) {
-	ready := b.set.Current().Ready[q.Service]
+	ready := q.candidates(b.set.Current().Ready[q.Service])
 	a := b.admittable(q, ready)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	ejected := b.ejectedLocked(ready, now)
+	if q.Trial {
+		ejected = nil
+	}
 	if len(a.blocked) > 0 && !slices.ContainsFunc(a.replicas, func(r *replica.Replica) bool { return !ejected[r.ID] }) {
 		ejected = nil // a replica that fails often is better than none
 	}
@@ -351,7 +376,7 @@
 		predicted += excess / slots * meanSlotTime.Seconds()
 	}
 	firstToken, cost := b.engineCostLocked(q, r, predicted, c.CachedTokens, now)
-	c.FirstToken = firstToken
+	c.FirstToken, c.Unscaled = firstToken, time.Duration(predicted*float64(time.Second))
 	if r.FailureDomain != b.opt.FailureDomain {
 		cost += crossDomainCost.Seconds()
 	}
--- a/gateway/balance/place.go
+++ b/gateway/balance/place.go
@@ -32,13 +32,13 @@
 func (b *Balancer) NeedsCentralPlacement(q Query, c Choice) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return q.Slots > 0 && b.isLong(q, q.PromptTokens-c.CachedTokens)
+	return q.Slots > 0 && !q.Local && b.isLong(q, q.PromptTokens-c.CachedTokens)
 }
 
 // Place chooses a replica for a long prompt of any entry and reserves its
 // prefill time there, or returns ErrNoReplica.
 func (b *Balancer) Place(q Query) (Placement, error) {
-	ready := b.set.Current().Ready[q.Service]
+	ready := q.candidates(b.set.Current().Ready[q.Service])
 	a := b.admittable(q, ready)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -118,6 +118,9 @@
 	if r == nil || r.Incarnation != p.Incarnation || b.set.IsLeaving(r) || q.Exclude[r.ID] || r.Service != q.Service {
 		return Choice{}, false
 	}
+	if q.Filter != nil && !q.Filter(r) {
+		return Choice{}, false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if st := b.states[r.ID]; st != nil && st.ejected {
@@ -127,7 +130,7 @@
 		return Choice{}, false
 	}
 	c := Choice{
-		Alternatives: local.Alternatives, Replica: r, FirstToken: p.FirstToken, CachedTokens: p.CachedTokens,
+		Alternatives: local.Alternatives, Replica: r, FirstToken: p.FirstToken, Unscaled: p.FirstToken, CachedTokens: p.CachedTokens,
 		Candidates: local.Candidates, RunnerUp: local.Replica,
 	}
 	if st := b.states[r.ID]; st != nil {
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -133,8 +133,13 @@
 	uncachedTokens, queuedTokens int
 	started                      bool
 	ended                        bool
+	// firstAfter is the time to the first token, once started is set.
+	firstAfter time.Duration
 }
 
+// FirstToken returns the time to the first token, and false before it has arrived.
+func (t *Ticket) FirstToken() (time.Duration, bool) { return t.firstAfter, t.started }
+
 func (b *Balancer) busyLocked(service string) *rate.EWMA {
 	m := b.busy[service]
 	if m == nil {
@@ -191,8 +196,8 @@
 	if t.started {
 		return
 	}
-	t.started = true
-	took := time.Since(t.sent).Seconds()
+	t.started, t.firstAfter = true, time.Since(t.sent)
+	took := t.firstAfter.Seconds()
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	st := t.b.stateLocked(t.choice.Replica)
--- a/gateway/scaling/control.go
+++ b/gateway/scaling/control.go
@@ -42,7 +42,10 @@
 	// Busy returns the mean number of engines of a service that the requests of
 	// all entries occupy.
 	Busy func(service string) float64
-	Log  *logrus.Entry
+	// Counts reports whether a ready replica counts as capacity; nil if all do. Those
+	// of a version that isn't proved don't.
+	Counts func(r *replica.Replica) bool
+	Log    *logrus.Entry
 
 	planners map[string]*Planner
 }
@@ -122,6 +125,9 @@
 	out := make(map[string]Supply)
 	snapshot := c.Replicas.Current()
 	for _, r := range snapshot.Ready[service] {
+		if c.Counts != nil && !c.Counts(r) {
+			continue
+		}
 		s := out[r.FailureDomain]
 		if r.Reclaimable {
 			s.Reclaimable++
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -45,6 +45,7 @@
 	suspects    metric.Int64Counter
 	statements  metric.Int64Counter
 	throttle    metric.Int64Counter
+	rollouts    metric.Int64Counter
 	replicas    names
 	tableCalls  metric.Int64Counter
 	tableTime   metric.Float64Histogram
@@ -66,7 +67,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [12]error
+	var errs [13]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -94,6 +95,8 @@
 		metric.WithDescription("Events of the limits of replicas: limits, their ends, permits and denials."))
 	m.suspects, errs[11] = m.meter.Int64Counter("coltsfootcleat.suspects",
 		metric.WithDescription("Replicas that broke off an answer, by the sign that they have crashed."))
+	m.rollouts, errs[12] = m.meter.Int64Counter("coltsfootcleat.rollouts",
+		metric.WithDescription("Events of roll-outs at the entry that controls them: stages, status rows and failed writes."))
 	return errors.Join(errs[:]...)
 }
 
@@ -176,6 +179,11 @@
 	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
 }
 
+// RolledOut counts an event of the roll-outs to new versions.
+func (m *Metrics) RolledOut(event string) {
+	m.rollouts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 // Resumed counts a stream that was resumed elsewhere; how is for example "kv"
 // or "prompt".
 func (m *Metrics) Resumed(how string) {
