Expect partly cold caches on replicas on trial

A replica on trial counted as the home of prompt parts that it has never seen, so a good version looked slower than predicted. Between no cached part and the usual one the error of the prediction is below the factor of 2 that makes a version slow.

--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -38,6 +38,10 @@
 	// there itself.
 	homeCachedFraction       = 0.9
 	secondHomeCachedFraction = 0.5
+	// trialCachedFraction is the fraction expected on replicas on trial, whose caches
+	// are cold at first. Between none and the usual one, either error is below the
+	// difference that makes a version slow.
+	trialCachedFraction = 0.45
 	// serviceJitter and engineJitter bound the random part of a cost, in
 	// requests and in time. It is smaller than any cost difference that
 	// matters, and keeps entries with the same information from choosing the
--- a/gateway/balance/cache.go
+++ b/gateway/balance/cache.go
@@ -27,6 +27,9 @@
 	if sum > 0 || len(q.Parts) == 0 {
 		return sum
 	}
+	if q.Trial {
+		return int(trialCachedFraction * float64(q.sharedTokens()))
+	}
 	fraction := 0.0
 	switch first, second := homeReplicas(q.Parts[len(q.Parts)-1].ID, ready); r {
 	case first:
