Add roll-outs to a new version: gate, controller and keeper

The gate of each entry says which versions a request may be sent to. A version that isn't proved gets requests by permits of about a second, which the holder of the leader lease hands out; their sum is bounded by the requests that all entries reported, so the bound doesn't depend on what single entries know, and the version is closed everywhere as soon as no more are handed out.

Ruled out: a fraction that each entry applies by itself, which can't be bounded with entries that are cut off, start or resume; a broadcast of the verdict, which an entry that is cut off doesn't get.

The verdict compares failures, times to the first token and between tokens with those of the old version in the same windows, by sequential tests. State, verdict and evidence are in a row of the table with conditional writes.

--- /dev/null
+++ b/gateway/rollout/gate_test.go
@@ -0,0 +1,70 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+)
+
+func versioned(id, version string) *replica.Replica {
+	return &replica.Replica{Registration: replica.Registration{ID: id, Service: "s", Version: version}}
+}
+
+// A request that was chosen for a version is sent after that version was closed or the
+// permit has lapsed, or an entry follows a holder that was replaced.
+func TestGateClosesBeforeTheSend(t *testing.T) {
+	now := time.Unix(0, 0)
+	r1, r2, unknown := versioned("a", "v1"), versioned("b", "v2"), versioned("c", "")
+	g := NewGate(func(string) []*replica.Replica { return []*replica.Replica{r1, r2, unknown} }, nolog.Or(nil))
+	apply := func(fence uint64, stage Stage, permits int) {
+		g.Apply("s", peer.RolloutReply{Fence: fence, To: "v2", Stage: string(stage), Allowed: []string{"v1"}, Permits: permits}, now, time.Second)
+	}
+	pass := func() Pass { return g.Pass(now, Attempt{Service: "s"}) }
+	qt.Assert(t, pass().Filter()(r1), qt.IsFalse, qt.Commentf("nothing is known yet"))
+	g.SetOrder(now, Order{Service: "s", To: "v2", Duration: time.Minute})
+	qt.Assert(t, pass().Filter()(r1), qt.IsTrue)
+	qt.Assert(t, pass().Filter()(r2), qt.IsFalse, qt.Commentf("no state yet"))
+	qt.Assert(t, pass().Filter()(unknown), qt.IsFalse)
+	apply(2, Trial, 2)
+	trial := pass()
+	qt.Assert(t, trial.Filter()(r2), qt.IsTrue)
+	qt.Assert(t, trial.Check(now, r2), qt.IsNil)
+	qt.Assert(t, trial.Check(now.Add(time.Second), r2), qt.Equals, ErrClosed, qt.Commentf("an entry that was frozen"))
+	old := pass()
+	apply(2, RolledBack, 0)
+	qt.Assert(t, trial.Check(now, r2), qt.Equals, ErrClosed)
+	apply(1, Moving, 0)
+	apply(3, Trial, 5)
+	qt.Assert(t, pass().Filter()(r2), qt.IsFalse, qt.Commentf("a verdict is final"))
+	qt.Assert(t, old.Check(now, r1), qt.IsNil)
+	g.SetOrder(now, Order{Service: "s", To: "v3", Duration: time.Minute})
+	g.Apply("s", peer.RolloutReply{Fence: 3, To: "v3", Stage: string(Moving), Allowed: []string{"v1"}}, now, time.Second)
+	qt.Assert(t, old.Check(now, r1), qt.IsNil, qt.Commentf("no replica of the new version is ready"))
+	qt.Assert(t, pass().Filter()(r2), qt.IsFalse)
+	apply(2, Completed, 0)
+	qt.Assert(t, pass().Filter()(r2), qt.IsFalse, qt.Commentf("a holder that was replaced"))
+}
+
+// A report of a peer that is malformed gets permits or is evidence.
+func TestMalformedReportsChangeNothing(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := NewController(now, "s", Bounds{0.1, 50, 5 * time.Second}, Row{Allowed: []string{"v1"}}.next(Order{"s", "v2", time.Minute}), false, 0)
+	c.Committed(c.Row())
+	for _, r := range []peer.RolloutReport{
+		{To: "v9", Requests: 1e6}, {To: "v2", Requests: -1}, {To: "v2", Returned: -5}, {To: "v2", OldInFlight: -1},
+	} {
+		c.Report(now, "e", r, 1)
+	}
+	qt.Assert(t, c.requests(), qt.Equals, 0)
+	negative := map[string]peer.RolloutEvidence{"r": {New: peer.VersionEvidence{Failed: -9, First: map[int]int{1: -5}}}}
+	c.Report(now, "e", peer.RolloutReport{To: "v2", Routes: negative, Returned: 1 << 40}, 1)
+	c.Step(now.Add(time.Second), View{Order: Order{"s", "v2", time.Minute}, HasOrder: true, Replicas: Replicas{1, 1, 1, 1}})
+	c.Report(now, "e", peer.RolloutReport{To: "v2", Returned: 1 << 41}, 1)
+	qt.Assert(t, c.spent(), qt.Equals, 0)
+	qt.Assert(t, c.evidence.total, qt.Equals, score{})
+}
--- /dev/null
+++ b/gateway/rollout/keeper_rows.go
@@ -0,0 +1,116 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
+)
+
+// commit writes the row if it differs from that in the table in more than the time.
+func (k *Keeper) commit(ctx context.Context, name string, h *holding, next Row) error {
+	compared := next
+	compared.ElapsedMS, compared.Fence = h.inTable.ElapsedMS, h.inTable.Fence
+	if h.version != 0 && sameRow(compared, h.inTable) {
+		return nil
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fmt.Errorf("encode row: %w", err)
+	}
+	expect := h.version
+	if expect == 0 {
+		expect = infra.ExpectAbsent
+	}
+	return k.opt.Lease.Do(ctx, func(ctx context.Context, _ uint64) error {
+		version, err := k.opt.Table.Commit(ctx, infra.Write{Key: RowKey(name), Value: value, Expect: expect})
+		if err != nil {
+			h.unsure = true
+			return fmt.Errorf("commit row: %w", err)
+		}
+		k.committed(h, next, version)
+		return nil
+	})
+}
+
+func (k *Keeper) committed(h *holding, row Row, version uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h.inTable, h.version, h.unsure = row, version, false
+	h.controller.Committed(row)
+}
+
+// errSuperseded reports that another holder has written the row.
+var errSuperseded = errors.New("a later holder has written the row")
+
+// readBack reads the row after a commit that may have had an effect.
+func (k *Keeper) readBack(ctx context.Context, name string, h *holding) error {
+	row, found, err := k.opt.Table.Get(ctx, RowKey(name))
+	if err != nil {
+		return fmt.Errorf("read row back: %w", err)
+	}
+	if !found {
+		h.version, h.unsure = 0, false
+		return nil
+	}
+	var r Row
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return fmt.Errorf("decode row: %w", err)
+	}
+	k.mu.Lock()
+	own, fence := h.controller.Row(), k.fence
+	if r.Fence > fence {
+		delete(k.held, name)
+		k.mu.Unlock()
+		return errSuperseded
+	}
+	k.mu.Unlock()
+	if r.To == own.To && rank(r.Stage) > rank(own.Stage) {
+		// Another holder has reached the verdict. Load continues from it.
+		k.mu.Lock()
+		delete(k.held, name)
+		k.mu.Unlock()
+		return nil
+	}
+	if r.To != own.To {
+		h.version, h.inTable, h.unsure = row.Version, r, false
+		return nil
+	}
+	k.committed(h, r, row.Version)
+	return nil
+}
+
+// writeStatus writes the status of the row in the table unless it is written.
+func (k *Keeper) writeStatus(ctx context.Context, name string, h *holding) error {
+	stage := h.inTable.Stage
+	if stage == Moving {
+		stage = Trial
+	}
+	if h.version == 0 || h.inTable.Status == stage || h.inTable.To != h.controller.Row().To {
+		return nil
+	}
+	s := Status{Service: name, To: h.inTable.To, Stage: stage}
+	err := k.opt.Lease.Do(ctx, func(ctx context.Context, _ uint64) error {
+		return k.opt.WriteStatus(ctx, s, RowKey(name), h.version)
+	})
+	if err != nil {
+		h.unsure = true
+		return fmt.Errorf("write status: %w", err)
+	}
+	k.mu.Lock()
+	h.controller.row.Status = stage
+	k.mu.Unlock()
+	k.opt.Count("status " + string(stage))
+	k.opt.Log.WithFields(logrus.Fields{"service": name, "to": s.To, "status": string(stage)}).Info("rollout: status written.")
+	return nil
+}
+
+func sameRow(x, y Row) bool {
+	return x.To == y.To && x.DurationMS == y.DurationMS && x.Stage == y.Stage && x.Reason == y.Reason &&
+		x.Reserved == y.Reserved && x.Status == y.Status && slices.Equal(x.Allowed, y.Allowed) && slices.Equal(x.Closed, y.Closed)
+}
--- /dev/null
+++ b/gateway/rollout/permits.go
@@ -0,0 +1,159 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
+)
+
+// Report takes a report and returns the reply.
+func (c *Controller) Report(now time.Time, from string, r peer.RolloutReport, fence uint64) peer.RolloutReply {
+	reply := peer.RolloutReply{Fence: fence, To: c.row.To, Stage: string(c.stage()), Reason: c.row.Reason, Allowed: c.row.Allowed}
+	if r.To != c.row.To || r.Requests < 0 || r.Returned < 0 || r.OldInFlight < 0 {
+		return reply
+	}
+	key := reporter{from, r.Incarnation}
+	last := c.reports[key]
+	if last == nil {
+		if len(c.reports) >= maxReporters {
+			return reply
+		}
+		last = &lastReport{returnedBefore: r.Returned}
+		c.reports[key] = last
+	} else if dt := now.Sub(last.at).Seconds(); dt > 0 {
+		rate := float64(max(0, r.Requests-last.Requests)) / dt
+		if last.perSecond == 0 {
+			last.perSecond = rate
+		}
+		last.perSecond += rateWeight * (rate - last.perSecond)
+		c.accrue(now, last, dt)
+	}
+	last.RolloutReport, last.at = r, now
+	if c.row.Stage != Trial {
+		return reply
+	}
+	reply.Endpoints, reply.Once = c.endpoints(now), c.allowsOnce(now)
+	reply.Turn = int(now.Sub(c.base) / max(minTurn, turnPeriods*reportPeriod(len(c.live), false)))
+	reply.Permits = c.grant(now, last)
+	return reply
+}
+
+// spent returns the number of requests that may have been sent with permits.
+func (c *Controller) spent() int {
+	sum := c.spentBefore
+	for _, r := range c.reports {
+		// An entry can't give back more than it got, whatever it reports.
+		sum += r.granted - min(r.granted, max(0, r.Returned-r.returnedBefore))
+	}
+	return sum
+}
+
+func (c *Controller) requests() int {
+	sum := 0
+	for _, r := range c.reports {
+		sum += r.Requests
+	}
+	return sum
+}
+
+// available returns the number of permits that may still be handed out.
+func (c *Controller) available() int {
+	return c.bounds.permits(c.requests()) - c.spent()
+}
+
+// perReplica returns the permits per second for a replica on trial, which give it the
+// load that a replica of the old version has.
+func (c *Controller) perReplica() float64 {
+	return fullLoad * c.rate / float64(max(1, c.replicas.Old))
+}
+
+// endpoints returns the number of replicas that permits are given out for: as many as
+// get a full load from the permits that are left until the verdict, in bursts if there
+// aren't enough for a full load all the time.
+func (c *Controller) endpoints(now time.Time) int {
+	left := max(time.Second, c.left(now)-c.moveTime()).Seconds()
+	rate := shareAim*c.bounds.Share*c.rate + max(0, float64(c.available()))/left
+	return max(1, min(c.replicas.New, int(math.Ceil(rate/max(c.perReplica(), 0.001)))))
+}
+
+// accrue adds the permits for a time to those that an entry gets next.
+func (c *Controller) accrue(now time.Time, r *lastReport, dt float64) {
+	if c.rate <= 0 || r.perSecond <= 0 {
+		return
+	}
+	full := c.perReplica() * float64(c.endpoints(now))
+	r.carry = min(maxCarry+full*dt, r.carry+full*dt*min(1, r.perSecond/c.rate))
+}
+
+// grant hands out permits to an entry.
+func (c *Controller) grant(now time.Time, r *lastReport) int {
+	if c.awaitsReports(now) || !c.missingSince.IsZero() || c.committed != Trial || c.replicas.New == 0 || c.left(now) <= 0 {
+		r.carry = 0
+		return 0
+	}
+	available := min(c.available(), c.reserved-c.spent())
+	c.updateBurst(available)
+	if !c.bursting {
+		r.carry = 0
+		return 0
+	}
+	n := max(0, min(int(r.carry), available))
+	r.carry -= float64(int(r.carry))
+	r.granted += n
+	return n
+}
+
+// awaitsReports reports whether the reports of live entries are missing that would be
+// evidence from before this holder took over.
+func (c *Controller) awaitsReports(now time.Time) bool {
+	if !c.takenOver {
+		return false
+	}
+	if now.Sub(c.began) < takeoverPause {
+		reported := make(map[string]bool, len(c.reports))
+		for key := range c.reports {
+			reported[key.id] = true
+		}
+		if len(c.live) == 0 || slices.ContainsFunc(c.live, func(id string) bool { return !reported[id] }) {
+			return true
+		}
+	}
+	c.takenOver = !c.windowAt.After(c.began) // the evidence is judged first
+	return c.takenOver
+}
+
+// updateBurst begins a burst once there are permits for burstLength of a full replica's
+// load, and ends it when none are left.
+func (c *Controller) updateBurst(available int) {
+	switch {
+	case available < 1:
+		c.bursting = false
+	case float64(available) >= max(minBurst, c.perReplica()*burstLength.Seconds()):
+		c.bursting = true
+	}
+}
+
+// allowsOnce reports whether requests that may run only once may use permits: the
+// last ones to do so.
+func (c *Controller) allowsOnce(now time.Time) bool {
+	if c.evidence.total.Answers == 0 {
+		return c.replicas.New > 0 && now.Sub(c.began) > takeoverPause+onceAfter
+	}
+	return c.evidence.total.Failures <= goodFloor/2
+}
+
+// reserve raises the reservation if it will be used up soon.
+func (c *Controller) reserve(now time.Time) {
+	if c.row.Stage != Trial || c.replicas.New == 0 {
+		return
+	}
+	full := c.perReplica() * float64(c.endpoints(now))
+	accrued := shareAim * c.bounds.Share * c.rate
+	ahead := min(full, accrued+float64(c.available())) * reserveAhead.Seconds()
+	spent := c.spent()
+	if n := max(minReserve, int(math.Ceil(ahead))); c.row.Reserved-spent < n/2 {
+		c.row.Reserved = spent + n
+	}
+}
--- /dev/null
+++ b/gateway/rollout/play_run_test.go
@@ -0,0 +1,85 @@
+package rollout
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	playSeeds = flag.Int("rollout.seeds", 2, "number of seeds of each play")
+	playFirst = flag.Uint64("rollout.first", 1, "first seed of the plays")
+)
+
+// plays are the versions and the verdicts that they deserve; none if either verdict
+// is accepted.
+var plays = []struct {
+	name    string
+	bad     *badness
+	verdict Stage
+}{
+	{"good", nil, Completed},
+	{"fails 2 %", &badness{fails: 0.02}, ""},
+	{"fails 5 %", &badness{fails: 0.05}, RolledBack},
+	{"fails 20 %", &badness{fails: 0.2}, RolledBack},
+	{"fails 100 %", &badness{fails: 1}, RolledBack},
+	{"slower by 1.5", &badness{slower: 1.5}, ""},
+	{"slower by 2", &badness{slower: 2}, RolledBack},
+	{"slower by 5", &badness{slower: 5}, RolledBack},
+	{"fails 20 % after 5 s", &badness{fails: 0.2, after: 5 * time.Second}, RolledBack},
+	{"fails 20 % under load", &badness{fails: 0.2, loaded: true}, RolledBack},
+	{"fails 50 % on one route", &badness{fails: 0.5, route: "long"}, RolledBack},
+}
+
+// A good version is rolled back or a bad one completed too often, a bad one gets more
+// requests than the bound or gets them too late, a request runs at a version without
+// an order, or the old version is still used when the roll-out is completed. Verdicts
+// in plays with changes of the holder are only logged.
+func TestPlays(t *testing.T) {
+	for _, entries := range []int{9, 58, 195} {
+		for _, faults := range []string{"none", "replicas", "handovers"} {
+			for _, c := range plays {
+				t.Run(fmt.Sprintf("%d entries/faults: %s/%s", entries, faults, c.name), func(t *testing.T) {
+					s := scenario{
+						entries: entries, old: 24, perSecond: 400, bad: c.bad, duration: 12 * time.Second,
+						disturbed: faults != "none", handovers: faults == "handovers",
+					}
+					checkPlays(t, s, c.verdict)
+				})
+			}
+		}
+	}
+}
+
+func checkPlays(t *testing.T, s scenario, verdict Stage) {
+	right, worst, late := 0, -1e9, time.Duration(0)
+	for seed := *playFirst; seed < *playFirst+uint64(*playSeeds); seed++ {
+		out := runPlay(seed, s)
+		if out.stage == verdict && out.finalAt <= ordered+s.duration {
+			right++
+		} else if verdict != "" {
+			t.Logf("seed %d: %s at %v, %s", seed, out.stage, out.finalAt, out.reason)
+		}
+		if out.unknown > 0 || out.oldAtEnd > 0 {
+			t.Errorf("seed %d: %d requests without an order, %d at old replicas when completed", seed, out.unknown, out.oldAtEnd)
+		}
+		if verdict != RolledBack || out.stage != RolledBack {
+			continue
+		}
+		worst = max(worst, float64(out.exposed)-0.08*float64(out.requests))
+		if out.badAnswers >= 50 {
+			late = max(late, out.lastExposed-out.fiftieth)
+		}
+	}
+	t.Logf("%d of %d %s, exposure less 0.08 of the requests %.0f, sent after the 50th bad answer %v", right, *playSeeds, verdict, worst, late)
+	qt.Check(t, worst <= 25, qt.IsTrue, qt.Commentf("exposure"))
+	qt.Check(t, late <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", late))
+	allowed := map[Stage]float64{Completed: 0.01, RolledBack: 0.005}[verdict]
+	if verdict != "" && !s.handovers {
+		wrong := *playSeeds - right
+		qt.Check(t, float64(wrong) <= allowed*float64(*playSeeds), qt.IsTrue, qt.Commentf("%d of %d wrong", wrong, *playSeeds))
+	}
+}
