Wire roll-outs into entries and the users' platform

The contract rollout in the settings switches them on; without it no part is built, no message is sent and no row is read. Orders and status are decoded and written in package platform, the status under the condition of the row of the roll-out. The choice of a replica asks the gate, the check before the send asks it again, and the end of each attempt is evidence on the version. Scaling doesn't count replicas of a version that isn't proved. The metrics address serves /rollouts, which the status command prints.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -83,6 +83,9 @@
 	// DecodeConfig and DecodeReplica decode rows of the feeds.
 	DecodeConfig  func(value []byte) (*config.Configuration, error)
 	DecodeReplica func(id string, value []byte) (replica.Registration, error)
+	// Rollouts reads orders for roll-outs and writes their status. It is used if the
+	// settings enable roll-outs.
+	Rollouts RolloutDeps
 }
 
 // GatewayConfig holds the settings and dependencies of a Gateway.
@@ -118,8 +121,9 @@
 			newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
 			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup,
+			newRollouts,
 		),
-		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, serveReady, serveMetrics, serveGateway),
+		fx.Invoke(watchEpoch, runGatewayMesh, runRollup, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, runRollouts, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready),
 	)
 	if err := g.app.Err(); err != nil {
@@ -301,6 +305,7 @@
 	Limiter    *quota.GlobalLimiter
 	Retries    *quota.RetryBudget
 	Usage      *usage.Counter
+	Rollouts   *rollouts
 	Metrics    *telemetry.Metrics
 	Log        *logrus.Entry
 }
@@ -310,8 +315,8 @@
 		Dialect: d.Deps.Dialect, Config: d.Config, ConfigAge: d.Followers.config.Age,
 		RegistryAge: d.Followers.registry.Age,
 		Balancer:    d.Balancer, Pool: d.Pool, Liveness: d.Liveness, Quarantine: d.Quarantine, Throttle: d.Throttle, Limiter: d.Limiter, Retries: d.Retries,
-		Usage: d.Usage, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
-		Loaded: []<-chan struct{}{d.Followers.config.Loaded(), d.Followers.registry.Loaded()},
+		Usage: d.Usage, Rollouts: d.Rollouts.gate, Log: d.Log, Recorder: gatewayRecorder{d.Metrics},
+		Loaded: d.Rollouts.loaded(d.Followers.config.Loaded(), d.Followers.registry.Loaded()),
 	})
 }
 
@@ -352,7 +357,7 @@
 	l.Go(lc, r.Run)
 }
 
-func runScaling(lc fx.Lifecycle, l *Loops, s gateway.Settings, deps GatewayDeps, leaderLease *lease.Lease, c *config.Holder, set *replica.Set, view *peerView, b *balance.Balancer, log *logrus.Entry) {
+func runScaling(lc fx.Lifecycle, l *Loops, s gateway.Settings, deps GatewayDeps, leaderLease *lease.Lease, c *config.Holder, set *replica.Set, view *peerView, b *balance.Balancer, r *rollouts, log *logrus.Entry) {
 	if !s.OrdersReplicas {
 		return
 	}
@@ -360,6 +365,9 @@
 		Lease: leaderLease, Orders: deps.Orders, Config: c, Replicas: set, Domains: s.FailureDomains,
 		Busy: func(service string) float64 { return view.busyEngines(b.BusyEngines(), service) }, Log: log,
 	}
+	if r.gate != nil {
+		control.Counts = r.gate.Counts
+	}
 	l.Go(lc, control.Run)
 }
 
@@ -397,12 +405,13 @@
 }
 
 // serveMetrics serves the metrics if an address is set.
-func serveMetrics(lc fx.Lifecycle, n Network, s gateway.Settings, m *telemetry.Metrics, log *logrus.Entry) {
+func serveMetrics(lc fx.Lifecycle, n Network, s gateway.Settings, m *telemetry.Metrics, r *rollouts, log *logrus.Entry) {
 	if s.Listen.Metrics == "" {
 		return
 	}
 	engine := gin.New()
 	engine.GET("/metrics", gin.WrapH(m.Handler()))
+	engine.GET(rolloutsPath, func(c *gin.Context) { c.JSON(http.StatusOK, r.overviews()) })
 	serveHTTP(lc, n, s.Listen.Metrics, engine, log)
 }
 
--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -83,7 +83,9 @@
 type configSource struct {
 	deps   GatewayDeps
 	holder *config.Holder
-	log    *logrus.Entry
+	// rollouts receives the orders in the rows.
+	rollouts *rollouts
+	log      *logrus.Entry
 	// fetchSlot holds a token while a configuration is fetched from a peer.
 	fetchSlot chan struct{}
 
@@ -92,8 +94,8 @@
 	version uint64
 }
 
-func newFollowers(deps GatewayDeps, r *member.Registry, holder *config.Holder, set *replica.Set, limiter *quota.Limiter, log *logrus.Entry) *followers {
-	source := &configSource{deps: deps, holder: holder, log: log, fetchSlot: make(chan struct{}, 1)}
+func newFollowers(deps GatewayDeps, r *member.Registry, holder *config.Holder, set *replica.Set, limiter *quota.Limiter, orders *rollouts, log *logrus.Entry) *followers {
+	source := &configSource{deps: deps, holder: holder, rollouts: orders, log: log, fetchSlot: make(chan struct{}, 1)}
 	holder.OnChange(limiter.SetConfiguration)
 	rows := &registryHandler{deps: deps, set: set, log: log}
 	f := &followers{source: source, members: r, histories: map[string]*follow.History{
@@ -198,6 +200,7 @@
 
 // Replace implements follow.Handler.
 func (c *configSource) Replace(rows []infra.Row) {
+	c.rollouts.replace(rows)
 	for _, r := range rows {
 		c.applyRow(r.Key, r.Value, "store")
 	}
@@ -205,6 +208,7 @@
 
 // Change implements follow.Handler.
 func (c *configSource) Change(change infra.Change) {
+	c.rollouts.change(change)
 	if !change.Deleted {
 		c.applyRow(change.Key, change.Value, "store")
 	}
--- a/app/gateway_mesh.go
+++ b/app/gateway_mesh.go
@@ -201,6 +201,7 @@
 	Rollup     *rollup.Rollup
 	Loads      *rollupPeers
 	Balancer   *balance.Balancer
+	Rollouts   *rollouts
 	Loops      *Loops
 	Log        *logrus.Entry
 }
@@ -218,7 +219,8 @@
 		Handlers: peer.Handlers{
 			EntryState: d.View.receive,
 			Counts:     d.View.counts, CountsPushed: d.View.receiveCounts,
-			Place:   func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, p) },
+			Place:   func(p peer.PlaceRequest) peer.PlaceResult { return placeForPeer(d.Balancer, d.Rollouts.gate, p) },
+			Rollout: d.Rollouts.serve,
 			Reserve: d.Limits.ReserveOwned,
 			Permit:  d.Throttle.Grant,
 			Loads:   d.Rollup.Serve,
--- a/app/gateway_outage_test.go
+++ b/app/gateway_outage_test.go
@@ -78,7 +78,7 @@
 				return replica.Registration{ID: id, Service: "s", Addr: "10.0.0.1:80", Incarnation: 1}, nil
 			},
 		}, member.New(nil, member.Options{ID: "e", Log: nolog.Or(nil)}), &config.Holder{}, set,
-			quota.NewLimiter(gateway.Settings{}.LimitTolerance), nolog.Or(nil))
+			quota.NewLimiter(gateway.Settings{}.LimitTolerance), nil, nolog.Or(nil))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer time.Sleep(time.Second) // the followers end
 		defer cancel()
--- a/app/gateway_place.go
+++ b/app/gateway_place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/balance"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollout"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
@@ -40,8 +41,9 @@
 	return out
 }
 
-// placeForPeer places a prompt for a peer, as the owner of its service.
-func placeForPeer(b *balance.Balancer, p peer.PlaceRequest) peer.PlaceResult {
+// placeForPeer places a prompt for a peer, as the owner of its service. It uses the
+// versions that need no permit.
+func placeForPeer(b *balance.Balancer, g *rollout.Gate, p peer.PlaceRequest) peer.PlaceResult {
 	q := balance.Query{
 		Service: p.Service, Slots: p.Slots, PromptTokens: p.PromptTokens,
 		LatencyObjective: time.Duration(p.LatencyObjectiveMS) * time.Millisecond, Exclude: make(map[string]bool),
@@ -56,6 +58,7 @@
 		}
 		q.Parts = append(q.Parts, balance.Part{ID: id, Tokens: part.Tokens})
 	}
+	q.Filter = g.Pass(time.Now(), rollout.Attempt{Service: p.Service, Again: true}).Filter()
 	placed, err := b.Place(q)
 	if err != nil {
 		return peer.PlaceResult{} // no replica
--- a/cmd/coltsfootcleat/operator.go
+++ b/cmd/coltsfootcleat/operator.go
@@ -32,7 +32,7 @@
 	return []subcommands.Command{
 		&checkCommand{console: c},
 		&templateCommand{console: c},
-		&statusCommand{operatorFlags{console: c}},
+		&statusCommand{operatorFlags: operatorFlags{console: c}},
 		&drainCommand{operatorFlags: operatorFlags{console: c}},
 		&versionCommand{console: c},
 	}
--- a/cmd/coltsfootcleat/serve_platform.go
+++ b/cmd/coltsfootcleat/serve_platform.go
@@ -91,6 +91,10 @@
 			Reports: cloud, Orders: cloud,
 			IsConfig: platform.IsConfiguration, DecodeConfig: platform.DecodeConfiguration,
 			DecodeReplica: platform.DecodeReplica,
+			Rollouts: app.RolloutDeps{
+				Service: platform.RolloutService, Decode: platform.DecodeRollout,
+				Orders: store.RolloutOrders, WriteStatus: store.WriteRolloutStatus,
+			},
 		},
 		Network: network,
 		Log:     log,
--- a/cmd/coltsfootcleat/status.go
+++ b/cmd/coltsfootcleat/status.go
@@ -16,6 +16,8 @@
 // statusCommand prints the state of a deployment.
 type statusCommand struct {
 	operatorFlags
+	// rollouts is the address of an entry's metrics.
+	rollouts string
 }
 
 // Name implements subcommands.Command.
@@ -29,7 +31,9 @@
 // Usage implements subcommands.Command.
 func (*statusCommand) Usage() string {
 	return `status [flags]
-  Shows the deployment as the entry at -url sees it.
+  Shows the deployment as the entry at -url sees it. With -rollouts, shows the
+  roll-outs to new versions that an entry on the users' platform knows instead,
+  and the evidence on them if that entry holds the lease.
 
   Example:
     coltsfootcleat status -url http://127.0.10.1:8081 -key-file operator.key
@@ -38,13 +42,19 @@
 }
 
 // SetFlags implements subcommands.Command.
-func (c *statusCommand) SetFlags(f *flag.FlagSet) { c.set(f) }
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	c.set(f)
+	f.StringVar(&c.rollouts, "rollouts", "", "`ip:port` of the metrics of an entry on the users' platform")
+}
 
 // Execute implements subcommands.Command.
 func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if _, err := arguments(f); err != nil {
 		return c.exit(err)
 	}
+	if c.rollouts != "" {
+		return c.exit(c.printRollouts(ctx, c.rollouts))
+	}
 	return c.run(ctx, func(ctx context.Context, client *operatorapi.Client) error {
 		status, err := client.Status(ctx)
 		if err != nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -153,8 +153,9 @@
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
-	var err error
+	err := x.pass.Check(time.Now(), r)
 	switch {
+	case err != nil:
 	case x.h.Balancer.IsLeaving(r):
 		err = errReplicaLeft
 	case x.permit.Limit == 0 && x.h.Throttle.Limited(r):
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollout"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -37,6 +38,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.tried = make(map[string]bool)
+	x.h.Rollouts.Enter(x.service)
 	for offered := 1; ; offered++ {
 		err := x.attempt(ctx, "")
 		if err == nil {
@@ -99,8 +101,7 @@
 // is resumed, lastEvent is the ID of the last event that was sent to the
 // client; else it is empty.
 func (x *exchange) attempt(ctx context.Context, lastEvent string) error {
-	q := x.balanceQuery(lastEvent)
-	choice, err := x.choose(ctx, q, lastEvent)
+	q, choice, err := x.chooseVersion(ctx, lastEvent)
 	if err != nil {
 		return err
 	}
@@ -108,6 +109,7 @@
 	ticket := x.h.Balancer.Begin(q, choice)
 	outcome := balance.Neutral
 	defer func() { ticket.End(outcome) }()
+	defer x.recordVersion(ctx, ticket, choice)(&outcome, &err)
 	outcome, err = x.exchangeWith(ctx, ticket, choice.Replica, lastEvent)
 	if x.brokenByCrash(ctx) {
 		outcome = balance.Crashed
@@ -205,7 +207,7 @@
 		return balance.Neutral
 	case code == verdict.CodeCancelled, code == verdict.CodeDeadline:
 		return balance.Neutral
-	case errors.Is(err, errDrainEnds), errors.Is(err, errReplicaLeft), errors.Is(err, errReplicaLimited), errors.Is(err, errReplicaPaused):
+	case errors.Is(err, errDrainEnds), errors.Is(err, errReplicaLeft), errors.Is(err, errReplicaLimited), errors.Is(err, errReplicaPaused), errors.Is(err, rollout.ErrClosed):
 		return balance.Neutral
 	default:
 		return balance.Failed
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/liveness"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollout"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
@@ -67,8 +68,10 @@
 	Limiter     *quota.GlobalLimiter
 	Retries     *quota.RetryBudget
 	Usage       *usage.Counter
-	Log         *logrus.Entry
-	Recorder    Recorder
+	// Rollouts says which versions requests may be sent to. It may be nil.
+	Rollouts *rollout.Gate
+	Log      *logrus.Entry
+	Recorder Recorder
 	// Loaded holds channels that are closed when the state that requests depend
 	// on has been read for the first time. Earlier requests wait for them.
 	Loaded []<-chan struct{}
@@ -142,7 +145,9 @@
 	// tried holds the IDs of the replicas that the request was offered to.
 	tried      map[string]bool
 	lastChoice balance.Choice
-	replica    string
+	// pass is the decision on the versions that the last attempt may use.
+	pass    rollout.Pass
+	replica string
 	// permit is the decision on the last choice by the limit of its replica.
 	permit throttle.Decision
 	// failedAnswer is the answer of a replica that ran the request and failed.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -32,6 +32,18 @@
 	// ReportsUsage and OrdersReplicas enable the leader tasks of this
 	// deployment.
 	ReportsUsage, OrdersReplicas bool
+	// Rollouts configures roll-outs to new versions.
+	Rollouts RolloutSettings
+}
+
+// RolloutSettings bound what a version gets that isn't proved: Share of the requests
+// of its service plus Slack requests, and none later than Rollback after it is known
+// to be bad.
+type RolloutSettings struct {
+	// Enabled is set if operators may order roll-outs.
+	Enabled      bool
+	Share, Slack float64
+	Rollback     time.Duration
 }
 
 // Listen holds the addresses of an entry's listeners.
