Count the answers that a crash breaks off once in two seconds

The reports of one crash come in over several windows, so a good version whose replica crashed had several failures.

--- a/gateway/rollout/evidence.go
+++ b/gateway/rollout/evidence.go
@@ -7,8 +7,13 @@
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
-// maxReporters bounds the incarnations of entries whose reports are kept.
-const maxReporters = 1000
+const (
+	// maxReporters bounds the incarnations of entries whose reports are kept.
+	maxReporters = 1000
+	// crashWindows is the number of windows over which the reports of the answers that
+	// one crash broke off may be spread.
+	crashWindows = 4
+)
 
 // evidence sums up the reports of all entries on one order and judges them window by
 // window.
@@ -20,10 +25,14 @@
 	total  score
 	// failed counts the bad answers of the new version.
 	failed int
+	// windows counts the windows, and brokenIn holds the last one in which a broken
+	// answer of a replica counted.
+	windows  int
+	brokenIn map[string]int
 }
 
 func newEvidence() *evidence {
-	return &evidence{routes: make(map[string]peer.RolloutEvidence), old: make(map[string]*history), scores: make(map[string]*score)}
+	return &evidence{routes: make(map[string]peer.RolloutEvidence), old: make(map[string]*history), scores: make(map[string]*score), brokenIn: make(map[string]int)}
 }
 
 // SavedEvidence is the evidence on the new version in the table.
@@ -72,6 +81,7 @@
 
 // window judges what was reported since the last window, given the totals.
 func (e *evidence) window(totals map[string]peer.RolloutEvidence) {
+	e.windows++
 	for _, route := range slices.Sorted(maps.Keys(totals)) {
 		last, now := e.routes[route], totals[route]
 		if restarted(now.New, last.New) {
@@ -80,8 +90,8 @@
 		if e.old[route] == nil {
 			e.old[route], e.scores[route] = &history{}, &score{}
 		}
-		oldPart, oldBroken := difference(now.Old, last.Old)
-		newPart, newBroken := difference(now.New, last.New)
+		oldPart, oldBroken := e.difference(now.Old, last.Old)
+		newPart, newBroken := e.difference(now.New, last.New)
 		e.old[route].update(oldPart, oldBroken)
 		d := e.old[route].compare(newPart, newBroken)
 		e.scores[route].add(d)
@@ -92,11 +102,15 @@
 }
 
 // difference returns what was added to the totals. The broken answers of one replica
-// in a window count as one, because a crash breaks off all that it holds.
-func difference(now, last peer.VersionEvidence) (peer.VersionEvidence, int) {
+// in crashWindows count as one, because a crash breaks off all that it holds.
+func (e *evidence) difference(now, last peer.VersionEvidence) (peer.VersionEvidence, int) {
 	broken := 0
 	for id, n := range now.Broken {
-		if n > last.Broken[id] {
+		if n <= last.Broken[id] {
+			continue
+		}
+		if at, counted := e.brokenIn[id]; !counted || e.windows-at >= crashWindows {
+			e.brokenIn[id] = e.windows
 			broken++
 		}
 	}
--- a/gateway/rollout/sequential.go
+++ b/gateway/rollout/sequential.go
@@ -15,11 +15,11 @@
 // seconds: faults that affect both versions alike change both.
 //
 // With the bound badBound a good version of which n answers are seen is taken for
-// bad with a probability of about n x exp(-badBound) at most, 0.0003 for each test at
+// bad with a probability of about n x exp(-badBound) at most, 0.0001 for each test at
 // 1,000 answers.
 const (
 	// badBound is the sum from which on a version is bad.
-	badBound = 8
+	badBound = 9
 	// goodFloor is the lower bound of the sums.
 	goodFloor = -4
 	// badFailures is by how much the share of failures of a bad version exceeds
--- a/gateway/rollout/types.go
+++ b/gateway/rollout/types.go
@@ -23,7 +23,7 @@
 // The controller aims at parts of the bounds, which leave room for requests that are
 // counted late. The verdict is due before the deadline, so the part of the share is
 // about half of it for all requests until then.
-const shareAim, slackAim = 0.65, 0.4
+const shareAim, slackAim = 0.7, 0.4
 
 // permits returns the number of requests that may be sent to a version that isn't
 // proved, of the requests of its service.
--- a/gateway/rollout/verdict.go
+++ b/gateway/rollout/verdict.go
@@ -12,7 +12,7 @@
 	// the sum with a floor at most provedRecent, and those of the times at most
 	// provedTimes, by provedAnswers. At the last moment, lastFailures, lastRecent and
 	// leastAnswers will do. Routes, with fewer answers, may have sums up to provedRoute.
-	provedFailures, provedPerAnswer, lastFailures = -3.0, -0.02, 0.0
+	provedFailures, provedPerAnswer, lastFailures = -3.0, -0.02, 1.0
 	provedRecent, lastRecent                      = 0.0, 3.0
 	provedTimes, provedRoute                      = 0.0, 4.0
 	provedAnswers                                 = 150
