--- a/gateway/rollout/controller.go
+++ b/gateway/rollout/controller.go
@@ -42,18 +42,23 @@
 	reserveAhead, minReserve = time.Second, 10
 	// A turn, after which the permits are for other replicas of the new version, lasts
 	// minTurn, but at least turnPeriods report periods, after one of which all entries
-	// know it. With turns, a replica that fails for a cause of its own decides little.
+	// know it, and until a burst has ended. With turns, a replica that fails for a cause of
+	// its own decides little.
 	minTurn, turnPeriods = 3 * time.Second, 3
 	// fullLoad is the load of a replica on trial relative to that of an old one. A part
 	// of the permits expires unused.
-	fullLoad = 1.2
+	fullLoad = 1.3
 	// rateWeight is the weight of a new sample of the request rate.
 	rateWeight = 0.3
 	// maxCarry bounds the permits that an entry accumulates between reports.
 	maxCarry = 3
-	// burstLength is the least length of a burst if permits for a full replica's load
-	// can't be given out all the time, and minBurst the least number of permits in it.
-	burstLength, minBurst = 250 * time.Millisecond, 3
+	// If permits for a full replica's load can't be given out all the time, they are saved
+	// for bursts of burstLength, which takes a replica to that load, but not more than
+	// burstShare of all permits until the verdict is due. The first firstPermits, and what
+	// is left lastBurst before the verdict, are given out in bursts of minBurst.
+	burstLength, burstShare = 1500 * time.Millisecond, 0.75
+	firstPermits, minBurst  = 25, 3
+	lastBurst               = 2 * time.Second
 	// reportTTL is the age from which on a report no longer proves that its entry
 	// has stopped using the old versions.
 	reportTTL = 2500 * time.Millisecond
@@ -120,6 +125,11 @@
 	spentBefore int
 	rate        float64
 	bursting    bool
+	// firstBurst is set in the burst of the first permits.
+	firstBurst bool
+	// turn selects the replicas on trial since turnAt.
+	turn        int
+	turnAt      time.Time
 	movingSince time.Time
 	// missingSince is the time since which the order is missing; zero if it is there.
 	missingSince time.Time
--- a/gateway/rollout/permits.go
+++ b/gateway/rollout/permits.go
@@ -40,7 +40,7 @@
 		return reply
 	}
 	reply.Endpoints, reply.Once = c.endpoints(now), c.allowsOnce(now)
-	reply.Turn = int(now.Sub(c.base) / max(minTurn, turnPeriods*reportPeriod(len(c.live), false)))
+	reply.Turn = c.turn
 	reply.Permits = c.grant(now, last)
 	return reply
 }
@@ -75,12 +75,14 @@
 }
 
 // endpoints returns the number of replicas that permits are given out for: as many as
-// get a full load from the permits that are left until the verdict, in bursts if there
-// aren't enough for a full load all the time.
+// get a full load from the permits that accrue, in bursts if need be, or all the time
+// from those that accrue and are left until the verdict.
 func (c *Controller) endpoints(now time.Time) int {
-	left := max(time.Second, c.left(now)-c.moveTime()).Seconds()
-	rate := shareAim*c.bounds.Share*c.rate + max(0, float64(c.available()))/left
-	return max(1, min(c.replicas.New, int(math.Ceil(rate/max(c.perReplica(), 0.001)))))
+	left := max(minMove, c.left(now)-c.moveTime()).Seconds()
+	accrued := shareAim * c.bounds.Share * c.rate
+	full := max(c.perReplica(), 0.001)
+	n := max(int(math.Ceil(accrued/full)), int((accrued+max(0, float64(c.available()))/left)/full))
+	return max(1, min(c.replicas.New, n))
 }
 
 // accrue adds the permits for a time to those that an entry gets next.
@@ -99,7 +101,7 @@
 		return 0
 	}
 	available := min(c.available(), c.reserved-c.spent())
-	c.updateBurst(available)
+	c.updateBurst(now, c.available())
 	if !c.bursting {
 		r.carry = 0
 		return 0
@@ -129,17 +131,41 @@
 	return c.takenOver
 }
 
-// updateBurst begins a burst once there are permits for burstLength of a full replica's
-// load, and ends it when none are left.
-func (c *Controller) updateBurst(available int) {
+// updateBurst begins a burst once enough permits are saved, and ends it when none are
+// left.
+func (c *Controller) updateBurst(now time.Time, available int) {
 	switch {
-	case available < 1:
-		c.bursting = false
-	case float64(available) >= max(minBurst, c.perReplica()*burstLength.Seconds()):
+	case available < 1, c.bursting && c.firstBurst && c.spent() >= firstPermits:
+		c.bursting, c.firstBurst = false, false
+	case float64(available) >= c.burstSize(now):
+		c.startTurn(now)
+		c.firstBurst = !c.bursting && c.spent() < firstPermits || c.bursting && c.firstBurst
 		c.bursting = true
 	}
 }
 
+// startTurn begins a turn if the last one has lasted long enough and, unless it has
+// lasted twice as long, its burst has ended.
+func (c *Controller) startTurn(now time.Time) {
+	lasts := max(minTurn, turnPeriods*reportPeriod(len(c.live), false))
+	if c.bursting {
+		lasts *= 2
+	}
+	if now.Sub(c.turnAt) >= lasts {
+		c.turn, c.turnAt = c.turn+1, now
+	}
+}
+
+// burstSize returns the number of permits from which on a burst begins.
+func (c *Controller) burstSize(now time.Time) float64 {
+	left := c.left(now) - c.moveTime()
+	if c.spent() < firstPermits || left <= lastBurst {
+		return minBurst
+	}
+	all := c.bounds.permits(c.requests() + int(c.rate*left.Seconds()))
+	return max(minBurst, min(c.perReplica()*burstLength.Seconds(), burstShare*float64(all)))
+}
+
 // allowsOnce reports whether requests that may run only once may use permits: the
 // last ones to do so.
 func (c *Controller) allowsOnce(now time.Time) bool {
--- a/gateway/rollout/play_run_test.go
+++ b/gateway/rollout/play_run_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"testing"
@@ -20,18 +21,35 @@
 	name    string
 	bad     *badness
 	verdict Stage
+	// duration is that of the order, 12 s if it is 0.
+	duration time.Duration
 }{
-	{"good", nil, Completed},
-	{"fails 2 %", &badness{fails: 0.02}, ""},
-	{"fails 5 %", &badness{fails: 0.05}, RolledBack},
-	{"fails 20 %", &badness{fails: 0.2}, RolledBack},
-	{"fails 100 %", &badness{fails: 1}, RolledBack},
-	{"slower by 1.5", &badness{slower: 1.5}, ""},
-	{"slower by 2", &badness{slower: 2}, RolledBack},
-	{"slower by 5", &badness{slower: 5}, RolledBack},
-	{"fails 20 % after 5 s", &badness{fails: 0.2, after: 5 * time.Second}, RolledBack},
-	{"fails 20 % under load", &badness{fails: 0.2, loaded: true}, RolledBack},
-	{"fails 50 % on one route", &badness{fails: 0.5, route: "long"}, RolledBack},
+	{"good", nil, Completed, 0},
+	{"fails 2 %", &badness{fails: 0.02}, "", 0},
+	{"fails 5 %", &badness{fails: 0.05}, RolledBack, 0},
+	{"fails 20 %", &badness{fails: 0.2}, RolledBack, 0},
+	{"fails 100 %", &badness{fails: 1}, RolledBack, 0},
+	{"slower by 1.5", &badness{slower: 1.5}, "", 0},
+	{"slower by 2", &badness{slower: 2}, RolledBack, 0},
+	{"slower by 5", &badness{slower: 5}, RolledBack, 0},
+	{"fails 20 % after 3 s", &badness{fails: 0.2, after: 3 * time.Second}, RolledBack, 0},
+	{"fails 20 % after 5 s", &badness{fails: 0.2, after: 5 * time.Second}, RolledBack, 20 * time.Second},
+	// This is 1.2 s before the verdict on an order of 12 s.
+	{"fails 20 % shortly before the verdict", &badness{fails: 0.2, after: 5 * time.Second}, RolledBack, 0},
+	{"fails 20 % under load", &badness{fails: 0.2, loaded: true}, RolledBack, 0},
+	{"fails 50 % on one route", &badness{fails: 0.5, route: "long"}, RolledBack, 0},
+}
+
+// playSizes are numbers of entries, replicas and requests a second: the plain service
+// and the engines of deployment A, and sizes between and above.
+var playSizes = []struct {
+	entries, old int
+	perSecond    float64
+}{
+	{9, 24, 400},
+	{58, 3, 237},
+	{58, 72, 680},
+	{195, 72, 680},
 }
 
 // A good version is rolled back or a bad one completed too often, a bad one gets more
@@ -39,12 +57,12 @@
 // an order, or the old version is still used when the roll-out is completed. Verdicts
 // in plays with changes of the holder are only logged.
 func TestPlays(t *testing.T) {
-	for _, entries := range []int{9, 58, 195} {
+	for _, size := range playSizes {
 		for _, faults := range []string{"none", "replicas", "handovers"} {
 			for _, c := range plays {
-				t.Run(fmt.Sprintf("%d entries/faults: %s/%s", entries, faults, c.name), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%d entries/%d replicas/faults: %s/%s", size.entries, size.old, faults, c.name), func(t *testing.T) {
 					s := scenario{
-						entries: entries, old: 24, perSecond: 400, bad: c.bad, duration: 12 * time.Second,
+						entries: size.entries, old: size.old, perSecond: size.perSecond, bad: c.bad, duration: cmp.Or(c.duration, 12*time.Second),
 						disturbed: faults != "none", handovers: faults == "handovers",
 					}
 					checkPlays(t, s, c.verdict)
