--- a/gateway/balance/cache.go
+++ b/gateway/balance/cache.go
@@ -35,6 +35,9 @@
 	if sum > 0 || len(q.Parts) == 0 {
 		return sum
 	}
+	if q.Trial {
+		return int(trialCachedFraction * float64(q.sharedTokens()))
+	}
 	fraction := 0.0
 	switch first, second := homes(); r {
 	case first:
--- a/gateway/balance/draw.go
+++ b/gateway/balance/draw.go
@@ -142,7 +142,7 @@
 
 // isUsableLocked reports whether a replica accepts the request.
 func (b *Balancer) isUsableLocked(q Query, p *pools, r *replica.Replica) bool {
-	if q.Exclude[r.ID] || p.ejected[r.ID] {
+	if q.Exclude[r.ID] || p.ejected[r.ID] || q.Filter != nil && !q.Filter(r) {
 		return false
 	}
 	return b.opt.Throttle == nil || b.opt.Throttle.BlockOf(r, q.Class).Until.IsZero()
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -164,6 +164,9 @@
 	unmeasured       bool
 }
 
+// FirstToken returns the time to the first token, and false before it has arrived.
+func (t *Ticket) FirstToken() (time.Duration, bool) { return t.firstAt.Sub(t.sent), t.started }
+
 func (b *Balancer) busyLocked(service string) *rate.EWMA {
 	m := b.busy[service]
 	if m == nil {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -49,6 +49,7 @@
 	throttle    metric.Int64Counter
 	limits      metric.Int64Counter
 	placements  metric.Int64Counter
+	rollouts    metric.Int64Counter
 	replicas    names
 	room        metric.Int64Counter
 	roomWait    metric.Float64Histogram
@@ -72,7 +73,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [16]error
+	var errs [17]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -109,6 +110,8 @@
 		metric.WithDescription("Actual time until there was room for a refused request, divided by the expected one."))
 	m.placements, errs[15] = m.meter.Int64Counter("coltsfootcleat.placements",
 		metric.WithDescription("Calls to the placers of groups of replicas, by outcome."))
+	m.rollouts, errs[16] = m.meter.Int64Counter("coltsfootcleat.rollouts",
+		metric.WithDescription("Events of roll-outs at the entry that controls them: stages, status rows and failed writes."))
 	return errors.Join(errs[:]...)
 }
 
@@ -210,6 +213,11 @@
 	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
 }
 
+// RolledOut counts an event of the roll-outs to new versions.
+func (m *Metrics) RolledOut(event string) {
+	m.rollouts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 // Resumed counts a stream that was resumed elsewhere; how is for example "kv"
 // or "prompt".
 func (m *Metrics) Resumed(how string) {
