Compare the scaling of a service field by field

A changed bound of the replicas was shown with all unchanged figures of the scaling. Differences now name the bounds, the time to start and the prices as fields of their own.

--- a/gateway/config/check/diff.go
+++ b/gateway/config/check/diff.go
@@ -112,16 +112,21 @@
 }
 
 func serviceFields(s config.Service) []field {
-	slots, scaling := "none", "none"
+	const none = "none"
+	slots, replicas, start, reclaimable, prices := none, none, none, none, none
 	if s.Engine != nil {
 		slots = strconv.Itoa(s.Engine.Slots)
 	}
 	if c := s.Scaling; c != nil {
+		replicas = fmt.Sprintf("%d to %s", c.Min, bound(float64(c.Max)))
+		start, reclaimable = c.Boot.String(), number(c.SpotPrice)
 		// Maps are printed in the order of their keys.
-		prices := strings.TrimPrefix(fmt.Sprint(c.DomainPrices), "map")
-		scaling = fmt.Sprintf("%d to %d, start %v, reclaimable price %v, prices %s", c.Min, c.Max, c.Boot, c.SpotPrice, prices)
+		prices = strings.TrimPrefix(fmt.Sprint(c.DomainPrices), "map")
+	}
+	return []field{
+		{"engine slots", slots}, {"replicas", replicas}, {"start", start},
+		{"reclaimable price", reclaimable}, {"prices", prices},
 	}
-	return []field{{"engine slots", slots}, {"scaling", scaling}}
 }
 
 func customerFields(c *config.Customer) []field {
