Add check -configuration FILE [-in-force FILE] [-json]

Operators can check a configuration before they send it: faults with exit code 1 for warnings only and 2 for errors, and the differences from the one in force. It needs no entry and no network. check without -configuration works as before.

Left out: objective over deadline, as the form has no deadline. Differences in fields that aren't used yet are not shown.

--- a/cmd/coltsfootcleat/check.go
+++ b/cmd/coltsfootcleat/check.go
@@ -27,17 +27,24 @@
 // kinds are the kinds of files, in the order of the usage text.
 var kinds = []string{kindSettings, kindTemplate, kindStandin}
 
-// checkCommand validates settings, template and stand-in files.
+// checkCommand validates settings, template and stand-in files, or a
+// configuration.
 type checkCommand struct {
 	console
 	kind string
+	// configuration is the file of a configuration, inForce that of the one in
+	// force. Both are empty if other files are checked.
+	configuration, inForce string
+	json                   bool
 }
 
 // Name implements subcommands.Command.
 func (*checkCommand) Name() string { return "check" }
 
 // Synopsis implements subcommands.Command.
-func (*checkCommand) Synopsis() string { return "validate settings and template files" }
+func (*checkCommand) Synopsis() string {
+	return "validate settings and template files, or a configuration"
+}
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
@@ -47,16 +54,35 @@
   Example:
     coltsfootcleat check deployments/karoo-wick/*.toml
 
+check -configuration FILE [-in-force FILE] [-json]
+  Reports the faults of a configuration before it is sent, and its differences from
+  the one in force. Exits 0 if there is no fault, 1 for warnings only, 2 for errors.
+
+  Example:
+    coltsfootcleat check -configuration next.json -in-force current.json
+
 `
 }
 
 // SetFlags implements subcommands.Command.
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.kind, "kind", kindAuto, "`kind` of the files: settings, template, standin, or auto to detect it from their keys")
+	f.StringVar(&c.configuration, "configuration", "", "`file` of a configuration, in the form that operators send")
+	f.StringVar(&c.inForce, "in-force", "", "`file` of the configuration in force, to compare with")
+	f.BoolVar(&c.json, "json", false, "print JSON (with -configuration)")
 }
 
 // Execute implements subcommands.Command.
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.configuration != "" {
+		if f.NArg() > 0 || c.kind != kindAuto {
+			return c.exit(usageError{"check: -configuration takes no further files and no -kind"})
+		}
+		return c.checkConfiguration()
+	}
+	if c.inForce != "" || c.json {
+		return c.exit(usageError{"check: -in-force and -json need -configuration"})
+	}
 	if f.NArg() == 0 {
 		return c.exit(usageError{"check: name at least one file"})
 	}
