--- a/gateway/config/check/check_test.go
+++ b/gateway/config/check/check_test.go
@@ -170,6 +170,7 @@
 	})
 }
 
+// Guards against idle connections that are closed while a header arrives.
 func TestConnectionTimeoutsAreChecked(t *testing.T) {
 	const s = time.Second
 	qt.Check(t, text(check.ConnectionTimeouts(3*s, 15*s)), qt.Equals, "")
