--- a/app/gateway_room.go
+++ b/app/gateway_room.go
@@ -55,6 +55,9 @@
 func newRoomControl(set *replica.Set, c *config.Holder, speeds *speed.Estimator, m *telemetry.Metrics, log *logrus.Entry) *roomControl {
 	r := &roomControl{replicas: set, config: c, capacities: make(map[string]cachedCapacity)}
 	r.speed = func(x *replica.Replica) float64 {
+		if !speeds.Uneven(time.Now(), x.Service) {
+			return 1
+		}
 		return speeds.Of(time.Now(), x.Service, x.ID, x.Incarnation).Prefill
 	}
 	r.control = room.New(room.Options{
--- a/gateway/balance/even_test.go
+++ b/gateway/balance/even_test.go
@@ -119,6 +119,14 @@
 	return speed.Estimate{Prefill: v, Decode: v, Work: v}
 }
 
+func (knownSpeeds) Uneven(time.Time, string) bool { return true }
+
+func (knownSpeeds) Slowed(string, string, int64) speed.Estimate {
+	return speed.Estimate{Prefill: 1, Decode: 1, Work: 1}
+}
+
+func (knownSpeeds) ObserveSlowdown(string, int64, time.Duration, time.Duration) {}
+
 func (knownSpeeds) Observe(time.Time, string, string, int64, speed.Kind, time.Duration, time.Duration) {
 }
 
@@ -476,12 +484,14 @@
 		if testing.Short() && run.f != noFault {
 			continue
 		}
-		p := playReal(t, 78, run.o, run.f)
-		p.report(t, run.name)
-		qt.Check(t, p.quantile(.99, true, true) <= 0.7*current.quantile(.99, true, true), qt.IsTrue)
-		qt.Check(t, p.inTime() >= run.inTime, qt.IsTrue)
-		qt.Check(t, p.prefilled < current.prefilled*105/100, qt.IsTrue)
-		qt.Check(t, p.imbalance() < run.waiting, qt.IsTrue)
+		t.Run(run.name, func(t *testing.T) {
+			p := playReal(t, 78, run.o, run.f)
+			p.report(t, run.name)
+			qt.Check(t, p.quantile(.99, true, true) <= 0.7*current.quantile(.99, true, true), qt.IsTrue)
+			qt.Check(t, p.inTime() >= run.inTime, qt.IsTrue)
+			qt.Check(t, p.prefilled < current.prefilled*105/100, qt.IsTrue)
+			qt.Check(t, p.imbalance() < run.waiting, qt.IsTrue)
+		})
 	}
 }
 
--- a/gateway/balance/global.go
+++ b/gateway/balance/global.go
@@ -44,7 +44,7 @@
 // ChooseGlobal returns the replica for a request, or ErrNoReplica. If the owner
 // of the service is unavailable, the local choice is used.
 func (g *GlobalBalancer) ChooseGlobal(ctx context.Context, q Query) (Choice, error) {
-	if g.isGrouped() && !q.Local {
+	if g.isGrouped(q.Service) && !q.Local {
 		return g.chooseGrouped(ctx, q)
 	}
 	local, err := g.Choose(q)
--- a/gateway/balance/groups_test.go
+++ b/gateway/balance/groups_test.go
@@ -22,7 +22,7 @@
 // newGrouped returns an entry of a large deployment, and the only other member.
 func newGrouped() (*GlobalBalancer, *placer) {
 	set, p := newReplicas(8), &placer{}
-	o := Options{FailureDomain: "d", Log: nolog.Or(nil), Grouped: func() bool { return true }}
+	o := Options{FailureDomain: "d", Speeds: knownSpeeds{}, Log: nolog.Or(nil), Grouped: func() bool { return true }}
 	p.owner = New(set, o)
 	return NewGlobalBalancer(New(set, o), "e", p, nolog.Or(nil)), p
 }
--- a/gateway/balance/pools.go
+++ b/gateway/balance/pools.go
@@ -127,8 +127,12 @@
 	stale     bool
 }
 
-// isGrouped reports whether the deployment is large.
-func (b *Balancer) isGrouped() bool { return b.opt.Grouped != nil && b.opt.Grouped() }
+// isGrouped reports whether requests of a service are distributed over pools and
+// groups: the deployment is large, and the speeds of the replicas are uneven. With
+// even speeds, the prompts that pools and groups spread anew cost more than they gain.
+func (b *Balancer) isGrouped(service string) bool {
+	return b.opt.Grouped != nil && b.opt.Grouped() && b.opt.Speeds.Uneven(time.Now(), service)
+}
 
 // isHeavyLocked reports whether a prompt is long in a large deployment.
 func (b *Balancer) isHeavyLocked(q Query) bool {
--- a/gateway/balance/speeds.go
+++ b/gateway/balance/speeds.go
@@ -48,6 +48,11 @@
 type Speeds interface {
 	Of(now time.Time, service, replica string, incarnation int64) speed.Estimate
 	Observe(now time.Time, service, replica string, incarnation int64, k speed.Kind, predicted, took time.Duration)
+	// Uneven reports whether requests of a service are distributed by speed. Else only
+	// Slowed is used, which is at most 1.
+	Uneven(now time.Time, service string) bool
+	Slowed(service, replica string, incarnation int64) speed.Estimate
+	ObserveSlowdown(replica string, incarnation int64, predicted, took time.Duration)
 }
 
 // currentOf returns the function by which an estimator recognizes replicas.
@@ -108,6 +113,9 @@
 }
 
 func (b *Balancer) speedOf(r *replica.Replica, now time.Time) speed.Estimate {
+	if !b.opt.Speeds.Uneven(now, r.Service) {
+		return b.opt.Speeds.Slowed(r.Service, r.ID, r.Incarnation)
+	}
 	return b.opt.Speeds.Of(now, r.Service, r.ID, r.Incarnation)
 }
 
@@ -157,7 +165,7 @@
 	}
 	// A part that is expected to be cached and isn't makes the replica look slow. It
 	// must not be most of the work.
-	if t.choice.relative && t.choice.CachedTokens <= t.uncachedTokens+t.ownQueued {
+	if t.choice.CachedTokens <= t.uncachedTokens+t.ownQueued {
 		observe(speed.Prefill, t.unqueued, first)
 	}
 	if len(t.gaps) >= minGaps {
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/coltsfootcleat/coltsfootcleat/gateway/speed"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 )
 
@@ -227,7 +226,7 @@
 		b.busyLocked(q.Service).Add(t.sent, seconds)
 		m := b.mixLocked(q.Service)
 		m.all.Add(t.sent, seconds)
-		if b.isLong(q, t.uncachedTokens) && !b.isGrouped() || b.isGrouped() && b.isHeavyLocked(q) {
+		if grouped := b.isGrouped(q.Service); !grouped && b.isLong(q, t.uncachedTokens) || grouped && b.isHeavyLocked(q) {
 			m.long.Add(t.sent, seconds)
 		}
 	}
@@ -252,7 +251,7 @@
 		return
 	}
 	tokens, fit := float64(t.queuedTokens+t.uncachedTokens), t.b.prefillRateLocked(t.q.Service)
-	if t.b.isGrouped() {
+	if t.b.isGrouped(t.q.Service) {
 		// Where others have queued tokens isn't known.
 		fit.observeFastest(float64(t.uncachedTokens), took.Seconds()*t.choice.Speed)
 		return
@@ -266,7 +265,7 @@
 	}
 	fit.observe(tokens, took.Seconds())
 	r := t.choice.Replica
-	t.b.opt.Speeds.Observe(t.firstAt, r.Service, r.ID, r.Incarnation, speed.Prefill, t.choice.atSpeed1, took)
+	t.b.opt.Speeds.ObserveSlowdown(r.ID, r.Incarnation, t.choice.atSpeed1, took)
 }
 
 // End records how the request ended.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -16,8 +16,8 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/liveness"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quarantine"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
-	"github.com/coltsfootcleat/coltsfootcleat/gateway/room"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollout"
+	"github.com/coltsfootcleat/coltsfootcleat/gateway/room"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/throttle"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/upstream"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/usage"
@@ -71,7 +71,7 @@
 	Usage       *usage.Counter
 	// Room returns the admission control of a service, or nil for services without
 	// it. It may be nil.
-	Room     func(s config.Service) *room.Controller
+	Room func(s config.Service) *room.Controller
 	// Rollouts says which versions requests may be sent to. It may be nil.
 	Rollouts *rollout.Gate
 	Log      *logrus.Entry
--- a/gateway/quota/order.go
+++ b/gateway/quota/order.go
@@ -19,6 +19,9 @@
 	// be served half as often as all; the rest is for changes of the load. Equal
 	// fractions would refuse many small requests for each large one.
 	minServed = 0.7
+	// smallFraction is the fraction of the mean size up to which a request is served
+	// whatever the classes are: all of these together take few units from larger ones.
+	smallFraction = 0.1
 	// openFill is the fill level from which on all classes are served, so that the
 	// limit is used when the others don't ask.
 	openFill = 0.8
@@ -54,6 +57,16 @@
 	return class
 }
 
+// isSmall reports whether a request is much smaller than others of the customer.
+func (s *sizes) isSmall(units float64) bool {
+	n := min(s.count, recentSizes)
+	sum := 0.0
+	for _, v := range s.recent[:n] {
+		sum += v
+	}
+	return units*float64(n) <= smallFraction*sum
+}
+
 // derive derives the classes. Where many requests have the same size, a class holds
 // only larger ones.
 func (s *sizes) derive() {
--- a/gateway/quota/replica.go
+++ b/gateway/quota/replica.go
@@ -260,7 +260,7 @@
 func (cu *customer) waitForOthers(class int, units float64, now time.Time) time.Duration {
 	rp := &cu.replica
 	short := openFill*rp.burst - cu.global.Level(now)
-	if short <= 0 || rp.askedSlowly.Rate(now) <= cu.limit.PerSecond || rp.sizes.mayTake(now, class) {
+	if short <= 0 || rp.askedSlowly.Rate(now) <= cu.limit.PerSecond || rp.sizes.isSmall(units) || rp.sizes.mayTake(now, class) {
 		return 0
 	}
 	return max(time.Millisecond, rate.Seconds(min(short, units)/rp.perSecond))
--- a/gateway/speed/speed.go
+++ b/gateway/speed/speed.go
@@ -55,6 +55,8 @@
 	// shared is set while there are other entries to learn from.
 	shared      bool
 	refreshedAt time.Time
+	// uneven holds the services whose speeds are uneven.
+	uneven map[string]bool
 }
 
 type levelKey struct {
@@ -72,7 +74,7 @@
 
 // New returns an Estimator without samples.
 func New(o Options) *Estimator {
-	return &Estimator{opt: o, replicas: make(map[string]*replicaState), levels: make(map[levelKey]*level)}
+	return &Estimator{opt: o, replicas: make(map[string]*replicaState), levels: make(map[levelKey]*level), uneven: make(map[string]bool)}
 }
 
 // Observe records how long a step of an answered request took, and how long it
@@ -85,9 +87,6 @@
 		return
 	}
 	ratio := took.Seconds() / predicted.Seconds()
-	if k == Prefill {
-		st.slowdown.observe(ratio)
-	}
 	if ratio < 1/maxSampleRatio || ratio > maxSampleRatio {
 		return
 	}
@@ -227,6 +226,7 @@
 			e.logChange(id, st, Kind(i))
 		}
 	}
+	e.compareLocked()
 }
 
 // logChange logs a persistent estimate that differs from the last logged one by
--- a/gateway/speed/speed_test.go
+++ b/gateway/speed/speed_test.go
@@ -214,7 +214,8 @@
 	for range 200 {
 		ratio := math.Exp(0.4 + random.NormFloat64())
 		want = min(max(want*math.Exp(0.1*math.Log(min(max(ratio, 0.5), 8)/want)), 1), 8)
-		e.Observe(start, "s", replicaID(0), 1, Prefill, time.Second, time.Duration(ratio*float64(time.Second)))
+		e.ObserveSlowdown(replicaID(0), 1, time.Second, time.Duration(ratio*float64(time.Second)))
+		e.ObserveSlowdown(replicaID(1), 1, time.Second, time.Second/3)
 		e.Observe(start, "s", replicaID(1), 1, Prefill, time.Second, time.Second/3)
 		e.Observe(start, "s", replicaID(1), 1, Work, time.Second, 3*time.Second)
 	}
