--- a/gateway/balance/draw.go
+++ b/gateway/balance/draw.go
@@ -20,6 +20,9 @@
 	// rareInGroupPerSecond is that rate for a group of replicas, whose placers state a
 	// wait if they get too many. With 4 instead, 5 % more tokens were processed again.
 	rareInGroupPerSecond = 60.0
+	// rareAfter is the time after the start of this entry from which parts can be rare.
+	// An entry sends a part that could overload a replica several times until then.
+	rareAfter = 5 * time.Second
 	// maxDraws bounds the candidates that are drawn for one choice.
 	maxDraws = 8
 )
@@ -155,7 +158,7 @@
 		return false
 	}
 	interval := time.Duration(float64(b.members) / perSecond * float64(time.Second))
-	if now.Sub(b.since) < interval {
+	if now.Sub(b.since) < rareAfter {
 		return false
 	}
 	locations, _ := b.partLocations.Peek(q.Parts[len(q.Parts)-1].ID)
--- a/gateway/balance/grouped.go
+++ b/gateway/balance/grouped.go
@@ -36,17 +36,19 @@
 	p := b.poolsLocked(q, ready, now)
 	random := []float64{b.random.Float64(), b.random.Float64(), b.random.Float64(), b.random.Float64()}
 	var saved time.Duration
+	var home *replica.Replica
 	if b.isRareLocked(q, rareInGroupPerSecond, now) {
-		// All entries prefer the same group for a rare part.
-		random[0] = unitHash(q.Parts[len(q.Parts)-1].ID)
+		// All entries prefer the same group for a rare part: that of its home replica,
+		// which stays the same while the weights of the groups change.
+		home, _ = homeReplicas(q.Parts[len(q.Parts)-1].ID, p.long.replicas, p.speeds)
 		saved = time.Duration(float64(q.sharedTokens()) / b.prefillRateLocked(q.Service).perSecond * float64(time.Second))
 	}
 	local := Choice{Candidates: len(ready), Alternatives: b.hasUnlimited(q, ready), relative: p.speeds.relative, ViewAge: b.viewAgeLocked(now)}
 	b.mu.Unlock()
 	var asked []string
 	for len(asked) < maxPlacers {
-		name, ok := g.pickGroup(p, q.Service, random[2*len(asked):], saved, asked)
-		saved = 0
+		name, ok := g.pickGroup(p, q.Service, random[2*len(asked):], home, saved, asked)
+		saved, home = 0, nil
 		if !ok || ctx.Err() != nil {
 			break
 		}
@@ -70,8 +72,10 @@
 	})
 }
 
-// unitHash returns a number of [0, 1) for a prompt part.
-func unitHash(part uint64) float64 { return float64(pairHash(part, "")) / (1 << 64) }
+// groupOf returns the index of a replica's group, or -1.
+func (p *pools) groupOf(r *replica.Replica) int {
+	return slices.IndexFunc(p.groups, func(g group) bool { return slices.Contains(p.members[g], r) })
+}
 
 // Outcomes of placements in groups.
 const (
@@ -129,7 +133,7 @@
 // all and one from this failure domain, or false if
 // there is none but those already asked. Groups whose placer is backed off count as
 // asked. In the first group, the request saves some time.
-func (g *GlobalBalancer) pickGroup(p *pools, service string, random []float64, saved time.Duration, asked []string) (string, bool) {
+func (g *GlobalBalancer) pickGroup(p *pools, service string, random []float64, home *replica.Replica, saved time.Duration, asked []string) (string, bool) {
 	best, found, bestWait := "", false, time.Duration(0)
 	consider := func(i int, saved time.Duration) {
 		name := p.groups[i].String()
@@ -147,7 +151,11 @@
 	if len(p.groups) == 0 {
 		return "", false
 	}
-	consider(p.drawGroup(random[0], ""), saved)
+	first := p.groupOf(home)
+	if first < 0 {
+		first = p.drawGroup(random[0], "")
+	}
+	consider(first, saved)
 	consider(p.drawGroup(random[1], g.opt.FailureDomain), 0)
 	for i := 0; !found && i < len(p.groups); i++ {
 		consider(i, 0)
--- a/gateway/balance/groups.go
+++ b/gateway/balance/groups.go
@@ -96,7 +96,7 @@
 // wait before its prefill in seconds, with what requests in progress cost it.
 func (b *Balancer) groupPlacementLocked(q Query, r *replica.Replica, p *pools, now time.Time) (Placement, float64) {
 	fit, e := b.prefillRateLocked(q.Service), p.speeds.of(r)
-	cached := b.placedTokensLocked(q, r.ID, now)
+	cached := b.cachedLocked(q, r, p.long.replicas, p.speeds, now)
 	running := len(b.placedLocked(r.ID, now))
 	wait := b.reservedLocked(r.ID, now)
 	first := wait + (fit.base+float64(max(0, q.PromptTokens-cached))/fit.perSecond)/e.Prefill
@@ -123,19 +123,6 @@
 	return cost + cacheAffinity*float64(max(0, q.sharedTokens()-place.CachedTokens))/fit.perSecond
 }
 
-// placedTokensLocked returns how many tokens of the prompt's shared parts the
-// replica has cached according to the placements of this entry.
-func (b *Balancer) placedTokensLocked(q Query, id string, now time.Time) int {
-	sum := 0
-	for _, p := range q.Parts {
-		if !b.isCachedLocked(p.ID, id, now) {
-			break
-		}
-		sum += p.Tokens
-	}
-	return sum
-}
-
 // placedLocked returns the times of the placements in progress on a replica.
 func (b *Balancer) placedLocked(id string, now time.Time) []time.Time {
 	placed := b.placements[id]
