--- a/app/gateway_room.go
+++ b/app/gateway_room.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/coltsfootcleat/coltsfootcleat/gateway"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollup"
@@ -130,7 +131,10 @@
 }
 
 // runRoom updates the view over all entries.
-func runRoom(lc fx.Lifecycle, l *Loops, r *roomControl, loads *rollup.Rollup, registry *member.Registry) {
+func runRoom(lc fx.Lifecycle, l *Loops, s gateway.Settings, r *roomControl, loads *rollup.Rollup, registry *member.Registry) {
+	if !s.Room {
+		return
+	}
 	l.Every(lc, roomViewPeriod, func(context.Context) {
 		members := len(registry.Members())
 		r.on.Store(members > maxDirectReaders)
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -13,7 +13,7 @@
 
 const (
 	// exchangeTick is the time between two looks for exchanges that are due.
-	exchangeTick = 25 * time.Millisecond
+	exchangeTick = 50 * time.Millisecond
 	// askAgainPeriod is the time after which the owners of a limit are asked again
 	// while they have just started and don't know its level.
 	askAgainPeriod = 10 * time.Millisecond
@@ -39,6 +39,10 @@
 	Process uint64
 	// Active reports whether limits are replicated.
 	Active func() bool
+	// OrderBySize makes owners hold back small requests of a customer that exceeds its
+	// limit while large ones are served too seldom. Owners don't know the urgency of
+	// requests, so this also holds back urgent ones.
+	OrderBySize bool
 	// Settled reports whether the members are known that started together with this
 	// entry.
 	Settled func() bool
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -75,6 +75,8 @@
 	settled    func() bool
 	roleOf     func(customer string) (int, string)
 	process    uint64
+	// orderBySize is that of Replication.
+	orderBySize bool
 
 	mu        sync.Mutex
 	customers map[string]*customer
@@ -338,7 +340,7 @@
 	}
 	if l.isReplicatedLocked() {
 		cu.replica.ask(units, l.now())
-		return cu.grantReplica(units, maxDelay, l.now()), true
+		return cu.grantReplica(units, maxDelay, l.orderBySize, l.now()), true
 	}
 	r := cu.global.ReserveWithin(l.now(), units, maxDelay)
 	r.Delay = min(r.Delay, maxRetryAfter)
--- a/gateway/quota/replica.go
+++ b/gateway/quota/replica.go
@@ -101,7 +101,7 @@
 // returns the rank of this entry for a customer's limit, 0 if it is no owner, and the
 // other owner. It must be called before any other method.
 func (l *Limiter) Replicate(r Replication, roleOf func(customer string) (int, string)) {
-	l.process, l.replicated, l.settled, l.roleOf = r.Process, r.Active, r.Settled, roleOf
+	l.process, l.replicated, l.settled, l.roleOf, l.orderBySize = r.Process, r.Active, r.Settled, roleOf, r.OrderBySize
 }
 
 func (l *Limiter) isReplicatedLocked() bool {
@@ -222,7 +222,7 @@
 	if rp.rank == 0 || rp.quality == 0 {
 		return rate.Reservation{}, false
 	}
-	return cu.grantReplica(units, maxDelay, now), true
+	return cu.grantReplica(units, maxDelay, l.orderBySize, now), true
 }
 
 func (l *Limiter) knowsPeers() bool {
@@ -238,11 +238,11 @@
 	rp.askedSlowly.Add(now, units)
 }
 
-func (cu *customer) grantReplica(units float64, maxDelay time.Duration, now time.Time) rate.Reservation {
+func (cu *customer) grantReplica(units float64, maxDelay time.Duration, orderBySize bool, now time.Time) rate.Reservation {
 	cu.sizeReplica(now)
 	rp := &cu.replica
 	class := rp.sizes.ask(now, units)
-	if wait := cu.waitForOthers(class, units, now); wait > 0 {
+	if wait := cu.waitForOthers(class, units, now); orderBySize && wait > 0 {
 		return rate.Reservation{Delay: min(wait, maxRetryAfter)}
 	}
 	r := cu.global.ReserveWithin(now, units, maxDelay)
--- a/gateway/quota/replica_test.go
+++ b/gateway/quota/replica_test.go
@@ -83,7 +83,8 @@
 	e.GlobalLimiter = NewGlobalLimiter(l, id, fleetPeers{f, id}, nolog.Or(nil))
 	f.processes++
 	e.ReplicateWith(fleetPeers{f, id}, Replication{
-		Process: f.processes, Active: func() bool { return true }, Settled: func() bool { return true },
+		OrderBySize: true,
+		Process:     f.processes, Active: func() bool { return true }, Settled: func() bool { return true },
 	})
 	l.SetConfiguration((&config.Configuration{Customers: []config.Customer{
 		{Name: "a", PerSecond: f.perSecond, Burst: f.perSecond, CountTokens: true}}}).Compile())
--- a/gateway/rollout/follower.go
+++ b/gateway/rollout/follower.go
@@ -18,7 +18,7 @@
 
 const (
 	// checkPeriod is the time between two checks for versions to decide on.
-	checkPeriod = 50 * time.Millisecond
+	checkPeriod = 100 * time.Millisecond
 	// The time between two reports is reportPerMember for each member, within
 	// minReportPeriod and maxReportPeriod, so that the holder answers at most 250
 	// reports a second at 195 members.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -32,6 +32,9 @@
 	// ReportsUsage and OrdersReplicas enable the leader tasks of this
 	// deployment.
 	ReportsUsage, OrdersReplicas bool
+	// Room enables admission control by the room of services in deployments of many
+	// entries.
+	Room bool
 	// Rollouts configures roll-outs to new versions.
 	Rollouts RolloutSettings
 }
--- a/gateway/speed/speed.go
+++ b/gateway/speed/speed.go
@@ -57,6 +57,8 @@
 	refreshedAt time.Time
 	// uneven holds the services whose speeds are uneven.
 	uneven map[string]bool
+	// unevenAt holds when a service's speeds were last not even.
+	unevenAt map[string]time.Time
 }
 
 type levelKey struct {
@@ -74,7 +76,7 @@
 
 // New returns an Estimator without samples.
 func New(o Options) *Estimator {
-	return &Estimator{opt: o, replicas: make(map[string]*replicaState), levels: make(map[levelKey]*level), uneven: make(map[string]bool)}
+	return &Estimator{opt: o, replicas: make(map[string]*replicaState), levels: make(map[levelKey]*level), uneven: make(map[string]bool), unevenAt: make(map[string]time.Time)}
 }
 
 // Observe records how long a step of an answered request took, and how long it
@@ -226,7 +228,7 @@
 			e.logChange(id, st, Kind(i))
 		}
 	}
-	e.compareLocked()
+	e.compareLocked(now)
 }
 
 // logChange logs a persistent estimate that differs from the last logged one by
--- a/gateway/speed/uneven.go
+++ b/gateway/speed/uneven.go
@@ -12,6 +12,9 @@
 	// of the estimates are below a tenth. Replicas that are a third faster than others
 	// gain less by it than parts of prompts lose that are spread anew.
 	unevenRatio, evenRatio = 1.6, 1.35
+	// evenTime is the time for which speeds must be even before they count as such.
+	// While a domain's replicas are replaced, few of them are known.
+	evenTime = 30 * time.Second
 	// fastQuantile and slowQuantile select the replicas that are compared, so that a
 	// few that fail or start don't count.
 	fastQuantile, slowQuantile = 0.85, 0.15
@@ -58,7 +61,7 @@
 }
 
 // compareLocked updates which services have uneven speeds.
-func (e *Estimator) compareLocked() {
+func (e *Estimator) compareLocked(now time.Time) {
 	speeds := make(map[string]map[Kind][]float64)
 	for _, st := range e.replicas {
 		for _, kind := range []Kind{Decode, Work} {
@@ -81,7 +84,10 @@
 		switch {
 		case compared && ratio >= unevenRatio:
 			e.setUnevenLocked(service, true, ratio)
-		case compared && ratio <= evenRatio:
+			e.unevenAt[service] = now
+		case compared && ratio > evenRatio:
+			e.unevenAt[service] = now
+		case compared && now.Sub(e.unevenAt[service]) > evenTime:
 			e.setUnevenLocked(service, false, ratio)
 		}
 	}
