--- a/gateway/balance/grouped.go
+++ b/gateway/balance/grouped.go
@@ -41,10 +41,7 @@
 		// All entries prefer the same group for a rare part: that of its home replica,
 		// which stays the same while the weights of the groups change.
 		home, _ = homeReplicas(q.Parts[len(q.Parts)-1].ID, p.long.replicas, p.speeds)
-		if home != nil {
-			seconds := cacheAffinity * float64(q.sharedTokens()) / b.prefillRateLocked(q.Service).perSecond / p.speeds.of(home).Prefill
-			saved = time.Duration(seconds * float64(time.Second))
-		}
+		saved = time.Duration(float64(q.sharedTokens()) / b.prefillRateLocked(q.Service).perSecond * float64(time.Second))
 	}
 	local := Choice{Candidates: len(ready), Alternatives: b.hasUnlimited(q, ready), relative: p.speeds.relative, ViewAge: b.viewAgeLocked(now)}
 	b.mu.Unlock()
--- a/gateway/balance/groups.go
+++ b/gateway/balance/groups.go
@@ -120,7 +120,7 @@
 		cost *= coldFactor
 	}
 	cost *= 1 + failurePenalty*b.stateLocked(r).failures.rate(now)
-	return cost + cacheAffinity*float64(max(0, q.sharedTokens()-place.CachedTokens))/fit.perSecond/p.speeds.of(r).Prefill
+	return cost + cacheAffinity*float64(max(0, q.sharedTokens()-place.CachedTokens))/fit.perSecond
 }
 
 // placedLocked returns the times of the placements in progress on a replica.
