--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -114,8 +114,8 @@
 	// above which it declines. See PlaceInGroup.
 	Group   string
 	MaxWait time.Duration
-	// Filter returns whether a replica may be chosen; nil if all may be. It isn't
-	// sent to other entries, which use filters of their own.
+	// Filter reports whether a replica may be chosen. If it is nil, all may be. It isn't
+	// sent to other entries, which use their own filters.
 	Filter func(*replica.Replica) bool
 	// Local is set for requests that no other entry places. Trial is set besides if
 	// the request tries the replicas, also those that fail.
--- a/gateway/balance/grouped.go
+++ b/gateway/balance/grouped.go
@@ -122,7 +122,7 @@
 	return c, true
 }
 
-// Release tells the placer of the choice that the request has ended or wasn't sent.
+// Release reports to the placer that the request has ended or wasn't sent.
 func (c Choice) Release() {
 	if c.ended != nil {
 		c.ended()
--- a/gateway/balance/speeds.go
+++ b/gateway/balance/speeds.go
@@ -33,8 +33,8 @@
 	// error, which all replicas have in common.
 	eventStep   = 30 * time.Millisecond
 	serviceStep = 100 * time.Millisecond
-	// gapQuantile is the quantile of the times between the events of a stream that
-	// tells the decode speed. The longer ones contain the prefill of other prompts,
+	// gapQuantile is the quantile of the times between the events of a stream from which
+	// the decode speed is estimated. The longer times contain the prefill of other prompts,
 	// and some of the shortest are of events that were delivered together.
 	gapQuantile = 0.25
 	// maxGaps bounds the recorded times between events.
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -190,8 +190,8 @@
 	b.busyLocked(q.Service).Add(time.Now(), b.prefillTimeLocked(q)+running)
 }
 
-// PrefillTime returns the expected prefill time of a request in seconds, before a
-// replica is chosen; 0 for plain services.
+// PrefillTime returns the expected prefill time, in seconds, of a request for which no
+// replica has been chosen yet. It is 0 for plain services.
 func (b *Balancer) PrefillTime(q Query) float64 {
 	if q.Slots == 0 {
 		return 0
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -35,7 +35,7 @@
 
 // Replication configures the replication of limits.
 type Replication struct {
-	// Process tells the processes of an entry apart.
+	// Process identifies a process among those that an entry has run.
 	Process uint64
 	// Active reports whether limits are replicated.
 	Active func() bool
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -69,8 +69,8 @@
 	// ownsLimit reports whether this entry owns a customer's limit. If it is
 	// nil, this entry owns none.
 	ownsLimit func(customer string) bool
-	// replicated, settled and roleOf are set by Replicate. process tells the processes
-	// of an entry apart.
+	// replicated, settled, roleOf and process are set by Replicate. process identifies
+	// this process among those that the entry has run.
 	replicated func() bool
 	settled    func() bool
 	roleOf     func(customer string) (int, string)
--- a/gateway/rollout/controller.go
+++ b/gateway/rollout/controller.go
@@ -173,8 +173,8 @@
 	return min(d/2, max(minMove, min(maxMove, d/moveDivisor)))
 }
 
-// stage returns the stage that entries are told. A version is closed at once, and
-// opened only when the table says so.
+// stage returns the stage that is sent to entries. A version is closed before the table
+// confirms it, and opened only afterwards.
 func (c *Controller) stage() Stage {
 	if c.row.Stage == RolledBack || c.row.Stage == c.committed {
 		return c.row.Stage
--- a/gateway/rollout/gate.go
+++ b/gateway/rollout/gate.go
@@ -216,7 +216,8 @@
 // OnTrial reports whether the attempt has a permit for a version that isn't proved.
 func (p Pass) OnTrial() bool { return p.trial != nil }
 
-// Filter returns whether a replica may be used, or nil if all may be.
+// Filter returns the function that reports whether a replica may be used, or nil if all
+// may be.
 func (p Pass) Filter() func(*replica.Replica) bool {
 	switch {
 	case p.trial != nil:
@@ -238,8 +239,8 @@
 	p.gate.serviceLocked(p.service).counts.returned++
 }
 
-// Check reports whether a replica that was chosen by a Pass may still be used. It is
-// called just before the request is sent.
+// Check returns an error if the chosen replica may no longer be used. It is called just
+// before the request is sent.
 func (p Pass) Check(now time.Time, r *replica.Replica) error {
 	if p.gate == nil {
 		return nil
--- a/peer/levels.go
+++ b/peer/levels.go
@@ -11,7 +11,7 @@
 // that are left.
 type LimitLevel struct {
 	Customer string `json:"c"`
-	// Process tells the processes of an entry apart.
+	// Process identifies a process among those that an entry has run.
 	Process uint64 `json:"p"`
 	// Quality orders levels by what they are based on. At 0 the level is unknown.
 	Quality int `json:"q,omitempty"`
