serve: admission control by room can be switched on

Cause: gateway.Settings.Room was set by nobody, so operators of a deployment that is often short of replicas could not use the part. Change: serve -platform takes -admit-by-room; off by default as before. Measured: nothing; the decisions are unchanged.

--- a/cmd/coltsfootcleat/serve.go
+++ b/cmd/coltsfootcleat/serve.go
@@ -20,20 +20,23 @@
 type serveCommand struct {
 	settings   string
 	onPlatform bool
+	// room is valid on the platform only.
+	room bool
 }
 
 func (*serveCommand) Name() string     { return "serve" }
 func (*serveCommand) Synopsis() string { return "run one entry host" }
 
 func (*serveCommand) Usage() string {
-	return `serve -settings FILE | serve -platform:
+	return `serve -settings FILE | serve -platform [-admit-by-room]:
   Runs one entry host until SIGTERM or SIGINT. The first signal drains it: it
   accepts no new requests and exits once those in progress have ended. A second
   signal stops it at once. SIGHUP makes the entry read its settings file again,
   check it and log the result; changes take effect at the next start.
 
   With -platform the entry runs on the users' platform, with the settings file
-  that the variable ` + platform.SettingsVariable + ` names.
+  that the variable ` + platform.SettingsVariable + ` names. With -admit-by-room, entries of deployments of more than 16 refuse
+  requests that the replicas of their service have no room for.
 
   Examples:
     coltsfootcleat serve -settings deployments/karoo-wick/entry-midrand.toml
@@ -45,10 +48,11 @@
 func (c *serveCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "settings `file` (TOML)")
 	f.BoolVar(&c.onPlatform, "platform", false, "run on the users' platform, with its settings file")
+	f.BoolVar(&c.room, "admit-by-room", false, "with -platform: refuse requests that the replicas of their service have no room for")
 }
 
 func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if (c.settings == "") != c.onPlatform || f.NArg() > 0 {
+	if (c.settings == "") != c.onPlatform || c.room && !c.onPlatform || f.NArg() > 0 {
 		fmt.Fprint(os.Stderr, c.Usage())
 		return subcommands.ExitUsageError
 	}
@@ -61,7 +65,7 @@
 
 func (c *serveCommand) run(ctx context.Context) error {
 	if c.onPlatform {
-		return runOnPlatform(ctx, os.Getenv(platform.SettingsVariable))
+		return runOnPlatform(ctx, os.Getenv(platform.SettingsVariable), c.room)
 	}
 	s, err := settings.Load(c.settings)
 	if err != nil {
--- a/cmd/coltsfootcleat/serve_platform.go
+++ b/cmd/coltsfootcleat/serve_platform.go
@@ -32,8 +32,9 @@
 )
 
 // runOnPlatform runs one entry on the users' platform until SIGTERM or SIGINT.
-// It drains the entry within the grace period, less exitReserve.
-func runOnPlatform(ctx context.Context, path string) error {
+// It drains the entry within the grace period, less exitReserve. Room enables
+// admission control by the room of services.
+func runOnPlatform(ctx context.Context, path string, room bool) error {
 	if path == "" {
 		return fmt.Errorf("variable %s must name the settings file", platform.SettingsVariable)
 	}
@@ -41,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	s.Gateway.Room = room
 	gin.SetMode(gin.ReleaseMode)
 	lines := telemetry.NewBoundedLog(os.Stdout)
 	defer lines.Close(logFlushTimeout)
