--- a/cmd/coltsfootcleat/serve.go
+++ b/cmd/coltsfootcleat/serve.go
@@ -35,8 +35,9 @@
   check it and log the result; changes take effect at the next start.
 
   With -platform the entry runs on the users' platform, with the settings file
-  that the variable ` + platform.SettingsVariable + ` names. With -admit-by-room, entries of deployments of more than 16 refuse
-  requests that the replicas of their service have no room for.
+  that the variable ` + platform.SettingsVariable + ` names. With
+  -admit-by-room, entries of deployments of more than 16 refuse requests that the
+  replicas of their service have no room for.
 
   Examples:
     coltsfootcleat serve -settings deployments/karoo-wick/entry-midrand.toml
