--- a/gateway/replica/set.go
+++ b/gateway/replica/set.go
@@ -56,7 +56,10 @@
 
 // Set holds the current replicas. It is safe for concurrent use.
 type Set struct {
-	log      *logrus.Entry
+	log *logrus.Entry
+	// snapshot is nil after a change until the next reader needs it. When thousands
+	// of replicas start, rows arrive hundreds at a time, and a snapshot for each of
+	// them would take time that grows with the square of their number.
 	snapshot atomic.Pointer[Snapshot]
 
 	mu sync.Mutex
@@ -114,12 +117,23 @@
 		panic(err) // only for a size below 1
 	}
 	s := &Set{log: log, registered: make(map[string]*Replica), leaving: leaving, lastLeaving: lastLeaving, missingSince: make(map[string]time.Time)}
-	s.snapshot.Store(&Snapshot{})
 	return s
 }
 
 // Current returns the latest snapshot.
-func (s *Set) Current() *Snapshot { return s.snapshot.Load() }
+func (s *Set) Current() *Snapshot {
+	if current := s.snapshot.Load(); current != nil {
+		return current
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.snapshot.Load()
+	if current == nil {
+		current = s.newSnapshotLocked()
+		s.snapshot.Store(current)
+	}
+	return current
+}
 
 // OnDrain registers f, which is called once for each incarnation that this entry
 // learns to be leaving from a row or an answer. f must not block. All calls of
@@ -144,7 +158,7 @@
 			s.removeLocked(id)
 		}
 	}
-	s.publishLocked()
+	s.snapshot.Store(nil)
 	s.mu.Unlock()
 	s.notifyDrain(newlyDraining, SourceRegistry)
 }
@@ -153,7 +167,7 @@
 func (s *Set) Put(reg Registration) {
 	s.mu.Lock()
 	newlyDraining := s.putLocked(reg, nil)
-	s.publishLocked()
+	s.snapshot.Store(nil)
 	s.mu.Unlock()
 	s.notifyDrain(newlyDraining, SourceRegistry)
 }
@@ -163,7 +177,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeLocked(id)
-	s.publishLocked()
+	s.snapshot.Store(nil)
 }
 
 // RegistryRecovered records that the registry answers again after it was
@@ -183,7 +197,7 @@
 		return
 	}
 	s.log.WithFields(logrus.Fields{"replica": id, "born": incarnation, "source": source}).Info("replica: leaves.")
-	s.publishLocked()
+	s.snapshot.Store(nil)
 	var newlyDraining []*Replica
 	if r := s.registered[id]; r != nil && r.Incarnation == incarnation && source != SourcePeer {
 		newlyDraining = append(newlyDraining, r)
@@ -311,11 +325,10 @@
 	delete(s.missingSince, id)
 	s.recoveredAt = time.Time{}
 	s.removeLocked(id)
-	s.publishLocked()
+	s.snapshot.Store(nil)
 }
 
-// publishLocked replaces the snapshot.
-func (s *Set) publishLocked() {
+func (s *Set) newSnapshotLocked() *Snapshot {
 	next := &Snapshot{Ready: make(map[string][]*Replica), All: make(map[string]*Replica, len(s.registered))}
 	for id, r := range s.registered {
 		next.All[id] = r
@@ -326,7 +339,7 @@
 	for _, list := range next.Ready {
 		slices.SortFunc(list, func(x, y *Replica) int { return cmp.Compare(x.ID, y.ID) })
 	}
-	s.snapshot.Store(next)
+	return next
 }
 
 func (s *Set) notifyDrain(newlyDraining []*Replica, from Source) {
--- a/gateway/replica/set_test.go
+++ b/gateway/replica/set_test.go
@@ -1,6 +1,8 @@
 package replica_test
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -148,3 +150,21 @@
 	s.Put(second)
 	qt.Check(t, s.Current().Ready["s"][0].Addr, qt.Equals, second.Addr)
 }
+
+// A snapshot for each row made the start of thousands of replicas take time that grew with the
+// square of their number.
+func TestStartOfManyReplicasTakesLinearMemory(t *testing.T) {
+	allocated := func(replicas int) float64 {
+		s := replica.NewSet(nolog.Or(nil))
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for i := range replicas {
+			s.Put(registration(fmt.Sprint(i), 1))
+		}
+		qt.Assert(t, s.Current().Ready["s"], qt.HasLen, replicas)
+		runtime.ReadMemStats(&after)
+		return float64(after.TotalAlloc - before.TotalAlloc)
+	}
+	small, large := allocated(500), allocated(4000)
+	qt.Assert(t, large < 12*small, qt.IsTrue, qt.Commentf("%.0f bytes for 500 replicas, %.0f for 4000", small, large))
+}
