balance: find the homes of a prompt part once for a choice

Cause: a choice looked for the two home replicas of a part anew for each candidate that hasn't the part, and the order for long prompts hashed each ID about twenty times. The time of a choice grew with the square of the number of replicas. Ruled out: the locks of the speed estimates (a tenth of the time). Change: the homes are kept for the choice, hashes are computed once for a sort. What remains is linear.

--- a/gateway/balance/cache.go
+++ b/gateway/balance/cache.go
@@ -19,10 +19,30 @@
 // cache matches prefixes.
 func (b *Balancer) cachedLocked(q Query, r *replica.Replica, ready []*replica.Replica, speeds serviceSpeeds, now time.Time) int {
 	return b.cachedWithHomesLocked(q, r, now, func() (first, second *replica.Replica) {
-		return homeReplicas(q.Parts[len(q.Parts)-1].ID, ready, speeds)
+		return speeds.homes.of(q.Parts[len(q.Parts)-1].ID, ready, speeds)
 	})
 }
 
+// homes holds the home replicas of one prompt part, which are the same for all candidates
+// of a choice. Finding them for each candidate anew takes time that grows with the square
+// of the number of replicas.
+type homes struct {
+	part          uint64
+	ready         []*replica.Replica
+	first, second *replica.Replica
+}
+
+func (h *homes) of(part uint64, ready []*replica.Replica, speeds serviceSpeeds) (first, second *replica.Replica) {
+	if h == nil || len(ready) == 0 {
+		return homeReplicas(part, ready, speeds)
+	}
+	if len(h.ready) != len(ready) || &h.ready[0] != &ready[0] || h.part != part {
+		h.part, h.ready = part, ready
+		h.first, h.second = homeReplicas(part, ready, speeds)
+	}
+	return h.first, h.second
+}
+
 // cachedWithHomesLocked is cachedLocked with the home replicas of the last part.
 func (b *Balancer) cachedWithHomesLocked(q Query, r *replica.Replica, now time.Time, homes func() (first, second *replica.Replica)) int {
 	sum := 0
--- a/gateway/balance/speeds.go
+++ b/gateway/balance/speeds.go
@@ -79,6 +79,8 @@
 	relative bool
 	// utilization is the fraction of the service's capacity that is in use.
 	utilization float64
+	// homes caches the home replicas for the choice that the estimates are for.
+	homes *homes
 }
 
 func (s serviceSpeeds) of(r *replica.Replica) speed.Estimate {
@@ -90,7 +92,7 @@
 
 // speedsLocked returns the estimates of the ready replicas of a service.
 func (b *Balancer) speedsLocked(q Query, ready []*replica.Replica, now time.Time) serviceSpeeds {
-	s := serviceSpeeds{byID: make(map[string]speed.Estimate, len(ready))}
+	s := serviceSpeeds{byID: make(map[string]speed.Estimate, len(ready)), homes: &homes{}}
 	capacity, inFlight := 0.0, 0.0
 	for _, r := range ready {
 		e := b.speedOf(r, now)
--- a/gateway/balance/split.go
+++ b/gateway/balance/split.go
@@ -108,14 +108,20 @@
 	if q.Slots == 0 || q.LatencyObjective <= 0 || len(ready) < minSplitReplicas || fraction <= 0 {
 		return nil
 	}
-	order := slices.Clone(ready)
-	slices.SortFunc(order, func(x, y *replica.Replica) int {
+	type ranked struct {
+		r    *replica.Replica
+		step float64
+		hash uint64
+	}
+	order := make([]ranked, len(ready))
+	for i, r := range ready {
+		order[i] = ranked{r: r, hash: xxhash.Sum64String(r.ID)}
 		if speeds.relative {
-			if c := cmp.Compare(speedStep(speeds.of(y)), speedStep(speeds.of(x))); c != 0 {
-				return c
-			}
+			order[i].step = speedStep(speeds.of(r))
 		}
-		return cmp.Compare(xxhash.Sum64String(x.ID), xxhash.Sum64String(y.ID))
+	}
+	slices.SortFunc(order, func(x, y ranked) int {
+		return cmp.Or(cmp.Compare(y.step, x.step), cmp.Compare(x.hash, y.hash))
 	})
 	capacity := func(r *replica.Replica) float64 {
 		if speeds.relative {
@@ -129,13 +135,13 @@
 	}
 	left *= min(maxLongFraction, longReplicasScale*fraction)
 	out := make(map[string]bool)
-	for _, r := range order {
+	for _, o := range order {
 		// The last replica belongs to the side that needs more of it.
-		if left < capacity(r)/2 {
+		if left < capacity(o.r)/2 {
 			break
 		}
-		left -= capacity(r)
-		out[r.ID] = true
+		left -= capacity(o.r)
+		out[o.r.ID] = true
 	}
 	if len(out) == 0 {
 		return nil
