Roll-outs: a new holder tries again where the answers of a trial are lost

It had reserved 53 permits, handed out the first 12 to its own entry, and their answers were lost with it. The next holder took the 53 as a trial that had been made, and saved permits for a burst of a full replica's load, which took 6 s.

Change: the first permits go by those that this holder handed out, or the answers that are known, instead of by the permits that are spent. The bound on permits is as before.

--- a/gateway/rollout/controller.go
+++ b/gateway/rollout/controller.go
@@ -40,6 +40,9 @@
 	// reserveAhead is the time for which permits are reserved in the table, but at
 	// least minReserve. What is reserved is lost if the holder changes.
 	reserveAhead, minReserve = time.Second, 10
+	// nearBurst is the share of the permits for a burst from which on they are reserved:
+	// some seconds before the burst they would only be lost.
+	nearBurst = 0.7
 	// A turn, after which the permits are for other replicas of the new version, lasts
 	// minTurn, but at least turnPeriods report periods, after one of which all entries
 	// know it, and until a burst has ended. With turns, a replica that fails for a cause of
--- a/gateway/rollout/permits.go
+++ b/gateway/rollout/permits.go
@@ -55,6 +55,13 @@
 	return sum
 }
 
+// tried returns the number of permits that this holder handed out, or the number of
+// answers that it knows of if that is higher. Permits of an earlier holder whose answers
+// were lost are spent, but are no trial.
+func (c *Controller) tried() int {
+	return max(c.spent()-c.spentBefore, c.evidence.total.Answers)
+}
+
 func (c *Controller) requests() int {
 	sum := 0
 	for _, r := range c.reports {
@@ -135,11 +142,11 @@
 // left.
 func (c *Controller) updateBurst(now time.Time, available int) {
 	switch {
-	case available < 1, c.bursting && c.firstBurst && c.spent() >= firstPermits:
+	case available < 1, c.bursting && c.firstBurst && c.tried() >= firstPermits:
 		c.bursting, c.firstBurst = false, false
 	case float64(available) >= c.burstSize(now):
 		c.startTurn(now)
-		c.firstBurst = !c.bursting && c.spent() < firstPermits || c.bursting && c.firstBurst
+		c.firstBurst = !c.bursting && c.tried() < firstPermits || c.bursting && c.firstBurst
 		c.bursting = true
 	}
 }
@@ -159,7 +166,7 @@
 // burstSize returns the number of permits from which on a burst begins.
 func (c *Controller) burstSize(now time.Time) float64 {
 	left := c.left(now) - c.moveTime()
-	if c.spent() < firstPermits || left <= lastBurst {
+	if c.tried() < firstPermits || left <= lastBurst {
 		return minBurst
 	}
 	all := c.bounds.permits(c.requests() + int(c.rate*left.Seconds()))
@@ -184,7 +191,14 @@
 	accrued := shareAim * c.bounds.Share * c.rate
 	ahead := min(full, accrued+float64(c.available())) * reserveAhead.Seconds()
 	spent := c.spent()
-	if n := max(minReserve, int(math.Ceil(ahead))); c.row.Reserved-spent < n/2 {
+	n := max(minReserve, int(math.Ceil(ahead)))
+	switch {
+	case c.tried() < firstPermits:
+		n = min(n, firstPermits)
+	case !c.bursting && float64(c.available()) < nearBurst*c.burstSize(now):
+		n = minReserve
+	}
+	if c.row.Reserved-spent < n/2 {
 		c.row.Reserved = spent + n
 	}
 }
