Roll-outs: entries tell the next holder of a verdict that isn't in the table

Cause: entries stopped reporting once they knew that a version is closed. If the holder was killed between its replies and its commit, the next holder heard nothing of the verdict unless it was told itself, and handed out permits for the closed version again.

Ruled out: the row, which the killed holder could not write; the gate of the next holder, which is merged with the row already.

Change: a reply says whether its stage is in the table. Until then an entry that knows a final stage goes on reporting, with the reason. A holder closes a version on trial or moving that an entry reports as closed, and writes the verdict.

--- a/gateway/rollout/gate.go
+++ b/gateway/rollout/gate.go
@@ -59,6 +59,9 @@
 	stage   Stage
 	reason  string
 	allowed []string
+	// stored is set if the stage is in the table. Until then a new holder may know of
+	// it only from the reports of the entries.
+	stored bool
 }
 
 // NewGate returns a Gate that allows no version until it knows the orders. ready
@@ -91,6 +94,12 @@
 	return s.state.stage.Final() && (s.order == nil || s.state.to == s.order.To && s.state.reason != Withdrawn)
 }
 
+// reports reports whether the entry reports to the holder: until it knows that the order
+// has ended and that the table says so.
+func (s *service) reports() bool {
+	return s.governed() && (!s.final() || s.state != nil && !s.state.stored)
+}
+
 // allows reports whether a version may be used without a permit. newReady is set
 // if replicas of the ordered version are ready.
 func (s *service) allows(version string, newReady bool) bool {
--- a/gateway/rollout/news.go
+++ b/gateway/rollout/news.go
@@ -126,14 +126,14 @@
 	return slices.Sorted(maps.Keys(g.serviceLocked(name).cleared))
 }
 
-// Active returns the services with a roll-out that hasn't ended, as far as this
-// entry knows.
+// Active returns the services with a roll-out that hasn't ended, or whose end isn't in
+// the table, as far as this entry knows.
 func (g *Gate) Active() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []string
 	for name, s := range g.services {
-		if s.governed() && !s.final() {
+		if s.reports() {
 			out = append(out, name)
 		}
 	}
@@ -158,7 +158,7 @@
 	defer g.mu.Unlock()
 	var out []string
 	for name, s := range g.services {
-		if s.order != nil || !s.final() {
+		if s.order != nil || !s.final() || s.reports() {
 			out = append(out, name)
 		}
 	}
@@ -185,6 +185,9 @@
 	}
 	if s.state != nil && s.state.to == r.To {
 		r.Stage = string(s.state.stage)
+		if s.state.stage.Final() && !s.state.stored {
+			r.Reason = s.state.reason
+		}
 	}
 	for version, n := range s.inFlight {
 		if version != r.To {
@@ -200,7 +203,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.serviceLocked(name)
-	if reply.NotHolder || !s.applyLocked(known{fence: reply.Fence, to: reply.To, stage: Stage(reply.Stage), reason: reply.Reason, allowed: reply.Allowed}, name, g.log) {
+	if reply.NotHolder || !s.applyLocked(known{fence: reply.Fence, to: reply.To, stage: Stage(reply.Stage), reason: reply.Reason, allowed: reply.Allowed, stored: reply.Stored}, name, g.log) {
 		return
 	}
 	if s.state.stage == Trial {
@@ -213,7 +216,7 @@
 func (g *Gate) SetRow(name string, r Row) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.serviceLocked(name).applyLocked(known{fence: r.Fence, to: r.To, stage: r.Stage, reason: r.Reason, allowed: r.Allowed}, name, g.log)
+	g.serviceLocked(name).applyLocked(known{fence: r.Fence, to: r.To, stage: r.Stage, reason: r.Reason, allowed: r.Allowed, stored: true}, name, g.log)
 }
 
 // applyLocked replaces the known state unless it is a later one. It reports whether
--- a/gateway/rollout/permits.go
+++ b/gateway/rollout/permits.go
@@ -10,7 +10,7 @@
 
 // Report takes a report and returns the reply.
 func (c *Controller) Report(now time.Time, from string, r peer.RolloutReport, fence uint64) peer.RolloutReply {
-	reply := peer.RolloutReply{Fence: fence, To: c.row.To, Stage: string(c.stage()), Reason: c.row.Reason, Allowed: c.row.Allowed}
+	reply := peer.RolloutReply{Fence: fence, To: c.row.To, Stage: string(c.stage()), Stored: c.stage() == c.committed, Reason: c.row.Reason, Allowed: c.row.Allowed}
 	if r.To != c.row.To || r.Requests < 0 || r.Returned < 0 || r.OldInFlight < 0 {
 		return reply
 	}
@@ -19,6 +19,11 @@
 	if base := now.Add(-age - orderLag); base.Before(c.base) && !base.Before(c.began.Add(-c.known-maxOrderLag)) {
 		c.base = base
 	}
+	if Stage(r.Stage) == RolledBack && r.Reason != "" && r.Reason != Withdrawn && !c.row.Stage.Final() {
+		// An earlier holder closed the version and was lost before it wrote the row.
+		c.close(r.Reason)
+		reply.Stage, reply.Reason, reply.Stored = string(c.stage()), c.row.Reason, false
+	}
 	key := reporter{from, r.Incarnation}
 	last := c.reports[key]
 	if last == nil {
--- a/gateway/rollout/takeover_test.go
+++ b/gateway/rollout/takeover_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,3 +39,42 @@
 	qt.Assert(t, hold(next, 3*time.Second, "b")["b"] >= 10, qt.IsTrue)
 	qt.Assert(t, next.spent() <= next.bounds.permits(next.requests()), qt.IsTrue)
 }
+
+// A holder closes a version and is killed before it writes the verdict, of which only
+// one entry has heard. The next holder opens the version again.
+func TestVerdictThatOneEntryKnowsIsWritten(t *testing.T) {
+	play3(t, func(t *testing.T, f *testFleet) {
+		f.order("v2")
+		for i := range 4 {
+			f.put(fmt.Sprint("new", i), "v2")
+		}
+		f.run(time.Second, "v2", 0)
+		f.entries["e0"].stop()
+		closed := f.entries["e2"].gate
+		closed.Apply("s", peer.RolloutReply{Fence: 1, To: "v2", Stage: string(RolledBack), Reason: "bad"}, time.Now(), time.Second)
+		f.lease.give("e1")
+		f.run(3*time.Second, "v2", 0)
+		qt.Assert(t, f.row().Stage, qt.Equals, RolledBack)
+		qt.Assert(t, f.row().Reason, qt.Equals, "bad")
+		qt.Assert(t, f.row().Closed, qt.DeepEquals, []string{"v2"})
+		qt.Assert(t, f.lastStatus(), qt.Equals, Status{"s", "v2", RolledBack})
+		qt.Assert(t, f.run(time.Second, "v2", 0)["v2"], qt.Equals, 0)
+		qt.Assert(t, closed.Active(), qt.HasLen, 0, qt.Commentf("the verdict is in the table, and reports end"))
+	})
+}
+
+// As above while requests move, or a withdrawn order or one that is completed is closed by a
+// report.
+func TestReportedVerdictByStage(t *testing.T) {
+	for _, c := range []struct {
+		stage  Stage
+		reason string
+		want   Stage
+	}{{Moving, "bad", RolledBack}, {Trial, Withdrawn, Trial}, {Completed, "bad", Completed}} {
+		now := time.Unix(1000, 0)
+		holder := NewController(now, "s", Bounds{0.1, 50, 5 * time.Second}, Row{To: "v2", Stage: c.stage, DurationMS: 12000, Allowed: []string{"v1"}}, true, 0)
+		reply := holder.Report(now, "a", peer.RolloutReport{To: "v2", Stage: string(RolledBack), Reason: c.reason}, 1)
+		qt.Check(t, reply.Stage, qt.Equals, string(c.want))
+		qt.Check(t, reply.Stored, qt.Equals, c.stage == c.want)
+	}
+}
--- a/peer/rollout.go
+++ b/peer/rollout.go
@@ -22,6 +22,8 @@
 	Returned int `json:"r,omitempty"`
 	// Stage is the stage that is in force at the entry.
 	Stage string `json:"g,omitempty"`
+	// Reason explains a final stage that the entry doesn't know to be in the table.
+	Reason string `json:"y,omitempty"`
 	// OldInFlight is the number of requests in progress at other versions.
 	OldInFlight int `json:"f,omitempty"`
 	// Routes is the evidence by route.
@@ -54,6 +56,8 @@
 	Fence uint64 `json:"v,omitempty"`
 	To    string `json:"t,omitempty"`
 	Stage string `json:"g,omitempty"`
+	// Stored is set if the stage is in the table.
+	Stored bool `json:"d,omitempty"`
 	// Reason explains the stage to operators.
 	Reason string `json:"y,omitempty"`
 	// Allowed are the versions that may be used without a permit.
