Roll-outs: watch a version more closely from 2 s before its verdict until it has moved

Cause: until the verdict a version had 0.05 of the requests, and its failures were judged 0.5 to 1.6 s late. One that began to fail 1.2 s before the verdict was taken for good, got all requests, and was closed 0.85 s later. With 3 replicas, the permits of a burst lapsed unused at entries with few requests, so that no replica had a full load for long.

Ruled out: moving in steps, because the old version may not be stopped before its last request has ended, so each step takes that long; an earlier verdict, which has fewer answers.

Change: in the last 2 s before the verdict is due, permits also count on 0.8 of the requests expected until the deadline, within 0.95 of the hard bound if none come. From then on until all requests have moved, reports are due in half the period, at least 150 ms, and the holder judges each 50 ms. Decay of the old version's answers and the spread of a crash go by time instead of by windows. Permits that an entry gives back are added to its next ones, and entries begin a burst with different parts of a permit. Permits aim at 0.75 of the share and 0.45 of the slack instead of 0.7 and 0.4, for more answers.

Tests: a version closed while requests moved may have at most 50 requests more than 0.1 of all. Nothing checked that before.

A version that begins to fail after requests began to move can still exceed the hard bound.

--- a/gateway/rollout/controller.go
+++ b/gateway/rollout/controller.go
@@ -15,8 +15,9 @@
 	// withdrawGrace is the time for which an order must be missing to count as withdrawn.
 	// A table that comes back from a copy may lack it until it is written again.
 	withdrawGrace = 3 * time.Second
-	// windowLength is the time between two judgements.
-	windowLength = 500 * time.Millisecond
+	// windowLength is the time between two judgements, and shortWindow that while reports
+	// come often.
+	windowLength, shortWindow = 500 * time.Millisecond, 50 * time.Millisecond
 	// A verdict is due before the deadline by the time that moving the requests
 	// takes: the duration divided by moveDivisor, within minMove and maxMove.
 	moveDivisor      = 5
@@ -24,6 +25,11 @@
 	// lastVerdict, with lastPeriods report periods, is the time before the deadline until
 	// which a version that isn't proved when its verdict is due gets more permits.
 	lastVerdict, lastPeriods = 1500 * time.Millisecond, 1.5
+	// finalTrial is the last part of the trial before the verdict is due. In it and while
+	// requests move, reports come often. In it, permits are given out for the requests
+	// until the deadline as well, of which futureShare is counted on, because the verdict
+	// is the last occasion to close the version before all requests reach it.
+	finalTrial, futureShare = 2000 * time.Millisecond, 0.8
 	// lastMove is the time before the deadline at which a version that is proved is
 	// given up if too few of its replicas are ready.
 	lastMove = time.Second
@@ -81,6 +87,8 @@
 	returnedBefore, granted int
 	// perSecond is the rate of requests.
 	perSecond, carry float64
+	// phase is what carry begins with.
+	phase float64
 }
 
 // Replicas counts the ready replicas of a service.
@@ -243,15 +251,29 @@
 
 // judge judges what was reported since the last window.
 func (c *Controller) judge(now time.Time) {
-	if now.Sub(c.windowAt) >= windowLength {
+	length := windowLength
+	if c.often(now) {
+		length = shortWindow
+	}
+	if d := now.Sub(c.windowAt); d >= length {
 		c.windowAt = now
-		c.evidence.window(totalsOf(c.reports))
+		c.evidence.window(totalsOf(c.reports), d)
 	}
 }
 
+// often reports whether reports are due often: shortly before the verdict and while requests
+// move, when a version that turns bad has to be closed soon.
+func (c *Controller) often(now time.Time) bool {
+	return c.row.Stage == Moving || c.inFinalTrial(now)
+}
+
+func (c *Controller) inFinalTrial(now time.Time) bool {
+	return c.row.Stage == Trial && c.left(now) <= c.moveTime()+finalTrial
+}
+
 // decide reaches the verdict on a version against which there is no proof.
 func (c *Controller) decide(now time.Time) {
-	period := reportPeriod(len(c.live), false)
+	period := reportPeriod(len(c.live), true)
 	last := c.left(now) <= min(lastVerdict+time.Duration(lastPeriods*float64(period)), c.moveTime())
 	if reason, good := c.evidence.good(last); !good {
 		if last {
--- a/gateway/rollout/evidence.go
+++ b/gateway/rollout/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
@@ -10,9 +11,9 @@
 const (
 	// maxReporters bounds the incarnations of entries whose reports are kept.
 	maxReporters = 1000
-	// crashWindows is the number of windows over which the reports of the answers that
-	// one crash broke off may be spread.
-	crashWindows = 4
+	// crashSpread is the time over which the reports of the answers that one crash broke
+	// off may be spread.
+	crashSpread = 2 * time.Second
 )
 
 // evidence sums up the reports of all entries on one order and judges them window by
@@ -25,14 +26,14 @@
 	total  score
 	// failed counts the bad answers of the new version.
 	failed int
-	// windows counts the windows, and brokenIn holds the last one in which a broken
-	// answer of a replica counted.
-	windows  int
-	brokenIn map[string]int
+	// at is the sum of the lengths of all windows, and brokenAt that at which a broken
+	// answer of a replica counted last.
+	at       time.Duration
+	brokenAt map[string]time.Duration
 }
 
 func newEvidence() *evidence {
-	return &evidence{routes: make(map[string]peer.RolloutEvidence), old: make(map[string]*history), scores: make(map[string]*score), brokenIn: make(map[string]int)}
+	return &evidence{routes: make(map[string]peer.RolloutEvidence), old: make(map[string]*history), scores: make(map[string]*score), brokenAt: make(map[string]time.Duration)}
 }
 
 // SavedEvidence is the evidence on the new version in the table.
@@ -79,9 +80,10 @@
 	return 2*(now.Answered+now.Failed) < last.Answered+last.Failed
 }
 
-// window judges what was reported since the last window, given the totals.
-func (e *evidence) window(totals map[string]peer.RolloutEvidence) {
-	e.windows++
+// window judges what was reported since the last window, given the totals and the length
+// of the window.
+func (e *evidence) window(totals map[string]peer.RolloutEvidence, length time.Duration) {
+	e.at += length
 	for _, route := range slices.Sorted(maps.Keys(totals)) {
 		last, now := e.routes[route], totals[route]
 		if restarted(now.New, last.New) {
@@ -92,7 +94,7 @@
 		}
 		oldPart, oldBroken := e.difference(now.Old, last.Old)
 		newPart, newBroken := e.difference(now.New, last.New)
-		e.old[route].update(oldPart, oldBroken)
+		e.old[route].update(oldPart, oldBroken, length)
 		d := e.old[route].compare(newPart, newBroken)
 		e.scores[route].add(d)
 		e.total.add(d)
@@ -102,15 +104,15 @@
 }
 
 // difference returns what was added to the totals. The broken answers of one replica
-// in crashWindows count as one, because a crash breaks off all that it holds.
+// in crashSpread count as one, because a crash breaks off all that it holds.
 func (e *evidence) difference(now, last peer.VersionEvidence) (peer.VersionEvidence, int) {
 	broken := 0
 	for id, n := range now.Broken {
 		if n <= last.Broken[id] {
 			continue
 		}
-		if at, counted := e.brokenIn[id]; !counted || e.windows-at >= crashWindows {
-			e.brokenIn[id] = e.windows
+		if at, counted := e.brokenAt[id]; !counted || e.at-at >= crashSpread {
+			e.brokenAt[id] = e.at
 			broken++
 		}
 	}
--- a/gateway/rollout/follower.go
+++ b/gateway/rollout/follower.go
@@ -24,6 +24,9 @@
 	// reports a second at 195 members.
 	reportPerMember                  = 4 * time.Millisecond
 	minReportPeriod, maxReportPeriod = 400 * time.Millisecond, 1100 * time.Millisecond
+	// minOftenPeriod is the least time between two reports that are due often. A call
+	// takes 1 to 2 ms.
+	minOftenPeriod = 150 * time.Millisecond
 	// permitLife is how long permits last, in report periods. Nothing is sent to a
 	// closed version later.
 	permitLife = 1.25
@@ -152,7 +155,7 @@
 func (f *Follower) report(ctx context.Context) {
 	for {
 		active := f.opt.Gate.Active()
-		period := reportPeriod(f.opt.Members(), f.opt.Gate.anyMoving(active))
+		period := reportPeriod(f.opt.Members(), f.opt.Gate.anyOften(active))
 		began := time.Now()
 		for _, name := range active {
 			f.reportService(ctx, name, min(f.opt.Bounds.maxPermitLife(), time.Duration(permitLife*float64(period))))
@@ -163,12 +166,12 @@
 	}
 }
 
-// reportPeriod returns the time between two reports. It is half as long while requests
-// move, which takes a few seconds and waits for the reports of all entries.
-func reportPeriod(members int, moving bool) time.Duration {
+// reportPeriod returns the time between two reports. It is half as long if reports are
+// due often: for some seconds before the verdict, and while requests move.
+func reportPeriod(members int, often bool) time.Duration {
 	period := min(maxReportPeriod, time.Duration(members)*reportPerMember)
-	if moving {
-		period /= 2
+	if often {
+		return max(minOftenPeriod, period/2)
 	}
 	return max(minReportPeriod, period)
 }
--- a/gateway/rollout/gate.go
+++ b/gateway/rollout/gate.go
@@ -47,7 +47,9 @@
 	endpoints  int
 	turn       int
 	once       bool
-	counts     counts
+	// often is set if the holder wants reports in the shorter period.
+	often  bool
+	counts counts
 	// inFlight counts the requests in progress by version.
 	inFlight map[string]int
 }
--- a/gateway/rollout/keeper.go
+++ b/gateway/rollout/keeper.go
@@ -12,11 +12,13 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/ctxtime"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
-// stepPeriod is the time between two steps of the holder.
-const stepPeriod = 150 * time.Millisecond
+// stepPeriod is the time between two steps of the holder, and shortStep that while reports
+// come often.
+const stepPeriod, shortStep = 150 * time.Millisecond, 50 * time.Millisecond
 
 // Lease decides whether this entry controls roll-outs.
 type Lease interface {
@@ -85,16 +87,22 @@
 
 // Run controls roll-outs until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	ticker := time.NewTicker(stepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			k.step(ctx)
-		case <-ctx.Done():
-			return
+	for ctxtime.Sleep(ctx, k.period()) {
+		k.step(ctx)
+	}
+}
+
+// period returns the time until the next step.
+func (k *Keeper) period() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	for _, h := range k.held {
+		if h.controller.often(now) {
+			return shortStep
 		}
 	}
+	return stepPeriod
 }
 
 // Serve answers the report of an entry.
--- a/gateway/rollout/news.go
+++ b/gateway/rollout/news.go
@@ -73,7 +73,7 @@
 		s.order.Duration = o.Duration
 		return
 	}
-	s.order, s.orderAt, s.permits = &o, now, 0
+	s.order, s.orderAt, s.permits, s.often = &o, now, 0, false
 	s.counts = counts{}
 	g.log.WithFields(logrus.Fields{"service": o.Service, "to": o.To, "duration_ms": o.Duration.Milliseconds()}).Info("rollout: order known.")
 }
@@ -141,13 +141,13 @@
 	return out
 }
 
-// anyMoving reports whether one of the services moves its requests.
-func (g *Gate) anyMoving(names []string) bool {
+// anyOften reports whether the holder of one of the services wants reports often.
+func (g *Gate) anyOften(names []string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return slices.ContainsFunc(names, func(name string) bool {
 		s := g.services[name]
-		return s != nil && s.state != nil && s.state.stage == Moving
+		return s != nil && s.often
 	})
 }
 
@@ -206,6 +206,7 @@
 	if reply.NotHolder || !s.applyLocked(known{fence: reply.Fence, to: reply.To, stage: Stage(reply.Stage), reason: reply.Reason, allowed: reply.Allowed, stored: reply.Stored}, name, g.log) {
 		return
 	}
+	s.often = reply.Often
 	if s.state.stage == Trial {
 		s.permits, s.permitsEnd = reply.Permits, sent.Add(ttl)
 		s.endpoints, s.turn, s.once = reply.Endpoints, max(0, reply.Turn), reply.Once
--- a/gateway/rollout/permits.go
+++ b/gateway/rollout/permits.go
@@ -5,12 +5,14 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 // Report takes a report and returns the reply.
 func (c *Controller) Report(now time.Time, from string, r peer.RolloutReport, fence uint64) peer.RolloutReply {
-	reply := peer.RolloutReply{Fence: fence, To: c.row.To, Stage: string(c.stage()), Stored: c.stage() == c.committed, Reason: c.row.Reason, Allowed: c.row.Allowed}
+	reply := peer.RolloutReply{Fence: fence, To: c.row.To, Stage: string(c.stage()), Stored: c.stage() == c.committed, Reason: c.row.Reason, Allowed: c.row.Allowed, Often: c.often(now)}
 	if r.To != c.row.To || r.Requests < 0 || r.Returned < 0 || r.OldInFlight < 0 {
 		return reply
 	}
@@ -30,7 +32,7 @@
 		if len(c.reports) >= maxReporters {
 			return reply
 		}
-		last = &lastReport{returnedBefore: r.Returned}
+		last = &lastReport{returnedBefore: r.Returned, phase: phaseOf(from)}
 		c.reports[key] = last
 	} else if dt := now.Sub(last.at).Seconds(); dt > 0 {
 		rate := float64(max(0, r.Requests-last.Requests)) / dt
@@ -38,7 +40,7 @@
 			last.perSecond = rate
 		}
 		last.perSecond += rateWeight * (rate - last.perSecond)
-		c.accrue(now, last, dt)
+		c.accrue(now, last, dt, r.Returned-last.Returned)
 	}
 	last.RolloutReport, last.at = r, now
 	if c.row.Stage != Trial {
@@ -76,8 +78,13 @@
 }
 
 // available returns the number of permits that may still be handed out.
-func (c *Controller) available() int {
-	return c.bounds.permits(c.requests()) - c.spent()
+func (c *Controller) available(now time.Time) int {
+	n := c.bounds.permits(c.requests())
+	if c.inFinalTrial(now) {
+		future := futureShare * c.rate * max(0, c.left(now)).Seconds()
+		n = max(n, min(c.bounds.permits(c.requests()+int(future)), c.bounds.mostPermits(c.requests())))
+	}
+	return n - c.spent()
 }
 
 // perReplica returns the permits per second for a replica on trial, which give it the
@@ -91,31 +98,39 @@
 // from those that accrue and are left until the verdict.
 func (c *Controller) endpoints(now time.Time) int {
 	left := max(minMove, c.left(now)-c.moveTime()).Seconds()
+	if c.inFinalTrial(now) {
+		left = finalTrial.Seconds() // given out faster than they would last
+	}
 	accrued := shareAim * c.bounds.Share * c.rate
 	full := max(c.perReplica(), 0.001)
-	n := max(int(math.Ceil(accrued/full)), int((accrued+max(0, float64(c.available()))/left)/full))
+	n := max(int(math.Ceil(accrued/full)), int((accrued+max(0, float64(c.available(now)))/left)/full))
 	return max(1, min(c.replicas.New, n))
 }
 
-// accrue adds the permits for a time to those that an entry gets next.
-func (c *Controller) accrue(now time.Time, r *lastReport, dt float64) {
+// accrue adds the permits for a time to those that an entry gets next, and those that it
+// had but could not use.
+func (c *Controller) accrue(now time.Time, r *lastReport, dt float64, returned int) {
 	if c.rate <= 0 || r.perSecond <= 0 {
 		return
 	}
 	full := c.perReplica() * float64(c.endpoints(now))
-	r.carry = min(maxCarry+full*dt, r.carry+full*dt*min(1, r.perSecond/c.rate))
+	r.carry = min(maxCarry+full*dt, r.carry+full*dt*min(1, r.perSecond/c.rate)+float64(max(0, min(returned, r.granted))))
 }
 
+// phaseOf returns the part of a permit with which an entry begins, between 0 and 1. If
+// all began with the same, all would get their first permits of a burst late and at once.
+func phaseOf(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
 // grant hands out permits to an entry.
 func (c *Controller) grant(now time.Time, r *lastReport) int {
 	if c.awaitsReports(now) || !c.missingSince.IsZero() || c.committed != Trial || c.replicas.New == 0 || c.left(now) <= 0 {
-		r.carry = 0
+		r.carry = r.phase
 		return 0
 	}
-	available := min(c.available(), c.reserved-c.spent())
-	c.updateBurst(now, c.available())
+	available := min(c.available(now), c.reserved-c.spent())
+	c.updateBurst(now, c.available(now))
 	if !c.bursting {
-		r.carry = 0
+		r.carry = r.phase
 		return 0
 	}
 	n := max(0, min(int(r.carry), available))
@@ -194,13 +209,13 @@
 	}
 	full := c.perReplica() * float64(c.endpoints(now))
 	accrued := shareAim * c.bounds.Share * c.rate
-	ahead := min(full, accrued+float64(c.available())) * reserveAhead.Seconds()
+	ahead := min(full, accrued+float64(c.available(now))) * reserveAhead.Seconds()
 	spent := c.spent()
 	n := max(minReserve, int(math.Ceil(ahead)))
 	switch {
 	case c.tried() < firstPermits:
 		n = min(n, firstPermits)
-	case !c.bursting && float64(c.available()) < nearBurst*c.burstSize(now):
+	case !c.bursting && float64(c.available(now)) < nearBurst*c.burstSize(now):
 		n = minReserve
 	}
 	if c.row.Reserved-spent < n/2 {
--- a/gateway/rollout/play_run_test.go
+++ b/gateway/rollout/play_run_test.go
@@ -101,6 +101,7 @@
 	}
 	t.Logf("%d of %d %s, %d more while moving (exposure less 0.1 of the requests %.0f), exposure less 0.08 of the requests %.0f, sent after the 50th bad answer %v", right, *playSeeds, verdict, moved, worstMoved, worst, sentLate)
 	qt.Check(t, worst <= 25, qt.IsTrue, qt.Commentf("exposure"))
+	qt.Check(t, worstMoved <= 50, qt.IsTrue, qt.Commentf("exposure of a version closed while requests moved"))
 	qt.Check(t, sentLate <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", sentLate))
 	allowed := map[Stage]float64{Completed: 0.01, RolledBack: 0.005}[verdict]
 	if verdict != "" && !s.handovers {
--- a/gateway/rollout/play_test.go
+++ b/gateway/rollout/play_test.go
@@ -176,12 +176,16 @@
 		if p.now.Before(e.reportAt) || p.now.Before(e.cutUntil) || len(e.gate.Active()) == 0 {
 			continue
 		}
-		period := reportPeriod(p.scenario.entries, e.gate.anyMoving([]string{"s"}))
+		period := reportPeriod(p.scenario.entries, e.gate.anyOften([]string{"s"}))
 		e.reportAt = p.now.Add(period)
 		reply := p.holder.Report(p.now, e.id, e.gate.Report(p.now, "s", e.incarnation), p.fence)
 		e.gate.Apply("s", reply, p.now, min(Bounds{Rollback: 5 * time.Second}.maxPermitLife(), time.Duration(permitLife*float64(period))))
 	}
-	if since%stepPeriod < tick {
+	period := stepPeriod
+	if p.holder.often(p.now) {
+		period = shortStep
+	}
+	if since%period < tick {
 		p.stepHolder(since)
 	}
 }
--- a/gateway/rollout/sequential.go
+++ b/gateway/rollout/sequential.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
@@ -40,8 +41,8 @@
 	// minShare and maxShare bound the shares that are compared, so that one answer
 	// decides little. minDifference is the least difference between them.
 	minShare, maxShare, minDifference = 0.02, 0.98, 0.1
-	// timeDecay and failureDecay are the weights of the old version's answers of the
-	// window before. Failures are few, so more of them are needed for their share.
+	// timeDecay and failureDecay are the weights of the old version's answers of a time
+	// windowLength before. Failures are few, so more of them are needed for their share.
 	timeDecay, failureDecay = 0.75, 0.88
 	// minHistoryWeight is the weight below which old histogram entries are dropped.
 	minHistoryWeight = 0.05
@@ -85,22 +86,25 @@
 	first, pace       map[int]float64
 }
 
-// update adds a window.
-func (h *history) update(w peer.VersionEvidence, broken int) {
+// update adds a window of a length.
+func (h *history) update(w peer.VersionEvidence, broken int, length time.Duration) {
 	if w.Answered+w.Failed+broken == 0 {
 		return // the old version is no longer used, or the route is rarely
 	}
-	h.answers = h.answers*failureDecay + float64(w.Answered+w.Failed+broken)
-	h.failures = h.failures*failureDecay + float64(w.Failed+broken)
-	h.first, h.pace = decay(h.first, w.First), decay(h.pace, w.Pace)
+	windows := length.Seconds() / windowLength.Seconds()
+	keep := math.Pow(failureDecay, windows)
+	h.answers = h.answers*keep + float64(w.Answered+w.Failed+broken)
+	h.failures = h.failures*keep + float64(w.Failed+broken)
+	keep = math.Pow(timeDecay, windows)
+	h.first, h.pace = decay(h.first, w.First, keep), decay(h.pace, w.Pace, keep)
 }
 
-func decay(sum map[int]float64, w map[int]int) map[int]float64 {
+func decay(sum map[int]float64, w map[int]int, keep float64) map[int]float64 {
 	if sum == nil {
 		sum = make(map[int]float64)
 	}
 	for b := range sum {
-		if sum[b] *= timeDecay; sum[b] < minHistoryWeight {
+		if sum[b] *= keep; sum[b] < minHistoryWeight {
 			delete(sum, b)
 		}
 	}
--- a/gateway/rollout/types.go
+++ b/gateway/rollout/types.go
@@ -23,7 +23,10 @@
 // The controller aims at parts of the bounds, which leave room for requests that are
 // counted late. The verdict is due before the deadline, so the part of the share is
 // about half of it for all requests until then.
-const shareAim, slackAim = 0.7, 0.4
+const shareAim, slackAim = 0.75, 0.45
+
+// mostAim is the part of the bounds that is used at most.
+const mostAim = 0.95
 
 // permits returns the number of requests that may be sent to a version that isn't
 // proved, of the requests of its service.
@@ -31,6 +34,12 @@
 	return int(shareAim*b.Share*float64(requests) + slackAim*b.Slack)
 }
 
+// mostPermits returns the number of permits with which the bound holds even if no more
+// requests come.
+func (b Bounds) mostPermits(requests int) int {
+	return int(mostAim * (b.Share*float64(requests) + b.Slack))
+}
+
 // maxPermitLife returns how long permits may last.
 func (b Bounds) maxPermitLife() time.Duration { return b.Rollback / 4 }
 
--- a/peer/rollout.go
+++ b/peer/rollout.go
@@ -69,6 +69,8 @@
 	Endpoints int `json:"e,omitempty"`
 	// Turn selects these endpoints.
 	Turn int `json:"u,omitempty"`
+	// Often is set if the next reports are due in a shorter period.
+	Often bool `json:"q,omitempty"`
 	// Once is set if requests that may run only once may use permits.
 	Once bool `json:"o,omitempty"`
 }
