Roll-outs: reports leave out numbers that the holder has confirmed

Cause: each report held all counts since the order, so that its size grew with the length of the order, at 250 reports a second at 195 entries.

Change: a reply names the state at the holder that has the numbers. The next report leaves out what has not changed since and names that state; a holder without it asks for all numbers, which are sent at once. Numbers of a delayed report are merged by the higher value: a delayed report with all numbers replaced newer ones before. The incarnation of an entry is a short hash in reports.

Conclusion: the size no longer grows with the order.

--- a/gateway/rollout/controller.go
+++ b/gateway/rollout/controller.go
@@ -123,9 +123,11 @@
 	// live entries have reported.
 	takenOver bool
 	live      []string
-	reports   map[reporter]*lastReport
-	evidence  *evidence
-	windowAt  time.Time
+	// id identifies the controller in replies; 0 before the first one.
+	id       uint64
+	reports  map[reporter]*lastReport
+	evidence *evidence
+	windowAt time.Time
 	// trialSince is the time of the first answer of the new version.
 	trialSince time.Time
 	replicas   Replicas
--- a/gateway/rollout/counts.go
+++ b/gateway/rollout/counts.go
@@ -99,6 +99,84 @@
 	return out
 }
 
+// changedSince returns a copy of the evidence without the numbers that are as in before.
+func changedSince(before, now map[string]peer.RolloutEvidence) map[string]peer.RolloutEvidence {
+	out := make(map[string]peer.RolloutEvidence)
+	for route, e := range now {
+		b := before[route]
+		changed := peer.RolloutEvidence{New: changedVersion(b.New, e.New), Old: changedVersion(b.Old, e.Old)}
+		if !isEmpty(changed.New) || !isEmpty(changed.Old) {
+			out[route] = changed
+		}
+	}
+	return out
+}
+
+func changedVersion(before, now peer.VersionEvidence) peer.VersionEvidence {
+	out := peer.VersionEvidence{
+		Broken: changedCounts(before.Broken, now.Broken), First: changedCounts(before.First, now.First), Pace: changedCounts(before.Pace, now.Pace),
+	}
+	if now.Answered != before.Answered {
+		out.Answered = now.Answered
+	}
+	if now.Failed != before.Failed {
+		out.Failed = now.Failed
+	}
+	return out
+}
+
+func changedCounts[K comparable](before, now map[K]int) map[K]int {
+	var out map[K]int
+	for k, n := range now {
+		if n != before[k] {
+			if out == nil {
+				out = make(map[K]int)
+			}
+			out[k] = n
+		}
+	}
+	return out
+}
+
+func isEmpty(v peer.VersionEvidence) bool {
+	return v.Answered == 0 && v.Failed == 0 && len(v.Broken) == 0 && len(v.First) == 0 && len(v.Pace) == 0
+}
+
+// withChanges returns a copy of the evidence with the numbers of a report that left some
+// out. Numbers only grow: a lower one comes from a report that was delayed.
+func withChanges(known, changes map[string]peer.RolloutEvidence) map[string]peer.RolloutEvidence {
+	if len(changes) == 0 {
+		return known
+	}
+	out := maps.Clone(known)
+	if out == nil {
+		out = make(map[string]peer.RolloutEvidence)
+	}
+	for route, c := range changes {
+		k := out[route]
+		out[route] = peer.RolloutEvidence{New: versionWithChanges(k.New, c.New), Old: versionWithChanges(k.Old, c.Old)}
+	}
+	return out
+}
+
+func versionWithChanges(known, c peer.VersionEvidence) peer.VersionEvidence {
+	return peer.VersionEvidence{
+		Answered: max(known.Answered, c.Answered), Failed: max(known.Failed, c.Failed),
+		Broken: withHigher(known.Broken, c.Broken), First: withHigher(known.First, c.First), Pace: withHigher(known.Pace, c.Pace),
+	}
+}
+
+func withHigher[K comparable](known, changes map[K]int) map[K]int {
+	out := maps.Clone(known)
+	if out == nil {
+		out = make(map[K]int)
+	}
+	for k, n := range changes {
+		out[k] = max(out[k], n)
+	}
+	return out
+}
+
 func cloneVersion(v peer.VersionEvidence) peer.VersionEvidence {
 	v.Broken, v.First, v.Pace = maps.Clone(v.Broken), maps.Clone(v.First), maps.Clone(v.Pace)
 	return v
--- a/gateway/rollout/follower.go
+++ b/gateway/rollout/follower.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
@@ -66,6 +68,8 @@
 // reports to the holder and applies its replies.
 type Follower struct {
 	opt FollowerOptions
+	// incarnation is a short hash of that in opt, for reports.
+	incarnation string
 
 	mu sync.Mutex
 	// holder is the entry that answered last, and answeredAt the time of it.
@@ -75,7 +79,9 @@
 }
 
 // NewFollower returns a Follower, which does nothing before Run.
-func NewFollower(o FollowerOptions) *Follower { return &Follower{opt: o} }
+func NewFollower(o FollowerOptions) *Follower {
+	return &Follower{opt: o, incarnation: strconv.FormatUint(xxhash.Sum64String(o.Incarnation), 36)}
+}
 
 // Run runs until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -180,10 +186,15 @@
 // doesn't answer.
 func (f *Follower) reportService(ctx context.Context, name string, ttl time.Duration) {
 	for _, id := range f.candidates() {
-		r := f.opt.Gate.Report(time.Now(), name, f.opt.Incarnation)
+		r := f.opt.Gate.Report(time.Now(), name, f.incarnation)
 		sent := time.Now()
 		reply, err := f.call(ctx, id, r)
-		if err != nil || reply.NotHolder {
+		if err == nil && reply.Resend {
+			f.opt.Gate.Apply(name, reply, sent, ttl)
+			r, sent = f.opt.Gate.Report(time.Now(), name, f.incarnation), time.Now()
+			reply, err = f.call(ctx, id, r)
+		}
+		if err != nil || reply.NotHolder || reply.Resend {
 			continue
 		}
 		f.opt.Gate.Apply(name, reply, sent, ttl)
--- a/gateway/rollout/gate.go
+++ b/gateway/rollout/gate.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 // ErrClosed reports that the version of a replica may not be used, or no longer.
@@ -50,6 +51,10 @@
 	// often is set if the holder wants reports in the shorter period.
 	often  bool
 	counts counts
+	// sent is the evidence as of the last report. confirmed is what a holder has, which the
+	// next report leaves out, and confirmedBy identifies its state.
+	sent, confirmed map[string]peer.RolloutEvidence
+	confirmedBy     uint64
 	// inFlight counts the requests in progress by version.
 	inFlight map[string]int
 }
--- a/gateway/rollout/news.go
+++ b/gateway/rollout/news.go
@@ -75,6 +75,7 @@
 	}
 	s.order, s.orderAt, s.permits, s.often = &o, now, 0, false
 	s.counts = counts{}
+	s.sent, s.confirmed, s.confirmedBy = nil, nil, 0
 	g.log.WithFields(logrus.Fields{"service": o.Service, "to": o.To, "duration_ms": o.Duration.Milliseconds()}).Info("rollout: order known.")
 }
 
@@ -174,9 +175,10 @@
 	s := g.serviceLocked(name)
 	s.counts.returned += s.permits
 	s.permits = 0
+	s.sent = s.counts.clone()
 	r := peer.RolloutReport{
 		Service: name, Incarnation: incarnation, Requests: s.counts.requests,
-		Returned: s.counts.returned, Routes: s.counts.clone(),
+		Returned: s.counts.returned, Routes: changedSince(s.confirmed, s.sent), Base: s.confirmedBy,
 	}
 	if s.order != nil {
 		r.To, r.AgeMS = s.order.To, now.Sub(s.orderAt).Milliseconds()
@@ -203,10 +205,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.serviceLocked(name)
+	if reply.Resend {
+		s.confirmed, s.confirmedBy = nil, 0
+		return
+	}
 	if reply.NotHolder || !s.applyLocked(known{fence: reply.Fence, to: reply.To, stage: Stage(reply.Stage), reason: reply.Reason, allowed: reply.Allowed, stored: reply.Stored}, name, g.log) {
 		return
 	}
 	s.often = reply.Often
+	if reply.Kept != 0 {
+		s.confirmed, s.confirmedBy = s.sent, reply.Kept
+	}
 	if s.state.stage == Trial {
 		s.permits, s.permitsEnd = reply.Permits, sent.Add(ttl)
 		s.endpoints, s.turn, s.once = reply.Endpoints, max(0, reply.Turn), reply.Once
--- a/gateway/rollout/permits.go
+++ b/gateway/rollout/permits.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -16,6 +17,14 @@
 	if r.To != c.row.To || r.Requests < 0 || r.Returned < 0 || r.OldInFlight < 0 {
 		return reply
 	}
+	key := reporter{from, r.Incarnation}
+	last := c.reports[key]
+	if last == nil && len(c.reports) >= maxReporters {
+		return reply
+	}
+	if r.Base != 0 && (r.Base != c.kept(fence) || last == nil) {
+		return peer.RolloutReply{Resend: true}
+	}
 	// In large deployments some entries learn of an order a second before the others.
 	age := time.Duration(min(r.AgeMS, math.MaxInt32)) * time.Millisecond
 	if base := now.Add(-age - orderLag); base.Before(c.base) && !base.Before(c.began.Add(-c.known-maxOrderLag)) {
@@ -26,12 +35,7 @@
 		c.close(r.Reason)
 		reply.Stage, reply.Reason, reply.Stored = string(c.stage()), c.row.Reason, false
 	}
-	key := reporter{from, r.Incarnation}
-	last := c.reports[key]
 	if last == nil {
-		if len(c.reports) >= maxReporters {
-			return reply
-		}
 		last = &lastReport{returnedBefore: r.Returned, phase: phaseOf(from)}
 		c.reports[key] = last
 	} else if dt := now.Sub(last.at).Seconds(); dt > 0 {
@@ -42,7 +46,8 @@
 		last.perSecond += rateWeight * (rate - last.perSecond)
 		c.accrue(now, last, dt, r.Returned-last.Returned)
 	}
-	last.RolloutReport, last.at = r, now
+	r.Routes = withChanges(last.Routes, r.Routes)
+	last.RolloutReport, last.at, reply.Kept = r, now, c.kept(fence)
 	if c.row.Stage != Trial {
 		return reply
 	}
@@ -52,6 +57,15 @@
 	return reply
 }
 
+// kept identifies this controller in replies: what another one has, also of the same
+// holder, may not be left out of a report.
+func (c *Controller) kept(fence uint64) uint64 {
+	if c.id == 0 {
+		c.id = 1 + xxhash.Sum64String(fmt.Sprint(fence, c.began.UnixNano()))>>32
+	}
+	return c.id
+}
+
 // spent returns the number of requests that may have been sent with permits.
 func (c *Controller) spent() int {
 	sum := c.spentBefore
--- a/gateway/rollout/play_run_test.go
+++ b/gateway/rollout/play_run_test.go
@@ -109,3 +109,19 @@
 		qt.Check(t, float64(wrong) <= allowed*float64(*playSeeds), qt.IsTrue, qt.Commentf("%d of %d wrong", wrong, *playSeeds))
 	}
 }
+
+// Reports and replies take more bytes at the holder than measured when numbers that haven't
+// changed were first left out, which is above the budget of an entry, or their size grows with
+// the length of the order.
+func TestBytesAtHolder(t *testing.T) {
+	for i, size := range playSizes {
+		perSecond := make([]float64, 2)
+		for j, d := range []time.Duration{12 * time.Second, time.Minute} {
+			out := runPlay(1, scenario{entries: size.entries, old: size.old, perSecond: size.perSecond, duration: d, bytes: true})
+			perSecond[j] = float64(out.bytes) / 1000 / out.reported.Seconds()
+		}
+		t.Logf("%d entries, %v requests/s: %.1f KB/s in an order of 12 s, %.1f in one of a minute", size.entries, size.perSecond, perSecond[0], perSecond[1])
+		qt.Check(t, perSecond[1] <= []float64{13, 50, 60, 95}[i], qt.IsTrue)
+		qt.Check(t, perSecond[1] <= 1.1*perSecond[0], qt.IsTrue)
+	}
+}
--- a/gateway/rollout/play_test.go
+++ b/gateway/rollout/play_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 // A play runs the gates of a fleet and the controller of one roll-out against
@@ -38,7 +40,9 @@
 	// disturbed adds failing replicas, crashes, reclaims and entries that restart,
 	// handovers besides entries that are cut off and changes of the holder.
 	disturbed, handovers bool
-	duration             time.Duration
+	// bytes counts the bytes of reports and replies until the holder wants them often.
+	bytes    bool
+	duration time.Duration
 }
 
 type playEntry struct {
@@ -66,6 +70,8 @@
 	finalAt                                      time.Duration
 	lastExposed, fiftieth                        time.Duration
 	oldAtEnd                                     int
+	bytes                                        int
+	reported                                     time.Duration
 	// moved is set if the requests began to move to the new version.
 	moved bool
 }
@@ -178,7 +184,11 @@
 		}
 		period := reportPeriod(p.scenario.entries, e.gate.anyOften([]string{"s"}))
 		e.reportAt = p.now.Add(period)
-		reply := p.holder.Report(p.now, e.id, e.gate.Report(p.now, "s", e.incarnation), p.fence)
+		reply := p.report(e)
+		if reply.Resend {
+			e.gate.Apply("s", reply, p.now, 0)
+			reply = p.report(e)
+		}
 		e.gate.Apply("s", reply, p.now, min(Bounds{Rollback: 5 * time.Second}.maxPermitLife(), time.Duration(permitLife*float64(period))))
 	}
 	period := stepPeriod
@@ -190,6 +200,24 @@
 	}
 }
 
+// report sends a report to the holder.
+func (p *play) report(e *playEntry) peer.RolloutReply {
+	r := e.gate.Report(p.now, "s", e.incarnation)
+	reply := p.holder.Report(p.now, e.id, r, p.fence)
+	if p.bytes && !e.gate.anyOften([]string{"s"}) {
+		p.out.bytes += bytesOfCall(r) + bytesOfCall(reply)
+		p.out.reported = max(p.out.reported, p.now.Sub(p.start)-ordered)
+	}
+	return reply
+}
+
+// bytesOfCall returns the number of bytes of a request or a reply.
+func bytesOfCall(v any) int {
+	const envelope = 50 // of JSON-RPC, in the mean of request and reply
+	text, _ := json.Marshal(v)
+	return len(text) + envelope
+}
+
 func (p *play) stepHolder(since time.Duration) {
 	v := View{Order: p.order(), HasOrder: true}
 	for _, r := range p.replicas {
--- a/peer/rollout.go
+++ b/peer/rollout.go
@@ -26,8 +26,10 @@
 	Reason string `json:"y,omitempty"`
 	// OldInFlight is the number of requests in progress at other versions.
 	OldInFlight int `json:"f,omitempty"`
-	// Routes is the evidence by route.
+	// Routes is the evidence by route. Numbers are left out that haven't changed since the
+	// last reply with Kept, of which Base is the value. It is 0 if none are left out.
 	Routes map[string]RolloutEvidence `json:"e,omitempty"`
+	Base   uint64                     `json:"b,omitempty"`
 }
 
 // RolloutEvidence is how the ordered version and the others answered.
@@ -52,6 +54,12 @@
 type RolloutReply struct {
 	// NotHolder is set if the called entry doesn't control the roll-out.
 	NotHolder bool `json:"h,omitempty"`
+	// Kept identifies the state at the holder that has the numbers of the report. It is 0
+	// if the holder ignored them.
+	Kept uint64 `json:"k,omitempty"`
+	// Resend is set if the holder doesn't have the numbers that the report left out. It
+	// has ignored the report.
+	Resend bool `json:"x,omitempty"`
 	// Fence orders the replies of different holders.
 	Fence uint64 `json:"v,omitempty"`
 	To    string `json:"t,omitempty"`
