Roll-outs: two holders hand out each permit once

Cause, found in review: a holder that was frozen may commit a higher reservation before its successor commits for the first time. The successor read the row back, took that reservation for its own, and could hand out the same permits again; its next commit lowered the reservation, so that a third holder counted fewer permits as spent.

Change: what an earlier holder reserved beyond the row that was taken over counts as spent, and the reservation never falls. Two reads of the controller in the keeper now hold its lock, because a report can change the row since a reported verdict is taken over.

Tests: TestTwoHoldersHandOutEachPermitOnce fails before.

--- a/gateway/rollout/controller.go
+++ b/gateway/rollout/controller.go
@@ -175,6 +175,15 @@
 	c.row.Status = r.Status
 }
 
+// ReservedByOther records that an earlier holder, which didn't know of this one yet, has
+// raised the reservation in the table. It may have handed out what it reserved.
+func (c *Controller) ReservedByOther(before, now int) {
+	if now > before {
+		c.spentBefore += now - before
+		c.row.Reserved = max(c.row.Reserved, now)
+	}
+}
+
 // left returns the time until the deadline.
 func (c *Controller) left(now time.Time) time.Duration {
 	return time.Duration(c.row.DurationMS)*time.Millisecond - now.Sub(c.base)
--- a/gateway/rollout/doc.go
+++ b/gateway/rollout/doc.go
@@ -9,7 +9,7 @@
 // Keeper runs Controllers at the entry that holds the lease of the leader tasks.
 //
 // An entry sends a request to a version that is not proved only with a permit,
-// which lapses within a second. The sum of all permits is bounded by the requests
+// which lapses within 1.25 s. The sum of all permits is bounded by the requests
 // that all entries reported, so the bound holds whatever single entries know, and
 // a version is closed everywhere as soon as no more permits are handed out.
 //
--- a/gateway/rollout/keeper.go
+++ b/gateway/rollout/keeper.go
@@ -175,8 +175,9 @@
 	order, since, ordered := k.opt.Gate.Order(time.Now(), name)
 	k.mu.Lock()
 	h := k.held[name]
+	current := h != nil && (!ordered || h.controller.Row().continues(order))
 	k.mu.Unlock()
-	if h != nil && (!ordered || h.controller.Row().continues(order)) {
+	if current {
 		return h, nil
 	}
 	row, found, err := k.opt.Table.Get(ctx, RowKey(name))
--- a/gateway/rollout/keeper_rows.go
+++ b/gateway/rollout/keeper_rows.go
@@ -81,6 +81,11 @@
 		h.version, h.inTable, h.unsure = row.Version, r, false
 		return nil
 	}
+	if r.Fence < fence {
+		k.mu.Lock()
+		h.controller.ReservedByOther(h.inTable.Reserved, r.Reserved)
+		k.mu.Unlock()
+	}
 	k.committed(h, r, row.Version)
 	return nil
 }
@@ -91,7 +96,10 @@
 	if stage == Moving {
 		stage = Trial
 	}
-	if h.version == 0 || h.inTable.Status == stage || h.inTable.To != h.controller.Row().To {
+	k.mu.Lock()
+	to := h.controller.Row().To
+	k.mu.Unlock()
+	if h.version == 0 || h.inTable.Status == stage || h.inTable.To != to {
 		return nil
 	}
 	s := Status{Service: name, To: h.inTable.To, Stage: stage}
--- a/gateway/rollout/takeover_test.go
+++ b/gateway/rollout/takeover_test.go
@@ -1,12 +1,14 @@
 package rollout
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
@@ -78,3 +80,63 @@
 		qt.Check(t, reply.Stored, qt.Equals, c.stage == c.want)
 	}
 }
+
+// Two entries believe that they hold the lease, because the first was frozen. The second
+// hands out permits that the first has reserved and handed out, or lowers the reservation
+// in the row, so that the versions get more requests than the bound.
+func TestTwoHoldersHandOutEachPermitOnce(t *testing.T) {
+	play3(t, func(t *testing.T, f *testFleet) {
+		f.order("v2")
+		for i := range 4 {
+			f.put(fmt.Sprint("new", i), "v2")
+		}
+		f.run(time.Second, "v2", 0)
+		f.lease.give("e1")
+		next := f.entries["e1"].keeper
+		next.fence = f.lease.fence
+		h, err := next.load(t.Context(), "s")
+		qt.Assert(t, err, qt.IsNil)
+		before := h.controller.spent()
+		// The first holder commits before the second does.
+		first := f.entries["e0"].keeper.held["s"]
+		row := first.controller.Row()
+		row.Fence, row.Reserved = 1, before+40
+		value, err := json.Marshal(row)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = f.table.Commit(t.Context(), infra.Write{Key: RowKey("s"), Value: value, Expect: first.version})
+		qt.Assert(t, err, qt.IsNil)
+		f.run(3*time.Second, "v2", 0)
+		qt.Assert(t, f.row().Fence, qt.Equals, uint64(2))
+		qt.Assert(t, f.row().Reserved >= before+40, qt.IsTrue)
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		qt.Assert(t, next.held["s"].controller.spentBefore >= before+40, qt.IsTrue)
+	})
+}
+
+// New replicas never become ready, and the order stays without a verdict, or old ones can't
+// be used meanwhile.
+func TestNewReplicasNeverCome(t *testing.T) {
+	play3(t, func(t *testing.T, f *testFleet) {
+		f.order("v2")
+		qt.Check(t, f.run(12*time.Second, "v2", 0), qt.DeepEquals, map[string]int{"v1": 3600})
+		qt.Check(t, f.lastStatus(), qt.Equals, Status{"s", "v2", RolledBack})
+	})
+}
+
+// Old replicas are reclaimed before the verdict, and all requests go to the version that
+// isn't proved.
+func TestOldReplicasAreReclaimedBeforeTheVerdict(t *testing.T) {
+	play3(t, func(t *testing.T, f *testFleet) {
+		f.order("v2")
+		for i := range 4 {
+			f.put(fmt.Sprint("new", i), "v2")
+		}
+		f.run(3*time.Second, "v2", 0)
+		for i := range 4 {
+			f.set.Remove(fmt.Sprint("old", i))
+		}
+		sent := f.run(3*time.Second, "v2", 0)
+		qt.Check(t, sent["v2"] <= 900/10+50, qt.IsTrue, qt.Commentf("%v", sent))
+	})
+}
