--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -90,3 +90,18 @@
 		qt.Check(t, len(safe.Old.First), qt.Not(qt.Equals), 0)
 	})
 }
+
+// The address of a replica on trial is used by another service, which refuses requests, and
+// that counts against the version.
+func TestRefusalOfAnotherServiceIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, g := newVersionedEntry(t, 3, answerAfter(20*time.Millisecond), answerStatus(421, "Not-Run: 1\r\n"))
+		for range 3 {
+			response, _, _ := e.get(t, "/safe/x")
+			qt.Check(t, response.StatusCode, qt.Equals, 200)
+		}
+		safe := g.Report(time.Now(), "s", "1").Routes["safe"]
+		qt.Check(t, safe.New, qt.DeepEquals, peer.VersionEvidence{})
+		qt.Check(t, safe.Old.Answered, qt.Equals, 3)
+	})
+}
