--- a/gateway/rollout/controller.go
+++ b/gateway/rollout/controller.go
@@ -15,8 +15,9 @@
 	// withdrawGrace is the time for which an order must be missing to count as withdrawn.
 	// A table that comes back from a copy may lack it until it is written again.
 	withdrawGrace = 3 * time.Second
-	// windowLength is the time between two judgements.
-	windowLength = 500 * time.Millisecond
+	// windowLength is the time between two judgements, and shortWindow that while reports
+	// come often.
+	windowLength, shortWindow = 500 * time.Millisecond, 50 * time.Millisecond
 	// A verdict is due before the deadline by the time that moving the requests
 	// takes: the duration divided by moveDivisor, within minMove and maxMove.
 	moveDivisor      = 5
@@ -24,6 +25,11 @@
 	// lastVerdict, with lastPeriods report periods, is the time before the deadline until
 	// which a version that isn't proved when its verdict is due gets more permits.
 	lastVerdict, lastPeriods = 1500 * time.Millisecond, 1.5
+	// finalTrial is the last part of the trial before the verdict is due. In it and while
+	// requests move, reports come often. In it, permits are given out for the requests
+	// until the deadline as well, of which futureShare is counted on, because the verdict
+	// is the last occasion to close the version before all requests reach it.
+	finalTrial, futureShare = 2000 * time.Millisecond, 0.8
 	// lastMove is the time before the deadline at which a version that is proved is
 	// given up if too few of its replicas are ready.
 	lastMove = time.Second
@@ -40,6 +46,9 @@
 	// reserveAhead is the time for which permits are reserved in the table, but at
 	// least minReserve. What is reserved is lost if the holder changes.
 	reserveAhead, minReserve = time.Second, 10
+	// nearBurst is the share of the permits for a burst from which on they are reserved:
+	// some seconds before the burst they would only be lost.
+	nearBurst = 0.7
 	// A turn, after which the permits are for other replicas of the new version, lasts
 	// minTurn, but at least turnPeriods report periods, after one of which all entries
 	// know it, and until a burst has ended. With turns, a replica that fails for a cause of
@@ -78,6 +87,8 @@
 	returnedBefore, granted int
 	// perSecond is the rate of requests.
 	perSecond, carry float64
+	// phase is what carry begins with.
+	phase float64
 }
 
 // Replicas counts the ready replicas of a service.
@@ -112,9 +123,11 @@
 	// live entries have reported.
 	takenOver bool
 	live      []string
-	reports   map[reporter]*lastReport
-	evidence  *evidence
-	windowAt  time.Time
+	// id identifies the controller in replies; 0 before the first one.
+	id       uint64
+	reports  map[reporter]*lastReport
+	evidence *evidence
+	windowAt time.Time
 	// trialSince is the time of the first answer of the new version.
 	trialSince time.Time
 	replicas   Replicas
@@ -162,6 +175,15 @@
 	c.row.Status = r.Status
 }
 
+// ReservedByOther records that an earlier holder, which didn't know of this one yet, has
+// raised the reservation in the table. It may have handed out what it reserved.
+func (c *Controller) ReservedByOther(before, now int) {
+	if now > before {
+		c.spentBefore += now - before
+		c.row.Reserved = max(c.row.Reserved, now)
+	}
+}
+
 // left returns the time until the deadline.
 func (c *Controller) left(now time.Time) time.Duration {
 	return time.Duration(c.row.DurationMS)*time.Millisecond - now.Sub(c.base)
@@ -240,15 +262,29 @@
 
 // judge judges what was reported since the last window.
 func (c *Controller) judge(now time.Time) {
-	if now.Sub(c.windowAt) >= windowLength {
+	length := windowLength
+	if c.often(now) {
+		length = shortWindow
+	}
+	if d := now.Sub(c.windowAt); d >= length {
 		c.windowAt = now
-		c.evidence.window(totalsOf(c.reports))
+		c.evidence.window(totalsOf(c.reports), d)
 	}
 }
 
+// often reports whether reports are due often: shortly before the verdict and while requests
+// move, when a version that turns bad has to be closed soon.
+func (c *Controller) often(now time.Time) bool {
+	return c.row.Stage == Moving || c.inFinalTrial(now)
+}
+
+func (c *Controller) inFinalTrial(now time.Time) bool {
+	return c.row.Stage == Trial && c.left(now) <= c.moveTime()+finalTrial
+}
+
 // decide reaches the verdict on a version against which there is no proof.
 func (c *Controller) decide(now time.Time) {
-	period := reportPeriod(len(c.live), false)
+	period := reportPeriod(len(c.live), true)
 	last := c.left(now) <= min(lastVerdict+time.Duration(lastPeriods*float64(period)), c.moveTime())
 	if reason, good := c.evidence.good(last); !good {
 		if last {
--- a/gateway/rollout/follower.go
+++ b/gateway/rollout/follower.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
@@ -24,6 +26,9 @@
 	// reports a second at 195 members.
 	reportPerMember                  = 4 * time.Millisecond
 	minReportPeriod, maxReportPeriod = 400 * time.Millisecond, 1100 * time.Millisecond
+	// minOftenPeriod is the least time between two reports that are due often. A call
+	// takes 1 to 2 ms.
+	minOftenPeriod = 150 * time.Millisecond
 	// permitLife is how long permits last, in report periods. Nothing is sent to a
 	// closed version later.
 	permitLife = 1.25
@@ -63,6 +68,8 @@
 // reports to the holder and applies its replies.
 type Follower struct {
 	opt FollowerOptions
+	// incarnation is a short hash of that in opt, for reports.
+	incarnation string
 
 	mu sync.Mutex
 	// holder is the entry that answered last, and answeredAt the time of it.
@@ -72,7 +79,9 @@
 }
 
 // NewFollower returns a Follower, which does nothing before Run.
-func NewFollower(o FollowerOptions) *Follower { return &Follower{opt: o} }
+func NewFollower(o FollowerOptions) *Follower {
+	return &Follower{opt: o, incarnation: strconv.FormatUint(xxhash.Sum64String(o.Incarnation), 36)}
+}
 
 // Run runs until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -152,7 +161,7 @@
 func (f *Follower) report(ctx context.Context) {
 	for {
 		active := f.opt.Gate.Active()
-		period := reportPeriod(f.opt.Members(), f.opt.Gate.anyMoving(active))
+		period := reportPeriod(f.opt.Members(), f.opt.Gate.anyOften(active))
 		began := time.Now()
 		for _, name := range active {
 			f.reportService(ctx, name, min(f.opt.Bounds.maxPermitLife(), time.Duration(permitLife*float64(period))))
@@ -163,12 +172,12 @@
 	}
 }
 
-// reportPeriod returns the time between two reports. It is half as long while requests
-// move, which takes a few seconds and waits for the reports of all entries.
-func reportPeriod(members int, moving bool) time.Duration {
+// reportPeriod returns the time between two reports. It is half as long if reports are
+// due often: for some seconds before the verdict, and while requests move.
+func reportPeriod(members int, often bool) time.Duration {
 	period := min(maxReportPeriod, time.Duration(members)*reportPerMember)
-	if moving {
-		period /= 2
+	if often {
+		return max(minOftenPeriod, period/2)
 	}
 	return max(minReportPeriod, period)
 }
@@ -177,10 +186,15 @@
 // doesn't answer.
 func (f *Follower) reportService(ctx context.Context, name string, ttl time.Duration) {
 	for _, id := range f.candidates() {
-		r := f.opt.Gate.Report(time.Now(), name, f.opt.Incarnation)
+		r := f.opt.Gate.Report(time.Now(), name, f.incarnation)
 		sent := time.Now()
 		reply, err := f.call(ctx, id, r)
-		if err != nil || reply.NotHolder {
+		if err == nil && reply.Resend {
+			f.opt.Gate.Apply(name, reply, sent, ttl)
+			r, sent = f.opt.Gate.Report(time.Now(), name, f.incarnation), time.Now()
+			reply, err = f.call(ctx, id, r)
+		}
+		if err != nil || reply.NotHolder || reply.Resend {
 			continue
 		}
 		f.opt.Gate.Apply(name, reply, sent, ttl)
--- a/gateway/rollout/gate.go
+++ b/gateway/rollout/gate.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
+	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 // ErrClosed reports that the version of a replica may not be used, or no longer.
@@ -47,7 +48,13 @@
 	endpoints  int
 	turn       int
 	once       bool
-	counts     counts
+	// often is set if the holder wants reports in the shorter period.
+	often  bool
+	counts counts
+	// sent is the evidence as of the last report. confirmed is what a holder has, which the
+	// next report leaves out, and confirmedBy identifies its state.
+	sent, confirmed map[string]peer.RolloutEvidence
+	confirmedBy     uint64
 	// inFlight counts the requests in progress by version.
 	inFlight map[string]int
 }
@@ -59,6 +66,9 @@
 	stage   Stage
 	reason  string
 	allowed []string
+	// stored is set if the stage is in the table. Until then a new holder may know of
+	// it only from the reports of the entries.
+	stored bool
 }
 
 // NewGate returns a Gate that allows no version until it knows the orders. ready
@@ -91,6 +101,12 @@
 	return s.state.stage.Final() && (s.order == nil || s.state.to == s.order.To && s.state.reason != Withdrawn)
 }
 
+// reports reports whether the entry reports to the holder: until it knows that the order
+// has ended and that the table says so.
+func (s *service) reports() bool {
+	return s.governed() && (!s.final() || s.state != nil && !s.state.stored)
+}
+
 // allows reports whether a version may be used without a permit. newReady is set
 // if replicas of the ordered version are ready.
 func (s *service) allows(version string, newReady bool) bool {
--- a/gateway/rollout/news.go
+++ b/gateway/rollout/news.go
@@ -73,8 +73,9 @@
 		s.order.Duration = o.Duration
 		return
 	}
-	s.order, s.orderAt, s.permits = &o, now, 0
+	s.order, s.orderAt, s.permits, s.often = &o, now, 0, false
 	s.counts = counts{}
+	s.sent, s.confirmed, s.confirmedBy = nil, nil, 0
 	g.log.WithFields(logrus.Fields{"service": o.Service, "to": o.To, "duration_ms": o.Duration.Milliseconds()}).Info("rollout: order known.")
 }
 
@@ -126,14 +127,14 @@
 	return slices.Sorted(maps.Keys(g.serviceLocked(name).cleared))
 }
 
-// Active returns the services with a roll-out that hasn't ended, as far as this
-// entry knows.
+// Active returns the services with a roll-out that hasn't ended, or whose end isn't in
+// the table, as far as this entry knows.
 func (g *Gate) Active() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []string
 	for name, s := range g.services {
-		if s.governed() && !s.final() {
+		if s.reports() {
 			out = append(out, name)
 		}
 	}
@@ -141,13 +142,13 @@
 	return out
 }
 
-// anyMoving reports whether one of the services moves its requests.
-func (g *Gate) anyMoving(names []string) bool {
+// anyOften reports whether the holder of one of the services wants reports often.
+func (g *Gate) anyOften(names []string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return slices.ContainsFunc(names, func(name string) bool {
 		s := g.services[name]
-		return s != nil && s.state != nil && s.state.stage == Moving
+		return s != nil && s.often
 	})
 }
 
@@ -158,7 +159,7 @@
 	defer g.mu.Unlock()
 	var out []string
 	for name, s := range g.services {
-		if s.order != nil || !s.final() {
+		if s.order != nil || !s.final() || s.reports() {
 			out = append(out, name)
 		}
 	}
@@ -174,9 +175,10 @@
 	s := g.serviceLocked(name)
 	s.counts.returned += s.permits
 	s.permits = 0
+	s.sent = s.counts.clone()
 	r := peer.RolloutReport{
 		Service: name, Incarnation: incarnation, Requests: s.counts.requests,
-		Returned: s.counts.returned, Routes: s.counts.clone(),
+		Returned: s.counts.returned, Routes: changedSince(s.confirmed, s.sent), Base: s.confirmedBy,
 	}
 	if s.order != nil {
 		r.To, r.AgeMS = s.order.To, now.Sub(s.orderAt).Milliseconds()
@@ -185,6 +187,9 @@
 	}
 	if s.state != nil && s.state.to == r.To {
 		r.Stage = string(s.state.stage)
+		if s.state.stage.Final() && !s.state.stored {
+			r.Reason = s.state.reason
+		}
 	}
 	for version, n := range s.inFlight {
 		if version != r.To {
@@ -200,9 +205,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.serviceLocked(name)
-	if reply.NotHolder || !s.applyLocked(known{fence: reply.Fence, to: reply.To, stage: Stage(reply.Stage), reason: reply.Reason, allowed: reply.Allowed}, name, g.log) {
+	if reply.Resend {
+		s.confirmed, s.confirmedBy = nil, 0
+		return
+	}
+	if reply.NotHolder || !s.applyLocked(known{fence: reply.Fence, to: reply.To, stage: Stage(reply.Stage), reason: reply.Reason, allowed: reply.Allowed, stored: reply.Stored}, name, g.log) {
 		return
 	}
+	s.often = reply.Often
+	if reply.Kept != 0 {
+		s.confirmed, s.confirmedBy = s.sent, reply.Kept
+	}
 	if s.state.stage == Trial {
 		s.permits, s.permitsEnd = reply.Permits, sent.Add(ttl)
 		s.endpoints, s.turn, s.once = reply.Endpoints, max(0, reply.Turn), reply.Once
@@ -213,7 +226,7 @@
 func (g *Gate) SetRow(name string, r Row) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.serviceLocked(name).applyLocked(known{fence: r.Fence, to: r.To, stage: r.Stage, reason: r.Reason, allowed: r.Allowed}, name, g.log)
+	g.serviceLocked(name).applyLocked(known{fence: r.Fence, to: r.To, stage: r.Stage, reason: r.Reason, allowed: r.Allowed, stored: true}, name, g.log)
 }
 
 // applyLocked replaces the known state unless it is a later one. It reports whether
--- a/gateway/rollout/permits.go
+++ b/gateway/rollout/permits.go
@@ -1,31 +1,42 @@
 package rollout
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 // Report takes a report and returns the reply.
 func (c *Controller) Report(now time.Time, from string, r peer.RolloutReport, fence uint64) peer.RolloutReply {
-	reply := peer.RolloutReply{Fence: fence, To: c.row.To, Stage: string(c.stage()), Reason: c.row.Reason, Allowed: c.row.Allowed}
+	reply := peer.RolloutReply{Fence: fence, To: c.row.To, Stage: string(c.stage()), Stored: c.stage() == c.committed, Reason: c.row.Reason, Allowed: c.row.Allowed, Often: c.often(now)}
 	if r.To != c.row.To || r.Requests < 0 || r.Returned < 0 || r.OldInFlight < 0 {
 		return reply
 	}
+	key := reporter{from, r.Incarnation}
+	last := c.reports[key]
+	if last == nil && len(c.reports) >= maxReporters {
+		return reply
+	}
+	if r.Base != 0 && (r.Base != c.kept(fence) || last == nil) {
+		return peer.RolloutReply{Resend: true}
+	}
 	// In large deployments some entries learn of an order a second before the others.
 	age := time.Duration(min(r.AgeMS, math.MaxInt32)) * time.Millisecond
 	if base := now.Add(-age - orderLag); base.Before(c.base) && !base.Before(c.began.Add(-c.known-maxOrderLag)) {
 		c.base = base
 	}
-	key := reporter{from, r.Incarnation}
-	last := c.reports[key]
+	if Stage(r.Stage) == RolledBack && r.Reason != "" && r.Reason != Withdrawn && !c.row.Stage.Final() {
+		// An earlier holder closed the version and was lost before it wrote the row.
+		c.close(r.Reason)
+		reply.Stage, reply.Reason, reply.Stored = string(c.stage()), c.row.Reason, false
+	}
 	if last == nil {
-		if len(c.reports) >= maxReporters {
-			return reply
-		}
-		last = &lastReport{returnedBefore: r.Returned}
+		last = &lastReport{returnedBefore: r.Returned, phase: phaseOf(from)}
 		c.reports[key] = last
 	} else if dt := now.Sub(last.at).Seconds(); dt > 0 {
 		rate := float64(max(0, r.Requests-last.Requests)) / dt
@@ -33,9 +44,10 @@
 			last.perSecond = rate
 		}
 		last.perSecond += rateWeight * (rate - last.perSecond)
-		c.accrue(now, last, dt)
+		c.accrue(now, last, dt, r.Returned-last.Returned)
 	}
-	last.RolloutReport, last.at = r, now
+	r.Routes = withChanges(last.Routes, r.Routes)
+	last.RolloutReport, last.at, reply.Kept = r, now, c.kept(fence)
 	if c.row.Stage != Trial {
 		return reply
 	}
@@ -45,6 +57,15 @@
 	return reply
 }
 
+// kept identifies this controller in replies: what another one has, also of the same
+// holder, may not be left out of a report.
+func (c *Controller) kept(fence uint64) uint64 {
+	if c.id == 0 {
+		c.id = 1 + xxhash.Sum64String(fmt.Sprint(fence, c.began.UnixNano()))>>32
+	}
+	return c.id
+}
+
 // spent returns the number of requests that may have been sent with permits.
 func (c *Controller) spent() int {
 	sum := c.spentBefore
@@ -55,6 +76,13 @@
 	return sum
 }
 
+// tried returns the number of permits that this holder handed out, or the number of
+// answers that it knows of if that is higher. Permits of an earlier holder whose answers
+// were lost are spent, but are no trial.
+func (c *Controller) tried() int {
+	return max(c.spent()-c.spentBefore, c.evidence.total.Answers)
+}
+
 func (c *Controller) requests() int {
 	sum := 0
 	for _, r := range c.reports {
@@ -64,8 +92,13 @@
 }
 
 // available returns the number of permits that may still be handed out.
-func (c *Controller) available() int {
-	return c.bounds.permits(c.requests()) - c.spent()
+func (c *Controller) available(now time.Time) int {
+	n := c.bounds.permits(c.requests())
+	if c.inFinalTrial(now) {
+		future := futureShare * c.rate * max(0, c.left(now)).Seconds()
+		n = max(n, min(c.bounds.permits(c.requests()+int(future)), c.bounds.mostPermits(c.requests())))
+	}
+	return n - c.spent()
 }
 
 // perReplica returns the permits per second for a replica on trial, which give it the
@@ -79,31 +112,39 @@
 // from those that accrue and are left until the verdict.
 func (c *Controller) endpoints(now time.Time) int {
 	left := max(minMove, c.left(now)-c.moveTime()).Seconds()
+	if c.inFinalTrial(now) {
+		left = finalTrial.Seconds() // given out faster than they would last
+	}
 	accrued := shareAim * c.bounds.Share * c.rate
 	full := max(c.perReplica(), 0.001)
-	n := max(int(math.Ceil(accrued/full)), int((accrued+max(0, float64(c.available()))/left)/full))
+	n := max(int(math.Ceil(accrued/full)), int((accrued+max(0, float64(c.available(now)))/left)/full))
 	return max(1, min(c.replicas.New, n))
 }
 
-// accrue adds the permits for a time to those that an entry gets next.
-func (c *Controller) accrue(now time.Time, r *lastReport, dt float64) {
+// accrue adds the permits for a time to those that an entry gets next, and those that it
+// had but could not use.
+func (c *Controller) accrue(now time.Time, r *lastReport, dt float64, returned int) {
 	if c.rate <= 0 || r.perSecond <= 0 {
 		return
 	}
 	full := c.perReplica() * float64(c.endpoints(now))
-	r.carry = min(maxCarry+full*dt, r.carry+full*dt*min(1, r.perSecond/c.rate))
+	r.carry = min(maxCarry+full*dt, r.carry+full*dt*min(1, r.perSecond/c.rate)+float64(max(0, min(returned, r.granted))))
 }
 
+// phaseOf returns the part of a permit with which an entry begins, between 0 and 1. If
+// all began with the same, all would get their first permits of a burst late and at once.
+func phaseOf(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
 // grant hands out permits to an entry.
 func (c *Controller) grant(now time.Time, r *lastReport) int {
 	if c.awaitsReports(now) || !c.missingSince.IsZero() || c.committed != Trial || c.replicas.New == 0 || c.left(now) <= 0 {
-		r.carry = 0
+		r.carry = r.phase
 		return 0
 	}
-	available := min(c.available(), c.reserved-c.spent())
-	c.updateBurst(now, c.available())
+	available := min(c.available(now), c.reserved-c.spent())
+	c.updateBurst(now, c.available(now))
 	if !c.bursting {
-		r.carry = 0
+		r.carry = r.phase
 		return 0
 	}
 	n := max(0, min(int(r.carry), available))
@@ -135,11 +176,11 @@
 // left.
 func (c *Controller) updateBurst(now time.Time, available int) {
 	switch {
-	case available < 1, c.bursting && c.firstBurst && c.spent() >= firstPermits:
+	case available < 1, c.bursting && c.firstBurst && c.tried() >= firstPermits:
 		c.bursting, c.firstBurst = false, false
 	case float64(available) >= c.burstSize(now):
 		c.startTurn(now)
-		c.firstBurst = !c.bursting && c.spent() < firstPermits || c.bursting && c.firstBurst
+		c.firstBurst = !c.bursting && c.tried() < firstPermits || c.bursting && c.firstBurst
 		c.bursting = true
 	}
 }
@@ -159,7 +200,7 @@
 // burstSize returns the number of permits from which on a burst begins.
 func (c *Controller) burstSize(now time.Time) float64 {
 	left := c.left(now) - c.moveTime()
-	if c.spent() < firstPermits || left <= lastBurst {
+	if c.tried() < firstPermits || left <= lastBurst {
 		return minBurst
 	}
 	all := c.bounds.permits(c.requests() + int(c.rate*left.Seconds()))
@@ -182,9 +223,16 @@
 	}
 	full := c.perReplica() * float64(c.endpoints(now))
 	accrued := shareAim * c.bounds.Share * c.rate
-	ahead := min(full, accrued+float64(c.available())) * reserveAhead.Seconds()
+	ahead := min(full, accrued+float64(c.available(now))) * reserveAhead.Seconds()
 	spent := c.spent()
-	if n := max(minReserve, int(math.Ceil(ahead))); c.row.Reserved-spent < n/2 {
+	n := max(minReserve, int(math.Ceil(ahead)))
+	switch {
+	case c.tried() < firstPermits:
+		n = min(n, firstPermits)
+	case !c.bursting && float64(c.available(now)) < nearBurst*c.burstSize(now):
+		n = minReserve
+	}
+	if c.row.Reserved-spent < n/2 {
 		c.row.Reserved = spent + n
 	}
 }
--- a/peer/rollout.go
+++ b/peer/rollout.go
@@ -22,10 +22,14 @@
 	Returned int `json:"r,omitempty"`
 	// Stage is the stage that is in force at the entry.
 	Stage string `json:"g,omitempty"`
+	// Reason explains a final stage that the entry doesn't know to be in the table.
+	Reason string `json:"y,omitempty"`
 	// OldInFlight is the number of requests in progress at other versions.
 	OldInFlight int `json:"f,omitempty"`
-	// Routes is the evidence by route.
+	// Routes is the evidence by route. Numbers are left out that haven't changed since the
+	// last reply with Kept, of which Base is the value. It is 0 if none are left out.
 	Routes map[string]RolloutEvidence `json:"e,omitempty"`
+	Base   uint64                     `json:"b,omitempty"`
 }
 
 // RolloutEvidence is how the ordered version and the others answered.
@@ -50,10 +54,18 @@
 type RolloutReply struct {
 	// NotHolder is set if the called entry doesn't control the roll-out.
 	NotHolder bool `json:"h,omitempty"`
+	// Kept identifies the state at the holder that has the numbers of the report. It is 0
+	// if the holder ignored them.
+	Kept uint64 `json:"k,omitempty"`
+	// Resend is set if the holder doesn't have the numbers that the report left out. It
+	// has ignored the report.
+	Resend bool `json:"x,omitempty"`
 	// Fence orders the replies of different holders.
 	Fence uint64 `json:"v,omitempty"`
 	To    string `json:"t,omitempty"`
 	Stage string `json:"g,omitempty"`
+	// Stored is set if the stage is in the table.
+	Stored bool `json:"d,omitempty"`
 	// Reason explains the stage to operators.
 	Reason string `json:"y,omitempty"`
 	// Allowed are the versions that may be used without a permit.
@@ -65,6 +77,8 @@
 	Endpoints int `json:"e,omitempty"`
 	// Turn selects these endpoints.
 	Turn int `json:"u,omitempty"`
+	// Often is set if the next reports are due in a shorter period.
+	Often bool `json:"q,omitempty"`
 	// Once is set if requests that may run only once may use permits.
 	Once bool `json:"o,omitempty"`
 }
