Keep a compressed copy of large configurations

With 1,806 routes that is 0.7 MB in the encoding of the store and 0.55 s on a link of 10 Mbit/s, more than the 312 ms for which a request of 2.5 s waits for a starting entry.

Change: package infra/rowcopy. Nothing uses the package yet.

Not tested: rows that are too large for a copy.

--- a/infra/follow/history.go
+++ b/infra/follow/history.go
@@ -1,8 +1,10 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -186,6 +188,18 @@
 	return u
 }
 
+// Rows returns all rows in the order of their keys and the version up to which they are
+// complete, and false while the feed can't be read.
+func (h *History) Rows() ([]infra.Row, uint64, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.unavailable {
+		return nil, 0, false
+	}
+	rows := slices.SortedFunc(maps.Values(h.rows), func(x, y infra.Row) int { return cmp.Compare(x.Key, y.Key) })
+	return rows, h.version, true
+}
+
 func (h *History) since(after uint64) (infra.Update, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/infra/rowcopy/doc.go
@@ -0,0 +1,19 @@
+// Package rowcopy keeps a compressed copy of the rows of a feed in the system's own
+// table, so that an entry that starts reads a large configuration in less time.
+//
+// It answers the restart of all entries at once with a configuration of thousands of
+// routes, over links of 10 Mbit/s: the snapshot of 1,806 routes has 0.7 MB in the
+// encoding of the store and takes 0.55 s, in which entries refuse all requests.
+//
+// The copy consists of a header and parts, always written in one transaction that is
+// conditional on the header, so that two writers can't mix their contents. The header
+// states the version of the feed up to which the content is complete, and a hash of
+// the content. A Writer writes the content when it changes and otherwise renews the
+// version, because a feed retains its changes for a limited time.
+//
+// A Feed reads the snapshot of the service as usual. Only if the answer turns out to
+// be large does it read the header, and ask the service for the changes since its
+// version, while the snapshot goes on. If the service still has these changes, the
+// Feed abandons the snapshot and reads the parts instead. Content that doesn't match
+// the confirmed header is never used.
+package rowcopy
