Load a large configuration from its copy

Change: entries read the configuration through infra/rowcopy, and the holder of the lease of the leader tasks keeps the copy.

TestStoreCallsOfAFleet also plays 9 entries and large configurations, and checks the calls for the copy; its earlier checks are unchanged. TestReplicaThatLeavesAfterAnOutageIsNotUsedLonger passes the new arguments of newFollowers.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -123,7 +123,7 @@
 			newMetrics, newGatewayTable, newGatewayRegistry, newLoops, newReplicas, newConfigHolder,
 			newSpeeds, newBalancer, newPool, newRetries, newUsage, newLeaderLease, newPeerView,
 			newGatewayNotices, newGatewayMesh, newHandler, newReadiness, newClientServer, newGlobalBalancer,
-			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newFollowers, newRollupPeers, newRollup, newRoomControl, newRollouts,
+			newLimiter, newOwnerPeers, newLiveness, newQuarantine, newThrottle, newGlobalLimiter, usage.NewClock, newConfigurationCopy, newFollowers, newRollupPeers, newRollup, newRoomControl, newRollouts,
 		),
 		fx.Invoke(watchEpoch, runGatewayMesh, runExchanges, runRollup, runSpeeds, runPlacementEnds, runRoom, runCountsPusher, runFollowers, runSweeps, runUsage, runScaling, runRollouts, serveReady, serveMetrics, serveGateway),
 		fx.Populate(&g.handler, &g.server, &g.registry, &g.lease, &g.ready, &g.limits),
--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -18,8 +18,11 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/infra/follow"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/rowcopy"
+	"github.com/coltsfootcleat/coltsfootcleat/lease"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
+	"github.com/coltsfootcleat/coltsfootcleat/telemetry"
 )
 
 const (
@@ -59,6 +62,10 @@
 	maxDirectReaders = 16
 )
 
+// configurationCopyPrefix begins the keys of the rows with the copy of a large
+// configuration.
+const configurationCopyPrefix = "copy/configuration/"
+
 // Names of the feeds in messages between peers.
 const (
 	configFeed   = "configuration"
@@ -74,6 +81,8 @@
 	// histories holds the history of each feed by name.
 	histories map[string]*follow.History
 	members   *member.Registry
+	// copy keeps the copy of a large configuration.
+	copy *rowcopy.Writer
 	// mesh is set by newGatewayMesh, which depends on the followers.
 	mesh *peer.Mesh
 }
@@ -94,13 +103,21 @@
 	version uint64
 }
 
-func newFollowers(deps GatewayDeps, r *member.Registry, holder *config.Holder, set *replica.Set, limiter *quota.Limiter, orders *rollouts, log *logrus.Entry) *followers {
+func newFollowers(deps GatewayDeps, copies rowcopy.Options, l *lease.Lease, r *member.Registry, holder *config.Holder, set *replica.Set, limiter *quota.Limiter, orders *rollouts, log *logrus.Entry) *followers {
 	source := &configSource{deps: deps, holder: holder, rollouts: orders, log: log, fetchSlot: make(chan struct{}, 1)}
 	holder.OnChange(limiter.SetConfiguration)
 	rows := &registryHandler{deps: deps, set: set, log: log}
 	f := &followers{source: source, members: r, histories: map[string]*follow.History{
 		configFeed: follow.NewHistory(0), registryFeed: follow.NewHistory(registryIdleTimeout),
 	}}
+	f.copy = rowcopy.NewWriter(rowcopy.WriterOptions{
+		Options: copies, Rows: f.histories[configFeed].Rows, Held: func() bool {
+			_, held := l.Held()
+			return held
+		},
+		// The call in progress may wait for feedWait.
+		OnBegin: func() { f.config.Refresh() },
+	})
 	// A call that met an outage may hang long after it. The first call of any kind
 	// that is answered again shows that the store is back.
 	storeBack := func() {
@@ -111,7 +128,7 @@
 	r.OnTableBack(storeBack)
 	o := f.options(configFeed, deps, log)
 	o.OnRecovered = storeBack
-	f.config = follow.New(f.sharedFeed(configFeed, deps.Config, feedWait, log), source, o)
+	f.config = follow.New(f.sharedFeed(configFeed, rowcopy.NewFeed(deps.Config, copies), feedWait, log), source, o)
 	o = f.options(registryFeed, deps, log)
 	o.OnRecovered = storeBack
 	f.registry = follow.New(f.sharedFeed(registryFeed, deps.Registry, registryReaderWait, log), rows, o)
@@ -142,12 +159,20 @@
 	return follow.NewShared(direct, follow.SharedOptions{
 		Name: feed,
 		ReaderWait: func() time.Duration {
-			if f.members.Count() <= maxDirectReaders {
+			switch {
+			case f.keepsCopyOf(feed):
+				return rowcopy.RenewPeriod
+			case f.members.Count() <= maxDirectReaders:
 				return feedWait
 			}
 			return readerWait
 		},
-		Readers: func() []string { return readersFor(f.members.Self(), f.members.Members()) },
+		Readers: func() []string {
+			if f.keepsCopyOf(feed) {
+				return nil
+			}
+			return readersFor(f.members.Self(), f.members.Members())
+		},
 		ChangesFrom: func(ctx context.Context, id string, after uint64, wait time.Duration) (infra.Update, error) {
 			return f.mesh.Changes(ctx, id, feed, after, wait)
 		},
@@ -155,6 +180,15 @@
 	})
 }
 
+// keepsCopyOf reports whether this entry keeps the copy of a feed. It then reads the
+// service directly, as a peer may return a version that is as old as feedWait.
+func (f *followers) keepsCopyOf(feed string) bool { return feed == configFeed && f.copy.Writing() }
+
+// newConfigurationCopy returns the options of the copy of a large configuration.
+func newConfigurationCopy(table infra.Table, m *telemetry.Metrics, log *logrus.Entry) rowcopy.Options {
+	return rowcopy.Options{Table: table, Prefix: configurationCopyPrefix, Count: m.ConfigurationCopied, Log: log}
+}
+
 // changesSince serves a peer that follows a feed through this entry.
 func (f *followers) changesSince(ctx context.Context, feed string, after uint64, wait time.Duration) (infra.Update, error) {
 	h := f.histories[feed]
@@ -196,6 +230,7 @@
 func runFollowers(lc fx.Lifecycle, l *Loops, f *followers) {
 	l.Go(lc, f.config.Run)
 	l.Go(lc, f.registry.Run)
+	l.Go(lc, f.copy.Run)
 }
 
 // Replace implements follow.Handler.
--- a/app/gateway_fleet_test.go
+++ b/app/gateway_fleet_test.go
@@ -104,6 +104,10 @@
 type fleetFeed struct {
 	name  string
 	calls *storeCalls
+	value []byte
+	// moves is how much the version rises in a call without changes, by what is
+	// written elsewhere in the store.
+	moves uint64
 
 	mu      sync.Mutex
 	version uint64
@@ -127,7 +131,7 @@
 	time.Sleep(commitTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return []infra.Row{{Key: f.name, Version: f.version}}, f.version, nil
+	return []infra.Row{{Key: f.name, Value: f.value, Version: f.version}}, f.version, nil
 }
 
 func (f *fleetFeed) Changes(ctx context.Context, after uint64, wait time.Duration) (infra.Update, error) {
@@ -144,7 +148,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return infra.Update{Version: version}, nil
+			return infra.Update{Version: max(after, version) + f.moves}, nil
 		case <-ctx.Done():
 			return infra.Update{}, ctx.Err()
 		}
@@ -157,12 +161,14 @@
 	registry *fleetFeed
 }
 
-func startFleet(t *testing.T, entries int) *fleet {
+// startFleet starts entries with a configuration of a size.
+func startFleet(t *testing.T, entries, bytes int) *fleet {
 	t.Helper()
 	calls := &storeCalls{byKind: make(map[string]int)}
 	f := &fleet{calls: calls, registry: newFleetFeed("registry", calls)}
 	table := &serialTable{Table: standin.NewTable(1), calls: calls, slot: make(chan struct{}, 1)}
 	configuration := newFleetFeed("configuration", calls)
+	configuration.value, configuration.moves = make([]byte, bytes), 1
 	network := memnet.New()
 	gin.SetMode(gin.ReleaseMode)
 	log := logrus.New()
@@ -213,10 +219,15 @@
 		// the readers of the feeds and the lease need the rest.
 		maxSteadyCalls = 34.0
 	)
-	for _, entries := range []int{30, 90} {
-		t.Run(fmt.Sprintf("entries=%d", entries), func(t *testing.T) {
+	for _, test := range []struct {
+		entries, bytes int
+		// most is the largest number of writes of the copy of the configuration.
+		most int
+	}{{9, 100, 0}, {9, 500_000, 15}, {30, 100, 0}, {30, 500_000, 15}, {90, 100, 0}} {
+		entries := test.entries
+		t.Run(fmt.Sprintf("entries=%d,bytes=%d", entries, test.bytes), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := startFleet(t, entries)
+				f := startFleet(t, entries, test.bytes)
 				time.Sleep(startTime)
 				start := f.calls.total()
 				t.Logf("start: %v", f.calls)
@@ -233,6 +244,9 @@
 				t.Logf("start %.1f calls an entry, then %.1f calls a second: %v", float64(start)/float64(entries), steady, f.calls)
 				atStart := float64(start) - maxSteadyCalls*startTime.Seconds()
 				qt.Check(t, atStart <= float64(maxStartCalls*entries), qt.IsTrue, qt.Commentf("%d calls of %d entries", start, entries))
+				copies := f.calls.byKind["commit copy"]
+				qt.Check(t, copies <= test.most && copies >= test.most/2, qt.IsTrue, qt.Commentf("%d writes of the copy", copies))
+				qt.Check(t, f.calls.byKind["scan copy/configuration/"] <= min(test.most, 1), qt.IsTrue)
 				qt.Check(t, steady <= maxSteadyCalls, qt.IsTrue, qt.Commentf("%.1f calls a second of %d entries", steady, entries))
 			})
 		})
--- a/app/gateway_outage_test.go
+++ b/app/gateway_outage_test.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/quota"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
+	"github.com/coltsfootcleat/coltsfootcleat/infra/rowcopy"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/nolog"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
@@ -77,7 +78,7 @@
 			DecodeReplica: func(id string, _ []byte) (replica.Registration, error) {
 				return replica.Registration{ID: id, Service: "s", Addr: "10.0.0.1:80", Incarnation: 1}, nil
 			},
-		}, member.New(nil, member.Options{ID: "e", Log: nolog.Or(nil)}), &config.Holder{}, set,
+		}, rowcopy.Options{}, nil, member.New(nil, member.Options{ID: "e", Log: nolog.Or(nil)}), &config.Holder{}, set,
 			quota.NewLimiter(gateway.Settings{}.LimitTolerance), nil, nolog.Or(nil))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer time.Sleep(time.Second) // the followers end
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -50,6 +50,7 @@
 	limits      metric.Int64Counter
 	placements  metric.Int64Counter
 	rollouts    metric.Int64Counter
+	copies      metric.Int64Counter
 	replicas    names
 	room        metric.Int64Counter
 	roomWait    metric.Float64Histogram
@@ -73,7 +74,7 @@
 }
 
 func (m *Metrics) newInstruments() error {
-	var errs [17]error
+	var errs [18]error
 	m.requests, errs[0] = m.meter.Int64Counter("coltsfootcleat.requests",
 		metric.WithDescription("Requests that ended, by kind and outcome."))
 	m.retries, errs[1] = m.meter.Int64Counter("coltsfootcleat.retries",
@@ -112,6 +113,8 @@
 		metric.WithDescription("Calls to the placers of groups of replicas, by outcome."))
 	m.rollouts, errs[16] = m.meter.Int64Counter("coltsfootcleat.rollouts",
 		metric.WithDescription("Events of roll-outs at the entry that controls them: stages, status rows and failed writes."))
+	m.copies, errs[17] = m.meter.Int64Counter("coltsfootcleat.configuration_copy",
+		metric.WithDescription("Events of the copy of a large configuration: loads with and without it, and writes."))
 	return errors.Join(errs[:]...)
 }
 
@@ -218,6 +221,11 @@
 	m.rollouts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
 }
 
+// ConfigurationCopied counts an event of the copy of a large configuration.
+func (m *Metrics) ConfigurationCopied(event string) {
+	m.copies.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 // Resumed counts a stream that was resumed elsewhere; how is for example "kv"
 // or "prompt".
 func (m *Metrics) Resumed(how string) {
