Shorten the random delay of the first reads after a start

Cause: the first read of each of the two feeds was delayed by up to 100 ms, so that entries that start together don't read at once. Requests waited for both, 67 ms in the mean. The delay didn't keep large deployments below the 6,000 reads a second of the platform either: 410 entries read 8,200 a second.

Change: 20 ms, at which 58 entries read 5,800 a second. A store that refuses a read is asked again after about 100 ms, as late as before.

Ruled out: no delay, as 58 entries would then exceed the limit; a delay that grows with the members, as they aren't known at a start.

Not played: 410 entries against a store that refuses reads.

--- a/app/gateway_feeds.go
+++ b/app/gateway_feeds.go
@@ -27,8 +27,10 @@
 
 const (
 	// feedJitter is the maximum delay of the first read, which is random so
-	// that entries that start together do not read at the same time.
-	feedJitter = 100 * time.Millisecond
+	// that entries that start together do not read at the same time. Over 20 ms,
+	// the two feeds of 58 entries are 5,800 reads a second; the platform admits
+	// 6,000. A refused read is repeated after about minBackoff of package follow.
+	feedJitter = 20 * time.Millisecond
 	// feedWait is how long one call of a feed waits for changes. Keep-alive
 	// detects broken connections sooner. Its sum with the wait of a call to a
 	// peer is below the maximum age of a configuration in package gateway, so
