--- a/peer/calls.go
+++ b/peer/calls.go
@@ -11,7 +11,6 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 	"github.com/coltsfootcleat/coltsfootcleat/infra/follow"
-	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
 	"github.com/coltsfootcleat/coltsfootcleat/member"
 )
 
@@ -33,20 +32,6 @@
 	return m.call(ctx, peer, methodHandoff, handoffParams{JobID: jobID}, &ack{})
 }
 
-// Reserve reserves units of a customer's limit at the owner of the limit if
-// they become available within the given time. The second result is false if
-// the peer is not the owner. After an error the units may have been reserved.
-func (m *Mesh) Reserve(ctx context.Context, peer, customer string, units float64, within time.Duration) (rate.Reservation, bool, error) {
-	return m.reserve(ctx, peer, reserveParams{Customer: customer, Units: units, WithinMS: within.Milliseconds()})
-}
-
-func (m *Mesh) reserve(ctx context.Context, peer string, p reserveParams) (rate.Reservation, bool, error) {
-	var result reserveResult
-	err := m.callCached(ctx, peer, methodReserve, p, &result)
-	r := rate.Reservation{OK: result.Reserved || result.WaitMS == 0, Delay: time.Duration(result.WaitMS) * time.Millisecond}
-	return r, !result.NotOwner, err
-}
-
 // Changes returns the changes of a feed that a peer follows. It returns
 // infra.ErrCompacted or follow.ErrUnavailable if the call at the peer did.
 func (m *Mesh) Changes(ctx context.Context, peer, feed string, after uint64, wait time.Duration) (infra.Update, error) {
@@ -65,13 +50,6 @@
 	}
 }
 
-// Place calls a peer, which chooses the endpoint of a centrally placed prompt.
-func (m *Mesh) Place(ctx context.Context, peer string, p PlaceRequest) (PlaceResult, error) {
-	var result PlaceResult
-	err := m.callCached(ctx, peer, methodPlace, p, &result)
-	return result, err
-}
-
 // ExchangeLoads sends a load report to a peer, which returns the sum of the
 // loads of other entries.
 func (m *Mesh) ExchangeLoads(ctx context.Context, peer string, r LoadReport) (LoadSum, error) {
@@ -100,11 +78,6 @@
 	return m.withCached(ctx, peer, func(l *link) error { return l.conn.Call(ctx, method, params, result) })
 }
 
-// EndPlacement tells a peer that a request which it placed and recorded has ended.
-func (m *Mesh) EndPlacement(ctx context.Context, peer string, e PlacedEnd) error {
-	return m.withCached(ctx, peer, func(l *link) error { return l.conn.Notify(ctx, methodPlacedEnd, e) })
-}
-
 func (m *Mesh) withCached(ctx context.Context, peer string, f func(l *link) error) error {
 	l := m.linkTo(peer)
 	if l == nil {
--- a/peer/levels.go
+++ b/peer/levels.go
@@ -1,12 +1,5 @@
 package peer
 
-import (
-	"context"
-	"time"
-
-	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
-)
-
 // LimitLevel is what one of the two owners of a customer's limit knows of the units
 // that are left.
 type LimitLevel struct {
@@ -26,23 +19,3 @@
 	// Asked is the number of units that the process is asked for per second.
 	Asked float64 `json:"a,omitempty"`
 }
-
-// ExchangeLevels sends levels of limits to the other owner of them, and returns its
-// own.
-func (m *Mesh) ExchangeLevels(ctx context.Context, peer string, levels []LimitLevel) ([]LimitLevel, error) {
-	var result reserveResult
-	err := m.callCached(ctx, peer, methodReserve, reserveParams{Levels: levels}, &result)
-	return result.Levels, err
-}
-
-// ReserveReplicated is Reserve at either owner of a limit.
-func (m *Mesh) ReserveReplicated(ctx context.Context, peer, customer string, units float64, within time.Duration) (rate.Reservation, bool, error) {
-	return m.reserve(ctx, peer, reserveParams{Customer: customer, Units: units, WithinMS: within.Milliseconds(), Replicated: true})
-}
-
-func (h Handlers) levels(from string, levels []LimitLevel) []LimitLevel {
-	if h.Levels == nil {
-		return nil
-	}
-	return h.Levels(from, levels)
-}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -268,47 +268,6 @@
 	}
 }
 
-// CrashEvidence is evidence against prompt parts: an endpoint crashed while it
-// held requests with them.
-type CrashEvidence struct {
-	// Customer is the customer whose parts these are.
-	Customer string `json:"c,omitempty"`
-	// Endpoint and Incarnation are those of the endpoint that crashed.
-	Endpoint    string `json:"e,omitempty"`
-	Incarnation int64  `json:"i,omitempty"`
-	Service     string `json:"s,omitempty"`
-	Version     string `json:"v,omitempty"`
-	// FailureDomain is that of the endpoint.
-	FailureDomain string `json:"d,omitempty"`
-	// Parts are the IDs of the parts of requests whose answers it was beginning,
-	// and Answered those that were answered since. They are text, because JSON
-	// numbers don't preserve 64 bits.
-	Parts    []string `json:"p,omitempty"`
-	Answered []string `json:"a,omitempty"`
-	// Weak are the IDs of the parts of each other request without a settled answer,
-	// separated by spaces.
-	Weak []string `json:"w,omitempty"`
-	// WeakAnswered are those of them that were answered since. Answered holds no more
-	// than Parts, as releases without Weak demand.
-	WeakAnswered []string `json:"u,omitempty"`
-	// Before are parts that were answered at some time.
-	Before []string `json:"b,omitempty"`
-	// News are parts that were answered lately, each followed by a space and the time
-	// since then in milliseconds. They come without an endpoint.
-	News []string `json:"n,omitempty"`
-	// Refuted is set if the endpoint is known to have lived on. There are no parts then.
-	Refuted bool `json:"x,omitempty"`
-	// KnownMS is how long the sender has known of all this, if that is long.
-	KnownMS int64 `json:"k,omitempty"`
-	// AgeMS is the time since the crash.
-	AgeMS int64 `json:"t,omitempty"`
-}
-
-// crashEvidence broadcasts evidence. It is sent at once.
-type crashEvidence struct {
-	Evidence []CrashEvidence `json:"e"`
-}
-
 // versions reports template versions in force. It is sent at once.
 type versions struct {
 	Templates map[string]uint64 `json:"t"`
@@ -334,78 +293,6 @@
 	JobID string `json:"job_id"`
 }
 
-// reserveParams requests units of a customer's limit.
-type reserveParams struct {
-	Customer string  `json:"c"`
-	Units    float64 `json:"n"`
-	// WithinMS is how long the request may wait for the units.
-	WithinMS int64 `json:"p,omitempty"`
-	// Replicated is set if the sender may ask either owner of the limit.
-	Replicated bool `json:"r,omitempty"`
-	// Levels are the levels of limits that the sender and the peer own. Customer is
-	// empty then. They come with this method because a peer of an earlier release
-	// refuses unknown ones, and answers this one that it is not the owner.
-	Levels []LimitLevel `json:"l,omitempty"`
-}
-
-// reserveResult is the reply to reserveParams.
-type reserveResult struct {
-	// WaitMS is the delay until the units are available. 0 means that they were
-	// reserved without a delay, unless NotOwner is set.
-	WaitMS int64 `json:"w,omitempty"`
-	// Reserved is set if the units were reserved, whatever the delay.
-	Reserved bool `json:"t,omitempty"`
-	// NotOwner is set if the peer is not the owner of the limit.
-	NotOwner bool `json:"e,omitempty"`
-	// Levels answers those of reserveParams.
-	Levels []LimitLevel `json:"l,omitempty"`
-}
-
-// PlaceRequest requests that a peer chooses the endpoint of a centrally placed
-// prompt.
-type PlaceRequest struct {
-	Service string `json:"s"`
-	// Slots is how many requests an endpoint of the service runs concurrently.
-	Slots int `json:"n"`
-	// Parts are the prompt parts that the prompt shares with other prompts.
-	// Their IDs are text, because JSON numbers don't preserve 64 bits.
-	Parts        []PlacePart `json:"p,omitempty"`
-	PromptTokens int         `json:"t"`
-	// LatencyObjectiveMS is the minimum latency objective of the service's
-	// requests.
-	LatencyObjectiveMS int64 `json:"o"`
-	// Exclude are the endpoints of earlier attempts of the request.
-	Exclude []string `json:"x,omitempty"`
-	// Group is the group of endpoints to choose from, and MaxWaitMS the wait above
-	// which the peer chooses none. A peer of an earlier release ignores both.
-	Group     string `json:"g,omitempty"`
-	MaxWaitMS int64  `json:"w,omitempty"`
-}
-
-// PlacePart is a prompt part and its length.
-type PlacePart struct {
-	ID     string `json:"i"`
-	Tokens int    `json:"t"`
-}
-
-// PlaceResult is the placement of a centrally placed prompt.
-type PlaceResult struct {
-	// Endpoint is the ID of the endpoint, empty if there is none.
-	Endpoint     string `json:"e,omitempty"`
-	Incarnation  int64  `json:"b,omitempty"`
-	CachedTokens int    `json:"c,omitempty"`
-	FirstTokenMS int64  `json:"f,omitempty"`
-	// WaitMS is the wait in the group. Recorded is set if the peer has recorded the
-	// request as in progress until PlacedEnd.
-	WaitMS   int64 `json:"w,omitempty"`
-	Recorded bool  `json:"r,omitempty"`
-}
-
-// PlacedEnd tells the peer that placed a request that the request has ended.
-type PlacedEnd struct {
-	Endpoint string `json:"e"`
-}
-
 // changesParams requests the changes of a feed after a version.
 type changesParams struct {
 	Feed   string `json:"f"`
