--- a/app/gateway.go
+++ b/app/gateway.go
@@ -227,7 +227,7 @@
 	g := quota.NewGlobalLimiter(l, s.ID, limitPeers{peers}, log)
 	g.ReplicateWith(peers, quota.Replication{
 		Process: uint64(rand.Uint32()), Active: peers.view.replicatesLimits, Settled: peers.view.isSettled,
-		Count: m.LimitDecided, Sleep: ctxtime.Sleep,
+		Ordered: true, Count: m.LimitDecided, Sleep: ctxtime.Sleep,
 	})
 	return g
 }
