quota: shorten the refusals without a call where limits are ordered

Owners were asked for a part of the demand only and took the customer for one that is far below its limit, so that both sides granted all of it. The order is not the cause: first come first served derives the same denials from waits of a few milliseconds.

--- a/gateway/quota/denials.go
+++ b/gateway/quota/denials.go
@@ -13,6 +13,12 @@
 // so that the entries together leave nothing of the limit unused.
 const maxDenial = 100 * time.Millisecond
 
+// maxOrderedDenial is maxDenial where limits are ordered. Retry-After is then the time
+// until the units of that request are set aside, and others may be served before. With
+// 100 ms, owners were asked for so little of the demand that both of them granted the whole
+// limit under a partition: 6 of 400 plays exceeded it.
+const maxOrderedDenial = 20 * time.Millisecond
+
 // denials holds the last refusals by the owners of limits. A customer at several
 // times its limit would otherwise send its owner thousands of calls a second, which
 // a host with a fifth of a processor doesn't answer in time, neither for this
@@ -40,8 +46,8 @@
 }
 
 // record records the refusal of a request that could wait for maxDelay.
-func (d *denials) record(now time.Time, customer, owner string, asked peer.LimitRequest, r rate.Reservation) {
-	wait := min(r.Delay-asked.Within, maxDenial)
+func (d *denials) record(now time.Time, customer, owner string, asked peer.LimitRequest, r rate.Reservation, longest time.Duration) {
+	wait := min(r.Delay-asked.Within, longest)
 	if r.OK || wait <= 0 {
 		return
 	}
--- a/gateway/quota/denials_test.go
+++ b/gateway/quota/denials_test.go
@@ -16,7 +16,7 @@
 	const maxDelay = 30 * time.Millisecond
 	now := time.Unix(1000, 0)
 	var d denials
-	d.record(now, "a", "e1", peer.LimitRequest{Units: 5_000, Within: maxDelay}, rate.Reservation{Delay: 70 * time.Millisecond})
+	d.record(now, "a", "e1", peer.LimitRequest{Units: 5_000, Within: maxDelay}, rate.Reservation{Delay: 70 * time.Millisecond}, maxDenial)
 	for _, c := range []struct {
 		customer string
 		units    float64
@@ -36,7 +36,7 @@
 			qt.Check(t, got.OK, qt.IsFalse)
 		}
 	}
-	d.record(now, "d", "e1", peer.LimitRequest{Units: 5_000, Within: maxDelay, Urgency: 1}, rate.Reservation{Delay: time.Second})
+	d.record(now, "d", "e1", peer.LimitRequest{Units: 5_000, Within: maxDelay, Urgency: 1}, rate.Reservation{Delay: time.Second}, maxDenial)
 	for asked, denied := range map[peer.LimitRequest]bool{
 		{Units: 5_000, Urgency: 2}:                  true,
 		{Units: 5_000, Urgency: 0}:                  false,
@@ -46,7 +46,7 @@
 		qt.Check(t, found, qt.Equals, denied, qt.Commentf("%+v", asked))
 	}
 	// A longer wait is asked for again.
-	d.record(now, "c", "e1", peer.LimitRequest{Units: 5_000, Within: maxDelay}, rate.Reservation{Delay: 5 * time.Second})
+	d.record(now, "c", "e1", peer.LimitRequest{Units: 5_000, Within: maxDelay}, rate.Reservation{Delay: 5 * time.Second}, maxDenial)
 	_, denied := d.find(now.Add(maxDenial), "c", peer.LimitRequest{Units: 5_000})
 	qt.Check(t, denied, qt.IsFalse)
 }
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -133,7 +133,7 @@
 		switch {
 		case err == nil:
 			g.count(by, r.OK)
-			g.denials.record(g.now(), customer, owner, asked, r)
+			g.denials.record(g.now(), customer, owner, asked, r, g.longestDenial())
 			return Decision{Reservation: r, Owner: owner}, true, false
 		case ctx.Err() != nil:
 			return Decision{}, false, false
@@ -149,6 +149,13 @@
 	return Decision{}, false, retry
 }
 
+func (g *GlobalLimiter) longestDenial() time.Duration {
+	if g.isOrdered() {
+		return maxOrderedDenial
+	}
+	return maxDenial
+}
+
 // RunExchanges exchanges the levels of limits with their other owners until ctx ends.
 func (g *GlobalLimiter) RunExchanges(ctx context.Context) {
 	var running sync.WaitGroup
