--- a/gateway/quota/doc.go
+++ b/gateway/quota/doc.go
@@ -14,9 +14,11 @@
 // others, so that a partition can't raise the sum of the shares.
 //
 // Above 16 members, limits are replicated: the first two members by hash hold the
-// level of a limit and exchange it (replica.go, exchange.go). An entry that doesn't
-// reach the first calls the second. This is designed for tens to hundreds of entries
-// with 16 customers, whose requests are larger than an entry's share of a limit.
+// level of a limit (replica.go, levels.go) and exchange it (exchange.go). An entry that
+// doesn't reach the first calls the second (ask.go). Requests of a customer that exceeds
+// its limit are served in order of urgency (order.go). This is designed for tens to
+// hundreds of entries with 16 customers, whose requests are larger than an entry's share
+// of a limit, and of which some ask for several times their limits.
 // docs/design/limits.md describes it.
 //
 // GlobalLimiter decides for the HTTP handler of an entry, and Limiter holds its
--- a/gateway/quota/exchange.go
+++ b/gateway/quota/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -14,15 +13,8 @@
 const (
 	// exchangeTick is the time between two looks for exchanges that are due.
 	exchangeTick = 50 * time.Millisecond
-	// askAgainPeriod is the time after which the owners of a limit are asked again
-	// while they have just started and don't know its level.
-	askAgainPeriod = 10 * time.Millisecond
 	// exchangeTimeout bounds a call to the other owner of limits.
 	exchangeTimeout = 150 * time.Millisecond
-	// askTimeout bounds the call to the first owner of a limit, after which the second
-	// is called. A host with a fifth of a processor may be paused for some tens of
-	// milliseconds: with 60 ms, entries took busy owners for lost ones in bursts.
-	askTimeout = reserveTimeout
 )
 
 // ReplicaPeers connects the owners of replicated limits.
@@ -79,83 +71,6 @@
 	})
 }
 
-// reserveReplicated reserves units at the first owner that answers. The second result
-// is false if none does within maxDelay, or if the owners are unreachable.
-func (g *GlobalLimiter) reserveReplicated(ctx context.Context, customer string, r Request) (Decision, bool) {
-	began := g.now()
-	asked := peer.LimitRequest{Units: r.Units, Within: r.MaxDelay, Urgency: peer.UnknownUrgency}
-	if g.isOrdered() {
-		asked.Urgency = r.Urgency
-		if r.Objective > 0 {
-			asked.Within = r.Objective / waitDivisor
-		}
-		asked.Returning = g.timeouts.isReturning(began, customer, r)
-	}
-	if d, denied := g.denials.find(began, customer, asked); denied {
-		g.count(byDenial, false)
-		return d, true
-	}
-	for {
-		left := asked
-		left.Within = max(0, asked.Within-g.now().Sub(began))
-		d, ok, retry := g.askOwners(ctx, customer, left)
-		if ok {
-			return d, true
-		}
-		if !retry || g.sleep == nil || left.Within <= askAgainPeriod || !g.sleep(ctx, askAgainPeriod) {
-			return Decision{}, false
-		}
-	}
-}
-
-// askOwners asks the owners of a limit in turn. The third result is set if an owner
-// that was reached will soon know the level, or is being connected to.
-func (g *GlobalLimiter) askOwners(ctx context.Context, customer string, asked peer.LimitRequest) (d Decision, ok, retry bool) {
-	for i, owner := range g.owners.Ranked(customer, ownerRanks) {
-		by := byFirst
-		if i > 0 {
-			by = bySecond
-		}
-		if owner == g.self {
-			if r, owned := g.ReserveReplica(customer, asked); owned {
-				g.count(by, r.OK)
-				return Decision{Reservation: r, Owner: owner}, true, false
-			}
-			retry = true
-			continue
-		}
-		if !g.owners.Available(owner) {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
-		r, err := g.replicas.ReserveReplica(callCtx, owner, customer, asked)
-		cancel()
-		switch {
-		case err == nil:
-			g.count(by, r.OK)
-			g.denials.record(g.now(), customer, owner, asked, r, g.longestDenial())
-			return Decision{Reservation: r, Owner: owner}, true, false
-		case ctx.Err() != nil:
-			return Decision{}, false, false
-		case errors.Is(err, ErrNotOwner):
-			// It doesn't know the level yet, or sees other members.
-			retry = true
-		case i == 0 && !errors.Is(err, peer.ErrConnecting):
-			g.owners.MarkUnreachable(owner, err)
-		default:
-			g.owners.MarkLastUnreachable(owner, err)
-		}
-	}
-	return Decision{}, false, retry
-}
-
-func (g *GlobalLimiter) longestDenial() time.Duration {
-	if g.isOrdered() {
-		return maxOrderedDenial
-	}
-	return maxDenial
-}
-
 // RunExchanges exchanges the levels of limits with their other owners until ctx ends.
 func (g *GlobalLimiter) RunExchanges(ctx context.Context) {
 	var running sync.WaitGroup
@@ -247,27 +162,6 @@
 		since >= exchangePeriod && rp.unsent > 0 || since >= idleExchangePeriod && rp.rank == 1
 }
 
-// MergeLevels takes into account what another owner of limits knows, and returns what
-// this entry knows of the same limits.
-func (l *Limiter) MergeLevels(from string, levels []peer.LimitLevel) []peer.LimitLevel {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.isReplicatedLocked() {
-		return nil
-	}
-	now := l.now()
-	var out []peer.LimitLevel
-	for _, v := range levels {
-		cu := l.customers[v.Customer]
-		if cu == nil || cu.limit.PerSecond <= 0 || cu.replica.rank == 0 {
-			continue
-		}
-		l.mergeLocked(cu, from, v, now)
-		out = append(out, l.levelLocked(cu, v.Process, now))
-	}
-	return out
-}
-
 // exchanged applies the result of an exchange. It returns the customers for whose
 // limits contact was lost and regained.
 func (l *Limiter) exchanged(partner string, sent, answer []peer.LimitLevel, err error) (lost, regained []string) {
@@ -297,14 +191,3 @@
 	}
 	return lost, regained
 }
-
-// answeredLocked applies the answer of the other owner. One that answers without the
-// level of a limit grants nothing of it.
-func (l *Limiter) answeredLocked(cu *customer, partner string, answer []peer.LimitLevel, now time.Time) {
-	cu.replica.contactAt, cu.replica.lost = now, false
-	for _, v := range answer {
-		if v.Customer == cu.limit.Name {
-			l.mergeLocked(cu, partner, v, now)
-		}
-	}
-}
--- a/gateway/quota/quota.go
+++ b/gateway/quota/quota.go
@@ -6,7 +6,6 @@
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
 	"github.com/coltsfootcleat/coltsfootcleat/internal/rate"
-	"github.com/coltsfootcleat/coltsfootcleat/peer"
 )
 
 // Tolerance bounds by how much the requests of a customer may exceed its limit
@@ -28,20 +27,6 @@
 	// processes start, added up over all entries. Full buckets would hand out
 	// the burst again at each restart of all entries.
 	initialFill = 0.2
-	// maxTakeoverFill is the fill level that a new owner assumes for a limit
-	// that another entry owned before, if the customer had no demand in the
-	// last seconds. With recent demand it assumes less.
-	maxTakeoverFill = 0.8
-	// minFallbackFraction and maxFallbackFraction bound the fraction of its
-	// share that an entry hands out while peers are reachable but the owner
-	// doesn't answer it. The owner hands out the global limit to the entries
-	// that reach it, and the tolerance leaves little room for more.
-	minFallbackFraction, maxFallbackFraction = 0.03, 0.3
-	// fallbackSlope is the decrease of that fraction per unit of the customer's
-	// demand, which is measured as a fraction of its limit. A customer far
-	// below its limit can't exceed it, so entries may hand out more of their
-	// shares.
-	fallbackSlope = 1.5
 	// demandWarmup is the time after a customer first appears in which its
 	// measured demand is not yet representative: two time constants of the
 	// average.
@@ -50,13 +35,6 @@
 	// call of SetPeers, shortly after the start. The largest deployments have
 	// hundreds of entries, which may all start at once.
 	assumedMembers = 100
-	// peerDemandLag is the mean age of the demand that peers reported. It adds
-	// up from half a period until the peer reports, half a period of
-	// propagation, and half a period until the report is used here.
-	peerDemandLag = 400 * time.Millisecond
-	// maxDemandReports bounds the own demand reports that an entry retains.
-	// They cover several times peerDemandLag.
-	maxDemandReports = 8
 	// maxRetryAfter bounds the delay that is returned for a refused request.
 	maxRetryAfter = 5 * time.Second
 )
@@ -115,28 +93,6 @@
 	reports []demandReport
 }
 
-// demandReport is the demand of a customer that this entry reported at a time.
-type demandReport struct {
-	at        time.Time
-	perSecond float64
-}
-
-// reportedDemand returns the demand in the latest report at or before a time,
-// or in the oldest report if all are later. All entries divide a limit by
-// demands of the same time, so that demand that grows everywhere doesn't raise
-// the sum of the shares.
-func (cu *customer) reportedDemand(at time.Time) float64 {
-	for i := len(cu.reports) - 1; i > 0; i-- {
-		if !cu.reports[i].at.After(at) {
-			return cu.reports[i].perSecond
-		}
-	}
-	if len(cu.reports) == 0 {
-		return 0
-	}
-	return cu.reports[0].perSecond
-}
-
 // NewLimiter returns a Limiter without customers.
 func NewLimiter(t Tolerance) *Limiter {
 	return &Limiter{now: time.Now, tolerance: t, customers: make(map[string]*customer), members: assumedMembers, reached: 1}
@@ -179,50 +135,6 @@
 	}
 }
 
-// Demand returns the demand of customers at this entry, in units per second, to
-// be reported to the peers, and records it as reported now.
-func (l *Limiter) Demand() map[string]float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.now()
-	out := make(map[string]float64, len(l.customers))
-	for name, cu := range l.customers {
-		perSecond := cu.demand.Rate(now)
-		cu.reports = append(cu.reports, demandReport{now, perSecond})
-		if len(cu.reports) > maxDemandReports {
-			cu.reports = cu.reports[1:]
-		}
-		if perSecond > 0 {
-			out[name] = perSecond
-		}
-	}
-	return out
-}
-
-// Take takes units from this entry's local share of a limit. It returns 0 if it
-// took them, or the time until they are available.
-func (l *Limiter) Take(name string, units float64) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	cu := l.customers[name]
-	if cu == nil || cu.limit.PerSecond <= 0 {
-		return 0
-	}
-	return min(cu.local.Take(l.now(), units), maxRetryAfter)
-}
-
-// Return puts back the units that a request took from the local share, because
-// the request was not run.
-func (l *Limiter) Return(name string, units float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	cu := l.customers[name]
-	if cu == nil || cu.limit.PerSecond <= 0 {
-		return
-	}
-	cu.local.Settle(l.now(), units, 0)
-}
-
 // resizeLocked recomputes the local share and the global limit of a customer.
 func (l *Limiter) resizeLocked(name string, cu *customer, now time.Time) {
 	if cu.limit.PerSecond <= 0 {
@@ -253,123 +165,10 @@
 	l.resizeGlobalLocked(name, cu, others, now, perSecond, burst)
 }
 
-// fallbackFraction returns the fraction of its share that an entry hands out
-// while another member owns the limit. The parameter is the customer's demand
-// as a fraction of the limit.
-func fallbackFraction(demandFraction float64) float64 {
-	return min(max(1-fallbackSlope*demandFraction, minFallbackFraction), maxFallbackFraction)
-}
-
-// expectedDemand estimates the current demand of a customer over all entries.
-// The reports of the others are old, so they are scaled by the growth of this
-// entry's own demand since they were made.
-func (cu *customer) expectedDemand(others float64, now time.Time) float64 {
-	own, reported := cu.demand.Rate(now), cu.reportedDemand(now.Add(-peerDemandLag))
-	growth := 1.0
-	if reported > 0 {
-		growth = max(1, own/reported)
-	}
-	return own + others*growth
-}
-
-// resizeGlobalLocked resizes the bucket of the global limit. It leaves out the
-// fraction that unreachable members hand out from their local shares.
-func (l *Limiter) resizeGlobalLocked(name string, cu *customer, others float64, now time.Time, perSecond, burst float64) {
-	owned := l.ownsLimit != nil && l.ownsLimit(name)
-	if owned && !cu.owned {
-		cu.global = rate.PartlyFilled(now, l.takeoverFillLocked(cu, others, perSecond, now))
-		cu.initialFillMembers = 0
-	}
-	cu.owned = owned
-	reached := min(1, float64(l.reached)/float64(l.members))
-	cu.global.Resize(now, perSecond*reached, burst*reached)
-	if owned && l.peersSet {
-		cu.addInitialFill(initialFill*burst, others, perSecond, reached, now)
-	}
-}
-
-// addInitialFill adds the part of the initial fill of members that were reached since
-// the last call, if this process has just started. Of members that start together,
-// each may hand out its share of it.
-func (cu *customer) addInitialFill(fill, others, perSecond, reached float64, now time.Time) {
-	if now.Sub(cu.since) > demandWarmup || reached <= cu.initialFillMembers {
-		return
-	}
-	cu.global.AddTokens(now, fill*(reached-cu.initialFillMembers)*cu.headroom(others, perSecond, now))
-	cu.initialFillMembers = reached
-}
-
-// headroom returns the fraction of a limit that recent demand leaves unused.
-func (cu *customer) headroom(others, perSecond float64, now time.Time) float64 {
-	if perSecond <= 0 {
-		return 0
-	}
-	return max(0, 1-(cu.demand.Rate(now)+others)/perSecond)
-}
-
-// takeoverFillLocked returns the assumed fill level of a limit that another
-// entry owned until now. The level is higher the lower the recent demand is. It
-// is 0 for a process that reaches no peers, which may be partitioned from entries that
-// still hand out the limit. It is also 0 for a process that has just started,
-// which adds the initial fill as it reaches the members.
-func (l *Limiter) takeoverFillLocked(cu *customer, others, perSecond float64, now time.Time) float64 {
-	if l.reached <= 1 || now.Sub(cu.since) <= demandWarmup {
-		return 0
-	}
-	return maxTakeoverFill * cu.headroom(others, perSecond, now)
-}
-
 // SetOwnership sets the function that reports whether this entry owns a
 // customer's limit. It must be called before any other method.
 func (l *Limiter) SetOwnership(f func(customer string) bool) { l.ownsLimit = f }
 
-// ReserveOwned reserves units of a limit that this entry owns, if they are
-// available within maxDelay. The second result is false if this entry doesn't
-// own the limit.
-func (l *Limiter) ReserveOwned(name string, units float64, maxDelay time.Duration) (rate.Reservation, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	cu := l.customers[name]
-	if cu == nil {
-		return rate.Reservation{}, false
-	}
-	if cu.limit.PerSecond <= 0 {
-		return rate.Reservation{OK: true}, true
-	}
-	if !cu.owned {
-		return rate.Reservation{}, false
-	}
-	if l.isReplicatedLocked() {
-		cu.replica.ask(units, l.now())
-		return cu.grantReplica(peer.LimitRequest{Units: units, Within: maxDelay, Urgency: peer.UnknownUrgency}, l.isOrdered(), l.now()), true
-	}
-	r := cu.global.ReserveWithin(l.now(), units, maxDelay)
-	r.Delay = min(r.Delay, maxRetryAfter)
-	return r, true
-}
-
-// capLocalFill caps the fill level of the local share at that of a new process.
-func (l *Limiter) capLocalFill(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if cu := l.customers[name]; cu != nil {
-		cu.local.CapFill(l.now(), initialFill)
-	}
-}
-
-// RecordDemand adds units to the demand of a customer that has a limit. It
-// reports whether the customer has one.
-func (l *Limiter) RecordDemand(name string, units float64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	cu := l.customers[name]
-	if cu == nil || cu.limit.PerSecond <= 0 {
-		return false
-	}
-	cu.demand.Add(l.now(), units)
-	return true
-}
-
 // Units returns the number of units that a request counts against a customer's
 // limit. The number of tokens is used only if the request states it.
 func Units(c *config.Customer, statesTokens bool, tokens int) float64 {
