quota: play faults with two urgencies and returning requests

The plays with faults sent requests of one urgency, none of which returned, so that units that less urgent requests leave and units set aside took no part in them. Every second seed now does.

--- a/gateway/quota/fleet_test.go
+++ b/gateway/quota/fleet_test.go
@@ -49,6 +49,9 @@
 	asked, refused int
 	// calls counts the calls to owners by other entries.
 	calls int
+	// routed gives long requests a route of their own, of a lower urgency, and makes a
+	// quarter of all requests return after a refusal.
+	routed bool
 	// ordered is Replication.Ordered.
 	ordered bool
 }
@@ -184,7 +187,14 @@
 		return 0
 	}
 	f.asked++
-	if !e.Reserve(context.Background(), "a", unordered(units)).OK {
+	r := unordered(units)
+	if f.routed && units > 2_400 {
+		r.Urgency, r.Objective, r.Remaining = 2, 1200*time.Millisecond, 12*time.Second
+	}
+	if f.routed && f.rng.IntN(4) == 0 {
+		r.Remaining /= 2 // it returns
+	}
+	if !e.Reserve(context.Background(), "a", r).OK {
 		f.refused++
 		return 0
 	}
--- a/gateway/quota/replica_test.go
+++ b/gateway/quota/replica_test.go
@@ -118,6 +118,7 @@
 			rng := rand.New(rand.NewPCG(uint64(seed), 2))
 			demand := []float64{0.3, 0.6, 0.9, 1.5, 3}[rng.IntN(5)]
 			f := newOwnerFleet(9+rng.IntN(16), []float64{36_000, 300_000, 1_600_000}[rng.IntN(3)], uint64(seed))
+			f.routed = seed%2 == 0
 			f.run(11*time.Second, demand)
 			for range 2 {
 				if rng.IntN(2) == 0 {
