quota: don't use up a limit in advance beyond what urgent requests can wait for

A long prompt may wait for 150 ms and so left a debt of up to 150 ms of the limit, after which a short urgent one, which may wait for 50 ms, was refused for it where no urgent request had come in the last second. A request now leaves a debt of at most half of what more urgent ones can wait for. One wait for all requests, as before the order, was ruled out: it is 100 ms here and refuses the largest ones.

--- a/gateway/quota/order.go
+++ b/gateway/quota/order.go
@@ -21,6 +21,10 @@
 	headroom, maxHeadroom = 400 * time.Millisecond, 0.6
 	// headroomPeriod is the time constant of the units that an urgency asks for.
 	headroomPeriod = time.Second
+	// debtPart is the part of the time that more urgent requests may wait for which the
+	// units of a limit may be used up in advance by a less urgent one. With all of it,
+	// the next urgent one would be refused.
+	debtPart = 0.5
 	// placesPart is the part of the units that an urgency can get which is set aside
 	// for requests that return after a refusal. The rest is for new requests, whose
 	// answers are earlier.
@@ -59,7 +63,9 @@
 	urgency int
 	// units is the number of units asked for per second.
 	units rate.EWMA
-	sizes sizes
+	// within is the time that its last request might wait.
+	within time.Duration
+	sizes  sizes
 	// placedUntil is the time at which the units of the last place are complete.
 	placedUntil time.Time
 }
@@ -84,6 +90,14 @@
 	exceeded bool
 }
 
+// waitFor returns the time until units are available.
+func (b bucketState) waitFor(units float64) time.Duration {
+	if units <= b.level {
+		return 0
+	}
+	return max(time.Millisecond, rate.Seconds((units-b.level)/b.perSecond))
+}
+
 // orderDecision is the result of order.decide.
 type orderDecision struct {
 	ok bool
@@ -96,6 +110,7 @@
 func (o *order) decide(now time.Time, b bucketState, r peer.LimitRequest) orderDecision {
 	rank := o.rankOf(r.Urgency)
 	rank.units.Add(now, r.Units)
+	rank.within = r.Within
 	class := rank.sizes.ask(now, r.Units)
 	o.dropPlaces(now)
 	need, taken := min(r.Units, b.burst), -1
@@ -112,11 +127,8 @@
 		}
 		need = min(need+keep, b.burst)
 	}
-	wait := time.Duration(0)
-	if need > b.level {
-		wait = max(time.Millisecond, rate.Seconds((need-b.level)/b.perSecond))
-	}
-	if wait <= r.Within && !held {
+	wait := b.waitFor(need)
+	if wait <= r.Within && b.waitFor(min(r.Units, b.burst)) <= o.longestDebt(rank) && !held {
 		if taken >= 0 {
 			o.places = slices.Delete(o.places, taken, taken+1)
 		}
@@ -124,9 +136,9 @@
 		return orderDecision{ok: true, wait: wait}
 	}
 	if b.exceeded {
-		wait = max(r.Within+time.Millisecond, o.promise(now, b, rank, r, need))
+		wait = o.promise(now, b, rank, r, need)
 	}
-	return orderDecision{wait: min(wait, maxRetryAfter)}
+	return orderDecision{wait: min(max(wait, r.Within+time.Millisecond), maxRetryAfter)}
 }
 
 // rankOf returns the rank of an urgency. Requests of unknown urgency count as the most
@@ -151,6 +163,18 @@
 	return sum
 }
 
+// longestDebt returns the time for which a request may use up the units of a limit in
+// advance: what more urgent ones can wait for.
+func (o *order) longestDebt(rank *orderRank) time.Duration {
+	longest := time.Duration(math.MaxInt64)
+	for _, r := range o.ranks {
+		if r.urgency < rank.urgency {
+			longest = min(longest, time.Duration(debtPart*float64(r.within)))
+		}
+	}
+	return longest
+}
+
 // promised returns the units that requests as urgent as this one, or more, were told
 // to return for, without the place that this one has and those after it.
 func (o *order) promised(now time.Time, urgency, own int) float64 {
--- a/gateway/quota/order_test.go
+++ b/gateway/quota/order_test.go
@@ -109,7 +109,10 @@
 	qt.Check(t, o.decide(now, b, urgent).ok, qt.IsTrue)
 	unknown := peer.LimitRequest{Units: 2_400, Within: 50 * time.Millisecond, Urgency: peer.UnknownUrgency}
 	qt.Check(t, o.decide(now, b, unknown).ok, qt.IsTrue)
-	// A customer below its limit is served as it comes.
+	// A customer below its limit is served as it comes, as far as an urgent request
+	// needn't wait too long afterwards.
 	b.exceeded = false
 	qt.Check(t, o.decide(now, b, less).ok, qt.IsTrue)
+	b.level = 0
+	qt.Check(t, o.decide(now, b, less).ok, qt.IsFalse)
 }
