A version whose order is deleted before a holder began with it isn't used

Cause: without a row, nothing says that a deleted order was there. Its version then counted as one that never had an order, and was used by all entries without a permit.

Ruled out: the share of the permits.

Change: the gate remembers such versions until a state of an order for them arrives. An entry that only knows replicas of that version goes on with them. Not covered: an entry that starts afterwards.

Measured: the test fails before, and passes after.

--- a/gateway/rollout/gate.go
+++ b/gateway/rollout/gate.go
@@ -39,6 +39,10 @@
 	state *known
 	// cleared holds the versions that were ready before the first order.
 	cleared map[string]bool
+	// withdrawn holds the versions of orders that were deleted before this entry knew a
+	// state of them. They are used only once a state allows them: such a version isn't proved,
+	// and no row says that there was an order.
+	withdrawn map[string]bool
 	// permits is the number of requests that may be sent to the ordered version
 	// until permitsEnd, to that many of its replicas, which turn selects. once is set if requests that
 	// may run only once may use them.
@@ -74,7 +78,7 @@
 func (g *Gate) serviceLocked(name string) *service {
 	s := g.services[name]
 	if s == nil {
-		s = &service{cleared: make(map[string]bool), inFlight: make(map[string]int)}
+		s = &service{cleared: make(map[string]bool), withdrawn: make(map[string]bool), inFlight: make(map[string]int)}
 		g.services[name] = s
 	}
 	return s
--- a/gateway/rollout/gate_test.go
+++ b/gateway/rollout/gate_test.go
@@ -102,3 +102,39 @@
 		c.Report(now, []string{"a", "b", "c", "d"}[i%4], peer.RolloutReport{To: "v2", Requests: i}, 1)
 	}
 }
+
+// A version is used without a permit after its order was deleted before any holder had
+// begun with it, because no state says that there was an order.
+func TestOrderDeletedBeforeItBegan(t *testing.T) {
+	now := time.Unix(100, 0)
+	old, next := versioned("a", "v1"), versioned("b", "v2")
+	ready := []*replica.Replica{old}
+	g := NewGate(func(string) []*replica.Replica { return ready }, nolog.Or(nil))
+	decide := func() {
+		g.Clear(now, g.Undecided(map[string][]*replica.Replica{"s": ready}), nil, nil)
+	}
+	uses := func(r *replica.Replica) bool {
+		return g.Pass(now, Attempt{Service: "s"}).Check(now, r) == nil
+	}
+	decide()
+	g.SetOrder(now, Order{"s", "v2", time.Minute})
+	g.DropOrder("s")
+	ready = append(ready, next)
+	decide()
+	qt.Assert(t, uses(old), qt.IsTrue)
+	qt.Assert(t, uses(next), qt.IsFalse)
+	qt.Assert(t, g.Undecided(map[string][]*replica.Replica{"s": ready}), qt.HasLen, 0)
+
+	g.SetOrder(now, Order{"s", "v2", time.Minute})
+	g.SetRow("s", Row{To: "v2", Stage: Completed, Allowed: []string{"v1", "v2"}})
+	qt.Assert(t, uses(next), qt.IsTrue)
+
+	// An entry that has just started, and knows only replicas of the ordered version, goes on
+	// with them.
+	g = NewGate(func(string) []*replica.Replica { return ready }, nolog.Or(nil))
+	ready = ready[:1]
+	g.SetOrder(now, Order{"s", "v1", time.Minute})
+	g.DropOrder("s")
+	decide()
+	qt.Assert(t, uses(old), qt.IsTrue)
+}
--- a/gateway/rollout/news.go
+++ b/gateway/rollout/news.go
@@ -28,7 +28,7 @@
 		}
 		seen := make(map[string]bool, 1)
 		for _, r := range ready {
-			if !s.cleared[r.Version] && !seen[r.Version] {
+			if !s.cleared[r.Version] && !s.withdrawn[r.Version] && !seen[r.Version] {
 				seen[r.Version] = true
 				out = append(out, ServiceVersion{name, r.Version})
 			}
@@ -56,7 +56,7 @@
 	}
 	g.mu.Lock()
 	for _, v := range undecided {
-		if s := g.serviceLocked(v.Service); !s.governed() {
+		if s := g.serviceLocked(v.Service); !s.governed() && !s.withdrawn[v.Version] {
 			s.cleared[v.Version] = true
 		}
 	}
@@ -86,6 +86,9 @@
 	if s == nil || s.order == nil {
 		return
 	}
+	if to := s.order.To; s.state == nil && len(s.cleared) > 0 && !s.cleared[to] {
+		s.withdrawn[to] = true
+	}
 	s.order, s.permits = nil, 0
 	g.log.WithField("service", name).Info("rollout: order deleted.")
 }
