An order deleted before a holder began with it leaves a row

Cause: only entries that had known the order kept to it. One that was started afterwards took the version for one that never had an order.

Change: the next holder that knows of such an order writes its row, and rolls it back as withdrawn after 3 s, as it does with one deleted during the trial.

Measured: the test fails without the change to the keeper. Not covered: entries that start between the deletion and the row, and the restart of all entries in that time.

--- a/gateway/rollout/gate.go
+++ b/gateway/rollout/gate.go
@@ -40,9 +40,10 @@
 	// cleared holds the versions that were ready before the first order.
 	cleared map[string]bool
 	// withdrawn holds the versions of orders that were deleted before this entry knew a
-	// state of them. They are used only once a state allows them: such a version isn't proved,
-	// and no row says that there was an order.
-	withdrawn map[string]bool
+	// state of them, and lastWithdrawn the last of these orders. The versions are used only
+	// once a state allows them: they aren't proved, and no row says that there was an order.
+	withdrawn     map[string]bool
+	lastWithdrawn *Order
 	// permits is the number of requests that may be sent to the ordered version
 	// until permitsEnd, to that many of its replicas, which turn selects. once is set if requests that
 	// may run only once may use them.
--- a/gateway/rollout/keeper.go
+++ b/gateway/rollout/keeper.go
@@ -182,6 +182,10 @@
 		}
 	}
 	state := k.opt.Gate.merge(name, next.inTable)
+	if withdrawn, deleted := k.opt.Gate.withdrawnOrder(name); deleted && !ordered && state.To == "" {
+		// The row tells entries that start afterwards that there was an order.
+		order, ordered = withdrawn, true
+	}
 	switch {
 	case ordered && !state.continues(order):
 		if state.To == "" {
--- a/gateway/rollout/keeper_test.go
+++ b/gateway/rollout/keeper_test.go
@@ -334,6 +334,29 @@
 	})
 }
 
+// An order is deleted while no entry holds the lease. An entry that starts later doesn't
+// know of it, and uses the version as one that was never ordered.
+func TestOrderWithdrawnWithoutAHolder(t *testing.T) {
+	play3(t, func(t *testing.T, f *testFleet) {
+		f.lease.give("nobody")
+		f.order("v2")
+		f.orders = nil
+		for _, e := range f.entries {
+			e.gate.DropOrder("s")
+		}
+		f.put("new", "v2")
+		qt.Check(t, f.run(time.Second, "v2", 0)["v2"], qt.Equals, 0)
+		f.lease.give("e1")
+		time.Sleep(200 * time.Millisecond)
+		f.entries["e0"].stop()
+		f.start("e0")
+		time.Sleep(200 * time.Millisecond)
+		qt.Check(t, f.run(5*time.Second, "v2", 0)["v2"], qt.Equals, 0)
+		qt.Check(t, f.row().Reason, qt.Equals, Withdrawn)
+		qt.Check(t, f.lastStatus(), qt.Equals, Status{"s", "v2", RolledBack})
+	})
+}
+
 // Without an order, replicas with another version get requests at once, also if the
 // old ones are gone. A version whose orders can't be read gets none.
 func TestReleaseWithoutOrder(t *testing.T) {
--- a/gateway/rollout/news.go
+++ b/gateway/rollout/news.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if to := s.order.To; s.state == nil && len(s.cleared) > 0 && !s.cleared[to] {
-		s.withdrawn[to] = true
+		s.withdrawn[to], s.lastWithdrawn = true, s.order
 	}
 	s.order, s.permits = nil, 0
 	g.log.WithField("service", name).Info("rollout: order deleted.")
@@ -122,6 +122,18 @@
 	return *s.order, now.Sub(s.orderAt), true
 }
 
+// withdrawnOrder returns the last order for a service that was deleted before this entry
+// knew a state of it.
+func (g *Gate) withdrawnOrder(name string) (Order, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[name]
+	if s == nil || s.lastWithdrawn == nil {
+		return Order{}, false
+	}
+	return *s.lastWithdrawn, true
+}
+
 // Cleared returns the versions of a service that were ready before its first order.
 func (g *Gate) Cleared(name string) []string {
 	g.mu.Lock()
@@ -161,7 +173,7 @@
 	defer g.mu.Unlock()
 	var out []string
 	for name, s := range g.services {
-		if s.order != nil || !s.final() {
+		if s.order != nil || !s.final() || s.state == nil && s.lastWithdrawn != nil {
 			out = append(out, name)
 		}
 	}
