The line of a request names the version; explain shows speeds

Cause: an operator couldn't tell from the log whether a request that failed during a roll-out was sent to the new version: no line says which version a replica has. A change of a replica's speed that decided may be minutes before the request, and explain left it out.

Change: with the contract of roll-outs, "gateway: request ended." has "version", and "version_on_trial" if an attempt was for a version that isn't proved. explain shows the last speed of each replica of a request, as it does for limits.

Measured: both tests fail before and pass after.

--- a/cmd/coltsfootcleat/explain.go
+++ b/cmd/coltsfootcleat/explain.go
@@ -147,14 +147,20 @@
 
 // lastStatements returns, for each replica of a request, the last line before a
 // time in which an entry of the request recorded a limit, a pause or a leaving of
-// the replica, as these hold until the next one.
+// the replica, and the last one with its speed, as these hold until the next one.
 func lastStatements(lines []logLine, before time.Time, entries, replicas map[string]bool) []logLine {
-	last := make(map[string]logLine)
+	type kind struct {
+		replica string
+		speed   bool
+	}
+	last := make(map[kind]logLine)
 	for _, l := range lines {
 		r := l.text("replica")
-		states := strings.HasPrefix(l.text("msg"), "throttle: ") || l.text("msg") == "replica: leaves."
-		if states && r != "" && replicas[r] && entries[l.text("entry")] && l.at.Before(before) && !l.at.Before(last[r].at) {
-			last[r] = l
+		speed := strings.HasPrefix(l.text("msg"), "speed: ")
+		states := speed || strings.HasPrefix(l.text("msg"), "throttle: ") || l.text("msg") == "replica: leaves."
+		k := kind{r, speed}
+		if states && r != "" && replicas[r] && entries[l.text("entry")] && l.at.Before(before) && !l.at.Before(last[k].at) {
+			last[k] = l
 		}
 	}
 	return slices.Collect(maps.Values(last))
--- a/cmd/coltsfootcleat/explain_test.go
+++ b/cmd/coltsfootcleat/explain_test.go
@@ -63,16 +63,18 @@
 {"entry":"e1","msg":"throttle: replica has a limit.","replica":"r1","per_second":2.5,"time":"2026-01-01T00:00:02Z"}
 {"entry":"e1","msg":"throttle: replica pauses.","replica":"r2","pause_ms":9000,"time":"2026-01-01T00:00:02Z"}
 {"entry":"e2","msg":"throttle: replica pauses.","replica":"r1","pause_ms":9000,"time":"2026-01-01T00:00:03Z"}
+{"entry":"e1","msg":"speed: estimate changed.","replica":"r1","speed":0.5,"time":"2026-01-01T00:00:01Z"}
 {"entry":"e1","msg":"gateway: request ended.","request":"a","replica":"r1","ms":5,"time":"2026-01-01T00:00:10Z"}
 `
 
-// Guards against an explanation without the statement of a replica that decided,
-// which may be long before the request.
+// Guards against an explanation without the statement or the speed of a replica that
+// decided, which may be long before the request.
 func TestExplainShowsWhatTheReplicaLastStated(t *testing.T) {
 	lines, err := parseLog(strings.NewReader(statementsLog))
 	qt.Assert(t, err, qt.IsNil)
 	related := explain(lines, "a", false)
-	qt.Assert(t, related, qt.HasLen, 2)
-	qt.Check(t, related[0].fields["per_second"], qt.Equals, 2.5)
-	qt.Check(t, related[1].text("request"), qt.Equals, "a")
+	qt.Assert(t, related, qt.HasLen, 3)
+	qt.Check(t, related[0].fields["speed"], qt.Equals, 0.5)
+	qt.Check(t, related[1].fields["per_second"], qt.Equals, 2.5)
+	qt.Check(t, related[2].text("request"), qt.Equals, "a")
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -110,6 +110,7 @@
 		return err
 	}
 	x.lastChoice, x.replica = choice, choice.Replica.ID
+	x.triedNew = x.triedNew || x.pass.OnTrial()
 	ticket := x.h.Balancer.Begin(q, choice)
 	outcome := balance.Neutral
 	defer func() { ticket.End(outcome) }()
@@ -309,6 +310,12 @@
 func (x *exchange) addChoiceFields(f logrus.Fields) {
 	c := x.lastChoice
 	f["candidates"], f["in_flight"] = c.Candidates, c.InFlight
+	if x.h.Rollouts != nil {
+		f["version"] = c.Replica.Version
+		if x.triedNew {
+			f["version_on_trial"] = true
+		}
+	}
 	if c.ViewAge > 0 {
 		f["load_age_ms"] = c.ViewAge.Milliseconds()
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -152,8 +152,10 @@
 	tried      map[string]bool
 	lastChoice balance.Choice
 	// pass is the decision on the versions that the last attempt may use.
-	pass    rollout.Pass
-	replica string
+	pass rollout.Pass
+	// triedNew is set if an attempt was for a version that isn't proved.
+	triedNew bool
+	replica  string
 	// permit is the decision on the last choice by the limit of its replica.
 	permit throttle.Decision
 	// failedAnswer is the answer of a replica that ran the request and failed.
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -1,11 +1,15 @@
 package gateway_test
 
 import (
+	"bytes"
+	"encoding/json"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollout"
@@ -90,3 +94,32 @@
 		qt.Check(t, len(safe.Old.First), qt.Not(qt.Equals), 0)
 	})
 }
+
+// The line of a request doesn't name the version, or doesn't say that the request was tried
+// on one that isn't proved, also if another version answered it in the end.
+func TestLineOfARequestNamesTheVersion(t *testing.T) {
+	for _, test := range []struct {
+		permits int
+		r1      script
+		version any
+		onTrial any
+	}{{1, answerOK, "v2", true}, {0, answerOK, "v1", nil}, {1, answerStatus(http.StatusInternalServerError, ""), nil, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			e, _ := newVersionedEntry(t, test.permits, answerOK, test.r1)
+			log := logrus.New()
+			log.SetFormatter(&logrus.JSONFormatter{})
+			var lines bytes.Buffer
+			log.SetOutput(&lines)
+			e.handler.Log = logrus.NewEntry(log)
+			_, _, _ = e.get(t, "/safe/x")
+			synctest.Wait()
+			var line map[string]any
+			qt.Assert(t, json.Unmarshal(lines.Bytes(), &line), qt.IsNil)
+			qt.Check(t, line["msg"], qt.Equals, "gateway: request ended.")
+			if test.version != nil {
+				qt.Check(t, line["version"], qt.Equals, test.version)
+			}
+			qt.Check(t, line["version_on_trial"], qt.Equals, test.onTrial)
+		})
+	}
+}
