Times are compared for services with few requests, too

Cause: a comparison of times needs 20 recent answers of the old version on the route, and their weights decay by a quarter in each window. With fewer than about 5 answers a window there never are 20, so a version slower by a factor of 12 was taken for proved: its sums of times stay at 0.

Ruled out: the weights of permits and the floor of the sums. The sums were 0, and 13.1 after the next window with enough answers.

Change: times of the old version don't decay below a weight of 40.

--- a/gateway/rollout/sequential.go
+++ b/gateway/rollout/sequential.go
@@ -43,6 +43,9 @@
 	// timeDecay and failureDecay are the weights of the old version's answers of the
 	// window before. Failures are few, so more of them are needed for their share.
 	timeDecay, failureDecay = 0.75, 0.88
+	// keptTimes is the weight below which times of the old version don't decay, so that
+	// a service with few requests has minTimes of them on each route.
+	keptTimes = 2 * minTimes
 	// minHistoryWeight is the weight below which old histogram entries are dropped.
 	minHistoryWeight = 0.05
 )
@@ -99,8 +102,16 @@
 	if sum == nil {
 		sum = make(map[int]float64)
 	}
+	total, added := 0.0, 0
+	for _, v := range sum {
+		total += v
+	}
+	for _, n := range w {
+		added += n
+	}
+	keep := min(1, max(timeDecay, (keptTimes-float64(added))/max(1, total)))
 	for b := range sum {
-		if sum[b] *= timeDecay; sum[b] < minHistoryWeight {
+		if sum[b] *= keep; sum[b] < minHistoryWeight {
 			delete(sum, b)
 		}
 	}
