A new holder reads the rows of all roll-outs

Cause: an entry learns a state by its reports, which it sends only if it knows of an order. Entries that started while the order was there hadn't cleared any version yet, and used that of the order once it was deleted.

Change: the holder reads all rows once under each lease. A deleted order is remembered too if another version of the service is ready.

Measured: both tests fail before and pass after.

--- a/gateway/rollout/follower.go
+++ b/gateway/rollout/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -127,18 +126,9 @@
 	f.mu.Lock()
 	f.readAt = time.Now()
 	f.mu.Unlock()
-	rows, err := f.opt.Table.Scan(ctx, rowPrefix)
+	states, err := readRows(ctx, f.opt.Table, f.opt.Log)
 	if err != nil {
-		return fmt.Errorf("read rows: %w", err)
-	}
-	states := make(map[string]Row, len(rows))
-	for _, row := range rows {
-		var r Row
-		if err := json.Unmarshal(row.Value, &r); err != nil {
-			f.opt.Log.WithField("row", row.Key).WithError(err).Warn("rollout: row can't be decoded.")
-			continue
-		}
-		states[row.Key[len(rowPrefix):]] = r
+		return err
 	}
 	orders, err := f.opt.Orders(ctx)
 	if err != nil {
--- a/gateway/rollout/gate_test.go
+++ b/gateway/rollout/gate_test.go
@@ -129,6 +129,14 @@
 	g.SetRow("s", Row{To: "v2", Stage: Completed, Allowed: []string{"v1", "v2"}})
 	qt.Assert(t, uses(next), qt.IsTrue)
 
+	// One that started while the order was there hasn't cleared any version yet.
+	g = NewGate(func(string) []*replica.Replica { return ready }, nolog.Or(nil))
+	g.SetOrder(now, Order{"s", "v2", time.Minute})
+	g.DropOrder("s")
+	decide()
+	qt.Assert(t, uses(old), qt.IsTrue)
+	qt.Assert(t, uses(next), qt.IsFalse)
+
 	// An entry that has just started, and knows only replicas of the ordered version, goes on
 	// with them.
 	g = NewGate(func(string) []*replica.Replica { return ready }, nolog.Or(nil))
--- a/gateway/rollout/keeper.go
+++ b/gateway/rollout/keeper.go
@@ -62,6 +62,8 @@
 	held map[string]*holding
 	// fence is that of the lease under which held was built.
 	fence uint64
+	// rowsRead is set once the rows have been read under it. Only Run uses it.
+	rowsRead bool
 }
 
 // holding is the roll-out of one service at its holder.
@@ -114,8 +116,14 @@
 	k.mu.Lock()
 	if !held || fence != k.fence {
 		clear(k.held)
-		k.fence = fence
+		k.fence, k.rowsRead = fence, false
 	}
+	k.mu.Unlock()
+	if !held {
+		return
+	}
+	k.learnRows(ctx)
+	k.mu.Lock()
 	services := k.opt.Gate.unfinished()
 	for name := range k.held {
 		if !slices.Contains(services, name) {
@@ -123,9 +131,6 @@
 		}
 	}
 	k.mu.Unlock()
-	if !held {
-		return
-	}
 	for _, name := range services {
 		if err := k.stepService(ctx, name, fence); err != nil && ctx.Err() == nil {
 			k.opt.Count("write failed")
--- a/gateway/rollout/keeper_rows.go
+++ b/gateway/rollout/keeper_rows.go
@@ -12,6 +12,43 @@
 	"github.com/coltsfootcleat/coltsfootcleat/infra"
 )
 
+// readRows reads the rows of all services. Malformed ones are left out.
+func readRows(ctx context.Context, table infra.Table, log *logrus.Entry) (map[string]Row, error) {
+	rows, err := table.Scan(ctx, rowPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("read rows: %w", err)
+	}
+	out := make(map[string]Row, len(rows))
+	for _, row := range rows {
+		var r Row
+		if err := json.Unmarshal(row.Value, &r); err != nil {
+			log.WithField("row", row.Key).WithError(err).Warn("rollout: row can't be decoded.")
+			continue
+		}
+		out[row.Key[len(rowPrefix):]] = r
+	}
+	return out, nil
+}
+
+// learnRows reads the rows once under each lease, as this entry may have learnt of none
+// of them: an entry reports on a service only if it knows of its order.
+func (k *Keeper) learnRows(ctx context.Context) {
+	if k.rowsRead {
+		return
+	}
+	rows, err := readRows(infra.WithPriority(ctx, infra.PriorityLease), k.opt.Table, k.opt.Log)
+	if err != nil {
+		if ctx.Err() == nil {
+			k.opt.Log.WithError(err).Warn("rollout: rows can't be read.")
+		}
+		return
+	}
+	for name, row := range rows {
+		k.opt.Gate.SetRow(name, row)
+	}
+	k.rowsRead = true
+}
+
 // commit writes the row if it differs from that in the table in more than the time.
 func (k *Keeper) commit(ctx context.Context, name string, h *holding, next Row) error {
 	compared := next
--- a/gateway/rollout/keeper_test.go
+++ b/gateway/rollout/keeper_test.go
@@ -357,6 +357,29 @@
 	})
 }
 
+// A new holder that has started between the deletion of an order and the row of it leaves
+// its status at "running".
+func TestHolderWithoutTheOrderReadsTheRows(t *testing.T) {
+	play3(t, func(t *testing.T, f *testFleet) {
+		f.lease.give("nobody")
+		f.order("v2")
+		f.orders = nil
+		for _, e := range f.entries {
+			e.gate.DropOrder("s")
+		}
+		f.entries["e1"].stop()
+		f.start("e1")
+		time.Sleep(200 * time.Millisecond)
+		f.lease.give("e0")
+		time.Sleep(500 * time.Millisecond)
+		qt.Assert(t, f.row().Stage, qt.Equals, Trial)
+		f.lease.give("e1")
+		time.Sleep(5 * time.Second)
+		qt.Check(t, f.row().Reason, qt.Equals, Withdrawn)
+		qt.Check(t, f.lastStatus(), qt.Equals, Status{"s", "v2", RolledBack})
+	})
+}
+
 // Without an order, replicas with another version get requests at once, also if the
 // old ones are gone. A version whose orders can't be read gets none.
 func TestReleaseWithoutOrder(t *testing.T) {
--- a/gateway/rollout/news.go
+++ b/gateway/rollout/news.go
@@ -80,13 +80,16 @@
 
 // DropOrder records that the order for a service was deleted.
 func (g *Gate) DropOrder(name string) {
+	ready := g.ready(name)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.services[name]
 	if s == nil || s.order == nil {
 		return
 	}
-	if to := s.order.To; s.state == nil && len(s.cleared) > 0 && !s.cleared[to] {
+	to := s.order.To
+	others := slices.ContainsFunc(ready, func(r *replica.Replica) bool { return r.Version != to })
+	if s.state == nil && !s.cleared[to] && (others || len(s.cleared) > 0) {
 		s.withdrawn[to], s.lastWithdrawn = true, s.order
 	}
 	s.order, s.permits = nil, 0
