--- a/cmd/coltsfootcleat/check_configuration.go
+++ b/cmd/coltsfootcleat/check_configuration.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strconv"
+	"strings"
 
 	"github.com/google/subcommands"
 
@@ -101,16 +103,16 @@
 		if f.Line > 0 {
 			position = fmt.Sprintf("%d:%d: ", f.Line, f.Column)
 		}
-		fmt.Fprintf(c.out, "%s: %s%s: %s\n", f.Severity, position, f.Subject, f.Text)
+		fmt.Fprintf(c.out, "%s: %s%s: %s\n", f.Severity, position, printable(f.Subject), printable(f.Text))
 	}
 	for _, d := range r.Differences {
 		switch d.Change {
 		case check.Added:
-			fmt.Fprintf(c.out, "added: %s: %s\n", d.Subject, d.New)
+			fmt.Fprintf(c.out, "added: %s: %s\n", printable(d.Subject), printable(d.New))
 		case check.Removed:
-			fmt.Fprintf(c.out, "removed: %s: %s\n", d.Subject, d.Old)
+			fmt.Fprintf(c.out, "removed: %s: %s\n", printable(d.Subject), printable(d.Old))
 		default:
-			fmt.Fprintf(c.out, "changed: %s: %s: %s -> %s\n", d.Subject, d.Field, d.Old, d.New)
+			fmt.Fprintf(c.out, "changed: %s: %s: %s -> %s\n", printable(d.Subject), d.Field, printable(d.Old), printable(d.New))
 		}
 	}
 	differences := ""
@@ -120,3 +122,17 @@
 	_, err := fmt.Fprintf(c.out, "%s: errors: %d, warnings: %d%s\n", r.File, r.Errors, r.Warnings, differences)
 	return err
 }
+
+// printable escapes what isn't printable. Names come from the file, and could otherwise
+// forge lines or control the terminal.
+func printable(text string) string {
+	var b strings.Builder
+	for _, r := range text {
+		if strconv.IsPrint(r) {
+			b.WriteRune(r)
+			continue
+		}
+		b.WriteString(strings.Trim(strconv.QuoteRune(r), "'"))
+	}
+	return b.String()
+}
--- a/cmd/coltsfootcleat/check_configuration_test.go
+++ b/cmd/coltsfootcleat/check_configuration_test.go
@@ -25,6 +25,7 @@
 	sound := file("sound", smallConfiguration)
 	next := file("next", strings.NewReplacer(`"version":7`, `"version":8`, "safe", "unsafe").Replace(smallConfiguration))
 	warning := file("warning", strings.Replace(smallConfiguration, `"/a/"`, `"a/"`, 1))
+	forged := file("forged", strings.Replace(smallConfiguration, `"name":"r"`, `"name":"r\nerror: \u001b[2J"`, 1))
 	broken := file("broken", smallConfiguration+"}")
 	for _, test := range []struct {
 		args []string
@@ -33,6 +34,7 @@
 	}{
 		{[]string{sound}, 0, "sound: errors: 0, warnings: 0\n"},
 		{[]string{warning}, 1, `warning: route r: never matches: prefix "a/" doesn't begin with a slash`},
+		{[]string{forged, "-in-force", sound}, 2, "added: route r\\nerror: \\x1b[2J: host"},
 		{[]string{broken}, 2, "error: 1:126: syntax: "},
 		{[]string{next, "-in-force", sound}, 0, "changed: route r: kind: repeatable -> once\n"},
 		{[]string{sound, "-in-force", next}, 2, "error: configuration: never takes force: version 7 is not above version 8 in force\n"},
--- a/gateway/config/check/limits.go
+++ b/gateway/config/check/limits.go
@@ -1,6 +1,8 @@
 package check
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/config"
@@ -34,6 +36,9 @@
 	if s.Boot < 0 {
 		f.errorf(subject, "time to start a replica is negative or too large")
 	}
+	if s.SpotPrice < 0 || slices.ContainsFunc(slices.Collect(maps.Values(s.DomainPrices)), func(p float64) bool { return p < 0 }) {
+		f.errorf(subject, "a price of replicas is negative")
+	}
 	// Max 0 is no bound.
 	if s.Max > 0 && s.Min > s.Max {
 		f.warnf(subject, "minimum of replicas %d is above the maximum %d", s.Min, s.Max)
@@ -46,6 +51,9 @@
 	for i := range c.Customers {
 		customer := &c.Customers[i]
 		subject := "customer " + customer.Name
+		if customer.Name == "" {
+			f.warnf(subject, "has no name")
+		}
 		if names[customer.Name] {
 			f.warnf(subject, "another customer has the same name")
 		}
--- a/gateway/config/check/routes.go
+++ b/gateway/config/check/routes.go
@@ -16,6 +16,9 @@
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		subject := routeSubject(r)
+		if r.Name == "" {
+			f.warnf(subject, "has no name")
+		}
 		if names[r.Name] {
 			f.warnf(subject, "another route has the same name")
 		}
