--- a/gateway/rollout/keeper.go
+++ b/gateway/rollout/keeper.go
@@ -64,6 +64,8 @@
 	held map[string]*holding
 	// fence is that of the lease under which held was built.
 	fence uint64
+	// rowsRead is set once the rows have been read under it. Only Run uses it.
+	rowsRead bool
 }
 
 // holding is the roll-out of one service at its holder.
@@ -122,8 +124,14 @@
 	k.mu.Lock()
 	if !held || fence != k.fence {
 		clear(k.held)
-		k.fence = fence
+		k.fence, k.rowsRead = fence, false
 	}
+	k.mu.Unlock()
+	if !held {
+		return
+	}
+	k.learnRows(ctx)
+	k.mu.Lock()
 	services := k.opt.Gate.unfinished()
 	for name := range k.held {
 		if !slices.Contains(services, name) {
@@ -131,9 +139,6 @@
 		}
 	}
 	k.mu.Unlock()
-	if !held {
-		return
-	}
 	for _, name := range services {
 		if err := k.stepService(ctx, name, fence); err != nil && ctx.Err() == nil {
 			k.opt.Count("write failed")
@@ -191,6 +196,10 @@
 		}
 	}
 	state := k.opt.Gate.merge(name, next.inTable)
+	if withdrawn, deleted := k.opt.Gate.withdrawnOrder(name); deleted && !ordered && state.To == "" {
+		// The row tells entries that start afterwards that there was an order.
+		order, ordered = withdrawn, true
+	}
 	switch {
 	case ordered && !state.continues(order):
 		if state.To == "" {
--- a/gateway/rollout/news.go
+++ b/gateway/rollout/news.go
@@ -28,7 +28,7 @@
 		}
 		seen := make(map[string]bool, 1)
 		for _, r := range ready {
-			if !s.cleared[r.Version] && !seen[r.Version] {
+			if !s.cleared[r.Version] && !s.withdrawn[r.Version] && !seen[r.Version] {
 				seen[r.Version] = true
 				out = append(out, ServiceVersion{name, r.Version})
 			}
@@ -56,7 +56,7 @@
 	}
 	g.mu.Lock()
 	for _, v := range undecided {
-		if s := g.serviceLocked(v.Service); !s.governed() {
+		if s := g.serviceLocked(v.Service); !s.governed() && !s.withdrawn[v.Version] {
 			s.cleared[v.Version] = true
 		}
 	}
@@ -81,12 +81,18 @@
 
 // DropOrder records that the order for a service was deleted.
 func (g *Gate) DropOrder(name string) {
+	ready := g.ready(name)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.services[name]
 	if s == nil || s.order == nil {
 		return
 	}
+	to := s.order.To
+	others := slices.ContainsFunc(ready, func(r *replica.Replica) bool { return r.Version != to })
+	if s.state == nil && !s.cleared[to] && (others || len(s.cleared) > 0) {
+		s.withdrawn[to], s.lastWithdrawn = true, s.order
+	}
 	s.order, s.permits = nil, 0
 	g.log.WithField("service", name).Info("rollout: order deleted.")
 }
@@ -120,6 +126,18 @@
 	return *s.order, now.Sub(s.orderAt), true
 }
 
+// withdrawnOrder returns the last order for a service that was deleted before this entry
+// knew a state of it.
+func (g *Gate) withdrawnOrder(name string) (Order, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[name]
+	if s == nil || s.lastWithdrawn == nil {
+		return Order{}, false
+	}
+	return *s.lastWithdrawn, true
+}
+
 // Cleared returns the versions of a service that were ready before its first order.
 func (g *Gate) Cleared(name string) []string {
 	g.mu.Lock()
@@ -159,7 +177,7 @@
 	defer g.mu.Unlock()
 	var out []string
 	for name, s := range g.services {
-		if s.order != nil || !s.final() || s.reports() {
+		if s.order != nil || !s.final() || s.reports() || s.state == nil && s.lastWithdrawn != nil {
 			out = append(out, name)
 		}
 	}
--- a/gateway/rollout/sequential.go
+++ b/gateway/rollout/sequential.go
@@ -44,6 +44,9 @@
 	// timeDecay and failureDecay are the weights of the old version's answers of a time
 	// windowLength before. Failures are few, so more of them are needed for their share.
 	timeDecay, failureDecay = 0.75, 0.88
+	// keptTimes is the weight below which times of the old version don't decay, so that
+	// a service with few requests has minTimes of them on each route.
+	keptTimes = 2 * minTimes
 	// minHistoryWeight is the weight below which old histogram entries are dropped.
 	minHistoryWeight = 0.05
 )
@@ -99,10 +102,20 @@
 	h.first, h.pace = decay(h.first, w.First, keep), decay(h.pace, w.Pace, keep)
 }
 
+// decay multiplies a histogram by a factor, but not below a weight of keptTimes, and adds
+// new times.
 func decay(sum map[int]float64, w map[int]int, keep float64) map[int]float64 {
 	if sum == nil {
 		sum = make(map[int]float64)
 	}
+	total, added := 0.0, 0
+	for _, v := range sum {
+		total += v
+	}
+	for _, n := range w {
+		added += n
+	}
+	keep = min(1, max(keep, (keptTimes-float64(added))/max(1, total)))
 	for b := range sum {
 		if sum[b] *= keep; sum[b] < minHistoryWeight {
 			delete(sum, b)
