The line of a request names the version of the replica it names

Change: the version is kept with the replica.

Measured: the new case of the test fails before and passes after.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	x.lastChoice, x.replica = choice, choice.Replica.ID
+	x.lastChoice, x.replica, x.version = choice, choice.Replica.ID, choice.Replica.Version
 	x.triedNew = x.triedNew || x.pass.OnTrial()
 	ticket := x.h.Balancer.Begin(q, choice)
 	outcome := balance.Neutral
@@ -311,7 +311,7 @@
 	c := x.lastChoice
 	f["candidates"], f["in_flight"] = c.Candidates, c.InFlight
 	if x.h.Rollouts != nil {
-		f["version"] = c.Replica.Version
+		f["version"] = x.version
 		if x.triedNew {
 			f["version_on_trial"] = true
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -154,8 +154,8 @@
 	// pass is the decision on the versions that the last attempt may use.
 	pass rollout.Pass
 	// triedNew is set if an attempt was for a version that isn't proved.
-	triedNew bool
-	replica  string
+	triedNew         bool
+	replica, version string
 	// permit is the decision on the last choice by the limit of its replica.
 	permit throttle.Decision
 	// failedAnswer is the answer of a replica that ran the request and failed.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -101,7 +101,7 @@
 		t.Unmeasured()
 	}
 	if outcome == balance.Failed && len(body) <= maxBufferedBody && x.mayRunAgain() {
-		x.failedAnswer = &bufferedAnswer{replica: x.replica, answer: a, body: body}
+		x.failedAnswer = &bufferedAnswer{replica: x.replica, version: x.version, answer: a, body: body}
 		return outcome, verdict.New(verdict.Ran, verdict.CodeUnavailable, "replica %s failed with status %d", x.replica, a.Status)
 	}
 	if len(body) <= maxBufferedBody {
@@ -132,9 +132,9 @@
 
 // bufferedAnswer is a replica's answer with its complete body.
 type bufferedAnswer struct {
-	replica string
-	answer  *upstream.Answer
-	body    []byte
+	replica, version string
+	answer           *upstream.Answer
+	body             []byte
 }
 
 // writeAnswer writes an answer with its complete body to the client.
@@ -149,7 +149,7 @@
 // writeFailedAnswer writes the failed answer of an earlier replica, because the
 // retries got no better one.
 func (x *exchange) writeFailedAnswer() error {
-	x.replica = x.failedAnswer.replica
+	x.replica, x.version = x.failedAnswer.replica, x.failedAnswer.version
 	return x.writeAnswer(x.failedAnswer.answer, x.failedAnswer.body)
 }
 
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -100,12 +100,16 @@
 func TestLineOfARequestNamesTheVersion(t *testing.T) {
 	for _, test := range []struct {
 		permits int
-		r1      script
+		r0, r1  script
 		version any
 		onTrial any
-	}{{1, answerOK, "v2", true}, {0, answerOK, "v1", nil}, {1, answerStatus(http.StatusInternalServerError, ""), nil, true}} {
+	}{
+		{1, answerOK, answerOK, "v2", true}, {0, answerOK, answerOK, "v1", nil},
+		{1, answerOK, answerStatus(http.StatusInternalServerError, ""), nil, true},
+		{1, answerStatus(http.StatusInternalServerError, ""), answerStatus(http.StatusInternalServerError, ""), nil, true},
+	} {
 		synctest.Test(t, func(t *testing.T) {
-			e, _ := newVersionedEntry(t, test.permits, answerOK, test.r1)
+			e, _ := newVersionedEntry(t, test.permits, test.r0, test.r1)
 			log := logrus.New()
 			log.SetFormatter(&logrus.JSONFormatter{})
 			var lines bytes.Buffer
@@ -119,6 +123,7 @@
 			if test.version != nil {
 				qt.Check(t, line["version"], qt.Equals, test.version)
 			}
+			qt.Check(t, line["version"], qt.Equals, map[any]string{"r0": "v1", "r1": "v2"}[line["replica"]])
 			qt.Check(t, line["version_on_trial"], qt.Equals, test.onTrial)
 		})
 	}
