OPERATIONS: three more paths from a request to its cause

Refused while others were served, late on a slow replica, failed during a roll-out. The test of the examples explains them as well.

--- a/cmd/coltsfootcleat/explain_test.go
+++ b/cmd/coltsfootcleat/explain_test.go
@@ -40,10 +40,14 @@
 func TestExamplesOfTheOperationsPage(t *testing.T) {
 	lines, err := readLog("../../docs/examples/trouble-1.log")
 	qt.Assert(t, err, qt.IsNil)
+	more, err := readLog("../../docs/examples/load-1.log")
+	qt.Assert(t, err, qt.IsNil)
+	lines = append(lines, more...)
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	qt.Assert(t, err, qt.IsNil)
 	for id, outcome := range map[string]string{
 		"254dfb5369053b6c": "refused", "2829bc9be246a0aa": "cut", "11e72638733a1b61": "answered",
+		"q77-712": "refused", "q77-1073": "answered", "q501-3947": "answered",
 	} {
 		qt.Assert(t, strings.Contains(string(page), "explain "+id), qt.IsTrue)
 		related := explain(lines, id, false)
