Roll-outs: replicas that appear after the first order haven't served before it

Cause, found in review: the first row of a service allowed all registered versions but the ordered one. Replicas of a third version that were registered between the order and the first row got requests, and so did any such version at an entry that knew no state yet, although no order had sent requests to them.

Change: the versions that the entry used before the order are those that served. Only an entry that started after the order still goes by the registered ones.

TestGateClosesBeforeTheSend checks the entry.

--- a/gateway/rollout/gate.go
+++ b/gateway/rollout/gate.go
@@ -115,8 +115,10 @@
 		return s.cleared[version]
 	case version == "":
 		return false
+	case st == nil && len(s.cleared) > 0:
+		return s.cleared[version]
 	case st == nil:
-		return version != s.order.To || s.cleared[version]
+		return version != s.order.To // this entry started after the order
 	case st.stage == Moving || st.stage == Completed:
 		return version == st.to || !newReady && slices.Contains(st.allowed, version)
 	default:
--- a/gateway/rollout/gate_test.go
+++ b/gateway/rollout/gate_test.go
@@ -29,6 +29,11 @@
 	}
 	pass := func() Pass { return g.Pass(now, Attempt{Service: "s"}) }
 	qt.Assert(t, pass().Filter()(r1), qt.IsFalse, qt.Commentf("nothing is known yet"))
+	used := NewGate(func(string) []*replica.Replica { return []*replica.Replica{r1, r2, versioned("d", "v3")} }, nolog.Or(nil))
+	used.Clear(now, []ServiceVersion{{"s", "v1"}}, nil, nil)
+	used.SetOrder(now, Order{Service: "s", To: "v2", Duration: time.Minute})
+	qt.Assert(t, used.Pass(now, Attempt{Service: "s"}).Filter()(r1), qt.IsTrue)
+	qt.Assert(t, used.Pass(now, Attempt{Service: "s"}).Filter()(versioned("d", "v3")), qt.IsFalse, qt.Commentf("appeared after the order"))
 	g.SetOrder(now, Order{Service: "s", To: "v2", Duration: time.Minute})
 	qt.Assert(t, pass().Filter()(r1), qt.IsTrue)
 	qt.Assert(t, pass().Filter()(r2), qt.IsFalse, qt.Commentf("no state yet"))
--- a/gateway/rollout/keeper.go
+++ b/gateway/rollout/keeper.go
@@ -211,16 +211,20 @@
 	return next, nil
 }
 
-// servingVersions returns the versions that served before the first order.
+// servingVersions returns the versions that served before the first order: those that this
+// entry used, or all others that are registered if it started after the order.
 func (k *Keeper) servingVersions(name, to string) []string {
-	out := k.opt.Gate.Cleared(name)
+	out := slices.DeleteFunc(k.opt.Gate.Cleared(name), func(v string) bool { return v == "" })
+	if len(out) > 0 {
+		return out
+	}
 	for _, r := range k.opt.Replicas.Current().All {
 		if r.Service == name && r.Version != to && r.Version != "" && !slices.Contains(out, r.Version) {
 			out = append(out, r.Version)
 		}
 	}
 	slices.Sort(out)
-	return slices.DeleteFunc(out, func(v string) bool { return v == "" })
+	return out
 }
 
 // view returns the state of the system for a service with a row.
--- a/gateway/rollout/keeper_test.go
+++ b/gateway/rollout/keeper_test.go
@@ -355,3 +355,31 @@
 		qt.Check(t, len(f.statuses), qt.Equals, 1)
 	})
 }
+
+// An order for another version midway leaves the version on trial in use or refuses it for
+// good, or an order with another duration keeps the first deadline.
+func TestOrderThatChangesMidway(t *testing.T) {
+	play3(t, func(t *testing.T, f *testFleet) {
+		f.order("v2")
+		for i := range 4 {
+			f.put(fmt.Sprint("new", i), "v2")
+			f.put(fmt.Sprint("newer", i), "v3")
+		}
+		qt.Check(t, f.run(3*time.Second, "v2", 0)["v3"], qt.Equals, 0)
+		f.order("v3")
+		first := f.run(2*time.Second, "v3", 0) // the trial of v2 ends
+		sent := f.run(2*time.Second, "v3", 0)
+		qt.Check(t, sent["v2"], qt.Equals, 0)
+		qt.Check(t, first["v3"]+sent["v3"] > 0, qt.IsTrue)
+		row := f.row()
+		qt.Check(t, row.Allowed, qt.DeepEquals, []string{"v1"})
+		qt.Check(t, row.Closed, qt.HasLen, 0)
+		f.orders = []Order{{Service: "s", To: "v3", Duration: time.Minute}}
+		for _, e := range f.entries {
+			e.gate.SetOrders(time.Now(), f.orders)
+		}
+		f.run(9*time.Second, "v3", 0)
+		qt.Check(t, f.row().Stage, qt.Equals, Trial)
+		qt.Check(t, f.row().DurationMS, qt.Equals, time.Minute.Milliseconds())
+	})
+}
