Recover sooner from the overload before speeds are known

Cause: until the speeds of replicas are known to be uneven, 5 s after a start of all entries, slow replicas are overloaded. Placers knew nothing of the requests that were sent without them.

Change: the prefill rate in groups is learned apart. Calls to placers state the caller's requests in progress on the replicas of the group that no placer placed, if there are any ("u" in peer.PlaceRequest, which earlier releases ignore), and the placer takes its callers as a sample of all entries. Services that aren't grouped are as before.

Tests of balance, peer and app pass; the tests of balance took 176 s beside other work.

--- a/app/gateway_place.go
+++ b/app/gateway_place.go
@@ -40,7 +40,7 @@
 	out := peer.PlaceRequest{
 		Service: q.Service, Slots: q.Slots, PromptTokens: q.PromptTokens,
 		LatencyObjectiveMS: q.LatencyObjective.Milliseconds(), Exclude: slices.Collect(maps.Keys(q.Exclude)),
-		Group: q.Group, MaxWaitMS: q.MaxWait.Milliseconds(),
+		Group: q.Group, MaxWaitMS: q.MaxWait.Milliseconds(), Unplaced: q.Unplaced,
 	}
 	for _, part := range q.Parts {
 		out.Parts = append(out.Parts, peer.PlacePart{ID: strconv.FormatUint(part.ID, partIDBase), Tokens: part.Tokens})
@@ -54,7 +54,7 @@
 	q := balance.Query{
 		Service: p.Service, Slots: p.Slots, PromptTokens: p.PromptTokens,
 		LatencyObjective: time.Duration(p.LatencyObjectiveMS) * time.Millisecond, Exclude: make(map[string]bool),
-		Group: p.Group, MaxWait: time.Duration(p.MaxWaitMS) * time.Millisecond,
+		Group: p.Group, MaxWait: time.Duration(p.MaxWaitMS) * time.Millisecond, Unplaced: p.Unplaced,
 	}
 	for _, id := range p.Exclude {
 		q.Exclude[id] = true
--- a/gateway/balance/balance.go
+++ b/gateway/balance/balance.go
@@ -97,8 +97,9 @@
 
 	mu     sync.Mutex
 	states map[string]*replicaState
-	// prefillRates are the prefill prefillRates of the engines, by service.
-	prefillRates map[string]*prefillRate
+	// prefillRates are the prefill rates of the engines, by service. groupedRates are
+	// those that are learned and used while requests are distributed over groups.
+	prefillRates, groupedRates map[string]*prefillRate
 	// busy is the mean number of engines that this entry's requests occupy, by
 	// service.
 	busy map[string]*rate.EWMA
@@ -122,6 +123,8 @@
 	// placements holds the times at which this entry placed the prompts in progress
 	// on a replica, by replica ID.
 	placements map[string][]time.Time
+	// unplaced holds samples of the requests that weren't placed, by replica ID.
+	unplaced map[string]unplacedSample
 	// pools holds the pools of each service, in a large deployment.
 	pools map[string]*pools
 	// rank is the place of this entry among the members of a large deployment.
@@ -138,7 +141,10 @@
 type replicaState struct {
 	incarnation int64
 	ownLoad     peer.EndpointLoad
-	failures    failures
+	// unplaced is the number of this entry's requests in flight that no placer of a
+	// group placed.
+	unplaced int
+	failures failures
 	// ejected is set if the last choice excluded the replica.
 	ejected bool
 	// congestion is the ratio of the measured times to the first token to those that
@@ -200,12 +206,14 @@
 		set:   set, opt: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
 		states:        make(map[string]*replicaState),
 		prefillRates:  make(map[string]*prefillRate),
+		groupedRates:  make(map[string]*prefillRate),
 		busy:          make(map[string]*rate.EWMA),
 		mixes:         make(map[string]*prefillMix),
 		durations:     make(map[string]*serviceDurations),
 		peerLoads:     make(map[string]expectedLoad),
 		reservedUntil: make(map[string]time.Time),
 		placements:    make(map[string][]time.Time),
+		unplaced:      make(map[string]unplacedSample),
 		pools:         make(map[string]*pools),
 		partLocations: parts,
 	}
@@ -369,6 +377,7 @@
 	for id := range b.placements {
 		b.placedLocked(id, time.Now())
 	}
+	b.pruneUnplacedLocked(time.Now())
 	for id, until := range b.reservedUntil {
 		if time.Now().After(until) {
 			delete(b.reservedUntil, id)
--- a/gateway/balance/grouped.go
+++ b/gateway/balance/grouped.go
@@ -92,6 +92,11 @@
 // placeInGroup asks the placer of q.Group for a replica.
 func (g *GlobalBalancer) placeInGroup(ctx context.Context, q Query, p *pools, local Choice) (Choice, bool) {
 	owner := g.placerOf(p, q.Service, q.Group)
+	if in, ok := parseGroup(q.Group); ok {
+		g.mu.Lock()
+		q.Unplaced = g.unplacedOnLocked(p.members[in])
+		g.mu.Unlock()
+	}
 	placed, err := g.place(ctx, owner, q, max(minGroupTimeout, q.LatencyObjective/groupTimeoutDivisor))
 	if err != nil {
 		g.count(outcomeFailed)
--- a/gateway/balance/groups.go
+++ b/gateway/balance/groups.go
@@ -48,6 +48,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	p := b.poolsLocked(q, ready, now)
+	b.sampleUnplacedLocked(q, p.replicasOf(g), now)
 	best, bestCost := Placement{}, math.Inf(1)
 	// The waits on the replica of the choice, and the least one of the others.
 	bestWait, otherWait := math.Inf(1), math.Inf(1)
@@ -101,16 +102,16 @@
 func (b *Balancer) groupPlacementLocked(q Query, r *replica.Replica, p *pools, now time.Time) (Placement, float64) {
 	fit, e := b.prefillRateLocked(q.Service), p.speeds.of(r)
 	cached := b.cachedLocked(q, r, p.long.replicas, p.homes, now)
-	running := len(b.placedLocked(r.ID, now))
+	running := float64(len(b.placedLocked(r.ID, now))) + b.unplacedLocked(r.ID, now)
 	wait := b.reservedLocked(r.ID, now)
 	first := wait + (fit.base+float64(max(0, q.PromptTokens-cached))/fit.perSecond)/e.Prefill
-	wait += runningCost.Seconds() * float64(running) / e.Decode
+	wait += runningCost.Seconds() * running / e.Decode
 	free := max(1, q.Slots, r.Slots)
 	if len(p.long.replicas) == len(p.ready) {
 		free = max(1, free-shortSlots)
 	}
-	if excess := running + 1 - free; excess > 0 {
-		wait += fullCost.Seconds() * float64(excess) / e.Decode
+	if excess := running + 1 - float64(free); excess > 0 {
+		wait += fullCost.Seconds() * excess / e.Decode
 	}
 	return Placement{Replica: r.ID, Incarnation: r.Incarnation, CachedTokens: cached, FirstToken: time.Duration(first * float64(time.Second))}, wait
 }
--- a/gateway/balance/groups_test.go
+++ b/gateway/balance/groups_test.go
@@ -114,3 +114,58 @@
 		}
 	}
 }
+
+// Guards against placers that add long prompts to the queues of replicas that were
+// overloaded before groups were used, and against what a peer states without sense.
+func TestPlacersAvoidReplicasWithUnplacedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, p := newGrouped()
+		p.owner.members = 78
+		q := longQuery
+		q.Slots, q.Group = playSlots, "0/1/d"
+		q.Unplaced = map[string]int{"r0": 1, "r1": 1, "r2": 2, "r3": 1, "r4": 1, "r5": -7, "r6": 0, "unknown": 1 << 40}
+		for range 10 {
+			placed, err := p.owner.PlaceInGroup(q)
+			qt.Assert(t, err, qt.IsNil)
+			p.owner.EndPlacement(placed.Replica)
+		}
+		used := make(map[string]bool)
+		for range 6 {
+			placed, err := p.owner.PlaceInGroup(q)
+			qt.Assert(t, err, qt.IsNil)
+			used[placed.Replica] = true
+		}
+		qt.Check(t, used, qt.DeepEquals, map[string]bool{"r5": true, "r6": true, "r7": true})
+		time.Sleep(placementTTL + time.Second)
+		p.owner.Prune()
+		qt.Check(t, p.owner.unplaced, qt.HasLen, 0)
+	})
+}
+
+// turningUneven are speeds that are found to be uneven later.
+type turningUneven struct {
+	knownSpeeds
+	uneven *bool
+}
+
+func (s turningUneven) Uneven(time.Time, string) bool { return *s.uneven }
+
+// Guards against entries that disagree on which prompts are long and on the groups,
+// because each goes on with the prefill rate that it fitted to overloaded replicas.
+func TestGroupsDontUseThePrefillRateOfBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		uneven := false
+		b := New(newReplicas(8), Options{Speeds: turningUneven{uneven: &uneven}, Log: nolog.Or(nil), Grouped: func() bool { return true }})
+		for range 300 {
+			c, err := b.Choose(longQuery)
+			qt.Assert(t, err, qt.IsNil)
+			ticket := b.Begin(longQuery, c)
+			time.Sleep(50 * time.Millisecond)
+			ticket.FirstTokenReceived()
+			ticket.End(Answered)
+		}
+		qt.Assert(t, b.prefillRateLocked("s").perSecond > 2*defaultPrefillRate, qt.IsTrue)
+		uneven = true
+		qt.Check(t, b.prefillRateLocked("s").perSecond, qt.Equals, float64(defaultPrefillRate))
+	})
+}
--- a/gateway/balance/observed.go
+++ b/gateway/balance/observed.go
@@ -30,7 +30,7 @@
 		}
 		e := b.speedOf(r, now)
 		out.Speed[id] = e.Prefill
-		if b.prefillRates[r.Service] == nil {
+		if b.prefillRates[r.Service] == nil && b.groupedRates[r.Service] == nil {
 			out.Speed[id] = e.Work
 		}
 	}
--- a/gateway/balance/query.go
+++ b/gateway/balance/query.go
@@ -34,6 +34,9 @@
 	// above which it declines. See PlaceInGroup.
 	Group   string
 	MaxWait time.Duration
+	// Unplaced is the number of the requests of the asking entry in progress on replicas
+	// of the group that no placer placed, by replica ID.
+	Unplaced map[string]int
 	// Filter reports whether a replica may be chosen. If it is nil, all may be. It isn't
 	// sent to other entries, which use their own filters.
 	Filter func(*replica.Replica) bool
--- a/gateway/balance/ticket.go
+++ b/gateway/balance/ticket.go
@@ -95,11 +95,19 @@
 	r.xy = r.xy*decay + weight*tokens*took
 }
 
+// prefillRateLocked returns the prefill rate of a service's engines. The one in groups is
+// learned apart: that from before the switch contains the estimated queues of other
+// entries, and differed between entries by a factor of three while replicas of different
+// speeds were overloaded, so that entries disagreed on which prompts are long.
 func (b *Balancer) prefillRateLocked(service string) *prefillRate {
-	r := b.prefillRates[service]
+	rates := b.prefillRates
+	if b.isGrouped(service) {
+		rates = b.groupedRates
+	}
+	r := rates[service]
 	if r == nil {
 		r = newPrefillRate()
-		b.prefillRates[service] = r
+		rates[service] = r
 	}
 	return r
 }
@@ -218,6 +226,9 @@
 	t.queuedTokens = st.ownLoad.Tokens + int(b.peerLoads[c.Replica.ID].tokens)
 	t.ownQueued = st.ownLoad.Tokens
 	st.ownLoad.InFlight++
+	if c.Group == "" {
+		st.unplaced++
+	}
 	st.ownLoad.Tokens += t.uncachedTokens
 	if q.Slots > 0 {
 		seconds := float64(t.uncachedTokens) / b.prefillRateLocked(q.Service).perSecond
@@ -279,6 +290,9 @@
 	defer t.b.mu.Unlock()
 	st := t.b.stateLocked(t.choice.Replica)
 	st.ownLoad.InFlight--
+	if t.choice.Group == "" {
+		st.unplaced--
+	}
 	took := time.Since(t.sent).Seconds()
 	t.b.durationsLocked(t.q.Service).running.add(took, took)
 	if !t.started {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -380,6 +380,9 @@
 	// which the peer chooses none. A peer of an earlier release ignores both.
 	Group     string `json:"g,omitempty"`
 	MaxWaitMS int64  `json:"w,omitempty"`
+	// Unplaced is the number of the caller's requests in progress on endpoints of the
+	// group that no peer placed, by endpoint ID. A peer of an earlier release ignores it.
+	Unplaced map[string]int `json:"u,omitempty"`
 }
 
 // PlacePart is a prompt part and its length.
