--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -42,7 +42,8 @@
 	// A request is delayed by its customer's limit for at most the minimum
 	// latency objective divided by limitDelayDivisor. The maximum is the same
 	// for all kinds of request: with a longer one, requests that tolerate delay
-	// would take the units that urgent ones need.
+	// would take the units that urgent ones need. Where limits are ordered by urgency,
+	// package quota uses an eighth of the request's own objective instead.
 	limitDelayDivisor = 4
 	// defaultBodyBytes is the maximum size of a body if the configuration sets
 	// none.
