--- a/gateway/balance/affinity_test.go
+++ b/gateway/balance/affinity_test.go
@@ -19,14 +19,11 @@
 		name                            string
 		cacheTokens, documents, leading int
 		hot                             float64
-		// found and inTime bound the fractions of shared tokens of long prompts that are
-		// found cached, and of requests in time.
-		found, inTime float64
 	}{
-		{"64 long parts", 131_072, 4, 0, 0, 0.87, 0.985},
-		{"leading parts", 131_072, 16, 1800, 0, 0.78, 0.985},
-		{"small caches", 49_152, 16, 0, 0, 0.57, 0.98},
-		{"a hot part", 131_072, 4, 0, 0.3, 0.89, 0.985},
+		{"64 long parts", 131_072, 4, 0, 0},
+		{"leading parts", 131_072, 16, 1800, 0},
+		{"small caches", 49_152, 16, 0, 0},
+		{"a hot part", 131_072, 4, 0, 0.3},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range *affinitySeeds {
@@ -39,9 +36,10 @@
 					return p
 				}
 				before, after := run("current", Options{}), run("groups", grouped)
-				qt.Check(t, after.foundCached() >= test.found, qt.IsTrue)
-				qt.Check(t, after.inTime() >= test.inTime, qt.IsTrue)
+				// The page hard-load.md allows 5 % more tokens that are processed again.
+				qt.Check(t, 1-after.foundCached() <= 1.05*(1-before.foundCached()), qt.IsTrue)
 				qt.Check(t, after.prefilled <= before.prefilled*105/100, qt.IsTrue)
+				qt.Check(t, after.inTime() >= before.inTime(), qt.IsTrue)
 			}
 		})
 	}
