rollup: replies with sums of speeds are bounded

Cause: an aggregator replied with all sums that had changed. That these replies are the cause is suspected from their size (3,000 sums for each of a hundred callers), not shown. Change: at most 128 sums a reply, the oldest changes first; the version in the reply says up to where it is complete. All sums of up to 128 replicas are known as fast as before.

--- a/gateway/rollup/publish.go
+++ b/gateway/rollup/publish.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/coltsfootcleat/coltsfootcleat/peer"
@@ -21,6 +22,11 @@
 	version uint64
 }
 
+// maxReplySums bounds the sums of one reply. An aggregator replies to a hundred entries a
+// second in a large deployment, where the sums of thousands of replicas change all the time.
+// The others follow with the next replies.
+const maxReplySums = 128
+
 // maxFirstVersion keeps versions exact in JSON numbers.
 const maxFirstVersion = 1 << 52
 
@@ -62,17 +68,29 @@
 	return false
 }
 
-// since returns the sums that are newer than a version, as of now. Of a version that
-// isn't one of this process, it returns all.
-func (p *publication) since(version uint64, now time.Time) map[string]peer.SpeedSamples {
+// since returns the sums that are newer than a version, as of now, and the version up to
+// which they are complete. Of a version that isn't one of this process, it begins with
+// the first. It returns at most maxReplySums, the oldest ones.
+func (p *publication) since(version uint64, now time.Time) (map[string]peer.SpeedSamples, uint64) {
 	if version < p.first || version > p.last {
 		version = p.first
 	}
-	out := make(map[string]peer.SpeedSamples)
-	for id, s := range p.sums {
+	upTo := p.last
+	newer := make([]uint64, 0, len(p.sums))
+	for _, s := range p.sums {
 		if s.version > version {
+			newer = append(newer, s.version)
+		}
+	}
+	if len(newer) > maxReplySums {
+		slices.Sort(newer)
+		upTo = newer[maxReplySums-1]
+	}
+	out := make(map[string]peer.SpeedSamples, min(len(newer), maxReplySums))
+	for id, s := range p.sums {
+		if s.version > version && s.version <= upTo {
 			out[id] = s.decayed(now)
 		}
 	}
-	return out
+	return out, upTo
 }
--- a/gateway/rollup/rollup.go
+++ b/gateway/rollup/rollup.go
@@ -131,7 +131,7 @@
 		reply := peer.LoadSum{Load: forAggregator(sum)}
 		if q.KnownSpeeds > 0 {
 			r.sumSpeedsLocked(own.Speeds, now)
-			reply.Speeds, reply.SpeedsVersion = r.domainSum.since(q.KnownSpeeds, now), r.domainSum.last
+			reply.Speeds, reply.SpeedsVersion = r.domainSum.since(q.KnownSpeeds, now)
 		}
 		return reply
 	}
@@ -149,7 +149,8 @@
 	reply := peer.LoadSum{Load: r.sumLocked(from, own, now)}
 	if q.KnownSpeeds > 0 {
 		r.sumSpeedsLocked(own.Speeds, now)
-		reply.Speeds, reply.SpeedsVersion = without(r.allSum.since(q.KnownSpeeds, now), r.entrySpeeds[from], now), r.allSum.last
+		reply.Speeds, reply.SpeedsVersion = r.allSum.since(q.KnownSpeeds, now)
+		reply.Speeds = without(reply.Speeds, r.entrySpeeds[from], now)
 	}
 	return reply
 }
