balance: placers find the homes of a part once for a placement

Cause: the speeds that homes follow had no place for the homes of the choice, so that a placer searched them for each replica of its group. Measured: tests of groups and placement pass; choices are the same. The time was not measured.

--- a/gateway/balance/pools.go
+++ b/gateway/balance/pools.go
@@ -188,7 +188,7 @@
 // the pools, so that spells and the noise of estimates must not show in them.
 func (p *pools) smooth(q Query, before *pools, now time.Time) {
 	p.at, p.lasting, p.steps = now, make(map[string]float64, len(p.ready)), make(map[string]float64, len(p.ready))
-	p.homes = serviceSpeeds{byID: make(map[string]speed.Estimate, len(p.ready)), relative: p.speeds.relative}
+	p.homes = serviceSpeeds{byID: make(map[string]speed.Estimate, len(p.ready)), relative: p.speeds.relative, homes: &homes{}}
 	weight := 1.0
 	if before != nil {
 		weight = 1 - math.Exp(-now.Sub(before.at).Seconds()/smoothTime.Seconds())
