--- a/infra/rowcopy/doc.go
+++ b/infra/rowcopy/doc.go
@@ -11,9 +11,9 @@
 // the content. A Writer writes the content when it changes and otherwise renews the
 // version, because a feed retains its changes for a limited time.
 //
-// A Feed reads the snapshot of the service as usual. Only if the answer turns out to
-// be large does it read the header, and ask the service for the changes since its
-// version, while the snapshot goes on. If the service still has these changes, the
-// Feed abandons the snapshot and reads the parts instead. Content that doesn't match
-// the confirmed header is never used.
+// The first snapshot of a process begins with the header. If the service still has the
+// changes since its version, the Feed reads the parts, else the snapshot. Later snapshots are
+// read as usual; only if the answer turns out to be large are the header and the changes
+// read, while the snapshot goes on, which is then abandoned for the parts. Content that
+// doesn't match the confirmed header is never used.
 package rowcopy
--- a/infra/rowcopy/feed.go
+++ b/infra/rowcopy/feed.go
@@ -21,6 +21,9 @@
 	// of which takes 1 to 4 ms and the queue of a link in use. The snapshot goes on
 	// meanwhile.
 	callTimeout = 300 * time.Millisecond
+	// firstHeaderTimeout bounds the read of the header that precedes the first snapshot.
+	// A slow store delays the start by no more than this.
+	firstHeaderTimeout = 50 * time.Millisecond
 	// confirmWait is how long the service waits for changes that may confirm a copy:
 	// the shortest time that the platform's encoding can express.
 	confirmWait = time.Millisecond
@@ -79,6 +82,9 @@
 	infra.Feed
 	opt Options
 
+	// started is set once the first snapshot has begun.
+	started atomic.Bool
+
 	mu sync.Mutex
 	// skipUntil is the time until which no copy is read.
 	skipUntil time.Time
@@ -98,6 +104,39 @@
 
 // Snapshot implements infra.Feed.
 func (f *Feed) Snapshot(ctx context.Context) ([]infra.Row, uint64, error) {
+	if !f.started.Swap(true) && f.opt.Table != nil {
+		return f.firstSnapshot(ctx)
+	}
+	return f.laterSnapshot(ctx)
+}
+
+// firstSnapshot reads the header before it begins a snapshot. What the service has sent of
+// an abandoned snapshot still occupies the link: 200 to 290 KB in a played restart of 58
+// entries, 0.2 s of a link of 10 Mbit/s. Where there is no copy this costs a start one call.
+func (f *Feed) firstSnapshot(ctx context.Context) ([]infra.Row, uint64, error) {
+	began := time.Now()
+	c, err := f.readHeader(ctx, firstHeaderTimeout)
+	if err == nil {
+		var rows []infra.Row
+		if rows, err = f.readParts(ctx, c); err == nil {
+			f.logLoaded(c, rows, 0, began)
+			return rows, c.update.Version, nil
+		}
+		f.skip()
+	}
+	var s snapshot
+	s.rows, s.version, s.err = f.Feed.Snapshot(ctx)
+	if s.err == nil {
+		if wireBytes(s.rows) < MinWireBytes {
+			err = nil // no copy is wanted
+		}
+		f.logDirect(s, began, err)
+	}
+	return s.rows, s.version, s.err
+}
+
+// laterSnapshot reads the header only once the answer turns out to be large.
+func (f *Feed) laterSnapshot(ctx context.Context) ([]infra.Row, uint64, error) {
 	began := time.Now()
 	var received atomic.Int64
 	directCtx, cancel := context.WithCancel(ctx)
@@ -136,11 +175,7 @@
 	}
 	rows, err := f.readParts(ctx, c)
 	if err == nil {
-		f.opt.Count(eventLoaded)
-		f.opt.Log.WithFields(logrus.Fields{
-			"rows": len(rows), "bytes": c.header.Bytes, "abandoned": received.Load(), "took_ms": time.Since(began).Milliseconds(),
-			"behind": infra.CounterOf(c.update.Version) - infra.CounterOf(c.header.Version), "changes": len(c.update.Changes),
-		}).Info("rowcopy: loaded from the copy.")
+		f.logLoaded(c, rows, received.Load(), began)
 		return rows, c.update.Version, nil
 	}
 	f.skip()
@@ -150,6 +185,14 @@
 	return s.rows, s.version, s.err
 }
 
+func (f *Feed) logLoaded(c confirmed, rows []infra.Row, abandoned int64, began time.Time) {
+	f.opt.Count(eventLoaded)
+	f.opt.Log.WithFields(logrus.Fields{
+		"rows": len(rows), "bytes": c.header.Bytes, "abandoned": abandoned, "took_ms": time.Since(began).Milliseconds(),
+		"behind": infra.CounterOf(c.update.Version) - infra.CounterOf(c.header.Version), "changes": len(c.update.Changes),
+	}).Info("rowcopy: loaded from the copy.")
+}
+
 func (f *Feed) logDirect(s snapshot, began time.Time, reason error) {
 	line := f.opt.Log.WithFields(logrus.Fields{"rows": len(s.rows), "bytes": wireBytes(s.rows), "took_ms": time.Since(began).Milliseconds()})
 	if reason != nil {
@@ -182,7 +225,7 @@
 	done := make(chan error, 1)
 	go func() {
 		var err error
-		c, err = f.readHeader(ctx)
+		c, err = f.readHeader(ctx, callTimeout)
 		done <- err
 	}()
 	select {
@@ -197,8 +240,9 @@
 	}
 }
 
-func (f *Feed) readHeader(ctx context.Context) (confirmed, error) {
-	headerCtx, cancel := context.WithTimeout(ctx, callTimeout)
+// readHeader reads the header within a timeout, and the changes since its version.
+func (f *Feed) readHeader(ctx context.Context, timeout time.Duration) (confirmed, error) {
+	headerCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	row, found, err := f.opt.Table.Get(headerCtx, f.opt.Prefix+headerKey)
 	if err != nil {
