quota: two owners without contact grant less of an exceeded limit

Entries refuse a part of the requests without a call, so that the owners knew a demand of 1.9 at the last contact. Each side then was asked for 0.8 of that and granted it: 1.6 of the limit together. Change: of a customer that exceeds its limit, an owner without contact that isn't asked for nearly all of the demand grants 0.95 of its part.

--- a/gateway/quota/replica.go
+++ b/gateway/quota/replica.go
@@ -36,6 +36,11 @@
 	// that is alone grants all that it is asked for: both owners together stay
 	// below the limit. From fullDemand on it grants at least minLostPart.
 	calmDemand, fullDemand, minLostPart = 0.6, 1.2, 0.25
+	// hiddenDemand corrects the fraction of the demand that an owner is asked for of a
+	// customer that exceeds its limit: the entries refuse a part of the requests without a
+	// call, so that the demand at the last contact was too low. Under a partition, both owners
+	// together granted 1.6 of the limit. An owner that is asked for aloneFraction is alone.
+	hiddenDemand, aloneFraction = 0.95, 0.95
 	// surge is the growth of the demand from which on an owner that is alone can't
 	// tell the part of the entries that ask it, and grants surgePart.
 	surge, surgePart = 1.3, 0.5
@@ -195,7 +200,11 @@
 	if asked > surge*rp.total && asked > calmDemand*rp.perSecond {
 		return surgePart
 	}
-	return min(1, max(least, asked/rp.total))
+	part := asked / rp.total
+	if part < aloneFraction {
+		part *= 1 - (1-hiddenDemand)*rp.excess()
+	}
+	return min(1, max(least, part))
 }
 
 // assumeLocked assumes a level that no other owner knows. Too few reachable members
