Roll-outs: a holder that can't read the rows tries again after a second

Cause: it tried again at each step, 7 to 20 times a second, with a log line each, while the table was down. Measured: the tests of holders pass; the calls were not counted.

--- a/gateway/rollout/keeper.go
+++ b/gateway/rollout/keeper.go
@@ -64,8 +64,10 @@
 	held map[string]*holding
 	// fence is that of the lease under which held was built.
 	fence uint64
-	// rowsRead is set once the rows have been read under it. Only Run uses it.
-	rowsRead bool
+	// rowsRead is set once the rows have been read under it, and rowsTriedAt is the time of
+	// the last attempt. Only Run uses them.
+	rowsRead    bool
+	rowsTriedAt time.Time
 }
 
 // holding is the roll-out of one service at its holder.
@@ -124,7 +126,7 @@
 	k.mu.Lock()
 	if !held || fence != k.fence {
 		clear(k.held)
-		k.fence, k.rowsRead = fence, false
+		k.fence, k.rowsRead, k.rowsTriedAt = fence, false, time.Time{}
 	}
 	k.mu.Unlock()
 	if !held {
--- a/gateway/rollout/keeper_rows.go
+++ b/gateway/rollout/keeper_rows.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -30,12 +31,17 @@
 	return out, nil
 }
 
+// rowsRetryPeriod is the time between two attempts to read the rows while the table can't
+// be read, so that they don't add to the load on it.
+const rowsRetryPeriod = time.Second
+
 // learnRows reads the rows once under each lease, as this entry may have learnt of none
 // of them: an entry reports on a service only if it knows of its order.
 func (k *Keeper) learnRows(ctx context.Context) {
-	if k.rowsRead {
+	if k.rowsRead || time.Since(k.rowsTriedAt) < rowsRetryPeriod {
 		return
 	}
+	k.rowsTriedAt = time.Now()
 	rows, err := readRows(infra.WithPriority(ctx, infra.PriorityLease), k.opt.Table, k.opt.Log)
 	if err != nil {
 		if ctx.Err() == nil {
