--- a/gateway/balance/query.go
+++ b/gateway/balance/query.go
@@ -13,7 +13,7 @@
 	Tokens int
 }
 
-// Query describes a request for which a replica is chosen.
+// Query is a request that needs a replica.
 type Query struct {
 	Service string
 	// Slots is the number of requests that one replica runs at once; 0 for
@@ -37,8 +37,8 @@
 	// Unplaced is the number of the requests of the asking entry in progress on replicas
 	// of the group that no placer placed, by replica ID.
 	Unplaced map[string]int
-	// Filter reports whether a replica may be chosen. If it is nil, all may be. It isn't
-	// sent to other entries, which use their own filters.
+	// Filter selects the eligible replicas; nil selects all. Calls to other entries
+	// omit it, and the callee applies its own filter.
 	Filter func(*replica.Replica) bool
 	// Local is set for requests that no other entry places. Trial is set besides if
 	// the request tries the replicas, also those that fail.
@@ -68,7 +68,7 @@
 	return sum
 }
 
-// Choice is a chosen replica with the prediction that the choice is based on.
+// Choice is the selected replica and the predictions that led to it.
 type Choice struct {
 	Replica *replica.Replica
 	// FirstToken is the predicted time to the first token; 0 for plain
--- a/gateway/quota/order.go
+++ b/gateway/quota/order.go
@@ -13,7 +13,7 @@
 	// openFill is the fill level from which on all requests are served, so that the
 	// limit is used when the more urgent ones don't ask.
 	openFill = 0.8
-	// maxUrgency is the largest urgency that is told apart. Routes use 0 to 2.
+	// maxUrgency caps urgencies, which bounds the number of ranks. Routes use 0 to 2.
 	maxUrgency = 7
 	// headroom is the time for which the units asked for by more urgent requests are
 	// left to them, and maxHeadroom the largest fraction of the burst that is. Urgent
@@ -49,11 +49,11 @@
 // limit get units: by urgency, then those that return after a refusal, then by size.
 // Requests that are much smaller than the mean of all are not held back. It
 // only ever holds back a request for more urgent ones, for those of its own urgency, or
-// for units that were promised to a refused one of these. It uses no clock.
+// for units that are reserved for a refused one of these. It uses no clock.
 type order struct {
 	// ranks holds the urgencies that asked for units, the most urgent first.
 	ranks []*orderRank
-	// places are the units promised to refused requests.
+	// places are the reservations of refused requests.
 	places []place
 	// refused counts refusals, to spread Retry-After.
 	refused int
@@ -73,7 +73,8 @@
 	placedUntil time.Time
 }
 
-// place holds units for a refused request that was told when to return.
+// place is a reservation of units for a refused request, valid for a retry after its
+// Retry-After.
 type place struct {
 	urgency int
 	units   float64
@@ -124,7 +125,7 @@
 		if r.Returning {
 			taken = o.findPlace(rank.urgency, r.Units)
 		}
-		keep := o.promised(now, rank.urgency, taken)
+		keep := o.reserved(now, rank.urgency, taken)
 		if taken < 0 {
 			keep += min(maxHeadroom*b.burst, headroom.Seconds()*o.moreUrgentUnits(now, rank.urgency))
 			held = !rank.sizes.isSmall(r.Units) && !rank.sizes.mayTake(now, class)
@@ -146,7 +147,7 @@
 		return orderDecision{ok: true, wait: wait}
 	}
 	if b.exceeded {
-		wait = o.promise(now, b, rank, r, need)
+		wait = o.reserve(now, b, rank, r, need)
 	}
 	return orderDecision{wait: min(max(wait, r.Within+time.Millisecond), maxRetryAfter)}
 }
@@ -195,9 +196,9 @@
 	return longest
 }
 
-// promised returns the units that requests as urgent as this one, or more, were told
-// to return for, without the place that this one has and those after it.
-func (o *order) promised(now time.Time, urgency, own int) float64 {
+// reserved returns the units that are reserved for refused requests of this or a higher
+// urgency. If the request has a reservation itself, it leaves out that one and later ones.
+func (o *order) reserved(now time.Time, urgency, own int) float64 {
 	sum := 0.0
 	for i, p := range o.places {
 		if p.urgency <= urgency && i != own && (own < 0 || p.at.Before(o.places[own].at)) {
@@ -216,9 +217,9 @@
 	o.places = slices.DeleteFunc(o.places, func(p place) bool { return !now.Before(p.until) })
 }
 
-// promise returns the time after which a refused request is to return. It sets its units
-// aside if they will be there soon enough.
-func (o *order) promise(now time.Time, b bucketState, rank *orderRank, r peer.LimitRequest, need float64) time.Duration {
+// reserve returns the Retry-After of a refused request. It reserves the units for the
+// retry if they become available soon enough.
+func (o *order) reserve(now time.Time, b bucketState, rank *orderRank, r peer.LimitRequest, need float64) time.Duration {
 	free := max(minFree*b.perSecond, b.perSecond-o.moreUrgentUnits(now, rank.urgency))
 	if !r.Returning && len(o.places) < maxPlaces {
 		since := now
@@ -227,10 +228,10 @@
 		}
 		at := since.Add(max(time.Millisecond, rate.Seconds(min(r.Units, b.burst)/(placesPart*free))))
 		if wait := at.Sub(now); wait <= placeWait*r.Within {
-			told := o.spread(wait)
+			retryAfter := o.spread(wait)
 			rank.placedUntil = at
-			o.places = append(o.places, place{urgency: rank.urgency, units: r.Units, since: since, at: at, until: now.Add(told + placeGrace)})
-			return told
+			o.places = append(o.places, place{urgency: rank.urgency, units: r.Units, since: since, at: at, until: now.Add(retryAfter + placeGrace)})
+			return retryAfter
 		}
 	}
 	return o.spread(max(time.Millisecond, rate.Seconds((need-b.level)/free)))
--- a/gateway/quota/order_test.go
+++ b/gateway/quota/order_test.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// Guards against a client that returns at the time it was told and is refused again, as
-// requests that came meanwhile took the units: those of a large request, as they fill up.
-func TestUnitsArePromisedToRefusedRequests(t *testing.T) {
+// Guards against refusing a client that honors Retry-After a second time because newer
+// requests used the units of its large request while they accumulated.
+func TestUnitsAreReservedForRefusedRequests(t *testing.T) {
 	const perSecond, burst = 300_000.0, 356_000.0
 	now, level := time.Unix(1000, 0), 0.0
 	var o order
--- a/gateway/quota/replica.go
+++ b/gateway/quota/replica.go
@@ -28,7 +28,7 @@
 	askedPeriod = time.Second
 	// lostFill caps the fill level with which the second owner goes on alone, and
 	// fullLostFill that at a demand of fullDemand. The first may be alive and grant the
-	// same units. Of a customer that exceeds its limit, what is left is promised to
+	// same units. Of a customer that exceeds its limit, what is left is reserved for
 	// requests that know the first: with 0.6, 1.015 of what the tolerance allows was
 	// granted under a partition.
 	lostFill, fullLostFill = 0.6, 0.1
--- a/gateway/quota/timeouts.go
+++ b/gateway/quota/timeouts.go
@@ -16,8 +16,8 @@
 	returnedFraction = 0.02
 )
 
-// timeouts tells requests that return after a refusal from new ones: they have less time
-// left than others of their kind. It is safe for concurrent use.
+// timeouts recognizes retries of refused requests by their remaining time, which is less
+// than that of new requests of the same customer and kind. It is safe for concurrent use.
 type timeouts struct {
 	mu     sync.Mutex
 	byKind map[timeoutKind]timeout
