--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -17,6 +17,9 @@
 	// Turn is called for each request that reaches the replica. If it returns false,
 	// the replica turns the request away with 503 and X-Not-Executed. It may be nil.
 	Turn func() bool
+	// RetryAfter, if it is set, makes the replica turn all requests away and ask for a
+	// pause of so many seconds.
+	RetryAfter string
 
 	rec    *Record
 	server *http.Server
@@ -59,8 +62,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.Turn != nil && !r.Turn() {
+	if r.RetryAfter != "" || r.Turn != nil && !r.Turn() {
 		r.rec.Add(Event{Kind: "turned away", Request: id, At: r.ID})
+		if r.RetryAfter != "" {
+			h.Set("Retry-After", r.RetryAfter)
+		}
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
