--- a/review/10/main.go
+++ b/review/standin2/platform/case10.go
@@ -1,5 +1,3 @@
-// Command 10 has a replica turn requests away with 503 and a Retry-After of an hour. It
-// reports the requests that still reach it.
 package main
 
 import (
@@ -9,12 +7,9 @@
 	"os"
 	"sync"
 	"time"
-
-	"github.com/coltsfootcleat/coltsfootcleat/review/standin2"
 )
 
 const (
-	host = "shop.example"
 	// retryAfter is what the replica states, in seconds.
 	retryAfter = "3600"
 	// tolerated is how many requests of one machine may reach the replica later than
@@ -24,11 +19,11 @@
 	period    = 10 * time.Second
 )
 
-func main() { os.Exit(run()) }
-
-func run() int {
-	rec := standin2.NewRecord()
-	w, err := standin2.NewWorld(rec)
+// case10 has a replica turn requests away with 503 and a Retry-After of an hour. It
+// reports the requests that still reach it.
+func case10() int {
+	rec := NewRecord()
+	w, err := NewWorld(rec)
 	if err != nil {
 		return fail(err)
 	}
@@ -69,11 +64,11 @@
 	for _, e := range w.Entries {
 		wg.Go(func() {
 			for time.Now().Before(end) {
-				id := standin2.NewID()
+				id := NewID()
 				mu.Lock()
 				entryOf[id] = e.Name
 				mu.Unlock()
-				a := w.Do(e, standin2.Request{ID: id, Method: http.MethodGet, Host: host, Path: "/look/1", Key: "key-a", Deadline: 2500 * time.Millisecond})
+				a := w.Do(e, Request{ID: id, Method: http.MethodGet, Host: host, Path: "/look/1", Key: "key-a", Deadline: 2500 * time.Millisecond})
 				mu.Lock()
 				if a.Status == http.StatusOK {
 					served++
@@ -110,12 +105,7 @@
 		return fail(errors.New("no request was served"))
 	}
 	if broken {
-		return standin2.Broken
+		return Broken
 	}
-	return standin2.Held
-}
-
-func fail(err error) int {
-	fmt.Println(err)
-	return standin2.CannotRun
+	return Held
 }
--- a/review/6/main.go
+++ b/review/standin2/platform/case6.go
@@ -1,5 +1,3 @@
-// Command 6 makes the channels between entries and the store go silent, and then takes
-// a key away. It reports the requests with that key that are run too late.
 package main
 
 import (
@@ -9,8 +7,6 @@
 	"os"
 	"sync"
 	"time"
-
-	"github.com/coltsfootcleat/coltsfootcleat/review/standin2"
 )
 
 // Bounds of the settings.
@@ -19,8 +15,6 @@
 	configApply = 2 * time.Second
 )
 
-const host = "shop.example"
-
 func configuration(version int, keys ...string) map[string]any {
 	return map[string]any{
 		"version": version,
@@ -34,11 +28,11 @@
 	}
 }
 
-func main() { os.Exit(run()) }
-
-func run() int {
-	rec := standin2.NewRecord()
-	w, err := standin2.NewWorld(rec)
+// case6 makes the channels between entries and the store go silent, and then takes
+// a key away. It reports the requests with that key that are run too late.
+func case6() int {
+	rec := NewRecord()
+	w, err := NewWorld(rec)
 	if err != nil {
 		return fail(err)
 	}
@@ -80,7 +74,7 @@
 	for _, e := range w.Entries {
 		wg.Go(func() {
 			for time.Now().Before(end) {
-				a := w.Do(e, standin2.Request{ID: standin2.NewID(), Method: http.MethodGet, Host: host, Path: "/look/1", Key: "key-revoked", Deadline: 2500 * time.Millisecond})
+				a := w.Do(e, Request{ID: NewID(), Method: http.MethodGet, Host: host, Path: "/look/1", Key: "key-revoked", Deadline: 2500 * time.Millisecond})
 				if a.Sent > acked+configApply {
 					mu.Lock()
 					late++
@@ -90,7 +84,7 @@
 					}
 					mu.Unlock()
 				}
-				other := w.Do(e, standin2.Request{ID: standin2.NewID(), Method: http.MethodGet, Host: host, Path: "/look/1", Key: "key-kept", Deadline: 2500 * time.Millisecond})
+				other := w.Do(e, Request{ID: NewID(), Method: http.MethodGet, Host: host, Path: "/look/1", Key: "key-kept", Deadline: 2500 * time.Millisecond})
 				if other.Status == http.StatusOK {
 					mu.Lock()
 					kept++
@@ -114,12 +108,7 @@
 		return fail(errors.New("no request was sent, or none with the other key was served"))
 	}
 	if served > 0 {
-		return standin2.Broken
+		return Broken
 	}
-	return standin2.Held
-}
-
-func fail(err error) int {
-	fmt.Println(err)
-	return standin2.CannotRun
+	return Held
 }
--- a/review/9/main.go
+++ b/review/standin2/platform/case9.go
@@ -1,5 +1,3 @@
-// Command 9 takes the last tenant out of the config. It reports the requests with keys
-// that no config in force holds that replicas run.
 package main
 
 import (
@@ -8,21 +6,15 @@
 	"net/http"
 	"os"
 	"time"
-
-	"github.com/coltsfootcleat/coltsfootcleat/review/standin2"
 )
 
-// Bounds of the settings.
-const configApply = 2 * time.Second
-
 const (
-	host = "shop.example"
 	// removedKey is that of the tenant that is removed. No config ever held unknownKey.
 	removedKey, unknownKey = "key-of-house-a", "key-of-nobody"
 	rounds                 = 30
 )
 
-func configuration(version int, tenants ...any) map[string]any {
+func configurationFor(version int, tenants ...any) map[string]any {
 	if tenants == nil {
 		tenants = []any{}
 	}
@@ -38,16 +30,16 @@
 	}
 }
 
-func main() { os.Exit(run()) }
-
-func run() int {
-	rec := standin2.NewRecord()
-	w, err := standin2.NewWorld(rec)
+// case9 takes the last tenant out of the config. It reports the requests with keys
+// that no config in force holds that replicas run.
+func case9() int {
+	rec := NewRecord()
+	w, err := NewWorld(rec)
 	if err != nil {
 		return fail(err)
 	}
 	defer w.Close()
-	w.Store.Put("op", "config", configuration(1, map[string]any{"name": "house-a", "api_keys": []string{removedKey}}))
+	w.Store.Put("op", "config", configurationFor(1, map[string]any{"name": "house-a", "api_keys": []string{removedKey}}))
 	for _, id := range []string{"i-1", "i-2"} {
 		if _, err := w.Replica(id, "desk", 5*time.Millisecond); err != nil {
 			return fail(err)
@@ -66,7 +58,7 @@
 	// Without the disruption, removedKey stays valid and only unknownKey is asked with.
 	keys := []string{unknownKey}
 	if os.Getenv("TROUBLE") != "0" {
-		w.Store.Put("op", "config", configuration(2))
+		w.Store.Put("op", "config", configurationFor(2))
 		rec.Note("version 2, without the tenant, is acknowledged")
 		keys = append(keys, removedKey)
 	}
@@ -97,25 +89,20 @@
 		return fail(errors.New("requests with the tenant's key were not served before it was removed"))
 	}
 	if runs > 0 {
-		return standin2.Broken
+		return Broken
 	}
-	return standin2.Held
+	return Held
 }
 
 // order sends an order with a key to each entry, and returns how many were answered with
 // success.
-func order(w *standin2.World, key string) int {
+func order(w *World, key string) int {
 	served := 0
 	for _, e := range w.Entries {
-		a := w.Do(e, standin2.Request{ID: standin2.NewID(), Method: http.MethodPost, Host: host, Path: "/order/1", Key: key, Body: "candles", Deadline: 2500 * time.Millisecond})
+		a := w.Do(e, Request{ID: NewID(), Method: http.MethodPost, Host: host, Path: "/order/1", Key: key, Body: "candles", Deadline: 2500 * time.Millisecond})
 		if a.Status == http.StatusOK {
 			served++
 		}
 	}
 	return served
 }
-
-func fail(err error) int {
-	fmt.Println(err)
-	return standin2.CannotRun
-}
--- a/review/standin2/record.go
+++ b/review/standin2/platform/record.go
@@ -1,4 +1,4 @@
-package standin2
+package main
 
 import (
 	"bufio"
