upstream: an answer without a length is incomplete if its connection ends within the request

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the request is written and the answer read on two goroutines. The kernel reports a reset to one call only. If that is the write, the next read returns the end of the connection, which marks the end of an answer without a length or chunks. The error of the write was looked at only to decide whether the connection can be reused.

Ruled out: a chunked answer or one with a length, since its end is in the answer itself (TestAnswersOfFaultyReplicas); a short request, which is written before the answer is read.

Change: at the end of a body that the close of the connection marks, Answer.Read waits until the write has ended and returns its error, if it has one. A replica that answers early and goes on reading still gives a complete answer. One that closes its half of the connection and reads no further gives none before the deadline: nothing tells its answer from a broken one.

--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -45,6 +45,10 @@
 // the first byte of the answer.
 var ErrNoAnswer = errors.New("connection broke off before the answer")
 
+// errEarlyEnd is returned at the end of a body that the close of the connection marks,
+// if the request was not written completely.
+var errEarlyEnd = errors.New("connection ended before the request was written")
+
 // errMisdelivered is returned if too many answers belong to other requests, or
 // if the end of such an answer can't be found.
 var errMisdelivered = errors.New("answer belongs to another request")
@@ -280,12 +284,25 @@
 // or when a connection that marks the end is closed in order.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
-	if errors.Is(err, io.EOF) {
-		a.readToEnd = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if a.Framing == FramedByConnection {
+		if err := a.waitWritten(); err != nil {
+			return n, fmt.Errorf("%w: %w", errEarlyEnd, err)
+		}
 	}
+	a.readToEnd = true
 	return n, err
 }
 
+// waitWritten waits until the write of the request has ended, and returns its error. A
+// connection reports a reset only once: if it does so to the write, a read returns io.EOF.
+func (a *Answer) waitWritten() error {
+	<-a.write.done
+	return a.write.err
+}
+
 // Discard reads the rest of a body that is not used, up to a limit, so that the
 // connection can be reused.
 func (a *Answer) Discard() error {
