sendonce: a reply without a length is incomplete if its connection ends within the call

What callers saw: a plain service that answers a long call at once without a length, sends a part and resets the connection gave them that part as its complete reply, with the verdict that the call ran.

Cause: net/http writes the call and reads the reply on two goroutines, too. If the write is told of the reset, the read gets the end of the connection, which ends such a body in order.

Ruled out: the calls whose answers are decoded. The part of a JSON text or of a stream of frames without its end mark is an error already.

Change: the body of an answer of SendOnce that ends with its connection returns io.EOF only if net/http has written and flushed the request. net/http closes the connection at that moment, so that a service that answers early without a length must have read the call.

--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -70,15 +70,17 @@
 
 // SendOnce sends the request at most once. If it fails, the second result
 // reports whether any byte may have been written; false guarantees that none
-// was. Redirects are not followed.
+// was. Redirects are not followed. The body of the answer returns io.EOF only at its
+// end; one that ends with its connection has none before the request is written.
 func (t *Transport) SendOnce(req *http.Request) (*http.Response, bool, error) {
 	var used *trackedConn
+	write := newRequestWrite()
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used, _ = info.Conn.(*trackedConn)
 		if used != nil {
 			used.beginRequest()
 		}
-	}}
+	}, WroteRequest: write.ended}
 	sent := req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	sent.GetBody = nil
 	if sent.Body == nil || sent.Body == http.NoBody {
@@ -86,6 +88,9 @@
 	}
 	resp, err := t.http.RoundTrip(sent)
 	if err == nil {
+		if endsWithConnection(resp) {
+			resp.Body = &connectionBody{resp.Body, used, write}
+		}
 		return resp, true, nil
 	}
 	if used == nil {
@@ -132,6 +137,10 @@
 	written bool
 	// aborted makes all further writes fail.
 	aborted bool
+
+	// writing is held during a write. writeErr is the error of the first failed one.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // Write implements net.Conn.
@@ -139,7 +148,20 @@
 	if err := c.markWritten(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// writeError waits for a write in progress and returns the error of the first failed one.
+func (c *trackedConn) writeError() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr
 }
 
 // markWritten records a write. It must be called before the write, because a
