upstream: an answer with a status below 100 is a failure

Cause: http.ReadResponse accepts each status of three characters that is a number from 0 on, and receive took every status below 200 for an informational answer. It has no body, so that the next bytes, the body of the 000, were read as the answer.

Change: package response rejects such a status, before the answer is matched with its request. The connection is closed and the request has failed: it may have run. A status above 599 is passed on as before, since RFC 9110 lets clients treat it like 500.

Before: 22 of 30 cases of TestAnswerWithoutAValidStatusIsAFailure fail, with 504 after the whole time-out, or, where the body is an answer, with its bytes and status 200. After: all pass.

--- /dev/null
+++ b/gateway/malformed_answer_test.go
@@ -0,0 +1,80 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// answerRaw sends the given bytes, with ID replaced by that of the request, and keeps the
+// connection.
+func answerRaw(text string) script {
+	return func(nc net.Conn, req *http.Request) bool {
+		_, err := io.WriteString(nc, strings.ReplaceAll(text, "ID", req.Header.Get("Id")))
+		return err == nil
+	}
+}
+
+// malformedAnswer is an answer that no part of may reach a client.
+type malformedAnswer struct{ name, text string }
+
+// answersWithoutStatus have a status below 100, which HTTP doesn't define.
+var answersWithoutStatus = []malformedAnswer{
+	{"status 000", "HTTP/1.1 000 X\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+	{"status 000 without a body", "HTTP/1.1 000 X\r\nId: ID\r\nContent-Length: 0\r\n\r\n"},
+	{"status 000 in chunks", "HTTP/1.1 000 X\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
+	{"status 000 and a line", "HTTP/1.1 000 X\r\nId: ID\r\nContent-Length: 5\r\n\r\nbad\r\n"},
+	{"status 000 with an answer as its body", "HTTP/1.1 000 X\r\nId: ID\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+	{"status 000 as a refusal", "HTTP/1.1 000 X\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+	{"status 000 to another request", "HTTP/1.1 000 X\r\nId: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+	{"status 099", "HTTP/1.1 099 X\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+	{"status -00", "HTTP/1.1 -00 X\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+	{"status +20", "HTTP/1.1 +20 X\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+}
+
+// checkMalformed checks that a client gets neither a malformed answer nor a part of it, and
+// the failure or the answer of another replica as soon as it has arrived.
+func checkMalformed(t *testing.T, answers []malformedAnswer) {
+	const soon = 100 * time.Millisecond
+	for _, test := range answers {
+		for _, path := range []string{"/once/x", "/stream/x"} {
+			t.Run(test.name+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := newTestEntry(t, testConfiguration(), answerRaw(test.text))
+					began := time.Now()
+					resp, body, err := e.get(t, path)
+					qt.Assert(t, resp, qt.IsNotNil, qt.Commentf("%v", err))
+					qt.Check(t, resp.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("%q", body))
+					qt.Check(t, time.Since(began) < soon, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+				})
+			})
+		}
+		t.Run(test.name+"/then another replica", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				both := inTurn(answerRaw(test.text), answerOK)
+				e := newTestEntry(t, testConfiguration(), both, both)
+				for range 2 {
+					began := time.Now()
+					resp, body, err := e.get(t, "/safe/x")
+					qt.Assert(t, err, qt.IsNil)
+					qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+					qt.Check(t, body, qt.Equals, "good")
+					qt.Check(t, time.Since(began) < soon, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+				}
+				qt.Check(t, e.receivedCount(), qt.Equals, 3)
+			})
+		})
+	}
+}
+
+// Guards against an answer without a valid status being skipped as an informational one,
+// whose body is then taken for the answer, or waited for.
+func TestAnswerWithoutAValidStatusIsAFailure(t *testing.T) {
+	checkMalformed(t, answersWithoutStatus)
+}
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/response"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -244,6 +245,9 @@
 	for skipped := 0; ; {
 		begun := c.reader.Buffered() > 0
 		resp, err := http.ReadResponse(c.reader, req)
+		if err == nil {
+			err = response.Check(resp)
+		}
 		if err != nil && (begun || c.bound.left < maxHeadBytes) {
 			return nil, fmt.Errorf("%w: %w", ErrAnswerBegun, err)
 		}
--- /dev/null
+++ b/internal/response/response.go
@@ -0,0 +1,24 @@
+// Package response rejects HTTP responses that net/http accepts although HTTP doesn't
+// allow them. All clients of the system use it, before they use any part of a response.
+// Its functions have no state. The rules are those of RFC 9110 and RFC 9112.
+package response
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Check returns an error if the status line or the header of a response is invalid. The
+// end of the response is unknown then, so that its connection can't be used any more.
+func Check(resp *http.Response) error {
+	return checkStatus(resp.StatusCode)
+}
+
+// checkStatus returns an error for a status below 100. A status above 599 is invalid as
+// well, but RFC 9110 lets clients treat it like 500.
+func checkStatus(status int) error {
+	if status < http.StatusContinue {
+		return fmt.Errorf("malformed HTTP status code %03d", status)
+	}
+	return nil
+}
