sendonce: an answer with a status below 100 is an error

What callers saw: the reply of a plain service with status 000 or 099 counted as its reply. In the client of the store such an answer was a failure, but the epoch that it stated was recorded, and answers of an earlier epoch are refused from then on.

Change: Transport rejects the answer before any part of it is read, for both ways to send. That covers the store, the registry, the cloud, the platform of the other deployments, the engines and the plain services.

--- a/endpoint/rest/broken_reply_test.go
+++ b/endpoint/rest/broken_reply_test.go
@@ -66,3 +66,20 @@
 		})
 	}
 }
+
+// Guards against a reply that isn't valid HTTP counting as the reply of the service.
+func TestMalformedReplyIsAFailure(t *testing.T) {
+	for _, test := range []struct{ name, reply string }{
+		{"status 000", "HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad"},
+		{"status 000 without a length", "HTTP/1.1 000 X\r\n\r\nbad"},
+		{"status 099 without a body", "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got, err := callRaw(t, test.reply, nil, 0)
+				qt.Assert(t, err, qt.IsNotNil, qt.Commentf("status %d with %q", got.Status, got.Body))
+				qt.Check(t, verdict.Of(err), qt.Equals, verdict.MayHaveRun)
+			})
+		})
+	}
+}
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -21,6 +21,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/response"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
 
@@ -86,7 +87,7 @@
 	if sent.Body == nil || sent.Body == http.NoBody {
 		sent.Body = io.NopCloser(strings.NewReader(""))
 	}
-	resp, err := t.http.RoundTrip(sent)
+	resp, err := t.roundTrip(sent)
 	if err == nil {
 		if endsWithConnection(resp) {
 			resp.Body = &connectionBody{resp.Body, used, write}
@@ -113,10 +114,23 @@
 func (t *Transport) SendRepeatable(req *http.Request) (*http.Response, bool, error) {
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := t.roundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	return resp, connected, err
 }
 
+// roundTrip sends a request by net/http. A malformed answer is an error.
+func (t *Transport) roundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.http.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := response.Check(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
 // trackWrites returns a Dial whose connections are of type trackedConn.
 func trackWrites(dial Dial) Dial {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
