operatorapi: an answer with a status below 100 is an error

What operators saw: a call of the operators' interface that was answered with status 000 counted as done, and the body of the answer as the state of the deployment.

Cause: the client of that interface took only statuses from 400 on for failures.

Change: it rejects such an answer, as the other clients do: an order may have run. The list of roll-outs (status -rollouts) accepts only status 200, and is left as it is.

Before: TestBrokenAnswerIsNotUsed fails for both statuses. The part of a body was an error already, as it is no JSON. After: all pass.

--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/coltsfootcleat/coltsfootcleat/internal/response"
 	"github.com/coltsfootcleat/coltsfootcleat/template"
 	"github.com/coltsfootcleat/coltsfootcleat/verdict"
 )
@@ -143,6 +144,9 @@
 		return out, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "%w", err)
 	}
 	defer resp.Body.Close()
+	if err := response.Check(resp); err != nil {
+		return out, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "%s %s: %w", method, path, err)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
 	if err != nil {
 		return out, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "read response: %w", err)
