response: an answer with a blank in the name of a header field is a failure

What callers saw: a replica in trouble sent an answer in whose header a name held a blank. If the line states the length or the chunks of the body, the client got a body that was not the replica's, such as "3\r\nbad\r\n0\r\n\r\n". A refusal of that kind was believed, an answer to another request skipped, up to an end that nobody had stated.

Cause: net/textproto accepts blanks in a name and keeps the name as it is. "Content-Length " is then a header of its own and states no length. RFC 9112, section 5.1, allows no blank there.

Ruled out: a control byte, a tab or a byte above 126 in a name, an empty name, and a blank before the first name. net/textproto rejects each of them; their cases passed before.

Change: response.Check, which all clients call before they use an answer, rejects a name that is no token, by httpguts of golang.org/x/net. The list of roll-outs calls it as well.

--- a/cmd/coltsfootcleat/rollouts.go
+++ b/cmd/coltsfootcleat/rollouts.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/rollout"
+	"github.com/coltsfootcleat/coltsfootcleat/internal/response"
 )
 
 // rolloutsLeftOut is the reason that is printed if only the stage is known.
@@ -27,6 +28,9 @@
 		return fmt.Errorf("read roll-outs: %w", err)
 	}
 	defer resp.Body.Close()
+	if err := response.Check(resp); err != nil {
+		return fmt.Errorf("read roll-outs: %w", err)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("read roll-outs: status %d", resp.StatusCode)
 	}
--- a/endpoint/rest/broken_reply_test.go
+++ b/endpoint/rest/broken_reply_test.go
@@ -73,6 +73,8 @@
 		{"status 000", "HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad"},
 		{"status 000 without a length", "HTTP/1.1 000 X\r\n\r\nbad"},
 		{"status 099 without a body", "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n"},
+		{"blank after the transfer encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nA\x01: c\r\nContent-Length: 3\r\n\r\nbad"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/gateway/malformed_answer_test.go
+++ b/gateway/malformed_answer_test.go
@@ -38,6 +38,25 @@
 	{"status +20", "HTTP/1.1 +20 X\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
 }
 
+// answersWithMalformedNames have a blank or a control byte in the name of a header field.
+var answersWithMalformedNames = []malformedAnswer{
+	{"blank in a name", "HTTP/1.1 200 OK\r\nId: ID\r\nA B: c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"blank after a name", "HTTP/1.1 200 OK\r\nId: ID\r\nA : c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"blank after the length", "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length : 3\r\n\r\nbad"},
+	{"blank after one of two lengths", "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 3\r\nContent-Length : 30\r\n\r\nbad"},
+	{"blank after the transfer encoding", "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding : chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
+	{"blank before the first name", "HTTP/1.1 200 OK\r\n A: c\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+	{"tab after a name", "HTTP/1.1 200 OK\r\nId: ID\r\nA\t: c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\nId: ID\r\nA\x01B: c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"null byte in a name", "HTTP/1.1 200 OK\r\nId: ID\r\nA\x00: c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"carriage return in a name", "HTTP/1.1 200 OK\r\nId: ID\r\nA\rB: c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"delete byte in a name", "HTTP/1.1 200 OK\r\nId: ID\r\nA\x7f: c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"empty name", "HTTP/1.1 200 OK\r\nId: ID\r\n: c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"blank in a name of a refusal", "HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\nA B: c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"blank in a name of an answer to another request", "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding : chunked\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+	{"blank in a name of an informational answer", "HTTP/1.1 102 Processing\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+}
+
 // checkMalformed checks that a client gets neither a malformed answer nor a part of it, and
 // the failure or the answer of another replica as soon as it has arrived.
 func checkMalformed(t *testing.T, answers []malformedAnswer) {
@@ -78,3 +97,9 @@
 func TestAnswerWithoutAValidStatusIsAFailure(t *testing.T) {
 	checkMalformed(t, answersWithoutStatus)
 }
+
+// Guards against an answer whose header is read in another way than the replica meant it: a
+// line that is ignored may state where the body ends.
+func TestAnswerWithAMalformedFieldNameIsAFailure(t *testing.T) {
+	checkMalformed(t, answersWithMalformedNames)
+}
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -6,12 +6,17 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Check returns an error if the status line or the header of a response is invalid. The
 // end of the response is unknown then, so that its connection can't be used any more.
 func Check(resp *http.Response) error {
-	return checkStatus(resp.StatusCode)
+	if err := checkStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return checkNames(resp.Header)
 }
 
 // checkStatus returns an error for a status below 100. A status above 599 is invalid as
@@ -22,3 +27,14 @@
 	}
 	return nil
 }
+
+// checkNames returns an error for a field name that is no token. net/http keeps a name
+// with blanks as it is, so that "Content-Length " states no length.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("malformed HTTP header field name %q", name)
+		}
+	}
+	return nil
+}
--- a/internal/sendonce/malformed_test.go
+++ b/internal/sendonce/malformed_test.go
@@ -18,6 +18,9 @@
 	for _, test := range []struct{ name, answer string }{
 		{"status 000", "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok"},
 		{"status 099", "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok"},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 2\r\n\r\nok"},
+		{"blank after a name", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok"},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nA\x01: c\r\nContent-Length: 2\r\n\r\nok"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/operatorapi/malformed_test.go
+++ b/operatorapi/malformed_test.go
@@ -21,6 +21,8 @@
 		{"part of a body without a length", "HTTP/1.1 200 OK\r\n\r\n" + drains[:len(drains)/2]},
 		{"status 000", fmt.Sprintf("HTTP/1.1 000 X\r\nContent-Length: %d\r\n\r\n%s", len(drains), drains)},
 		{"status 099", "HTTP/1.1 099 X\r\n\r\n" + drains},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nA B: c\r\n\r\n" + drains},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nA\x01: c\r\n\r\n" + drains},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
