upstream: an answer with a header line that begins with a blank is a failure

What callers saw: a replica's answer with a line such as " Transfer-Encoding: chunked" in its header reached its client as an answer, with that line at the end of the field before it, and with the bytes of the chunks as the body.

Cause: net/textproto joins such a line with the one before, as RFC 9112, section 5.2, allows for a folded value. After that nothing tells that there were two lines.

Change: the reader of a connection to a replica looks at the bytes of the header as they arrive. An answer with such a line has failed and may have run; the same section of the RFC lets a gateway answer with 502. The clients of the store, the cloud and the plain services go on joining the lines, as that section also allows.

TestBodyWithIndentedLinesIsRelayed fails if the look doesn't end with the header.

--- a/gateway/malformed_answer_test.go
+++ b/gateway/malformed_answer_test.go
@@ -57,6 +57,17 @@
 	{"blank in a name of an informational answer", "HTTP/1.1 102 Processing\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
 }
 
+// answersWithFoldedLines have a header line that begins with a blank or a tab.
+var answersWithFoldedLines = []malformedAnswer{
+	{"blank before a name", "HTTP/1.1 200 OK\r\nId: ID\r\n A: c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"blank before the transfer encoding", "HTTP/1.1 200 OK\r\nId: ID\r\nA: c\r\n Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
+	{"tab before the length", "HTTP/1.1 200 OK\r\nId: ID\r\nA: c\r\n\tContent-Length: 3\r\n\r\nbad"},
+	{"blank as the name", "HTTP/1.1 200 OK\r\nId: ID\r\nA: c\r\n : c\r\nContent-Length: 3\r\n\r\nbad"},
+	{"folded line of an answer to another request", "HTTP/1.1 200 OK\r\nId: other\r\n Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 3\r\n\r\nbad"},
+	{"folded line after an informational answer", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nA: c\r\n Content-Length: 3\r\n\r\nbad"},
+	{"folded line with other line ends", "HTTP/1.1 200 OK\nId: ID\nA: c\n Content-Length: 3\n\nbad"},
+}
+
 // checkMalformed checks that a client gets neither a malformed answer nor a part of it, and
 // the failure or the answer of another replica as soon as it has arrived.
 func checkMalformed(t *testing.T, answers []malformedAnswer) {
@@ -103,3 +114,24 @@
 func TestAnswerWithAMalformedFieldNameIsAFailure(t *testing.T) {
 	checkMalformed(t, answersWithMalformedNames)
 }
+
+// Guards against a header line that begins with a blank being joined with the line before,
+// although it may state where the body ends.
+func TestAnswerWithAFoldedLineIsAFailure(t *testing.T) {
+	checkMalformed(t, answersWithFoldedLines)
+}
+
+// Guards against blank lines or indented lines of a body being taken for those of a header.
+func TestBodyWithIndentedLinesIsRelayed(t *testing.T) {
+	const text = "a\n b\n\n\tc\r\n d"
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t, testConfiguration(), answerRaw("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\n\n x"+
+			"HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 12\r\n\r\n"+text))
+		for range 2 {
+			resp, body, err := e.get(t, "/once/x")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+			qt.Check(t, body, qt.Equals, text)
+		}
+	})
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connect to %s: %w", addr, err)
 	}
-	bound := &boundedReader{from: nc, left: math.MaxInt64}
+	bound := &boundedReader{from: nc, left: math.MaxInt64, head: headScanner{ended: true}}
 	return &conn{Conn: nc, addr: addr, opened: time.Now(), idleDeadline: time.Now().Add(defaultIdleTimeout), reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout}, nil
 }
 
@@ -145,6 +145,8 @@
 type boundedReader struct {
 	from io.Reader
 	left int64
+	// head is given all bytes that are read.
+	head headScanner
 }
 
 // set bounds the bytes to read from now on. Bytes that are already buffered
@@ -160,6 +162,7 @@
 	}
 	n, err := b.from.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
+	b.head.scan(p[:n])
 	return n, err
 }
 
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -244,10 +244,7 @@
 	c.bound.set(maxHeadBytes)
 	for skipped := 0; ; {
 		begun := c.reader.Buffered() > 0
-		resp, err := http.ReadResponse(c.reader, req)
-		if err == nil {
-			err = response.Check(resp)
-		}
+		resp, err := c.readResponse(req)
 		if err != nil && (begun || c.bound.left < maxHeadBytes) {
 			return nil, fmt.Errorf("%w: %w", ErrAnswerBegun, err)
 		}
@@ -273,6 +270,24 @@
 	}
 }
 
+// readResponse reads an answer up to the end of its header. A malformed one is an error.
+func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
+	c.bound.head = headScanner{}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.bound.head.scan(buffered)
+	resp, err := http.ReadResponse(c.reader, req)
+	switch {
+	case err != nil:
+		return nil, err
+	case c.bound.head.folded:
+		return nil, errFoldedLine
+	}
+	return resp, response.Check(resp)
+}
+
 // newAnswer returns the Answer of a response. clean is false if answers to
 // other requests arrived on the connection.
 func (p *Pool) newAnswer(c *conn, resp *http.Response, clean bool) *Answer {
