--- a/gateway/upstream/doc.go
+++ b/gateway/upstream/doc.go
@@ -6,5 +6,5 @@
 // many requests at once. A request is never sent twice, and a connection serves
 // one request at a time. Answers that belong to another request are skipped. A
 // connection is closed instead of reused if such an answer arrived on it, if
-// the answer was truncated, or if the request was not written completely.
+// the answer was truncated or malformed, or if the request was not written completely.
 package upstream
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -145,7 +145,7 @@
 type boundedReader struct {
 	from io.Reader
 	left int64
-	// head is given all bytes that are read.
+	// head scans all bytes that are read.
 	head headScanner
 }
 
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -39,8 +39,8 @@
 var errTooLong = errors.New("replica sends bytes without an end")
 
 // ErrAnswerBegun is wrapped by the error of a request whose answer broke off in its
-// status line or header.
-var ErrAnswerBegun = errors.New("answer broke off in its header")
+// status line or header, or has a malformed one.
+var ErrAnswerBegun = errors.New("header of the answer is incomplete or malformed")
 
 // ErrNoAnswer is wrapped by the error of a request whose connection broke off before
 // the first byte of the answer.
@@ -139,7 +139,7 @@
 
 // Send sends a request once and waits for the header of its answer. An error
 // has the verdict NotRun if no byte was written, else MayHaveRun; it wraps
-// ErrAnswerBegun if a part of the header has arrived, or ErrNoAnswer if the
+// ErrAnswerBegun if the header is incomplete or malformed, or ErrNoAnswer if the
 // connection failed before. That of r.Check is returned
 // unchanged. When ctx ends, the connection is closed at once, even while the body of
 // the answer is being read.
@@ -279,13 +279,16 @@
 	}
 	c.bound.head.scan(buffered)
 	resp, err := http.ReadResponse(c.reader, req)
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil, err
-	case c.bound.head.folded:
+	}
+	if c.bound.head.folded {
 		return nil, errFoldedLine
 	}
-	return resp, response.Check(resp)
+	if err := response.Check(resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // newAnswer returns the Answer of a response. clean is false if answers to
@@ -315,8 +318,9 @@
 	return n, err
 }
 
-// waitWritten waits until the write of the request has ended, and returns its error. A
-// connection reports a reset only once: if it does so to the write, a read returns io.EOF.
+// waitWritten waits until the write of the request has ended, at the latest at its deadline,
+// and returns its error. A connection reports a reset only once: if it does so to the write,
+// a read returns io.EOF.
 func (a *Answer) waitWritten() error {
 	<-a.write.done
 	return a.write.err
--- a/internal/sendonce/body.go
+++ b/internal/sendonce/body.go
@@ -28,8 +28,8 @@
 	write *requestWrite
 }
 
-// Read implements io.Reader. It doesn't wait for long at the end: net/http has closed the
-// connection then, which ends the write of the request.
+// Read implements io.Reader. Its wait at the end is short: net/http closes the connection
+// there, which ends the write of the request.
 func (b *connectionBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if !errors.Is(err, io.EOF) {
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -71,17 +71,20 @@
 
 // SendOnce sends the request at most once. If it fails, the second result
 // reports whether any byte may have been written; false guarantees that none
-// was. Redirects are not followed. The body of the answer returns io.EOF only at its
-// end; one that ends with its connection has none before the request is written.
+// was. Redirects are not followed. A body that ends with its connection is incomplete
+// if that ends before the request is written.
 func (t *Transport) SendOnce(req *http.Request) (*http.Response, bool, error) {
 	var used *trackedConn
 	write := newRequestWrite()
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		used, _ = info.Conn.(*trackedConn)
-		if used != nil {
-			used.beginRequest()
-		}
-	}, WroteRequest: write.ended}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			used, _ = info.Conn.(*trackedConn)
+			if used != nil {
+				used.beginRequest()
+			}
+		},
+		WroteRequest: write.ended,
+	}
 	sent := req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	sent.GetBody = nil
 	if sent.Body == nil || sent.Body == http.NoBody {
