--- a/gateway/early_answer_test.go
+++ b/gateway/early_answer_test.go
@@ -15,7 +15,7 @@
 	"github.com/coltsfootcleat/coltsfootcleat/gateway/replica"
 )
 
-// longUpload doesn't fit into the buffers of a connection.
+// longUpload is longer than what a connection buffers.
 var longUpload = strings.Repeat("u", 1<<20)
 
 // newEntryWithEarlyReplica returns an entry whose only replica answers as soon as the
@@ -61,8 +61,8 @@
 	}
 }
 
-// Guards against the refusal of an answer without a length that began before the replica
-// had read the request, but ended after it.
+// Guards against a complete answer without a length being rejected because the replica
+// began it before it had read the request.
 func TestEarlyAnswerIsCompleteOnceTheRequestIsWritten(t *testing.T) {
 	for _, test := range []struct{ path, answer string }{
 		{"/once/x", "whole"},
--- a/gateway/malformed_answer_test.go
+++ b/gateway/malformed_answer_test.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// malformedAnswer is an answer that no part of may reach a client.
+// malformedAnswer is an answer of which no part may reach a client.
 type malformedAnswer struct{ name, text string }
 
 // answersWithoutStatus have a status below 100, which HTTP doesn't define.
@@ -68,8 +68,8 @@
 	{"folded line with other line ends", "HTTP/1.1 200 OK\nId: ID\nA: c\n Content-Length: 3\n\nbad"},
 }
 
-// checkMalformed checks that a client gets neither a malformed answer nor a part of it, and
-// the failure or the answer of another replica as soon as it has arrived.
+// checkMalformed checks that a client doesn't get a malformed answer, but without delay
+// either a failure or, if the request may be repeated, the answer of another replica.
 func checkMalformed(t *testing.T, answers []malformedAnswer) {
 	const soon = 100 * time.Millisecond
 	for _, test := range answers {
@@ -103,14 +103,14 @@
 	}
 }
 
-// Guards against an answer without a valid status being skipped as an informational one,
-// whose body is then taken for the answer, or waited for.
+// Guards against an answer without a valid status being skipped like an informational one,
+// so that its body is parsed as the next answer.
 func TestAnswerWithoutAValidStatusIsAFailure(t *testing.T) {
 	checkMalformed(t, answersWithoutStatus)
 }
 
-// Guards against an answer whose header is read in another way than the replica meant it: a
-// line that is ignored may state where the body ends.
+// Guards against a malformed header line being ignored, although it may state where the
+// body ends.
 func TestAnswerWithAMalformedFieldNameIsAFailure(t *testing.T) {
 	checkMalformed(t, answersWithMalformedNames)
 }
--- a/gateway/upstream/head.go
+++ b/gateway/upstream/head.go
@@ -7,17 +7,16 @@
 // lost. RFC 9112, section 5.2, lets a gateway reject such an answer.
 var errFoldedLine = errors.New("header line begins with a blank")
 
-// headScanner looks for folded lines in the status line and header of an answer, whose
-// bytes it is given in order.
+// headScanner looks for folded lines in the head of an answer: its status line and header.
 type headScanner struct {
 	// lineBegins is set if the next byte begins a line.
 	lineBegins bool
 	folded     bool
-	// ended is set after the empty line, and before the first head.
+	// ended is set after the empty line that ends the head, and while no head is expected.
 	ended bool
 }
 
-// scan looks at the next bytes. Those after the empty line are ignored.
+// scan scans the next bytes of the connection. It ignores those after the head.
 func (s *headScanner) scan(p []byte) {
 	for _, b := range p {
 		switch {
@@ -28,7 +27,7 @@
 		case s.lineBegins && (b == ' ' || b == '\t'):
 			s.folded, s.lineBegins = true, false
 		case s.lineBegins && b == '\r':
-			// It is part of the end of an empty line.
+			// The line is empty if a line feed follows.
 		default:
 			s.lineBegins = b == '\n'
 		}
--- a/gateway/upstream/send.go
+++ b/gateway/upstream/send.go
@@ -319,8 +319,8 @@
 }
 
 // waitWritten waits until the write of the request has ended, at the latest at its deadline,
-// and returns its error. A connection reports a reset only once: if it does so to the write,
-// a read returns io.EOF.
+// and returns its error. The kernel reports a reset to one call only: if the write fails
+// with it, the next read returns io.EOF.
 func (a *Answer) waitWritten() error {
 	<-a.write.done
 	return a.write.err
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -1,6 +1,7 @@
 // Package response rejects HTTP responses that net/http accepts although HTTP doesn't
-// allow them. All clients of the system use it, before they use any part of a response.
-// Its functions have no state. The rules are those of RFC 9110 and RFC 9112.
+// allow them. The clients of replicas, services, the platform and the operators' interface
+// call it before they use any part of a response. The rules are those of RFC 9110 and RFC
+// 9112. Its functions have no state.
 package response
 
 import (
@@ -10,8 +11,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// Check returns an error if the status line or the header of a response is invalid. The
-// end of the response is unknown then, so that its connection can't be used any more.
+// Check returns an error if the status line or the header of a response is invalid. It is
+// then unknown where the response ends, so the connection must be closed.
 func Check(resp *http.Response) error {
 	if err := checkStatus(resp.StatusCode); err != nil {
 		return err
--- a/internal/sendonce/body.go
+++ b/internal/sendonce/body.go
@@ -20,16 +20,16 @@
 }
 
 // connectionBody is the body of an answer that ends with its connection. It returns
-// io.EOF only if the request was written completely. A connection reports a reset only
-// once: if it does so to the write, a read returns io.EOF.
+// io.EOF only if the request was written completely. The kernel reports a reset to one
+// call only: if the write fails with it, the next read returns io.EOF.
 type connectionBody struct {
 	io.ReadCloser
 	conn  *trackedConn
 	write *requestWrite
 }
 
-// Read implements io.Reader. Its wait at the end is short: net/http closes the connection
-// there, which ends the write of the request.
+// Read implements io.Reader. At the end of the body, net/http closes the connection, which
+// ends a write that is still in progress.
 func (b *connectionBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if !errors.Is(err, io.EOF) {
@@ -37,7 +37,7 @@
 	}
 	cause := b.write.wait()
 	if cause == nil {
-		// net/http flushes the end of the request after it was written.
+		// net/http reports a request as written before it flushes its buffer.
 		cause = b.conn.writeError()
 	}
 	if cause != nil {
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -71,8 +71,8 @@
 
 // SendOnce sends the request at most once. If it fails, the second result
 // reports whether any byte may have been written; false guarantees that none
-// was. Redirects are not followed. A body that ends with its connection is incomplete
-// if that ends before the request is written.
+// was. Redirects are not followed. If only the end of the connection marks the end of the
+// answer's body, reading the body fails if the request was not written completely.
 func (t *Transport) SendOnce(req *http.Request) (*http.Response, bool, error) {
 	var used *trackedConn
 	write := newRequestWrite()
