Review: entries miss a configuration after a lost answer of the store

A call of the configuration feed whose answer is lost hangs for 10.5 s, so that all entries act on an old configuration beyond config_apply_ms.

--- /dev/null
+++ b/review/standin3/cases.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// cases are the cases by name. Each returns how the rule was broken, empty if it held.
+var cases = map[string]func(*testCase) (string, error){
+	"lost-feed-answer": lostFeedAnswer,
+	"foreign-entry":    foreignEntry,
+	"lost-config":      lostConfig,
+}
+
+const host = "ficu95.example"
+
+type route struct {
+	Name     string `json:"name"`
+	Host     string `json:"host"`
+	Prefix   string `json:"prefix"`
+	Kind     string `json:"kind"`
+	Timeout  int    `json:"timeout_ms"`
+	Target   int    `json:"target_latency_ms"`
+	Priority int    `json:"priority"`
+	Service  string `json:"service"`
+	Attempts int    `json:"max_attempts"`
+	Public   bool   `json:"public"`
+	Resume   bool   `json:"stream_resume"`
+}
+
+// config is what the operator writes. Orders go to the service that it names.
+type config struct {
+	version int
+	service string
+	timeout int
+}
+
+// configure writes a config with two plain services and one tenant, and returns the time
+// of the acknowledgement.
+func (c *testCase) configure(f config) time.Time {
+	text, _ := json.Marshal(map[string]any{
+		"version": f.version,
+		"routes": []route{
+			{Name: "r-orders", Host: host, Prefix: "/orders/", Kind: "unsafe", Timeout: f.timeout, Target: 150, Priority: 2, Service: f.service, Attempts: 1},
+			{Name: "r-looks", Host: host, Prefix: "/looks/", Kind: "safe", Timeout: f.timeout, Target: 150, Priority: 2, Service: "orderdesk", Attempts: 2},
+		},
+		"services": []map[string]any{
+			{"name": "orderdesk", "health_path": "/health", "max_connections": 96, "protocol": "h1", "tls": false},
+			{"name": "newdesk", "health_path": "/health", "max_connections": 96, "protocol": "h1", "tls": false},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "huka270", "api_keys": []string{"key-1"}, "priority": 1, "rate_per_s": 0, "burst": 0}},
+	})
+	at := c.store.put("op", "config", text)
+	c.record.add("operator: version %d acknowledged: orders go to %s, timeout %d ms", f.version, f.service, f.timeout)
+	return at
+}
+
+var zones = []string{"midrand", "centurion", "kempton"}
+
+// work is how long a replica works on a request.
+const work = 200 * time.Millisecond
+
+// startAll starts three replicas of each service and three entries, and waits until the
+// entries are ready. It returns the replicas of orderdesk.
+func (c *testCase) startAll() ([]*replica, error) {
+	c.configure(config{7, "orderdesk", 1200})
+	var out []*replica
+	for i, zone := range zones {
+		r, err := newReplica(c, "i-7f3a91c"+strconv.Itoa(i), "orderdesk", fmt.Sprintf("%s.%d", c.network, 100+i), zone)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, r)
+	}
+	for i, zone := range zones {
+		if _, err := newReplica(c, "i-02d9e6b"+strconv.Itoa(i), "newdesk", fmt.Sprintf("%s.%d", c.network, 110+i), zone); err != nil {
+			return nil, err
+		}
+	}
+	for _, zone := range zones {
+		if _, err := c.startEntry("front-"+zone+"-1", zone); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.awaitReady(); err != nil {
+		return nil, err
+	}
+	time.Sleep(5 * time.Second) // the entries get to know each other
+	return out, nil
+}
+
+// orders sends orders on kept channels to every entry until the returned function is
+// called, which returns their results by request.
+func (c *testCase) orders() func() map[string]result {
+	var (
+		stop    = make(chan struct{})
+		wg      sync.WaitGroup
+		mu      sync.Mutex
+		results = map[string]result{}
+	)
+	for _, e := range c.entries {
+		for range 5 {
+			wg.Go(func() {
+				ch := &channel{record: c.record, addr: e.front}
+				defer ch.close()
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					case <-time.After(time.Duration(50+rand.IntN(100)) * time.Millisecond):
+					}
+					r := ch.request("POST", host, fmt.Sprintf("/orders/%d", n), "key-1", "one candle", 2500*time.Millisecond)
+					mu.Lock()
+					results[r.id] = r
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	return func() map[string]result {
+		close(stop)
+		wg.Wait()
+		return results
+	}
+}
+
+// seed returns the seed of the run, of SEED or of the time.
+func seed() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
+		return n
+	}
+	return uint64(time.Now().UnixNano())
+}
+
+// drainBound is drain_ms, and contact is contact_ms. lateExit is how long after its
+// leaving a replica exits.
+const drainBound, contact, lateExit = 2 * time.Second, 3 * time.Second, 4 * time.Second
+
+// checkDrain returns how the rule DRAIN was broken for a replica whose leaving was
+// acknowledged at a time, empty if it held.
+func (c *testCase) checkDrain(r *replica, left time.Time, results map[string]result) string {
+	late, lost, last := 0, 0, time.Duration(0)
+	for _, a := range r.ran() {
+		after := a.at.Sub(left)
+		if after <= drainBound {
+			continue
+		}
+		late, last = late+1, max(last, after)
+		if got := results[a.id]; got.status != 200 || got.err != nil {
+			lost++
+			c.record.add("order %s ran at %s %v after the ack of its leaving and was lost: %s", a.id, r.id, after.Round(time.Millisecond), got)
+		}
+	}
+	if late == 0 {
+		return ""
+	}
+	return fmt.Sprintf("DRAIN: %d requests reached %s later than %v after the ack of its leaving, the last one after %v; %d of them ran and were not answered with success",
+		late, r.id, drainBound, last.Round(time.Millisecond), lost)
+}
+
+// lostFeedAnswer loses a share of the store's answers for a short time. After that the
+// store is sound, and contact_ms later a replica leaves whose entry is removed.
+func lostFeedAnswer(c *testCase) (string, error) {
+	const lossFor, share = 1500 * time.Millisecond, 0.35
+	replicas, err := c.startAll()
+	if err != nil {
+		return "", err
+	}
+	end := c.orders()
+	time.Sleep(time.Second)
+	if c.trouble {
+		s := seed()
+		random := rand.New(rand.NewPCG(s, 0))
+		c.record.add("store: loses %v of its answers for %v, seed %d", share, lossFor, s)
+		c.store.loseBy(func(method, path string) bool { return random.Float64() < share })
+	}
+	time.Sleep(lossFor)
+	c.record.add("store: sound from now on, %d answers were lost", c.store.loseBy(nil))
+	time.Sleep(contact + 200*time.Millisecond)
+	left := replicas[1].leave()
+	c.record.add("store: entry of replica %s removed", replicas[1].id)
+	time.Sleep(lateExit)
+	c.record.add("replica %s exits", replicas[1].id)
+	replicas[1].exit()
+	time.Sleep(5 * time.Second)
+	return c.checkDrain(replicas[1], left, end()), nil
+}
+
+// foreignEntry lets another writer write an entry with missing fields for a replica that
+// has left. The entry names no replica to use.
+func foreignEntry(c *testCase) (string, error) {
+	replicas, err := c.startAll()
+	if err != nil {
+		return "", err
+	}
+	end := c.orders()
+	time.Sleep(time.Second)
+	left := replicas[1].leave()
+	c.record.add("store: entry of replica %s removed", replicas[1].id)
+	time.Sleep(time.Second)
+	if c.trouble {
+		text, _ := json.Marshal(map[string]any{"service": "orderdesk", "address": replicas[1].address, "slots": 64, "state": "ready"})
+		c.store.put("servers", replicas[1].id, text)
+		c.record.add("store: another writer wrote servers/%s: %s", replicas[1].id, text)
+	}
+	time.Sleep(lateExit - time.Second)
+	c.record.add("replica %s exits", replicas[1].id)
+	replicas[1].exit()
+	time.Sleep(3 * time.Second)
+	return c.checkDrain(replicas[1], left, end()), nil
+}
+
+// applyBound is config_apply_ms.
+const applyBound = 2 * time.Second
+
+// lostConfig loses a share of the store's answers for a second, while configs come in quick
+// succession. After that the store is sound, and contact_ms later a config moves the
+// route of the orders to another service.
+func lostConfig(c *testCase) (string, error) {
+	const share, versions, sound, gap = 0.35, 16, 3, 80 * time.Millisecond
+	replicas, err := c.startAll()
+	if err != nil {
+		return "", err
+	}
+	end := c.orders()
+	time.Sleep(time.Second)
+	s := seed()
+	random := rand.New(rand.NewPCG(s, 0))
+	for i := range versions {
+		if i == sound && c.trouble {
+			c.record.add("store: loses %v of its answers from now on, seed %d", share, s)
+			c.store.loseBy(func(method, path string) bool { return random.Float64() < share })
+		}
+		c.configure(config{8 + i, "orderdesk", 1201 + i})
+		time.Sleep(gap)
+	}
+	c.record.add("store: sound from now on, %d answers were lost", c.store.loseBy(nil))
+	time.Sleep(contact + 200*time.Millisecond)
+	acked := c.configure(config{50, "newdesk", 1200})
+	time.Sleep(9 * time.Second)
+	results := end()
+	old, last := 0, time.Duration(0)
+	for _, r := range replicas {
+		for _, a := range r.ran() {
+			if after := results[a.id].sent.Sub(acked); after > applyBound {
+				old, last = old+1, max(last, after)
+			}
+		}
+	}
+	if old > 0 {
+		return fmt.Sprintf("CONFIG: %d orders sent later than %v after the ack of version 50 were run by the old service, the last one sent %v after it",
+			old, applyBound, last.Round(time.Millisecond)), nil
+	}
+	return "", nil
+}
